Start the library: names, outcomes, messages, HTTP server, design

Cause: the repository was empty. Change: package and lints, the design page, typed names and outcomes, the committed protocol code with its generator, and an HTTP server that bounds head, body and connections. Conclusion: the interfaces are in place for the daemons.

--- /dev/null
+++ b/src/bin/cactuslatch-measure/main.rs
@@ -0,0 +1,3 @@
+//! Measurements and long randomised runs.
+
+fn main() {}
--- /dev/null
+++ b/src/config/settings.rs
@@ -0,0 +1,180 @@
+//! Plain values of settings and service documents.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::names::{DataCentreName, HostName, OrganisationName, ServiceName};
+
+/// Time limits of an entry host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Timeouts {
+    /// Longest time a caller may ask for; also the default.
+    pub request_timeout_ms: u64,
+    /// Time for one attempt at one upstream.
+    pub attempt_timeout_ms: u64,
+    /// Time for opening a connection to an upstream or peer.
+    pub connect_timeout_ms: u64,
+    /// Time for a caller to send the request head.
+    pub head_timeout_ms: u64,
+    /// Time for a caller to send the request body.
+    pub body_timeout_ms: u64,
+    /// Longest time a request waits for a free slot.
+    pub park_budget_ms: u64,
+    /// Age at which a connection to an upstream is replaced.
+    pub connection_age_ms: u64,
+    /// Idle time after which a connection is probed before use.
+    pub idle_probe_ms: u64,
+    /// Time between failing the health check and closing the listener.
+    pub balancer_notice_ms: u64,
+    /// Time for requests in flight to finish at shutdown.
+    pub drain_timeout_ms: u64,
+    /// Time without an announcement after which an upstream gets no new work.
+    pub upstream_lease_ms: u64,
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Self {
+            request_timeout_ms: 10_000,
+            attempt_timeout_ms: 3_000,
+            connect_timeout_ms: 500,
+            head_timeout_ms: 5_000,
+            body_timeout_ms: 10_000,
+            park_budget_ms: 2_000,
+            connection_age_ms: 60_000,
+            idle_probe_ms: 5_000,
+            balancer_notice_ms: 3_000,
+            drain_timeout_ms: 15_000,
+            upstream_lease_ms: 3_000,
+        }
+    }
+}
+
+/// Limits on what an entry host holds at once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest accepted request body.
+    pub body_limit_bytes: usize,
+    /// Most caller connections open at once.
+    pub max_connections: usize,
+    /// Most requests that wait for a slot at once.
+    pub park_max: usize,
+    /// Retries allowed as a share of requests.
+    pub retry_budget_percent: u32,
+    /// Retries allowed each second however few requests there are.
+    pub retry_floor_per_s: u32,
+    /// One in this many dispatches is batch while batch waits.
+    pub batch_share_one_in: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_limit_bytes: 1024 * 1024,
+            max_connections: 2_048,
+            park_max: 1_024,
+            retry_budget_percent: 10,
+            retry_floor_per_s: 3,
+            batch_share_one_in: 8,
+        }
+    }
+}
+
+/// A data centre and the peer addresses of its entry hosts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DataCentrePeers {
+    /// Name of the data centre.
+    pub name: DataCentreName,
+    /// Peer addresses of its entry hosts.
+    pub entry_addresses: SmallVec<[SocketAddr; 4]>,
+}
+
+/// Settings of an entry host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// Name of this host.
+    pub host: HostName,
+    /// Data centre in which this host stands.
+    pub data_centre: DataCentreName,
+    /// Address for callers, upstreams and operators.
+    pub caller_address: SocketAddr,
+    /// Address for other entry hosts.
+    pub peer_address: SocketAddr,
+    /// Address for health and metrics.
+    pub admin_address: SocketAddr,
+    /// Control process of this data centre.
+    pub control_address: SocketAddr,
+    /// Number of entry hosts configured in this data centre, this one included.
+    pub local_entry_hosts: u32,
+    /// All data centres and their entry hosts.
+    pub data_centres: Vec<DataCentrePeers>,
+    /// Time limits.
+    pub timeouts: Timeouts,
+    /// Limits on what is held at once.
+    pub limits: Limits,
+}
+
+/// Settings of a control process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ControlSettings {
+    /// Name of this host.
+    pub host: HostName,
+    /// Data centre for which this process decides.
+    pub data_centre: DataCentreName,
+    /// Address for entry hosts and other control processes.
+    pub rpc_address: SocketAddr,
+    /// Address for health and metrics.
+    pub admin_address: SocketAddr,
+    /// The one folder with durable state.
+    pub data_folder: PathBuf,
+    /// Entry hosts configured in this data centre.
+    pub entry_hosts: Vec<HostName>,
+    /// Control process that writes documents; this one if absent.
+    pub document_writer: Option<SocketAddr>,
+    /// Time without an announcement after which an upstream is lost.
+    pub upstream_lease_ms: u64,
+    /// Time for which a lent share of an upstream's limits is valid.
+    pub share_lease_ms: u64,
+    /// Credentials of the teams, each for one service.
+    pub credentials: Vec<TeamCredential>,
+}
+
+/// The secret with which a team changes its own document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TeamCredential {
+    /// Service whose document the team owns.
+    pub service: ServiceName,
+    /// Secret that the team sends as a bearer token.
+    pub secret: String,
+}
+
+/// What a service needs, stated by the team that owns it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServiceDocument {
+    /// Service to which the document belongs.
+    pub service: ServiceName,
+    /// Organisations that may use the service.
+    pub organisations: Vec<Organisation>,
+    /// Most batch requests that wait at one entry host.
+    pub batch_queue_max: u32,
+    /// Weight of completion time in placement decisions.
+    pub completion_weight: f64,
+    /// Weight of fragmentation in placement decisions.
+    pub fragmentation_weight: f64,
+}
+
+/// Limits and guarantees of one organisation within a service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Organisation {
+    /// Name of the organisation.
+    pub name: OrganisationName,
+    /// Most requests in flight at one entry host.
+    pub concurrency_max: u32,
+    /// Requests accepted each second at one entry host.
+    pub requests_per_s: u32,
+    /// Adjacent accelerators that can always be reclaimed, one entry for each block.
+    pub guaranteed_blocks: SmallVec<[u32; 4]>,
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,1 @@
+//! The control process, which decides for one data centre.
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,46 @@
+//! HTTP towards callers, upstreams and operators, on top of `hyper`.
+
+mod server;
+
+pub(crate) use server::{Received, ServerLimits, serve};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+
+/// A response whose whole body is at hand.
+pub(crate) type FullResponse = Response<Full<Bytes>>;
+
+/// Builds a JSON response; a value that cannot be written as JSON becomes status 500.
+pub(crate) fn json(status: u16, value: &impl Serialize) -> FullResponse {
+    match serde_json::to_vec(value) {
+        Ok(body) => with_type(status, "application/json", body.into()),
+        Err(error) => with_type(500, "text/plain", error.to_string().into()),
+    }
+}
+
+/// Builds a plain text response.
+pub(crate) fn text(status: u16, body: impl Into<Bytes>) -> FullResponse {
+    with_type(status, "text/plain; charset=utf-8", body.into())
+}
+
+/// Body of an answer that reports an error.
+#[derive(Debug, Serialize)]
+struct ErrorBody<'a> {
+    error: &'a str,
+}
+
+/// Builds a JSON response that reports an error.
+pub(crate) fn error(status: u16, message: &str) -> FullResponse {
+    json(status, &ErrorBody { error: message })
+}
+
+fn with_type(status: u16, content_type: &'static str, body: Bytes) -> FullResponse {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
--- /dev/null
+++ b/src/journal/mod.rs
@@ -0,0 +1,1 @@
+//! An append-only file of checksummed records with group commit.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `cactuslatch` command line.
+
+fn main() {}
--- /dev/null
+++ b/src/outcome.rs
@@ -0,0 +1,117 @@
+//! What a caller is told about its request.
+
+use bytes::Bytes;
+use derive_more::Display;
+
+/// Why a request was certainly not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+pub enum NotRunCause {
+    /// The request itself is malformed.
+    #[display("bad_request")]
+    BadRequest,
+    /// The organisation may not send this request.
+    #[display("forbidden")]
+    Forbidden,
+    /// The service has no document.
+    #[display("unknown_service")]
+    UnknownService,
+    /// The key was used with another body, or its record is still open.
+    #[display("conflict")]
+    Conflict,
+    /// The organisation is over its limit.
+    #[display("over_limit")]
+    OverLimit,
+    /// The body is larger than accepted.
+    #[display("too_large")]
+    TooLarge,
+    /// No upstream could take the request in time.
+    #[display("no_capacity")]
+    NoCapacity,
+    /// A process needed to accept the request cannot be reached.
+    #[display("unavailable")]
+    Unavailable,
+    /// The upstream refused the request before starting it.
+    #[display("refused_by_upstream")]
+    RefusedByUpstream,
+    /// The caller's deadline passed before anything was sent to an upstream.
+    #[display("deadline")]
+    Deadline,
+    /// The record of this key has been pruned.
+    #[display("key_expired")]
+    KeyExpired,
+}
+
+impl NotRunCause {
+    /// Returns the HTTP status with which a caller hears this cause.
+    #[must_use]
+    pub const fn http_status(self) -> u16 {
+        match self {
+            Self::BadRequest => 400,
+            Self::Forbidden => 403,
+            Self::UnknownService => 404,
+            Self::Conflict => 409,
+            Self::KeyExpired => 410,
+            Self::TooLarge => 413,
+            Self::OverLimit => 429,
+            Self::NoCapacity | Self::Unavailable | Self::RefusedByUpstream | Self::Deadline => 503,
+        }
+    }
+}
+
+/// Reason attached to a request that was not run.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[display("{cause}: {detail}")]
+pub struct NotRun {
+    /// Class of the reason, which decides the HTTP status.
+    pub cause: NotRunCause,
+    /// Sentence for the caller.
+    pub detail: String,
+}
+
+impl NotRun {
+    /// Builds a reason from its class and a sentence for the caller.
+    pub fn new(cause: NotRunCause, detail: impl Into<String>) -> Self {
+        Self { cause, detail: detail.into() }
+    }
+}
+
+/// The three things a caller can be told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The upstream ran the request and this is its whole answer.
+    Done {
+        /// Body of the upstream's answer.
+        answer: Bytes,
+        /// Number of the attempt that produced the answer.
+        attempt: u32,
+    },
+    /// The request certainly did not run.
+    NotRun(NotRun),
+    /// The request may have run.
+    Unknown {
+        /// Sentence for the caller.
+        detail: String,
+    },
+}
+
+impl Outcome {
+    /// Returns the outcome's name as used in answers, metrics and records.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Done { .. } => "done",
+            Self::NotRun(_) => "not_run",
+            Self::Unknown { .. } => "unknown",
+        }
+    }
+
+    /// Returns the HTTP status that belongs to the outcome.
+    #[must_use]
+    pub const fn http_status(&self) -> u16 {
+        match self {
+            Self::Done { .. } => 200,
+            Self::NotRun(reason) => reason.cause.http_status(),
+            Self::Unknown { .. } => 504,
+        }
+    }
+}
--- /dev/null
+++ b/src/rpc/convert.rs
@@ -0,0 +1,62 @@
+//! Conversions between wire messages and the types of the library.
+
+use crate::outcome::{NotRun, NotRunCause, Outcome};
+use crate::rpc;
+
+/// Every cause with its wire name; a peer with another version may send others.
+const CAUSES: [NotRunCause; 11] = [
+    NotRunCause::BadRequest,
+    NotRunCause::Forbidden,
+    NotRunCause::UnknownService,
+    NotRunCause::Conflict,
+    NotRunCause::OverLimit,
+    NotRunCause::TooLarge,
+    NotRunCause::NoCapacity,
+    NotRunCause::Unavailable,
+    NotRunCause::RefusedByUpstream,
+    NotRunCause::Deadline,
+    NotRunCause::KeyExpired,
+];
+
+impl NotRun {
+    /// Reads a reason from its text form, `cause: detail`.
+    #[must_use]
+    pub fn from_wire(text: &str) -> Self {
+        let (name, detail) = text.split_once(": ").unwrap_or(("unavailable", text));
+        let cause = CAUSES.into_iter().find(|cause| cause.to_string() == name);
+        Self::new(cause.unwrap_or(NotRunCause::Unavailable), detail)
+    }
+}
+
+impl From<Outcome> for rpc::Outcome {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Done { answer, attempt } => {
+                Self { kind: rpc::OutcomeKind::Done.into(), answer, attempt, ..Self::default() }
+            }
+            Outcome::NotRun(reason) => Self {
+                kind: rpc::OutcomeKind::NotRun.into(),
+                reason: reason.to_string(),
+                ..Self::default()
+            },
+            Outcome::Unknown { detail } => {
+                Self { kind: rpc::OutcomeKind::Unknown.into(), reason: detail, ..Self::default() }
+            }
+        }
+    }
+}
+
+impl From<rpc::Outcome> for Outcome {
+    fn from(outcome: rpc::Outcome) -> Self {
+        match outcome.kind() {
+            rpc::OutcomeKind::Done => {
+                Self::Done { answer: outcome.answer, attempt: outcome.attempt }
+            }
+            rpc::OutcomeKind::NotRun => Self::NotRun(NotRun::from_wire(&outcome.reason)),
+            // An unset kind comes from a newer peer; only "unknown" is then true.
+            rpc::OutcomeKind::Unknown | rpc::OutcomeKind::Unspecified => {
+                Self::Unknown { detail: outcome.reason }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/rpc/mod.rs
@@ -0,0 +1,17 @@
+//! Messages between the system's own processes, generated from `proto/cactuslatch.proto`.
+
+mod convert;
+#[rustfmt::skip]
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    clippy::clone_on_ref_ptr,
+    clippy::empty_structs_with_brackets,
+    clippy::allow_attributes_without_reason,
+    missing_docs,
+    missing_debug_implementations,
+    reason = "generated code"
+)]
+mod generated;
+
+pub use generated::*;
--- /dev/null
+++ b/src/scheduler/mod.rs
@@ -0,0 +1,1 @@
+//! The scheduling core: a pure step function over racks, gangs, organisations and the queue.
