Read settings and service documents from YAML with positions

Cause: the structs for settings had no reader, and operators need every fault in one run. Faults carry line, column, key path and sentence. Duplicate keys are found by marking the second one and parsing again, since the loader stops at the first or drops it. Text size, opening brackets and indentation are bounded, because the YAML parser recurses. Service documents gain limits per class and job shapes; names gain ShapeName.

--- /dev/null
+++ b/src/config/section.rs
@@ -0,0 +1,311 @@
+//! Reads the keys of one mapping and collects every fault on the way.
+
+use std::cell::RefCell;
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+
+use marked_yaml::Node;
+use marked_yaml::types::{MarkedMappingNode, MarkedScalarNode};
+
+use super::fault::Fault;
+use super::text::{DUPLICATE_MARK, position};
+
+/// Faults found so far, shared by all sections of a file.
+pub(super) type FaultList = RefCell<Vec<Fault>>;
+
+/// A value with the place it came from.
+#[derive(Debug, Clone)]
+pub(super) struct Located<T> {
+    pub(super) value: T,
+    pub(super) key: String,
+    /// Line and column; `None` for a default.
+    pub(super) place: Option<(usize, usize)>,
+}
+
+impl<T: Display> Located<T> {
+    /// Names key, value and line, for sentences about two keys.
+    pub(super) fn describe(&self) -> String {
+        match self.place {
+            Some((line, _)) => format!("{} ({}, line {line})", self.key, self.value),
+            None => format!("{} ({}, the default)", self.key, self.value),
+        }
+    }
+}
+
+/// The keys of one mapping; keys that nobody asked for are reported by [`Section::finish`].
+pub(super) struct Section<'a> {
+    map: Option<&'a MarkedMappingNode>,
+    path: String,
+    place: (usize, usize),
+    known: RefCell<Vec<&'static str>>,
+    faults: &'a FaultList,
+}
+
+impl<'a> Section<'a> {
+    pub(super) fn root(node: &'a Node, faults: &'a FaultList) -> Self {
+        Self::at(node.as_mapping(), String::new(), (1, 1), faults)
+    }
+
+    fn at(
+        map: Option<&'a MarkedMappingNode>,
+        path: String,
+        place: (usize, usize),
+        faults: &'a FaultList,
+    ) -> Self {
+        Self { map, path, place, known: RefCell::default(), faults }
+    }
+
+    /// Returns the path of a key in this section.
+    pub(super) fn path_of(&self, key: &str) -> String {
+        if self.path.is_empty() { key.to_owned() } else { format!("{}.{key}", self.path) }
+    }
+
+    /// Records a fault at a place in the file.
+    pub(super) fn fault(&self, place: (usize, usize), key: String, sentence: impl Into<String>) {
+        let (line, column) = place;
+        let sentence = sentence.into();
+        self.faults.borrow_mut().push(Fault { line, column, key, sentence });
+    }
+
+    /// Records a fault at a value, or at the section if the value is a default.
+    pub(super) fn fault_at<T>(&self, located: &Located<T>, sentence: impl Into<String>) {
+        self.fault(located.place.unwrap_or(self.place), located.key.clone(), sentence);
+    }
+
+    /// Records a missing key and returns nothing.
+    fn missing<T>(&self, key: &str) -> Option<T> {
+        self.fault(self.place, self.path_of(key), "the key is missing");
+        None
+    }
+
+    fn node(&self, key: &'static str) -> Option<&'a Node> {
+        self.known.borrow_mut().push(key);
+        self.map?.get_node(key)
+    }
+
+    fn read<T>(
+        &self,
+        key: &'static str,
+        node: &Node,
+        read: impl FnOnce(&Node) -> Result<T, String>,
+    ) -> Option<Located<T>> {
+        let place = position(node.span().start());
+        let key = self.path_of(key);
+        match read(node) {
+            Ok(value) => Some(Located { value, key, place: Some(place) }),
+            Err(sentence) => {
+                self.fault(place, key, sentence);
+                None
+            }
+        }
+    }
+
+    /// Reads a key that must be present.
+    pub(super) fn required<T>(
+        &self,
+        key: &'static str,
+        read: impl FnOnce(&Node) -> Result<T, String>,
+    ) -> Option<Located<T>> {
+        match self.node(key) {
+            Some(node) => self.read(key, node, read),
+            None => self.missing(key),
+        }
+    }
+
+    /// Reads a key with a default; `None` only if the value given is faulty.
+    pub(super) fn optional<T>(
+        &self,
+        key: &'static str,
+        default: T,
+        read: impl FnOnce(&Node) -> Result<T, String>,
+    ) -> Option<Located<T>> {
+        match self.node(key) {
+            Some(node) => self.read(key, node, read),
+            None => Some(Located { value: default, key: self.path_of(key), place: None }),
+        }
+    }
+
+    /// Opens a mapping under a key; an absent one reads as empty.
+    pub(super) fn section(&self, key: &'static str) -> Section<'a> {
+        let node = self.node(key);
+        let place = node.map_or(self.place, |node| position(node.span().start()));
+        if let Some(node) = node
+            && node.as_mapping().is_none()
+        {
+            self.fault(place, self.path_of(key), "expected keys and values below this key");
+        }
+        let map = node.and_then(Node::as_mapping);
+        Self::at(map, self.path_of(key), place, self.faults)
+    }
+
+    /// Opens each mapping of a list; an absent list is a fault unless it is `optional`.
+    pub(super) fn sections(&self, key: &'static str, optional: bool) -> Option<Vec<Section<'a>>> {
+        let Some(items) = self.items(key) else {
+            return if optional { Some(Vec::new()) } else { self.missing(key) };
+        };
+        let sections = items?.into_iter().map(|(path, node)| {
+            let place = position(node.span().start());
+            if node.as_mapping().is_none() {
+                self.fault(place, path.clone(), "expected keys and values in this list item");
+            }
+            Self::at(node.as_mapping(), path, place, self.faults)
+        });
+        Some(sections.collect())
+    }
+
+    /// Reads each item of a list; `None` if the list is absent or an item is faulty.
+    pub(super) fn list<T>(
+        &self,
+        key: &'static str,
+        optional: bool,
+        read: impl Fn(&Node) -> Result<T, String>,
+    ) -> Option<Vec<Located<T>>> {
+        let Some(items) = self.items(key) else {
+            return if optional { Some(Vec::new()) } else { self.missing(key) };
+        };
+        let values: Vec<_> = items?
+            .into_iter()
+            .map(|(path, node)| {
+                let place = position(node.span().start());
+                match read(node) {
+                    Ok(value) => Some(Located { value, key: path, place: Some(place) }),
+                    Err(sentence) => {
+                        self.fault(place, path, sentence);
+                        None
+                    }
+                }
+            })
+            .collect();
+        values.into_iter().collect()
+    }
+
+    /// Returns the items of a list with their paths; the inner `None` means "not a list".
+    #[expect(clippy::option_option, reason = "absent and faulty lists are treated differently")]
+    fn items(&self, key: &'static str) -> Option<Option<Vec<(String, &'a Node)>>> {
+        let node = self.node(key)?;
+        let path = self.path_of(key);
+        let Some(sequence) = node.as_sequence() else {
+            self.fault(position(node.span().start()), path, "expected a list");
+            return Some(None);
+        };
+        let items = sequence.iter().enumerate().map(|(i, node)| (format!("{path}[{i}]"), node));
+        Some(Some(items.collect()))
+    }
+
+    /// Returns where the section stands in the file.
+    pub(super) fn place(&self) -> (usize, usize) {
+        self.place
+    }
+
+    /// Reports every key that was not asked for.
+    pub(super) fn finish(self) {
+        let Some(map) = self.map else { return };
+        for key in map.keys() {
+            let name = key.as_str();
+            let place = position(key.span().start());
+            let plain = name.trim_start_matches(DUPLICATE_MARK);
+            if plain != name {
+                let first = map.keys().find(|key| key.as_str() == plain);
+                let line = position(first.and_then(|key| key.span().start())).0;
+                let sentence = format!("the key is given twice, first on line {line}; keep one");
+                self.fault(place, self.path_of(plain), sentence);
+            } else if !self.known.borrow().contains(&name) {
+                self.fault(place, self.path_of(name), self.unknown(name));
+            }
+        }
+    }
+
+    fn unknown(&self, name: &str) -> String {
+        let known = self.known.borrow();
+        let nearest = known.iter().min_by_key(|known| edit_distance(name, known));
+        match nearest.filter(|known| edit_distance(name, known) <= known.len() / 2) {
+            Some(nearest) => format!("the key is not known; did you mean {nearest}?"),
+            None => format!("the key is not known; known here: {}", known.join(", ")),
+        }
+    }
+}
+
+/// Counts the single-character changes between two words.
+fn edit_distance(a: &str, b: &str) -> usize {
+    let b: Vec<char> = b.chars().collect();
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, left) in a.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, right) in b.iter().enumerate() {
+            let substituted = diagonal + usize::from(left != *right);
+            diagonal = row[j + 1];
+            row[j + 1] = substituted.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[b.len()]
+}
+
+fn scalar(node: &Node) -> Result<&MarkedScalarNode, String> {
+    node.as_scalar().ok_or_else(|| "expected a single value".to_owned())
+}
+
+/// Reads non-empty text.
+pub(super) fn text(node: &Node) -> Result<String, String> {
+    let value = scalar(node)?.as_str();
+    if value.is_empty() { Err("the value is empty".to_owned()) } else { Ok(value.to_owned()) }
+}
+
+/// Reads `true` or `false`.
+pub(super) fn boolean(node: &Node) -> Result<bool, String> {
+    let value = scalar(node)?;
+    value.as_bool().ok_or_else(|| format!("{:?} is neither true nor false", value.as_str()))
+}
+
+/// Reads a whole number within a range.
+pub(super) fn whole<T>(range: RangeInclusive<u64>) -> impl Fn(&Node) -> Result<T, String>
+where
+    T: TryFrom<u64>,
+{
+    move |node| {
+        let value = scalar(node)?;
+        let (low, high) = range.clone().into_inner();
+        let number =
+            value.as_i128().ok_or_else(|| format!("{:?} is not a whole number", value.as_str()))?;
+        let accepted = u64::try_from(number).ok().filter(|number| range.contains(number));
+        let accepted = accepted.and_then(|number| T::try_from(number).ok());
+        accepted.ok_or_else(|| format!("{number} is out of range; use {low} to {high}"))
+    }
+}
+
+/// Reads a number within a range.
+pub(super) fn number(range: RangeInclusive<f64>) -> impl Fn(&Node) -> Result<f64, String> {
+    move |node| {
+        let value = scalar(node)?;
+        let number = value.as_f64().filter(|number| number.is_finite());
+        let number = number.ok_or_else(|| format!("{:?} is not a number", value.as_str()))?;
+        if range.contains(&number) {
+            Ok(number)
+        } else {
+            Err(format!("{number} is out of range; use {} to {}", range.start(), range.end()))
+        }
+    }
+}
+
+/// Reads a name of one of the library's kinds.
+pub(super) fn name<T>(node: &Node) -> Result<T, String>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    scalar(node)?.as_str().parse().map_err(|error: T::Err| error.to_string())
+}
+
+/// Reads an IP number with a port other than 0.
+pub(super) fn address(node: &Node) -> Result<SocketAddr, String> {
+    let value = scalar(node)?.as_str();
+    let address: SocketAddr = value.parse().map_err(|_| {
+        format!("{value:?} is not an address; use an IP number and port such as 10.0.0.5:7001")
+    })?;
+    if address.port() == 0 {
+        return Err(format!("{value:?} has port 0; use a port from 1 to 65535"));
+    }
+    Ok(address)
+}
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::names::{DataCentreName, HostName, OrganisationName, ServiceName};
+use crate::names::{DataCentreName, HostName, OrganisationName, ServiceName, ShapeName};
 
 /// Time limits of an entry host.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -158,12 +158,62 @@
     pub service: ServiceName,
     /// Organisations that may use the service.
     pub organisations: Vec<Organisation>,
-    /// Most batch requests that wait at one entry host.
+    /// Most interactive requests that wait at one entry host; 0 if they may not wait.
+    #[serde(default = "default_queue_max")]
+    pub interactive_queue_max: u32,
+    /// Longest time an interactive request waits; a host's park budget may be shorter.
+    #[serde(default = "default_interactive_wait_max_ms")]
+    pub interactive_wait_max_ms: u64,
+    /// Most batch requests that wait at one entry host; 0 if they may not wait.
     pub batch_queue_max: u32,
+    /// Longest time a batch request waits; a host's park budget may be shorter.
+    #[serde(default = "default_batch_wait_max_ms")]
+    pub batch_wait_max_ms: u64,
     /// Weight of completion time in placement decisions.
     pub completion_weight: f64,
     /// Weight of fragmentation in placement decisions.
     pub fragmentation_weight: f64,
+    /// Shapes in which the service's jobs come; a job in another shape is refused.
+    #[serde(default)]
+    pub job_shapes: Vec<JobShape>,
+}
+
+/// Default of `interactive_queue_max`.
+pub(crate) const fn default_queue_max() -> u32 {
+    256
+}
+
+/// Default of `interactive_wait_max_ms`.
+pub(crate) const fn default_interactive_wait_max_ms() -> u64 {
+    500
+}
+
+/// Default of `batch_wait_max_ms`.
+pub(crate) const fn default_batch_wait_max_ms() -> u64 {
+    2_000
+}
+
+/// A shape of job that the service runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobShape {
+    /// Name by which jobs refer to the shape.
+    pub name: ShapeName,
+    /// Adjacent accelerators: 1 to 8, or a multiple of 8 up to 64.
+    pub accelerators: u32,
+    /// Whether a job may wait for capacity; otherwise it is refused if it cannot start at once.
+    pub may_wait: bool,
+    /// Whether a running job can write a checkpoint and go on from it later.
+    pub can_checkpoint: bool,
+    /// Whether a running job may be stopped and started over.
+    pub can_stop: bool,
+}
+
+impl JobShape {
+    /// Returns whether jobs of this shape may run on capacity that is lent and can be reclaimed.
+    #[must_use]
+    pub const fn may_borrow(&self) -> bool {
+        self.can_checkpoint || self.can_stop
+    }
 }
 
 /// Limits and guarantees of one organisation within a service.
--- /dev/null
+++ b/src/config/text.rs
@@ -0,0 +1,116 @@
+//! YAML text to a tree of nodes with positions, with duplicate keys kept and nesting bounded.
+
+use marked_yaml::types::MarkedScalarNode;
+use marked_yaml::{LoadError, LoaderOptions, Marker, Node, parse_yaml_with_options};
+
+use super::fault::{Fault, Faults};
+
+/// Largest accepted text; service documents travel whole in messages and journals.
+pub(crate) const TEXT_LIMIT_BYTES: usize = 256 * 1024;
+
+/// Most opening brackets in a text. The YAML parser recurses once for each nested one, and a text
+/// of brackets alone would exhaust a thread's stack.
+const BRACKET_LIMIT: usize = 1_000;
+
+/// Most columns of indentation, which bounds the parser's recursion over block style.
+const INDENT_LIMIT: usize = 128;
+
+/// Most duplicate keys found before reading stops; each costs one more parse.
+const DUPLICATE_LIMIT: usize = 32;
+
+/// Private-use character put before a repeated key, so that the loader keeps both entries.
+pub(super) const DUPLICATE_MARK: char = '\u{E000}';
+
+/// Reads text into a tree; repeated keys appear in it with [`DUPLICATE_MARK`] in front.
+pub(super) fn load(text: &str) -> Result<Node, Faults> {
+    check_form(text)?;
+    let mut text = text.to_owned();
+    for _ in 0..DUPLICATE_LIMIT {
+        let options = LoaderOptions::default().error_on_duplicate_keys(true).prevent_coercion(true);
+        match parse_yaml_with_options(0, &text, options) {
+            Ok(node) => return Ok(node),
+            Err(LoadError::DuplicateKey(pair)) => {
+                let marked = mark_duplicate(&text, &pair.key);
+                text = marked.ok_or_else(|| Faults::new(vec![duplicate(&pair.key)]))?;
+            }
+            Err(error) => return Err(Faults::new(vec![syntax_fault(&error)])),
+        }
+    }
+    Err(Faults::whole_file(format!("more than {DUPLICATE_LIMIT} keys are given twice")))
+}
+
+/// Refuses what the parser reads badly: long, deep or split texts.
+fn check_form(text: &str) -> Result<(), Faults> {
+    if text.len() > TEXT_LIMIT_BYTES {
+        let sentence = format!("the text has {} bytes; use at most {TEXT_LIMIT_BYTES}", text.len());
+        return Err(Faults::whole_file(sentence));
+    }
+    if text.matches(['[', '{']).count() > BRACKET_LIMIT {
+        let sentence =
+            format!("the text has over {BRACKET_LIMIT} opening brackets; use block lists");
+        return Err(Faults::whole_file(sentence));
+    }
+    let mut begun = false;
+    for (index, line) in text.lines().enumerate() {
+        let at = |sentence: &str| {
+            let sentence = sentence.to_owned();
+            Faults::new(vec![Fault { line: index + 1, column: 1, key: String::new(), sentence }])
+        };
+        if line.chars().take_while(|c| " \t-?:".contains(*c)).count() > INDENT_LIMIT {
+            return Err(at("the line is indented too deeply"));
+        }
+        // The loader would read the first document only and drop the rest without a word.
+        if begun && line.starts_with("---") {
+            return Err(at("a second YAML document begins here; use one document a file"));
+        }
+        begun |= !(line.trim().is_empty() || line.starts_with(['#', '%']));
+    }
+    Ok(())
+}
+
+fn mark_duplicate(text: &str, key: &MarkedScalarNode) -> Option<String> {
+    let start = key.span().start()?;
+    let line_start: usize = text.split_inclusive('\n').take(start.line() - 1).map(str::len).sum();
+    let line = text.get(line_start..)?;
+    let column = line.char_indices().nth(start.column() - 1)?.0;
+    let mut at = line_start + column;
+    if text.get(at..)?.starts_with(['"', '\'']) {
+        at += 1;
+    }
+    text.get(at..)?.starts_with(key.as_str()).then(|| {
+        let (before, after) = text.split_at(at);
+        format!("{before}{DUPLICATE_MARK}{after}")
+    })
+}
+
+fn duplicate(key: &MarkedScalarNode) -> Fault {
+    let (line, column) = position(key.span().start());
+    let sentence = "the key is given twice; keep one of them".to_owned();
+    Fault { line, column, key: key.as_str().to_owned(), sentence }
+}
+
+fn syntax_fault(error: &LoadError) -> Fault {
+    let (marker, sentence) = match error {
+        LoadError::TopLevelMustBeMapping(marker) | LoadError::TopLevelMustBeSequence(marker) => {
+            (Some(marker), "the file must consist of keys and values".to_owned())
+        }
+        LoadError::UnexpectedAnchor(marker) => {
+            (Some(marker), "anchors and aliases are not accepted".to_owned())
+        }
+        LoadError::MappingKeyMustBeScalar(marker) => {
+            (Some(marker), "a key must be plain text".to_owned())
+        }
+        LoadError::UnexpectedTag(marker) => (Some(marker), "tags are not accepted".to_owned()),
+        LoadError::ScanError(marker, error) => {
+            (Some(marker), format!("not valid YAML: {}", error.info()))
+        }
+        LoadError::DuplicateKey(pair) => return duplicate(&pair.key),
+    };
+    let (line, column) = position(marker);
+    Fault { line, column, key: String::new(), sentence }
+}
+
+/// Returns line and column of a marker, or of the file's start if there is none.
+pub(super) fn position(marker: Option<&Marker>) -> (usize, usize) {
+    marker.map_or((1, 1), |marker| (marker.line(), marker.column()))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,6 @@
 pub use error::StepError;
 pub use names::{
     DataCentreName, HostName, InvalidName, JobName, KEY_ID_LIMIT_BYTES, NAME_LIMIT_BYTES,
-    OrganisationName, RackName, RequestKey, ServiceName, UpstreamName,
+    OrganisationName, RackName, RequestKey, ServiceName, ShapeName, UpstreamName,
 };
 pub use outcome::{NotRun, NotRunCause, Outcome};
--- a/src/names.rs
+++ b/src/names.rs
@@ -97,6 +97,10 @@
     /// Name of a rack of upstreams within a data centre.
     RackName, "rack name"
 );
+name!(
+    /// Name of a shape of job within a service document.
+    ShapeName, "shape name"
+);
 name!(
     /// Name of a job, chosen by the caller and unique within a data centre.
     JobName, "job name"
