Add the entry host's request path and a stand-in upstream

Cause: nothing served requests yet. Change: admission, slots and connections under shares, parking, attempts with identity checks, detection of silent connections by fencing on a fresh one, at-most-once dispatch after a durable intent, forwarding to the owning data centre, graceful shutdown, metrics; a stand-in upstream. Conclusion: the path can be joined with control.

--- /dev/null
+++ b/src/entry/api.rs
@@ -0,0 +1,184 @@
+//! HTTP with JSON towards callers, upstreams and operators.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde_json::value::{RawValue, to_raw_value};
+use tokio::time::Instant;
+
+use super::EntryHost;
+use super::request::{self, CallerRequest, Kind};
+use crate::http::{FullResponse, Received, error, json};
+use crate::names::{RequestKey, ServiceName};
+use crate::outcome::{NotRun, NotRunCause, Outcome};
+
+mod documents;
+mod jobs;
+mod requests;
+mod upstreams;
+
+/// Answers one request of a caller, an upstream or an operator.
+pub(crate) async fn handle(host: Arc<EntryHost>, received: Received) -> FullResponse {
+    let segments = received.segments();
+    let segments: Vec<&str> = segments.iter().map(|part| &**part).collect();
+    match (received.method.as_str(), segments.as_slice()) {
+        ("POST", ["v1", "services", service, "requests"]) => run(&host, &received, service).await,
+        ("GET", ["v1", "requests", data_centre, id]) => {
+            requests::lookup(&host, data_centre, id).await
+        }
+        ("POST", ["v1", "requests", data_centre, id, "sign-off"]) => {
+            requests::sign_off(&host, data_centre, id, &received).await
+        }
+        ("POST", ["v1", "jobs"]) => jobs::submit(&host, &received).await,
+        ("GET", ["v1", "jobs", job]) => jobs::status(&host, job).await,
+        ("DELETE", ["v1", "jobs", job]) => jobs::cancel(&host, job).await,
+        ("GET", ["v1", "jobs", job, "explain"]) => jobs::explain(&host, job).await,
+        ("GET", ["v1", "documents", service]) => documents::get(&host, service).await,
+        ("PUT", ["v1", "documents", service]) => documents::put(&host, service, &received).await,
+        ("GET", ["v1", "documents", service, "history"]) => {
+            documents::history(&host, service).await
+        }
+        ("GET", ["v1", "upstreams"]) => upstreams::list(&host),
+        ("POST", ["v1", "upstreams", name, "announce"]) => {
+            upstreams::announce(&host, name, &received)
+        }
+        ("POST", ["v1", "upstreams", name, "leave"]) => upstreams::leave(&host, name, &received),
+        _ => error(404, "there is nothing at this path for this method"),
+    }
+}
+
+/// Body of the answer to a request.
+#[derive(Debug, Serialize)]
+struct OutcomeBody<'a> {
+    outcome: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    key: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    attempt: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    status: Option<u16>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    answer: Option<Box<RawValue>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<String>,
+}
+
+async fn run(host: &Arc<EntryHost>, received: &Received, service: &str) -> FullResponse {
+    match read_request(host, received, service) {
+        Ok(request) => {
+            let key = request.key().clone();
+            let outcome = request::handle(host, request).await;
+            outcome_response(Some(&key), &outcome)
+        }
+        Err(reason) => {
+            let reason = NotRun::new(NotRunCause::BadRequest, reason);
+            outcome_response(None, &Outcome::NotRun(reason))
+        }
+    }
+}
+
+/// Writes an outcome as the answer to its caller.
+fn outcome_response(key: Option<&RequestKey>, outcome: &Outcome) -> FullResponse {
+    let mut body = OutcomeBody {
+        outcome: outcome.name(),
+        key: key.map(ToString::to_string),
+        attempt: None,
+        status: None,
+        answer: None,
+        reason: None,
+    };
+    match outcome {
+        Outcome::Done { answer, attempt, upstream_status } => {
+            body.attempt = Some(*attempt);
+            body.status = Some(*upstream_status);
+            body.answer = Some(raw_json(answer));
+        }
+        Outcome::NotRun(reason) => body.reason = Some(reason.to_string()),
+        Outcome::Unknown { detail } => body.reason = Some(detail.clone()),
+    }
+    json(outcome.http_status(), &body)
+}
+
+/// Embeds an answer as it is if it is JSON, and as a string otherwise.
+fn raw_json(answer: &[u8]) -> Box<RawValue> {
+    let text = String::from_utf8_lossy(answer).into_owned();
+    RawValue::from_string(text).unwrap_or_else(|_| {
+        let text = String::from_utf8_lossy(answer);
+        to_raw_value(&text).expect("a string is JSON")
+    })
+}
+
+fn read_request(
+    host: &EntryHost,
+    received: &Received,
+    service: &str,
+) -> Result<CallerRequest, String> {
+    let service: ServiceName = service.parse().map_err(text)?;
+    let organisation = received
+        .header("cactuslatch-organisation")
+        .ok_or("the header Cactuslatch-Organisation is missing")?
+        .parse()
+        .map_err(text)?;
+    let class = match received.header("cactuslatch-class") {
+        Some(class) => class.parse().map_err(text)?,
+        None => crate::Class::default(),
+    };
+    Ok(CallerRequest {
+        service,
+        organisation,
+        class,
+        kind: read_kind(host, received)?,
+        deadline: Instant::now() + read_timeout(host, received)?,
+        body: received.body.clone(),
+    })
+}
+
+fn read_kind(host: &EntryHost, received: &Received) -> Result<Kind, String> {
+    let key = match received.header("idempotency-key") {
+        Some(key) => Some(key.parse::<RequestKey>().map_err(text)?),
+        None => None,
+    };
+    match (read_flag(received, "cactuslatch-idempotent")?, key) {
+        (true, _) => Ok(Kind::Idempotent { key: host.next_key() }),
+        (false, Some(key)) => {
+            let first_submission = read_flag(received, "cactuslatch-first-submission")?;
+            Ok(Kind::Once { key, first_submission })
+        }
+        (false, None) => Err("the header Idempotency-Key is missing; it is needed unless \
+                              Cactuslatch-Idempotent is true"
+            .to_owned()),
+    }
+}
+
+fn read_flag(received: &Received, name: &str) -> Result<bool, String> {
+    match received.header(name) {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(other) => Err(format!("the header {name} is {other:?}; use true or false")),
+    }
+}
+
+fn read_timeout(host: &EntryHost, received: &Received) -> Result<Duration, String> {
+    let most = host.settings.timeouts.request_timeout_ms;
+    let millis = match received.header("cactuslatch-timeout-ms") {
+        None => most,
+        Some(millis) => millis
+            .parse()
+            .ok()
+            .filter(|millis| (1..=most).contains(millis))
+            .ok_or_else(|| format!("Cactuslatch-Timeout-Ms is {millis:?}; use 1 to {most}"))?,
+    };
+    Ok(Duration::from_millis(millis))
+}
+
+#[expect(clippy::needless_pass_by_value, reason = "serves as a function for map_err")]
+fn text(error: impl ToString) -> String {
+    error.to_string()
+}
+
+/// Reads a JSON body, or returns the answer that refuses it.
+fn read_body<T: serde::de::DeserializeOwned>(received: &Received) -> Result<T, Box<FullResponse>> {
+    serde_json::from_slice(&received.body)
+        .map_err(|fault| Box::new(error(400, &format!("the body is not as expected: {fault}"))))
+}
--- /dev/null
+++ b/src/entry/api/jobs.rs
@@ -0,0 +1,58 @@
+//! Jobs: submit, status, cancel, explain. The control process of the data centre decides.
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use super::{EntryHost, FullResponse, Received, error, json, read_body};
+use crate::error::StepError;
+use crate::names::{JobName, OrganisationName, ServiceName};
+use crate::rpc;
+
+/// The part of a submitted job that an entry host reads; control reads the rest.
+#[derive(Debug, Deserialize)]
+struct Submitted {
+    name: JobName,
+    organisation: OrganisationName,
+    service: ServiceName,
+}
+
+pub(super) async fn submit(host: &EntryHost, received: &Received) -> FullResponse {
+    let submitted: Submitted = match read_body(received) {
+        Ok(submitted) => submitted,
+        Err(response) => return *response,
+    };
+    let message = rpc::SubmitJobRequest {
+        name: submitted.name.to_string(),
+        organisation: submitted.organisation.to_string(),
+        service: submitted.service.to_string(),
+        job_json: String::from_utf8_lossy(&received.body).into_owned(),
+    };
+    answer(host.control.submit_job(message).await, 202)
+}
+
+pub(super) async fn status(host: &EntryHost, job: &str) -> FullResponse {
+    let message = rpc::JobNameRequest { name: job.to_owned() };
+    answer(host.control.get_job(message).await, 200)
+}
+
+pub(super) async fn cancel(host: &EntryHost, job: &str) -> FullResponse {
+    let message = rpc::JobNameRequest { name: job.to_owned() };
+    answer(host.control.cancel_job(message).await, 200)
+}
+
+pub(super) async fn explain(host: &EntryHost, job: &str) -> FullResponse {
+    let message = rpc::JobNameRequest { name: job.to_owned() };
+    answer(host.control.explain_job(message).await, 200)
+}
+
+fn answer(reply: Result<rpc::JobReply, StepError>, success: u16) -> FullResponse {
+    match reply {
+        Err(fault) => error(503, &fault.to_string()),
+        Ok(reply) if reply.refused => error(422, &reply.reason),
+        Ok(reply) if !reply.found => error(404, "no job has this name in this data centre"),
+        Ok(reply) => match RawValue::from_string(reply.status_json) {
+            Ok(status) => json(success, &status),
+            Err(fault) => error(502, &format!("control's answer is not JSON: {fault}")),
+        },
+    }
+}
--- /dev/null
+++ b/src/entry/api/requests.rs
@@ -0,0 +1,94 @@
+//! Looking up requests and signing off unknown ones.
+
+use serde::{Deserialize, Serialize};
+
+use super::{EntryHost, FullResponse, Received, error, json, outcome_response, read_body};
+use crate::entry::peers;
+use crate::names::RequestKey;
+use crate::outcome::Outcome;
+use crate::rpc;
+
+#[derive(Debug, Serialize)]
+struct StateBody<'a> {
+    key: String,
+    state: &'a str,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    upstream: &'a str,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    signed_off_by: &'a str,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SignOffBody {
+    name: String,
+    reason: String,
+}
+
+#[derive(Debug, Serialize)]
+struct SignedOff {
+    signed_off: bool,
+}
+
+fn read_key(data_centre: &str, id: &str) -> Result<RequestKey, Box<FullResponse>> {
+    format!("{data_centre}/{id}")
+        .parse()
+        .map_err(|fault: crate::InvalidName| Box::new(error(400, &fault.to_string())))
+}
+
+pub(super) async fn lookup(host: &EntryHost, data_centre: &str, id: &str) -> FullResponse {
+    let key = match read_key(data_centre, id) {
+        Ok(key) => key,
+        Err(response) => return *response,
+    };
+    let reply = match peers::lookup(host, &key).await {
+        Ok(reply) => reply,
+        Err(fault) => return error(503, &fault.to_string()),
+    };
+    match reply.outcome.map(Outcome::from) {
+        Some(outcome) => outcome_response(Some(&key), &outcome),
+        None => json(
+            if reply.state == "absent" { 404 } else { 200 },
+            &StateBody {
+                key: key.to_string(),
+                state: &reply.state,
+                upstream: &reply.upstream,
+                signed_off_by: &reply.signed_off_by,
+            },
+        ),
+    }
+}
+
+pub(super) async fn sign_off(
+    host: &EntryHost,
+    data_centre: &str,
+    id: &str,
+    received: &Received,
+) -> FullResponse {
+    let key = match read_key(data_centre, id) {
+        Ok(key) => key,
+        Err(response) => return *response,
+    };
+    if key.data_centre() != &host.settings.data_centre {
+        let owner = key.data_centre();
+        return error(421, &format!("data centre {owner} owns this key; sign off at a host there"));
+    }
+    let SignOffBody { name, reason } = match read_body(received) {
+        Ok(body) => body,
+        Err(response) => return *response,
+    };
+    if name.trim().is_empty() || reason.trim().is_empty() {
+        return error(400, "a sign-off needs a name and a reason");
+    }
+    let message = rpc::SignOffRequest {
+        data_centre: data_centre.to_owned(),
+        id: id.to_owned(),
+        name,
+        reason,
+    };
+    match host.control.sign_off(message).await {
+        Ok(reply) if reply.accepted => json(200, &SignedOff { signed_off: true }),
+        Ok(reply) => error(409, &reply.refused),
+        Err(fault) => error(503, &fault.to_string()),
+    }
+}
--- /dev/null
+++ b/src/entry/documents.rs
@@ -0,0 +1,69 @@
+//! Service documents as this host knows them; an index only goes up.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, RwLock};
+
+use tokio::time::Instant;
+
+use crate::config::ServiceDocument;
+use crate::names::ServiceName;
+
+/// A document in force at this host.
+#[derive(Debug)]
+pub(crate) struct InForce {
+    pub(crate) document: ServiceDocument,
+    pub(crate) version: u64,
+    pub(crate) index: u64,
+}
+
+/// All documents in force at this host.
+#[derive(Debug, Default)]
+pub(crate) struct Documents {
+    state: RwLock<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    by_service: BTreeMap<ServiceName, Arc<InForce>>,
+    index: u64,
+    refreshed_at: Option<Instant>,
+}
+
+impl Documents {
+    /// Returns the document of a service.
+    pub(crate) fn get(&self, service: &ServiceName) -> Option<Arc<InForce>> {
+        let state = self.state.read().expect("no panic while documents are locked");
+        state.by_service.get(service).cloned()
+    }
+
+    /// Returns the newest index seen.
+    pub(crate) fn index(&self) -> u64 {
+        self.state.read().expect("no panic while documents are locked").index
+    }
+
+    /// Returns the time since control last confirmed the documents, in milliseconds.
+    pub(crate) fn age_ms(&self) -> Option<u64> {
+        let state = self.state.read().expect("no panic while documents are locked");
+        let age = state.refreshed_at?.elapsed();
+        Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Puts a document in force; false if one with the same or a higher index is in force.
+    pub(crate) fn apply(&self, document: ServiceDocument, version: u64, index: u64) -> bool {
+        let mut state = self.state.write().expect("no panic while documents are locked");
+        let service = document.service.clone();
+        if state.by_service.get(&service).is_some_and(|old| old.index >= index) {
+            return false;
+        }
+        state.by_service.insert(service, Arc::new(InForce { document, version, index }));
+        state.index = state.index.max(index);
+        true
+    }
+
+    /// Notes that control has confirmed the documents up to `index`.
+    pub(crate) fn refreshed(&self, index: u64) {
+        let mut state = self.state.write().expect("no panic while documents are locked");
+        state.index = state.index.max(index);
+        state.refreshed_at = Some(Instant::now());
+    }
+}
--- /dev/null
+++ b/src/entry/flight.rs
@@ -0,0 +1,112 @@
+//! An attempt from dispatch to its certain end, with silent connections detected on the way.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::attempt::{self, Answer, Fenced, Payload, Sent};
+use super::upstreams::Slot;
+
+/// Time without an answer after which the upstream is asked on a fresh connection.
+const UNANSWERED_CHECK: Duration = Duration::from_secs(1);
+/// Pause between questions about an attempt whose connection broke.
+const SETTLE_PAUSE: Duration = Duration::from_millis(250);
+
+/// How an attempt ended, as far as it is known in time.
+#[derive(Debug)]
+pub(crate) enum Ended {
+    Answered(Answer),
+    /// It certainly did not start and never will.
+    NotStarted(String),
+    /// It may be running, or may have run.
+    Open(String),
+}
+
+/// What to do while the end of an attempt is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Patience {
+    /// Give up as soon as the upstream says nothing of the attempt; another one may run it.
+    AskOnce,
+    /// Keep asking until the deadline; nobody else may run it.
+    UntilDeadline,
+}
+
+/// Runs one attempt and waits for its end until `until`.
+pub(crate) async fn run(
+    slot: &Slot,
+    payload: &Payload,
+    until: Instant,
+    patience: Patience,
+) -> Ended {
+    let ended = run_once(slot, payload, until, patience).await;
+    match &ended {
+        Ended::Answered(_) => slot.note_success(),
+        Ended::NotStarted(_) | Ended::Open(_) => slot.note_failure(),
+    }
+    ended
+}
+
+async fn run_once(slot: &Slot, payload: &Payload, until: Instant, patience: Patience) -> Ended {
+    let sending = attempt::send(slot, payload);
+    tokio::pin!(sending);
+    loop {
+        tokio::select! {
+            sent = &mut sending => {
+                return after_send(slot, payload, sent, until, patience).await;
+            }
+            () = sleep_until(until) => return Ended::Open("no answer in time".into()),
+            () = sleep(UNANSWERED_CHECK) => {}
+        }
+        // A connection can go silent for good, so the question takes a fresh one.
+        match attempt::fence(slot, &payload.key, payload.attempt).await {
+            Fenced::NotStarted => {
+                return Ended::NotStarted("the request never reached the upstream".into());
+            }
+            Fenced::Done(answer) => return Ended::Answered(answer),
+            Fenced::Silent(reason) if patience == Patience::AskOnce => {
+                return Ended::Open(format!("the upstream is silent: {reason}"));
+            }
+            Fenced::Running | Fenced::Silent(_) => {}
+        }
+    }
+}
+
+async fn after_send(
+    slot: &Slot,
+    payload: &Payload,
+    sent: Sent,
+    until: Instant,
+    patience: Patience,
+) -> Ended {
+    match sent {
+        Sent::Answered(answer) => Ended::Answered(answer),
+        Sent::NotStarted(reason) => Ended::NotStarted(reason),
+        Sent::Broken(reason) if patience == Patience::AskOnce => {
+            settle(slot, payload, reason, Instant::now()).await
+        }
+        Sent::Broken(reason) => settle(slot, payload, reason, until).await,
+    }
+}
+
+/// Asks for the end of an attempt whose connection broke, until it is known or `until`.
+pub(crate) async fn settle(
+    slot: &Slot,
+    payload: &Payload,
+    broken: String,
+    until: Instant,
+) -> Ended {
+    loop {
+        match attempt::fence(slot, &payload.key, payload.attempt).await {
+            Fenced::NotStarted => return Ended::NotStarted(broken),
+            Fenced::Done(answer) => return Ended::Answered(answer),
+            Fenced::Running | Fenced::Silent(_) if !slot.is_current() => {
+                return Ended::Open(broken);
+            }
+            Fenced::Running | Fenced::Silent(_) => {}
+        }
+        if Instant::now() + SETTLE_PAUSE >= until {
+            return Ended::Open(broken);
+        }
+        sleep(SETTLE_PAUSE).await;
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,1 +1,24 @@
 //! The entry host, which takes requests from callers and dispatches them to upstreams.
+
+mod admission;
+mod api;
+mod attempt;
+mod control_client;
+mod daemon;
+mod dispatch;
+mod documents;
+mod flight;
+mod host;
+mod idempotent;
+mod linger;
+mod metrics;
+mod once;
+mod peers;
+mod pool;
+mod request;
+mod retry;
+mod sync;
+mod upstreams;
+
+pub use daemon::{DrainHandle, Running, start};
+pub(crate) use host::EntryHost;
--- /dev/null
+++ b/src/entry/request.rs
@@ -0,0 +1,123 @@
+//! The path of one request from admission to its outcome.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::time::{Duration, Instant};
+
+use super::EntryHost;
+use super::documents::InForce;
+use super::metrics::RequestLabels;
+use crate::class::Class;
+use crate::config::Organisation;
+use crate::names::{OrganisationName, RequestKey, ServiceName};
+use crate::outcome::{NotRun, NotRunCause, Outcome};
+
+/// A caller's request with everything that decides how it is treated.
+#[derive(Debug, Clone)]
+pub(crate) struct CallerRequest {
+    pub(crate) service: ServiceName,
+    pub(crate) organisation: OrganisationName,
+    pub(crate) class: Class,
+    pub(crate) kind: Kind,
+    pub(crate) deadline: Instant,
+    pub(crate) body: Bytes,
+}
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// It may be repeated; the key only matches answers to requests.
+    Idempotent { key: RequestKey },
+    /// It runs at most once under its key.
+    Once {
+        key: RequestKey,
+        /// The caller declares that no submission with this key came before.
+        first_submission: bool,
+    },
+}
+
+impl CallerRequest {
+    pub(crate) fn key(&self) -> &RequestKey {
+        match &self.kind {
+            Kind::Idempotent { key } | Kind::Once { key, .. } => key,
+        }
+    }
+
+    /// Returns the time that is left until the caller's deadline.
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Builds the outcome of a refusal at this host, before the owner's records were asked.
+    ///
+    /// An earlier submission with the same key may have run, so only a caller that declares its
+    /// first submission can be told that the request did not run.
+    pub(crate) fn refused(&self, reason: NotRun) -> Outcome {
+        match &self.kind {
+            Kind::Once { first_submission: false, .. } => Outcome::Unknown {
+                detail: format!("not dispatched by this host ({reason}); resend with the same key"),
+            },
+            Kind::Once { .. } | Kind::Idempotent { .. } => Outcome::NotRun(reason),
+        }
+    }
+}
+
+/// Takes a request through admission, dispatch and metrics.
+pub(crate) async fn handle(host: &Arc<EntryHost>, request: CallerRequest) -> Outcome {
+    let labels = RequestLabels::new(&request.organisation, request.class);
+    let started = Instant::now();
+    let outcome = admit_and_run(host, request).await;
+    host.metrics.request_ended(&labels, &outcome, started.elapsed());
+    outcome
+}
+
+async fn admit_and_run(host: &Arc<EntryHost>, request: CallerRequest) -> Outcome {
+    let (in_force, limits) = match find_limits(host, &request) {
+        Ok(found) => found,
+        Err(reason) => return request.refused(reason),
+    };
+    if let Kind::Once { key, .. } = &request.kind
+        && key.data_centre() != &host.settings.data_centre
+    {
+        return super::peers::forward(host, &request).await;
+    }
+    let admitted = match host.admission.admit(&request.service, &limits) {
+        Ok(admitted) => admitted,
+        Err(reason) => return request.refused(reason),
+    };
+    // The task goes on if the caller hangs up, so that an outcome is recorded all the same.
+    let host = Arc::clone(host);
+    let task = tokio::spawn(async move {
+        let outcome = run(&host, &request, &in_force).await;
+        drop(admitted);
+        outcome
+    });
+    task.await
+        .unwrap_or_else(|error| Outcome::Unknown { detail: format!("internal fault: {error}") })
+}
+
+async fn run(host: &Arc<EntryHost>, request: &CallerRequest, in_force: &InForce) -> Outcome {
+    match &request.kind {
+        Kind::Idempotent { .. } => super::idempotent::run(host, request, in_force).await,
+        Kind::Once { key, .. } => super::once::run(host, request, key, in_force).await,
+    }
+}
+
+fn find_limits(
+    host: &EntryHost,
+    request: &CallerRequest,
+) -> Result<(Arc<InForce>, Organisation), NotRun> {
+    let service = &request.service;
+    let in_force = host.documents.get(service).ok_or_else(|| {
+        let detail = format!("service {service} has no document at this host");
+        NotRun::new(NotRunCause::UnknownService, detail)
+    })?;
+    let named = |limits: &&Organisation| limits.name == request.organisation;
+    let limits = in_force.document.organisations.iter().find(named).cloned().ok_or_else(|| {
+        let name = &request.organisation;
+        let detail = format!("organisation {name} has no part in service {service}");
+        NotRun::new(NotRunCause::Forbidden, detail)
+    })?;
+    Ok((in_force, limits))
+}
--- /dev/null
+++ b/src/entry/retry.rs
@@ -0,0 +1,63 @@
+//! The retry budget: retries are a share of requests, so they cannot multiply an overload.
+
+use std::sync::Mutex;
+
+use tokio::time::Instant;
+
+/// Most retries that can be saved up, so that a quiet hour does not allow a burst of retries.
+const TOKENS_MAX: f64 = 50.0;
+
+/// Token bucket that requests and the passing of time fill and retries empty.
+#[derive(Debug)]
+pub(crate) struct RetryBudget {
+    tokens_per_request: f64,
+    tokens_per_s: f64,
+    bucket: Mutex<Bucket>,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    tokens: f64,
+    filled_at: Instant,
+}
+
+impl RetryBudget {
+    /// Allows retries as a percentage of requests, and a floor each second.
+    pub(crate) fn new(percent: u32, floor_per_s: u32) -> Self {
+        Self {
+            tokens_per_request: f64::from(percent) / 100.0,
+            tokens_per_s: f64::from(floor_per_s),
+            bucket: Mutex::new(Bucket {
+                tokens: f64::from(floor_per_s),
+                filled_at: Instant::now(),
+            }),
+        }
+    }
+
+    /// Counts a request, which earns a part of a retry.
+    pub(crate) fn earn(&self) {
+        self.with_bucket(|bucket| bucket.tokens += self.tokens_per_request);
+    }
+
+    /// Takes one retry out of the budget; false if it is empty.
+    pub(crate) fn try_spend(&self) -> bool {
+        self.with_bucket(|bucket| {
+            let allowed = bucket.tokens >= 1.0;
+            if allowed {
+                bucket.tokens -= 1.0;
+            }
+            allowed
+        })
+    }
+
+    fn with_bucket<T>(&self, change: impl FnOnce(&mut Bucket) -> T) -> T {
+        let mut bucket = self.bucket.lock().expect("no panic while the budget is locked");
+        let now = Instant::now();
+        let elapsed_s = now.duration_since(bucket.filled_at).as_secs_f64();
+        bucket.filled_at = now;
+        bucket.tokens += elapsed_s * self.tokens_per_s;
+        let result = change(&mut bucket);
+        bucket.tokens = bucket.tokens.min(TOKENS_MAX);
+        result
+    }
+}
--- /dev/null
+++ b/src/entry/upstreams/slot.rs
@@ -0,0 +1,88 @@
+//! A reserved slot of an upstream.
+
+use std::net::SocketAddr;
+
+use super::Upstreams;
+use crate::entry::pool::{self, Connection, PoolTimes};
+use crate::error::StepError;
+use crate::names::UpstreamName;
+
+/// One slot of one incarnation of an upstream, held until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    pub(super) upstreams: Upstreams,
+    pub(super) name: UpstreamName,
+    pub(super) incarnation: u64,
+    pub(super) address: SocketAddr,
+    /// False once the table has taken the slot back.
+    pub(super) held: bool,
+}
+
+impl Slot {
+    /// Drops the slot without giving it back, because the table has already done so.
+    pub(super) fn forget(mut self) {
+        self.held = false;
+    }
+
+    pub(crate) fn upstream(&self) -> &UpstreamName {
+        &self.name
+    }
+
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Tells whether the incarnation that was reserved has neither left nor restarted.
+    pub(crate) fn is_current(&self) -> bool {
+        self.upstreams.is_current(&self.name, self.incarnation)
+    }
+
+    pub(crate) fn pool_times(&self) -> &PoolTimes {
+        self.upstreams.times()
+    }
+
+    /// Takes an idle connection or opens one within this host's share of connections.
+    ///
+    /// # Errors
+    /// Returns an error if no connection may be opened or opening fails; nothing has been sent.
+    pub(crate) async fn connection(&self) -> Result<Connection, StepError> {
+        match self.upstreams.take_idle(&self.name, self.incarnation) {
+            Some(connection) => Ok(connection),
+            None => self.fresh_connection().await,
+        }
+    }
+
+    /// Opens a connection that no request has used.
+    ///
+    /// # Errors
+    /// Returns an error if no connection may be opened or opening fails.
+    pub(crate) async fn fresh_connection(&self) -> Result<Connection, StepError> {
+        let permit = self.upstreams.permit_to_open(&self.name, self.incarnation)?;
+        pool::open(self.address, permit, self.upstreams.times()).await
+    }
+
+    /// Returns a connection whose answer was received whole.
+    pub(crate) fn give_back(&self, connection: Connection) {
+        self.upstreams.put_idle(&self.name, self.incarnation, connection);
+    }
+
+    pub(crate) fn note_success(&self) {
+        self.upstreams.note_success(&self.name, self.incarnation);
+    }
+
+    pub(crate) fn note_failure(&self) {
+        self.upstreams.note_failure(&self.name, self.incarnation);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if self.held {
+            self.upstreams.release(&self.name, self.incarnation);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,19 +3,22 @@
 //! The daemons and the command line are thin shells over this library. `docs/design.md` describes
 //! the modules, who owns which state, and what happens when each part fails.
 
+mod class;
 pub mod config;
 mod control;
-mod entry;
+pub mod daemon_util;
+pub mod entry;
 mod error;
-#[expect(dead_code, unused_imports, reason = "used by the daemons")]
 mod http;
 mod journal;
 mod names;
 mod outcome;
 mod rpc;
 mod scheduler;
-mod standin;
+pub mod standin;
+mod upstream_http;
 
+pub use class::{Class, InvalidClass};
 pub use error::StepError;
 pub use names::{
     DataCentreName, HostName, InvalidName, JobName, KEY_ID_LIMIT_BYTES, NAME_LIMIT_BYTES,
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -84,6 +84,8 @@
         answer: Bytes,
         /// Number of the attempt that produced the answer.
         attempt: u32,
+        /// HTTP status of the upstream's answer.
+        upstream_status: u16,
     },
     /// The request certainly did not run.
     NotRun(NotRun),
--- a/src/rpc/convert.rs
+++ b/src/rpc/convert.rs
@@ -31,9 +31,13 @@
 impl From<Outcome> for rpc::Outcome {
     fn from(outcome: Outcome) -> Self {
         match outcome {
-            Outcome::Done { answer, attempt } => {
-                Self { kind: rpc::OutcomeKind::Done.into(), answer, attempt, ..Self::default() }
-            }
+            Outcome::Done { answer, attempt, upstream_status } => Self {
+                kind: rpc::OutcomeKind::Done.into(),
+                answer,
+                attempt,
+                upstream_status: upstream_status.into(),
+                ..Self::default()
+            },
             Outcome::NotRun(reason) => Self {
                 kind: rpc::OutcomeKind::NotRun.into(),
                 reason: reason.to_string(),
@@ -49,9 +53,11 @@
 impl From<rpc::Outcome> for Outcome {
     fn from(outcome: rpc::Outcome) -> Self {
         match outcome.kind() {
-            rpc::OutcomeKind::Done => {
-                Self::Done { answer: outcome.answer, attempt: outcome.attempt }
-            }
+            rpc::OutcomeKind::Done => Self::Done {
+                answer: outcome.answer,
+                attempt: outcome.attempt,
+                upstream_status: u16::try_from(outcome.upstream_status).unwrap_or(200),
+            },
             rpc::OutcomeKind::NotRun => Self::NotRun(NotRun::from_wire(&outcome.reason)),
             // An unset kind comes from a newer peer; only "unknown" is then true.
             rpc::OutcomeKind::Unknown | rpc::OutcomeKind::Unspecified => {
--- a/src/rpc/generated.rs
+++ b/src/rpc/generated.rs
@@ -24,6 +24,9 @@
     pub answer: ::prost::bytes::Bytes,
     #[prost(uint32, tag = "4")]
     pub attempt: u32,
+    /// HTTP status of the upstream's answer.
+    #[prost(uint32, tag = "5")]
+    pub upstream_status: u32,
 }
 /// Asks for a durable intent before a request that is not idempotent is dispatched.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -41,6 +44,10 @@
     /// Earlier attempt of this submission that certainly did not start; 0 if there is none.
     #[prost(uint32, tag = "6")]
     pub replaces_attempt: u32,
+    /// Identifies this call: repeated with the same value it gets the first verdict, so a host that
+    /// lost the answer can learn its attempt number and close the intent.
+    #[prost(string, tag = "7")]
+    pub submission: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BeginReply {
@@ -194,6 +201,9 @@
     pub document_index: u64,
     #[prost(message, repeated, tag = "5")]
     pub r#use: ::prost::alloc::vec::Vec<ShareUse>,
+    /// Goes up by one with each message of this stream.
+    #[prost(uint64, tag = "6")]
+    pub sequence: u64,
 }
 /// Demand for one upstream as seen by one host.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -223,6 +233,10 @@
     pub documents: ::prost::alloc::vec::Vec<Document>,
     #[prost(uint64, tag = "7")]
     pub document_index: u64,
+    /// Sequence of the newest request received on this stream. The host counts the lease of its
+    /// shares from the moment it sent that request, so a delayed reply cannot extend a lease.
+    #[prost(uint64, tag = "8")]
+    pub echo_sequence: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Document {
@@ -334,6 +348,8 @@
     pub timeout_ms: u64,
     #[prost(bytes = "bytes", tag = "5")]
     pub body: ::prost::bytes::Bytes,
+    #[prost(bool, tag = "6")]
+    pub first_submission: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ForwardReply {
--- /dev/null
+++ b/src/standin/server.rs
@@ -0,0 +1,281 @@
+//! The stand-in's HTTP server.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use super::announcer::{ANNOUNCE_INTERVAL, Announcer};
+use super::attempts::{Attempts, Refusal};
+use crate::error::StepError;
+use crate::http::{self, FullResponse, Received, ServerLimits, error, json};
+use crate::names::{RackName, RequestKey, ServiceName, UpstreamName};
+use crate::upstream_http::{
+    ATTEMPT_HEADER, Announcement, FENCE_PATH, FenceReply, FenceRequest, KEY_HEADER,
+    NOT_STARTED_HEADER, PROBE_PATH, RUN_PATH,
+};
+
+/// Time for a peer to send a head or a body.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest request body.
+const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+
+/// Settings of a stand-in.
+#[derive(Debug, Clone)]
+pub struct StandinSettings {
+    /// Name under which it announces itself.
+    pub name: UpstreamName,
+    /// Goes up with each start.
+    pub incarnation: u64,
+    /// Address at which it takes work; port 0 picks a free one.
+    pub address: SocketAddr,
+    /// Services it runs.
+    pub services: Vec<ServiceName>,
+    /// Rack in which it stands.
+    pub rack: RackName,
+    /// Its place in the rack, from 0.
+    pub rack_position: u32,
+    /// Number of its accelerators.
+    pub accelerators: u32,
+    /// Most pieces of work at once.
+    pub slots: u32,
+    /// Most connections at once.
+    pub connections: u32,
+    /// Entry hosts to which it announces itself.
+    pub entry_hosts: Vec<SocketAddr>,
+}
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct RunningStandin {
+    shared: Arc<Shared>,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: StandinSettings,
+    attempts: Mutex<Attempts>,
+    leaving: AtomicBool,
+}
+
+/// Work that a request asks for; anything else in the body is echoed.
+#[derive(Debug, Default, Deserialize)]
+struct Work {
+    #[serde(default)]
+    work_ms: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct WorkAnswer<'a> {
+    upstream: &'a UpstreamName,
+    key: &'a RequestKey,
+    /// How many attempts with this key have started here.
+    starts: u32,
+}
+
+#[derive(Debug, Serialize)]
+struct StatsBody {
+    running: u32,
+    running_peak: u32,
+    started: u32,
+}
+
+impl RunningStandin {
+    /// Returns the address at which it takes work.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.shared.settings.address
+    }
+
+    /// Returns how many attempts with this key have started.
+    #[must_use]
+    pub fn starts(&self, key: &RequestKey) -> u32 {
+        self.shared.attempts().starts(key)
+    }
+
+    /// Returns how many attempts have started in all.
+    #[must_use]
+    pub fn started(&self) -> u32 {
+        self.shared.attempts().started()
+    }
+
+    /// Returns the most attempts that ran at once.
+    #[must_use]
+    pub fn running_peak(&self) -> u32 {
+        self.shared.attempts().running_peak()
+    }
+
+    /// Leaves: tells the entry hosts, refuses new work and finishes what runs.
+    pub async fn leave(self) {
+        self.shared.leaving.store(true, Ordering::Release);
+        let announcer = self.shared.announcer();
+        let incarnation = self.shared.settings.incarnation;
+        _ = tokio::task::spawn_blocking(move || announcer.leave(incarnation)).await;
+        while self.shared.attempts().running() > 0 {
+            sleep(Duration::from_millis(10)).await;
+        }
+        self.stop.send_replace(true);
+        _ = self.task.await;
+    }
+}
+
+impl Shared {
+    fn attempts(&self) -> std::sync::MutexGuard<'_, Attempts> {
+        self.attempts.lock().expect("no panic while attempts are locked")
+    }
+
+    fn announcer(&self) -> Announcer {
+        Announcer::new(self.settings.name.clone(), self.settings.entry_hosts.clone())
+    }
+
+    fn announcement(&self) -> Announcement {
+        let settings = &self.settings;
+        Announcement {
+            incarnation: settings.incarnation,
+            address: settings.address,
+            services: settings.services.clone(),
+            rack: settings.rack.clone(),
+            rack_position: settings.rack_position,
+            accelerators: settings.accelerators,
+            slots: settings.slots,
+            connections: settings.connections,
+        }
+    }
+}
+
+/// Binds the stand-in's port, serves it and announces it.
+///
+/// # Errors
+/// Returns an error if the port cannot be bound.
+pub async fn start(mut settings: StandinSettings) -> Result<RunningStandin, StepError> {
+    let failed = |error| StepError::new("listen for work", settings.address, error);
+    let listener = TcpListener::bind(settings.address).await.map_err(failed)?;
+    settings.address = listener.local_addr().map_err(failed)?;
+    let limits = ServerLimits {
+        head_timeout: RECEIVE_TIMEOUT,
+        body_timeout: RECEIVE_TIMEOUT,
+        body_limit_bytes: BODY_LIMIT_BYTES,
+        max_connections: settings.connections as usize,
+    };
+    let shared = Arc::new(Shared {
+        settings,
+        attempts: Mutex::new(Attempts::default()),
+        leaving: AtomicBool::new(false),
+    });
+    let (stop, stopped) = watch::channel(false);
+    let server = Arc::clone(&shared);
+    let task = tokio::spawn(http::serve(listener, limits, stopped.clone(), move |received| {
+        handle(Arc::clone(&server), received)
+    }));
+    tokio::spawn(announce(Arc::clone(&shared), stopped));
+    Ok(RunningStandin { shared, stop, task })
+}
+
+async fn announce(shared: Arc<Shared>, mut stop: watch::Receiver<bool>) {
+    let announcer = shared.announcer();
+    let announcement = shared.announcement();
+    while !shared.leaving.load(Ordering::Acquire) {
+        let (announcer, announcement) = (announcer.clone(), announcement.clone());
+        _ = tokio::task::spawn_blocking(move || announcer.announce(&announcement)).await;
+        tokio::select! {
+            () = sleep(ANNOUNCE_INTERVAL) => {}
+            () = http::stopped(&mut stop) => return,
+        }
+    }
+}
+
+async fn handle(shared: Arc<Shared>, received: Received) -> FullResponse {
+    match (received.method.as_str(), received.uri.path()) {
+        ("POST", RUN_PATH) => run(shared, received).await,
+        ("POST", FENCE_PATH) => fence(&shared, &received),
+        ("GET", PROBE_PATH) => http::text(200, "ok\n"),
+        ("GET", "/standin/stats") => stats(&shared),
+        _ => error(404, "the stand-in has nothing at this path"),
+    }
+}
+
+fn stats(shared: &Shared) -> FullResponse {
+    let attempts = shared.attempts();
+    let body = StatsBody {
+        running: attempts.running(),
+        running_peak: attempts.running_peak(),
+        started: attempts.started(),
+    };
+    json(200, &body)
+}
+
+async fn run(shared: Arc<Shared>, received: Received) -> FullResponse {
+    let key = received.header(KEY_HEADER).and_then(|key| key.parse::<RequestKey>().ok());
+    let attempt = received.header(ATTEMPT_HEADER).and_then(|attempt| attempt.parse::<u32>().ok());
+    let (Some(key), Some(attempt)) = (key, attempt) else {
+        return error(400, "the headers with key and attempt are missing");
+    };
+    let id = (key, attempt);
+    let started = if shared.leaving.load(Ordering::Acquire) {
+        Err(Refusal::Leaving)
+    } else {
+        shared.attempts().start(&id, shared.settings.slots)
+    };
+    let response = match started {
+        Err(refusal) => refused(refusal),
+        Ok(starts) => {
+            // The work goes on if the connection is lost.
+            let task = tokio::spawn(work(Arc::clone(&shared), id.clone(), starts, received.body));
+            let answer = task.await.unwrap_or_default();
+            http::text(200, answer)
+        }
+    };
+    with_identity(response, &id)
+}
+
+async fn work(shared: Arc<Shared>, id: (RequestKey, u32), starts: u32, body: Bytes) -> Bytes {
+    let work: Work = serde_json::from_slice(&body).unwrap_or_default();
+    if work.work_ms > 0 {
+        sleep(Duration::from_millis(work.work_ms)).await;
+    }
+    let answer = WorkAnswer { upstream: &shared.settings.name, key: &id.0, starts };
+    let answer = Bytes::from(serde_json::to_vec(&answer).unwrap_or_default());
+    shared.attempts().end(&id, answer.clone());
+    answer
+}
+
+/// Refuses an attempt; a repeated one has been started, so it gets no promise.
+fn refused(refusal: Refusal) -> FullResponse {
+    let mut response = error(503, &refusal.to_string());
+    if refusal != Refusal::Repeated {
+        response.headers_mut().insert(NOT_STARTED_HEADER, HeaderValue::from_static("true"));
+    }
+    response
+}
+
+fn with_identity(mut response: FullResponse, (key, attempt): &(RequestKey, u32)) -> FullResponse {
+    let headers = response.headers_mut();
+    if let Ok(key) = HeaderValue::from_str(&key.to_string()) {
+        headers.insert(KEY_HEADER, key);
+    }
+    headers.insert(ATTEMPT_HEADER, HeaderValue::from(*attempt));
+    response
+}
+
+fn fence(shared: &Shared, received: &Received) -> FullResponse {
+    let question: FenceRequest = match serde_json::from_slice(&received.body) {
+        Ok(question) => question,
+        Err(fault) => return error(400, &fault.to_string()),
+    };
+    let (state, answer) = shared.attempts().fence(&(question.key, question.attempt));
+    let answer = answer.and_then(|answer| {
+        RawValue::from_string(String::from_utf8_lossy(&answer).into_owned()).ok()
+    });
+    json(200, &FenceReply { state, status: answer.as_ref().map(|_| 200), answer })
+}
