--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,7 @@
 mod names;
 mod outcome;
 mod rpc;
-mod scheduler;
+pub mod scheduler;
 mod standin;
 
 pub use error::StepError;
--- /dev/null
+++ b/src/scheduler/explain.rs
@@ -0,0 +1,96 @@
+//! Explanations of a job's state for its caller.
+
+use serde::Serialize;
+
+use super::gang::{Phase, StopReason};
+use super::job::{Job, JobState};
+use super::queue::Class;
+use super::rack::View;
+use super::{GangId, Scheduler};
+use crate::names::{JobName, OrganisationName, UpstreamName};
+
+/// Why a job is where it is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Explanation {
+    /// Job that is explained.
+    pub job: JobName,
+    /// Where the job stands.
+    pub state: JobState,
+    /// Stage of the job's gang, if it has one.
+    pub stage: Option<&'static str>,
+    /// Upstreams of the job's gang.
+    pub upstreams: Vec<UpstreamName>,
+    /// Why the job waits.
+    pub waits_because: Option<String>,
+    /// What would let it start.
+    pub would_start_if: Option<String>,
+    /// Time for which the job has waited in its current wait.
+    pub waiting_ms: u64,
+    /// Organisations whose guaranteed capacity the gang uses on loan.
+    pub borrowed_from: Vec<OrganisationName>,
+    /// Why the job's latest gang was stopped.
+    pub stopped_because: Option<String>,
+}
+
+impl Scheduler {
+    /// Explains the state of a job.
+    #[must_use]
+    pub fn explain(&self, name: &JobName, now_ms: u64) -> Option<Explanation> {
+        let job = self.jobs.get(name)?;
+        let mut explanation = Explanation {
+            job: name.clone(),
+            state: job.state.clone(),
+            stage: None,
+            upstreams: Vec::new(),
+            waits_because: None,
+            would_start_if: None,
+            waiting_ms: 0,
+            borrowed_from: Vec::new(),
+            stopped_because: job.last_stop.as_ref().map(StopReason::to_string),
+        };
+        match job.state {
+            JobState::Waiting => self.explain_wait(job, now_ms, &mut explanation),
+            JobState::Placed(gang) => self.explain_gang(gang, &mut explanation),
+            JobState::Ended(_) => {}
+        }
+        Some(explanation)
+    }
+
+    fn explain_wait(&self, job: &Job, now_ms: u64, explanation: &mut Explanation) {
+        let n = job.spec.accelerators;
+        let ahead = self.queue.ahead_of(&job.spec, job.accepted_ms);
+        let largest = self.pool.largest(View::Open);
+        explanation.waiting_ms = now_ms.saturating_sub(job.waiting_since_ms);
+        let reason = if largest >= n && !job.failed_on.is_empty() {
+            format!("it failed on {} upstreams, and no other has room", job.failed_on.len())
+        } else if largest >= n {
+            format!("{ahead} jobs are ahead of it")
+        } else {
+            format!("no {n} adjacent accelerators are free; the largest free block has {largest}")
+        };
+        explanation.waits_because = Some(reason);
+        let unrunnable = self.unrunnable(&Class::of(&job.spec), now_ms);
+        let start = unrunnable.unwrap_or_else(|| {
+            format!(
+                "{n} adjacent accelerators of one rack become free after {ahead} jobs ahead of it"
+            )
+        });
+        explanation.would_start_if = Some(start);
+    }
+
+    fn explain_gang(&self, id: GangId, explanation: &mut Explanation) {
+        let Some(gang) = self.gangs.get(&id) else { return };
+        explanation.stage = Some(match gang.phase {
+            Phase::Staging => "staging",
+            Phase::Committing => "committing",
+            Phase::Running => "running",
+            Phase::Confirming => "confirming after a restart",
+            Phase::Stopping => "stopping",
+        });
+        let upstreams = gang.members.iter().map(|m| self.pool.upstream(m.upstream).name.clone());
+        explanation.upstreams = upstreams.collect();
+        if let Some(reason) = &gang.stop {
+            explanation.stopped_because = Some(reason.to_string());
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/invariants.rs
@@ -0,0 +1,68 @@
+//! Checks of the core's own state.
+
+use super::Scheduler;
+use super::gang::Phase;
+use super::job::JobState;
+use super::rack::View;
+
+impl Scheduler {
+    /// Checks after each step that cost the same however large the pool is.
+    ///
+    /// # Panics
+    /// Panics if one does not hold.
+    pub(super) fn check_cheap(&self) {
+        assert!(self.queue.len() <= self.jobs.len(), "more jobs wait than are known");
+        assert!(self.gangs.len() <= self.jobs.len() + 1, "more gangs than jobs hold accelerators");
+    }
+
+    /// Checks the whole state, at a cost in proportion to it.
+    ///
+    /// # Panics
+    /// Panics if an invariant does not hold.
+    pub fn check_all(&self) {
+        self.check_accelerators();
+        self.check_jobs();
+    }
+
+    /// Every accelerator in use belongs to exactly one gang, and the reverse.
+    fn check_accelerators(&self) {
+        for upstream in &self.pool.upstreams {
+            let mut used = 0;
+            for (id, mask) in &upstream.gangs {
+                assert!(used & mask == 0, "two gangs share accelerators of {}", upstream.name);
+                used |= mask;
+                let gang = self.gangs.get(id);
+                let members = gang.into_iter().flat_map(|g| &g.members);
+                let held = members.filter(|m| self.pool.upstream(m.upstream).name == upstream.name);
+                assert!(
+                    held.map(|m| m.mask).eq([*mask]),
+                    "gang {id} does not hold its accelerators"
+                );
+            }
+            assert!(used == upstream.used, "accelerators of {} leak", upstream.name);
+            let open = upstream.available(View::Open);
+            assert!(open & used == 0, "accelerators in use of {} are offered", upstream.name);
+        }
+    }
+
+    /// A job waits in the queue, has one live gang, or has ended.
+    fn check_jobs(&self) {
+        let waiting = self.jobs.values().filter(|job| job.state == JobState::Waiting).count();
+        assert!(waiting == self.queue.len(), "{waiting} jobs wait, {} queued", self.queue.len());
+        for job in self.jobs.values() {
+            if let JobState::Placed(id) = job.state {
+                assert!(self.gangs.contains_key(&id), "job {} lost its gang", job.spec.name);
+            }
+        }
+        for gang in self.gangs.values() {
+            let Some(job) = self.jobs.get(&gang.job) else { continue };
+            let current = job.state == JobState::Placed(gang.id);
+            assert!(
+                current || gang.phase == Phase::Stopping,
+                "gang {} runs although its job {} is not placed on it",
+                gang.id,
+                gang.job
+            );
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/members.rs
@@ -0,0 +1,152 @@
+//! Answers of members to stage and commit messages, and members that end by themselves.
+
+use super::event::{GangId, MemberEnd, MemberStatus};
+use super::gang::{Gang, Phase, StopReason};
+use super::job::Ran;
+use super::limits::START_LEASE_MS;
+use super::pool::UpstreamIx;
+use super::timers::Timer;
+use super::{Decision, JobRecord, Scheduler};
+use crate::names::UpstreamName;
+
+impl Scheduler {
+    /// Returns the gang and the member's upstream, if the answer belongs to a known gang.
+    pub(super) fn member_gang(
+        &mut self,
+        id: GangId,
+        upstream: &UpstreamName,
+    ) -> Option<(&mut Gang, UpstreamIx)> {
+        let ix = self.pool.find(upstream)?;
+        let gang = self.gangs.get_mut(&id)?;
+        gang.member_mut(ix)?;
+        Some((gang, ix))
+    }
+
+    pub(super) fn on_stage_answered(
+        &mut self,
+        id: GangId,
+        upstream: &UpstreamName,
+        staged: bool,
+        now_ms: u64,
+    ) {
+        let Some((gang, ix)) = self.member_gang(id, upstream) else { return };
+        if gang.phase != Phase::Staging {
+            return;
+        }
+        let Some(member) = gang.member_mut(ix) else { return };
+        if member.answered {
+            return;
+        }
+        member.answered = staged;
+        member.ended |= !staged;
+        if !staged {
+            self.note_refusal(ix, now_ms);
+            self.stop_gang(id, StopReason::StageRefused(upstream.clone()), now_ms);
+        } else if gang.all_answered() {
+            self.commit(id, now_ms);
+        }
+    }
+
+    fn commit(&mut self, id: GangId, now_ms: u64) {
+        let Some(gang) = self.gangs.get_mut(&id) else { return };
+        gang.begin_commit(now_ms);
+        self.timers.set(Timer::Gang(id), gang.deadline_ms);
+        let members: Vec<_> = gang.members.iter().map(|m| m.upstream).collect();
+        self.persist(JobRecord::Committed { gang: id });
+        for ix in members {
+            let upstream = self.pool.upstream(ix).name.clone();
+            self.emit(Decision::Commit { gang: id, upstream, lease_ms: START_LEASE_MS });
+        }
+    }
+
+    pub(super) fn on_commit_answered(
+        &mut self,
+        id: GangId,
+        upstream: &UpstreamName,
+        started: bool,
+        now_ms: u64,
+    ) {
+        let Some((gang, ix)) = self.member_gang(id, upstream) else { return };
+        let phase = gang.phase;
+        let Some(member) = gang.member_mut(ix) else { return };
+        if phase == Phase::Staging || phase == Phase::Confirming || member.ran != Ran::Unknown {
+            return;
+        }
+        member.ran = if started { Ran::Yes } else { Ran::No };
+        member.ended |= !started;
+        if phase != Phase::Committing {
+            return self.finish_if_ended(id, now_ms);
+        }
+        member.answered = started;
+        if !started {
+            self.stop_gang(id, StopReason::CommitRefused(upstream.clone()), now_ms);
+        } else if gang.all_answered() {
+            self.grant_lease(id, now_ms);
+        }
+    }
+
+    pub(super) fn on_member_ended(
+        &mut self,
+        id: GangId,
+        upstream: &UpstreamName,
+        end: MemberEnd,
+        now_ms: u64,
+    ) {
+        let Some((gang, ix)) = self.member_gang(id, upstream) else { return };
+        if gang.phase == Phase::Staging || !gang.end_member(ix, end) {
+            return;
+        }
+        let (phase, over, answered) = (gang.phase, gang.all_ended(), gang.all_answered());
+        // A failure of a gang that is being stopped may follow from the stop.
+        if end == MemberEnd::Failed && phase != Phase::Stopping {
+            self.note_member_failure(id, ix, now_ms);
+            self.stop_gang(id, StopReason::MemberFailed(upstream.clone()), now_ms);
+        } else if over {
+            self.finish_gang(id, now_ms);
+        } else if answered && matches!(phase, Phase::Committing | Phase::Confirming) {
+            self.grant_lease(id, now_ms);
+        }
+    }
+
+    /// Acts on the state of a member that a renewal answer reports.
+    pub(super) fn on_member_status(
+        &mut self,
+        id: GangId,
+        upstream: &UpstreamName,
+        status: MemberStatus,
+        now_ms: u64,
+    ) {
+        let Some((gang, ix)) = self.member_gang(id, upstream) else { return };
+        let confirming = gang.phase == Phase::Confirming;
+        match status {
+            MemberStatus::Completed => {
+                self.on_member_ended(id, upstream, MemberEnd::Completed, now_ms);
+            }
+            MemberStatus::Failed => self.on_member_ended(id, upstream, MemberEnd::Failed, now_ms),
+            MemberStatus::Absent => {
+                if let Some(member) = gang.member_mut(ix) {
+                    member.ended = true;
+                }
+                self.stop_gang(id, StopReason::MemberLost(upstream.clone()), now_ms);
+            }
+            MemberStatus::Running => {
+                let Some(member) = gang.member_mut(ix) else { return };
+                member.answered = true;
+                member.ran = Ran::Yes;
+                if confirming && gang.all_answered() {
+                    self.grant_lease(id, now_ms);
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_usage(&mut self, id: GangId, sequence: u64, used_ms: u64) {
+        let Some(gang) = self.gangs.get_mut(&id) else { return };
+        // A report acts once, however often it is repeated.
+        if sequence <= gang.usage_sequence {
+            return;
+        }
+        gang.usage_sequence = sequence;
+        gang.used_ms = gang.used_ms.max(used_ms);
+    }
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -1,1 +1,149 @@
 //! The scheduling core: a pure step function over racks, gangs, organisations and the queue.
+//!
+//! [`Scheduler::step`] takes an event and the time and returns decisions. The core has no I/O,
+//! clock, thread or randomness, so that a run can be repeated exactly from its events.
+
+mod cancel;
+mod decision;
+mod document;
+mod event;
+mod explain;
+mod gang;
+mod invariants;
+mod job;
+mod leases;
+pub mod limits;
+mod members;
+mod placing;
+mod pool;
+mod queue;
+mod rack;
+mod recovery;
+mod stopping;
+mod timers;
+mod upstreams;
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, VecDeque};
+
+pub use decision::{Decision, JobRecord, MemberRecord, Renewal};
+pub use document::Guarantees;
+pub use event::{Announcement, Event, GangId, MemberEnd, MemberStatus, StopStatus};
+pub use explain::Explanation;
+pub use gang::StopReason;
+pub use job::{JobEnd, JobSpec, JobState, Ran};
+
+use crate::names::JobName;
+use gang::Gang;
+use job::Job;
+use pool::Pool;
+use queue::Queue;
+use timers::{Timer, Timers};
+
+/// Accelerators of one upstream, one bit each.
+pub type Mask = u32;
+
+/// Scheduler of one data centre.
+#[derive(Debug)]
+pub struct Scheduler {
+    pool: Pool,
+    jobs: BTreeMap<JobName, Job>,
+    gangs: BTreeMap<GangId, Gang>,
+    queue: Queue,
+    timers: Timers,
+    ended: VecDeque<JobName>,
+    started_ms: u64,
+    next_gang: u64,
+    next_round: u64,
+    persist: Vec<Decision>,
+    out: Vec<Decision>,
+}
+
+impl Scheduler {
+    /// Builds a scheduler without jobs and upstreams.
+    #[must_use]
+    pub fn new(now_ms: u64) -> Self {
+        let mut timers = Timers::default();
+        timers.set(Timer::Discovered, now_ms + limits::POOL_DISCOVERY_MS);
+        Self {
+            pool: Pool::default(),
+            jobs: BTreeMap::new(),
+            gangs: BTreeMap::new(),
+            queue: Queue::default(),
+            timers,
+            ended: VecDeque::new(),
+            started_ms: now_ms,
+            next_gang: 1,
+            next_round: 1,
+            persist: Vec::new(),
+            out: Vec::new(),
+        }
+    }
+
+    /// Applies an event and returns what is to be done, records to persist first.
+    ///
+    /// # Panics
+    /// Panics if an invariant is broken, which is a fault of the core and never of its input.
+    pub fn step(&mut self, event: Event, now_ms: u64) -> Vec<Decision> {
+        self.fire_timers(now_ms);
+        self.apply(event, now_ms);
+        self.place_waiting(now_ms);
+        self.check_cheap();
+        let mut decisions = std::mem::take(&mut self.persist);
+        decisions.append(&mut self.out);
+        decisions
+    }
+
+    fn apply(&mut self, event: Event, now_ms: u64) {
+        match event {
+            Event::UpstreamAnnounced(announcement) => self.on_announced(&announcement, now_ms),
+            Event::UpstreamLost { upstream } => self.on_lost(&upstream, now_ms),
+            Event::UpstreamLeaving { upstream, incarnation } => {
+                self.on_leaving(&upstream, incarnation);
+            }
+            Event::JobSubmitted(spec) => self.on_submitted(spec, now_ms),
+            Event::JobCancelled { job } => self.on_cancelled(&job, now_ms),
+            Event::StageAnswered { gang, upstream, staged } => {
+                self.on_stage_answered(gang, &upstream, staged, now_ms);
+            }
+            Event::CommitAnswered { gang, upstream, started } => {
+                self.on_commit_answered(gang, &upstream, started, now_ms);
+            }
+            Event::RenewAnswered { upstream, round, members } => {
+                self.on_renew_answered(&upstream, round, &members, now_ms);
+            }
+            Event::StopAnswered { gang, upstream, status } => {
+                self.on_stop_answered(gang, &upstream, status, now_ms);
+            }
+            Event::MemberEnded { gang, upstream, end } => {
+                self.on_member_ended(gang, &upstream, end, now_ms);
+            }
+            Event::UsageReported { gang, sequence, used_ms } => {
+                self.on_usage(gang, sequence, used_ms);
+            }
+            Event::DocumentApplied(_) | Event::Tick => {}
+        }
+    }
+
+    /// Returns the time at which the core next has something to do without an event.
+    #[must_use]
+    pub fn next_due_ms(&self) -> Option<u64> {
+        if self.queue.has_work() { Some(0) } else { self.timers.next_due_ms() }
+    }
+
+    /// Returns where a job stands; ended jobs are known until 4,096 others have ended.
+    #[must_use]
+    pub fn job(&self, name: &JobName) -> Option<&JobState> {
+        self.jobs.get(name).map(|job| &job.state)
+    }
+
+    fn persist(&mut self, record: JobRecord) {
+        self.persist.push(Decision::Persist(record));
+    }
+
+    fn emit(&mut self, decision: Decision) {
+        self.out.push(decision);
+    }
+}
--- /dev/null
+++ b/src/scheduler/pool.rs
@@ -0,0 +1,373 @@
+//! The upstreams of the data centre, and indices that find room without a scan.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use smallvec::SmallVec;
+
+use super::Mask;
+use super::event::{Announcement, GangId};
+use super::limits::{RACK_POSITIONS_LIMIT, UPSTREAM_ACCELERATORS_LIMIT, UPSTREAM_SHAPE_LIMIT};
+use super::rack::{Block, Rack, View, find_aligned, mask_at, room};
+use crate::names::{RackName, UpstreamName};
+
+/// Index of an upstream in the pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct UpstreamIx(pub u32);
+
+impl UpstreamIx {
+    /// Returns the index into a slice of upstreams.
+    pub const fn get(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// Index of a rack in the pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RackIx(pub u32);
+
+impl RackIx {
+    /// Returns the index into a slice of racks.
+    pub const fn get(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// An upstream with the accelerators that gangs hold on it.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Name of the upstream.
+    pub name: UpstreamName,
+    /// Latest known incarnation.
+    pub incarnation: u64,
+    /// Rack of the upstream.
+    pub rack: RackIx,
+    /// Position in the rack.
+    pub position: u32,
+    /// Number of accelerators.
+    pub accelerators: u32,
+    /// Whether the upstream holds its position in the rack.
+    pub mounted: bool,
+    /// Whether the upstream announces itself.
+    pub live: bool,
+    /// Latest incarnation that is leaving.
+    pub leaving: Option<u64>,
+    /// Whether failures keep new work away.
+    pub suspended: bool,
+    /// Accelerators held by gangs.
+    pub used: Mask,
+    /// Accelerators that belong to guaranteed blocks.
+    pub reserved: Mask,
+    /// Gangs with a member here.
+    pub gangs: SmallVec<[(GangId, Mask); 4]>,
+    /// Announcement that takes effect once no gang holds accelerators here.
+    pub pending: Option<Announcement>,
+}
+
+impl Upstream {
+    /// Returns the mask of all accelerators.
+    pub const fn whole_mask(&self) -> Mask {
+        mask_at(0, self.accelerators)
+    }
+
+    /// Returns whether the current incarnation is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.is_some_and(|incarnation| incarnation >= self.incarnation)
+    }
+
+    /// Returns whether new work may be placed here.
+    pub fn is_usable(&self) -> bool {
+        self.mounted && self.live && !self.suspended && !self.is_leaving() && self.pending.is_none()
+    }
+
+    /// Returns the accelerators that `view` may take.
+    pub fn available(&self, view: View) -> Mask {
+        match view {
+            View::Layout if self.mounted => self.whole_mask(),
+            View::Open if self.is_usable() => self.whole_mask() & !self.used & !self.reserved,
+            View::Lendable if self.is_usable() => self.whole_mask() & !self.used,
+            _ => 0,
+        }
+    }
+
+    /// Returns whether `view` may take every accelerator.
+    pub fn is_whole(&self, view: View) -> bool {
+        self.accelerators > 0 && self.available(view) == self.whole_mask()
+    }
+}
+
+/// What an announcement changed.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Announced {
+    /// Nothing that concerns the scheduler.
+    Unchanged,
+    /// The upstream can take work now, or its place or size changed.
+    Changed(UpstreamIx),
+    /// The upstream started again, so that members of earlier incarnations have ended.
+    Restarted(UpstreamIx),
+    /// The announcement contradicts the rules for places and sizes.
+    Invalid,
+}
+
+/// Key of an upstream in the index by room: room, free accelerators, upstream.
+type RoomKey = (u32, u32, UpstreamIx);
+
+/// Index of free capacity under one view.
+#[derive(Debug, Default)]
+struct FreeIndex {
+    upstreams: BTreeSet<RoomKey>,
+    upstream_keys: Vec<Option<RoomKey>>,
+    racks: BTreeSet<(u32, RackIx)>,
+    rack_keys: Vec<u32>,
+}
+
+impl FreeIndex {
+    fn set_upstream(&mut self, ix: UpstreamIx, free: Mask) {
+        let key = (free != 0).then(|| (room(free), free.count_ones(), ix));
+        if self.upstream_keys.len() <= ix.get() {
+            self.upstream_keys.resize(ix.get() + 1, None);
+        }
+        let old = std::mem::replace(&mut self.upstream_keys[ix.get()], key);
+        if old != key {
+            old.map(|k| self.upstreams.remove(&k));
+            key.map(|k| self.upstreams.insert(k));
+        }
+    }
+
+    fn set_rack(&mut self, ix: RackIx, run: u32) {
+        if self.rack_keys.len() <= ix.get() {
+            self.rack_keys.resize(ix.get() + 1, 0);
+        }
+        let old = std::mem::replace(&mut self.rack_keys[ix.get()], run);
+        if old != run {
+            self.racks.remove(&(old, ix));
+            self.racks.insert((run, ix));
+        }
+    }
+}
+
+const VIEWS: [View; 3] = [View::Open, View::Lendable, View::Layout];
+
+/// All upstreams and racks of the data centre.
+#[derive(Debug, Default)]
+pub struct Pool {
+    /// Upstreams by index; an index is never used for another name.
+    pub upstreams: Vec<Upstream>,
+    /// Racks by index.
+    pub racks: Vec<Rack>,
+    names: BTreeMap<UpstreamName, UpstreamIx>,
+    rack_names: BTreeMap<RackName, RackIx>,
+    free: [FreeIndex; VIEWS.len()],
+    unmounted: BTreeSet<UpstreamIx>,
+}
+
+impl Pool {
+    /// Returns the index of the upstream with this name.
+    pub fn find(&self, name: &UpstreamName) -> Option<UpstreamIx> {
+        self.names.get(name).copied()
+    }
+
+    /// Returns the upstream with this index.
+    pub fn upstream(&self, ix: UpstreamIx) -> &Upstream {
+        &self.upstreams[ix.get()]
+    }
+
+    /// Returns the rack of the upstream.
+    pub fn rack_of(&self, ix: UpstreamIx) -> RackIx {
+        self.upstreams[ix.get()].rack
+    }
+
+    /// Changes an upstream and refreshes the indices.
+    pub fn change(&mut self, ix: UpstreamIx, change: impl FnOnce(&mut Upstream)) {
+        change(&mut self.upstreams[ix.get()]);
+        self.refresh(ix);
+    }
+
+    /// Applies an announcement.
+    pub fn announce(&mut self, a: &Announcement) -> Announced {
+        let sized = (1..=UPSTREAM_ACCELERATORS_LIMIT).contains(&a.accelerators);
+        if !sized || a.position >= RACK_POSITIONS_LIMIT {
+            return Announced::Invalid;
+        }
+        let Some(ix) = self.find(&a.name) else {
+            let ix = self.insert(a);
+            self.change(ix, |u| u.live = true);
+            return Announced::Changed(ix);
+        };
+        let known = &self.upstreams[ix.get()];
+        if a.incarnation < known.incarnation {
+            return Announced::Unchanged;
+        }
+        let restarted = a.incarnation > known.incarnation;
+        let same_place = self.is_at(ix, a);
+        if !restarted && same_place && known.live && known.pending.is_none() {
+            return Announced::Unchanged;
+        }
+        self.change(ix, |u| {
+            u.incarnation = a.incarnation;
+            u.live = true;
+            u.pending = (!same_place).then(|| a.clone());
+        });
+        self.settle(ix);
+        if restarted { Announced::Restarted(ix) } else { Announced::Changed(ix) }
+    }
+
+    fn is_at(&self, ix: UpstreamIx, a: &Announcement) -> bool {
+        let u = self.upstream(ix);
+        let rack = &self.racks[u.rack.get()].name;
+        *rack == a.rack && u.position == a.position && u.accelerators == a.accelerators
+    }
+
+    /// Adds an upstream that is not live yet.
+    pub fn insert(&mut self, a: &Announcement) -> UpstreamIx {
+        let ix = UpstreamIx(u32::try_from(self.upstreams.len()).unwrap_or(u32::MAX));
+        let rack = self.rack(&a.rack);
+        self.upstreams.push(Upstream {
+            name: a.name.clone(),
+            incarnation: a.incarnation,
+            rack,
+            position: a.position,
+            accelerators: a.accelerators,
+            mounted: false,
+            live: false,
+            leaving: None,
+            suspended: false,
+            used: 0,
+            reserved: 0,
+            gangs: SmallVec::new(),
+            pending: None,
+        });
+        self.names.insert(a.name.clone(), ix);
+        self.unmounted.insert(ix);
+        self.mount(ix);
+        ix
+    }
+
+    fn rack(&mut self, name: &RackName) -> RackIx {
+        if let Some(ix) = self.rack_names.get(name) {
+            return *ix;
+        }
+        let ix = RackIx(u32::try_from(self.racks.len()).unwrap_or(u32::MAX));
+        self.racks.push(Rack::new(name.clone()));
+        self.rack_names.insert(name.clone(), ix);
+        ix
+    }
+
+    /// Mounts an upstream if its position is free or held by an unused lost upstream.
+    fn mount(&mut self, ix: UpstreamIx) {
+        let (rack, position) = (self.upstream(ix).rack, self.upstream(ix).position);
+        if let Some(holder) = self.racks[rack.get()].at(position) {
+            let holder_state = self.upstream(holder);
+            if holder_state.live || holder_state.used != 0 {
+                return;
+            }
+            self.unmount(holder);
+        }
+        self.racks[rack.get()].set(position, Some(ix));
+        self.unmounted.remove(&ix);
+        self.change(ix, |u| u.mounted = true);
+    }
+
+    /// Takes an upstream out of its rack.
+    pub fn unmount(&mut self, ix: UpstreamIx) {
+        let u = self.upstream(ix);
+        let (rack, position) = (u.rack, u.position);
+        if u.mounted {
+            self.racks[rack.get()].set(position, None);
+            self.change(ix, |u| u.mounted = false);
+        }
+        if self.upstream(ix).live {
+            self.unmounted.insert(ix);
+        }
+    }
+
+    /// Applies a pending change of place and tries again to mount what waits for a position.
+    fn settle(&mut self, ix: UpstreamIx) {
+        if self.upstream(ix).used == 0
+            && let Some(a) = self.upstreams[ix.get()].pending.take()
+        {
+            self.unmount(ix);
+            let rack = self.rack(&a.rack);
+            self.change(ix, |u| {
+                u.rack = rack;
+                u.position = a.position;
+                u.accelerators = a.accelerators;
+            });
+        }
+        if self.upstream(ix).live && !self.upstream(ix).mounted {
+            self.unmounted.insert(ix);
+        }
+        for waiting in self.unmounted.clone() {
+            self.mount(waiting);
+        }
+    }
+
+    /// Notes that the lease of an upstream ended.
+    pub fn lose(&mut self, ix: UpstreamIx) {
+        self.change(ix, |u| u.live = false);
+        self.unmounted.remove(&ix);
+        self.settle(ix);
+    }
+
+    /// Gives the accelerators of `block` to a gang.
+    ///
+    /// # Panics
+    /// Panics if another gang holds one of them, because both would run on it.
+    pub fn take(&mut self, gang: GangId, block: &[(UpstreamIx, Mask)]) {
+        for &(ix, mask) in block {
+            assert!(
+                self.upstream(ix).used & mask == 0,
+                "gang {gang} was given accelerators {mask:#x} of {} that are in use",
+                self.upstream(ix).name
+            );
+            self.change(ix, |u| {
+                u.used |= mask;
+                u.gangs.push((gang, mask));
+            });
+        }
+    }
+
+    /// Takes the accelerators back from a gang that has certainly ended.
+    pub fn release(&mut self, gang: GangId, ix: UpstreamIx, mask: Mask) {
+        self.change(ix, |u| {
+            u.used &= !mask;
+            u.gangs.retain(|(id, _)| *id != gang);
+        });
+        if !self.unmounted.is_empty() || self.upstream(ix).pending.is_some() {
+            self.settle(ix);
+        }
+    }
+
+    fn refresh(&mut self, ix: UpstreamIx) {
+        let rack = self.upstream(ix).rack;
+        for (index, view) in self.free.iter_mut().zip(VIEWS) {
+            index.set_upstream(ix, self.upstreams[ix.get()].available(view));
+            let run = self.racks[rack.get()].longest_run(&self.upstreams, view);
+            index.set_rack(rack, run);
+        }
+    }
+
+    /// Finds the accelerators for a shape under `view` that leave the largest blocks whole.
+    pub fn find_block(&self, count: u32, view: View, avoid: &[UpstreamIx]) -> Option<Block> {
+        let index = &self.free[view as usize];
+        if count > UPSTREAM_SHAPE_LIMIT {
+            let racks = index.racks.range((count, RackIx(0))..);
+            let mut blocks = racks.filter_map(|(_, rack)| {
+                self.racks[rack.get()].find_run(&self.upstreams, count, view, avoid)
+            });
+            return blocks.next();
+        }
+        let fits = index.upstreams.range((count, 0, UpstreamIx(0))..);
+        let mut fits = fits.filter(|(.., ix)| !avoid.contains(ix));
+        let (.., ix) = fits.next()?;
+        let mask = find_aligned(self.upstream(*ix).available(view), count)?;
+        Some(Block::from_iter([(*ix, mask)]))
+    }
+
+    /// Returns the largest shape that `view` has room for.
+    pub fn largest(&self, view: View) -> u32 {
+        let index = &self.free[view as usize];
+        let run = index.racks.last().map_or(0, |(run, _)| *run);
+        let room = index.upstreams.last().map_or(0, |(room, ..)| *room);
+        run.max(room)
+    }
+}
--- /dev/null
+++ b/src/scheduler/recovery.rs
@@ -0,0 +1,146 @@
+//! Rebuilding the scheduler from its journal.
+
+use std::collections::BTreeMap;
+
+use smallvec::SmallVec;
+
+use super::event::{Announcement, GangId};
+use super::gang::{Gang, Member, StopReason};
+use super::job::{Job, JobState, Ran};
+use super::pool::UpstreamIx;
+use super::timers::Timer;
+use super::{JobRecord, MemberRecord, Scheduler};
+use crate::names::JobName;
+
+/// A gang that the journal does not show as released.
+struct OpenGang {
+    job: JobName,
+    members: SmallVec<[MemberRecord; 1]>,
+    committed: bool,
+}
+
+impl Scheduler {
+    /// Rebuilds a scheduler from the records that an earlier one persisted.
+    ///
+    /// Gangs go on if all members confirm within the lease; the others are placed again after
+    /// their lease has certainly ended. Upstreams are learned from their announcements.
+    #[must_use]
+    pub fn recover(records: impl IntoIterator<Item = JobRecord>, now_ms: u64) -> Self {
+        let mut scheduler = Self::new(now_ms);
+        let mut open = BTreeMap::new();
+        for record in records {
+            scheduler.replay(record, &mut open);
+        }
+        for (id, gang) in open {
+            scheduler.confirm_gang(id, &gang, now_ms);
+        }
+        scheduler.queue_waiting(now_ms);
+        scheduler
+    }
+
+    fn replay(&mut self, record: JobRecord, open: &mut BTreeMap<GangId, OpenGang>) {
+        match record {
+            JobRecord::Accepted { spec, at_ms } => {
+                self.jobs.insert(spec.name.clone(), Job::accept(spec, at_ms));
+            }
+            JobRecord::Cancelled { job } => {
+                if let Some(job) = self.jobs.get_mut(&job) {
+                    job.cancelled = true;
+                }
+            }
+            JobRecord::Placed { job, gang, members } => {
+                self.next_gang = self.next_gang.max(gang.0 + 1);
+                open.insert(gang, OpenGang { job, members, committed: false });
+            }
+            JobRecord::Committed { gang } => self.replay_commit(gang, open),
+            JobRecord::Released { gang } => {
+                open.remove(&gang);
+            }
+            JobRecord::Ended { job, end } => {
+                if let Some(known) = self.jobs.get_mut(&job) {
+                    known.state = JobState::Ended(end);
+                    self.remember_ended(job);
+                }
+            }
+            JobRecord::Guarantees(_) => {}
+        }
+    }
+
+    /// A gang that was committed may have worked, whatever became of it.
+    fn replay_commit(&mut self, id: GangId, open: &mut BTreeMap<GangId, OpenGang>) {
+        let Some(gang) = open.get_mut(&id) else { return };
+        gang.committed = true;
+        if let Some(job) = self.jobs.get_mut(&gang.job) {
+            job.ran = job.ran.max(Ran::Unknown);
+        }
+    }
+
+    fn confirm_gang(&mut self, id: GangId, open: &OpenGang, now_ms: u64) {
+        let members =
+            open.members.iter().map(|record| self.recovered_member(record, open.committed));
+        let members: SmallVec<[Member; 1]> = members.collect();
+        let block: Vec<_> = members.iter().map(|m| (m.upstream, m.mask)).collect();
+        self.pool.take(id, &block);
+        let mut gang = Gang::stage(id, open.job.clone(), members, now_ms);
+        if open.committed {
+            gang.confirm(self.next_round, now_ms);
+            self.next_round += 1;
+        }
+        self.timers.set(Timer::Gang(id), gang.deadline_ms);
+        self.gangs.insert(id, gang);
+        let Some(job) = self.jobs.get_mut(&open.job) else { return };
+        let over = matches!(job.state, JobState::Ended(_)) || job.cancelled;
+        if job.state == JobState::Waiting {
+            job.state = JobState::Placed(id);
+        }
+        if over {
+            self.stop_gang(id, StopReason::Cancelled, now_ms);
+        } else if !open.committed {
+            // No commit was sent, because its record precedes it.
+            self.stop_gang(id, StopReason::StageTimeout, now_ms);
+        }
+    }
+
+    fn recovered_member(&mut self, record: &MemberRecord, committed: bool) -> Member {
+        let upstream = self.recovered_upstream(record);
+        Member {
+            upstream,
+            incarnation: record.incarnation,
+            mask: record.mask,
+            answered: false,
+            ended: false,
+            completed: false,
+            ran: if committed { Ran::Unknown } else { Ran::No },
+        }
+    }
+
+    fn recovered_upstream(&mut self, record: &MemberRecord) -> UpstreamIx {
+        if let Some(ix) = self.pool.find(&record.upstream) {
+            // The oldest incarnation is kept, so that a later announcement ends older members.
+            self.pool.change(ix, |u| u.incarnation = u.incarnation.min(record.incarnation));
+            return ix;
+        }
+        self.pool.insert(&Announcement {
+            name: record.upstream.clone(),
+            incarnation: record.incarnation,
+            rack: record.rack.clone(),
+            position: record.position,
+            accelerators: record.accelerators,
+        })
+    }
+
+    fn queue_waiting(&mut self, now_ms: u64) {
+        let waiting = self.jobs.values_mut().filter(|job| job.state == JobState::Waiting);
+        let mut cancelled = Vec::new();
+        for job in waiting {
+            job.waiting_since_ms = now_ms;
+            self.queue.push(&job.spec, job.accepted_ms);
+            if job.cancelled {
+                cancelled.push(job.spec.name.clone());
+            }
+        }
+        for name in cancelled {
+            self.end_cancelled(&name);
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/stopping.rs
@@ -0,0 +1,156 @@
+//! The end of gangs: stop messages, certain ends, and what becomes of the job.
+
+use super::event::{GangId, StopStatus};
+use super::gang::{Gang, Phase, StopReason};
+use super::job::{JobEnd, JobState, Ran};
+use super::limits::ENDED_JOBS_LIMIT;
+use super::pool::UpstreamIx;
+use super::timers::Timer;
+use super::{Decision, JobRecord, Scheduler};
+use crate::names::{JobName, UpstreamName};
+
+/// Time for which an upstream that refused a stage message gets no new work, so that a full or
+/// misconfigured one is not asked in a tight loop.
+const REFUSAL_PAUSE_MS: u64 = 1_000;
+
+impl Scheduler {
+    /// Stops a gang; its accelerators are free once every member has certainly ended.
+    pub(super) fn stop_gang(&mut self, id: GangId, reason: StopReason, now_ms: u64) {
+        let Some(gang) = self.gangs.get_mut(&id) else { return };
+        if gang.phase != Phase::Stopping {
+            gang.begin_stop(reason, now_ms);
+            self.send_stops(id, now_ms);
+        }
+        self.finish_if_ended(id, now_ms);
+    }
+
+    /// Sends a stop message to each member that may still be staged or working.
+    pub(super) fn send_stops(&mut self, id: GangId, now_ms: u64) {
+        let Some(gang) = self.gangs.get_mut(&id) else { return };
+        gang.schedule_stop_repeat(now_ms);
+        self.timers.set(Timer::Gang(id), gang.deadline_ms);
+        let open = gang.members.iter().filter(|m| !m.ended).map(|m| m.upstream);
+        for ix in open.collect::<Vec<_>>() {
+            let upstream = self.pool.upstream(ix).name.clone();
+            self.emit(Decision::Stop { gang: id, upstream });
+        }
+    }
+
+    pub(super) fn on_stop_answered(
+        &mut self,
+        id: GangId,
+        upstream: &UpstreamName,
+        status: StopStatus,
+        now_ms: u64,
+    ) {
+        let Some((gang, ix)) = self.member_gang(id, upstream) else { return };
+        if gang.phase != Phase::Stopping {
+            return;
+        }
+        let Some(member) = gang.member_mut(ix) else { return };
+        if member.ended {
+            return;
+        }
+        member.ended = true;
+        member.completed = status == StopStatus::Completed;
+        if status != StopStatus::NotStarted {
+            member.ran = Ran::Yes;
+        } else if member.ran == Ran::Unknown {
+            member.ran = Ran::No;
+        }
+        self.finish_if_ended(id, now_ms);
+    }
+
+    pub(super) fn finish_if_ended(&mut self, id: GangId, now_ms: u64) {
+        if self.gangs.get(&id).is_some_and(Gang::all_ended) {
+            self.finish_gang(id, now_ms);
+        }
+    }
+
+    /// Frees the accelerators of a gang that has certainly ended and decides on its job.
+    ///
+    /// # Panics
+    /// Panics if a member may still work, because its accelerators would be given away.
+    pub(super) fn finish_gang(&mut self, id: GangId, now_ms: u64) {
+        let Some(gang) = self.gangs.remove(&id) else { return };
+        assert!(
+            gang.all_ended() || now_ms >= gang.certain_end_ms,
+            "gang {id} would be released while a member may work"
+        );
+        self.timers.clear(Timer::Gang(id));
+        for member in &gang.members {
+            self.pool.release(id, member.upstream, member.mask);
+        }
+        self.persist(JobRecord::Released { gang: id });
+        self.queue.retry_all();
+        self.settle_job(&gang, now_ms);
+    }
+
+    fn settle_job(&mut self, gang: &Gang, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&gang.job) else { return };
+        // A job cancelled before its commit has ended already.
+        if job.state != JobState::Placed(gang.id) {
+            return;
+        }
+        job.ran = job.ran.max(gang.ran());
+        job.last_stop.clone_from(&gang.stop);
+        let end = if gang.all_completed() {
+            Some(JobEnd::Completed)
+        } else if job.cancelled {
+            Some(JobEnd::Cancelled { ran: job.ran })
+        } else {
+            job.fault()
+        };
+        if let Some(end) = end {
+            return self.end_job(&gang.job, end);
+        }
+        job.state = JobState::Waiting;
+        job.waiting_since_ms = now_ms;
+        self.queue.push(&job.spec, job.accepted_ms);
+        self.refuse_if_unrunnable(&gang.job, now_ms);
+    }
+
+    /// Ends a job and reports it once.
+    ///
+    /// # Panics
+    /// Panics if the job has ended already, because the caller would get two answers.
+    pub(super) fn end_job(&mut self, name: &JobName, end: JobEnd) {
+        let Some(job) = self.jobs.get_mut(name) else { return };
+        assert!(!matches!(job.state, JobState::Ended(_)), "job {name} would end twice");
+        job.state = JobState::Ended(end.clone());
+        self.persist(JobRecord::Ended { job: name.clone(), end: end.clone() });
+        self.emit(Decision::JobEnded { job: name.clone(), end });
+        self.remember_ended(name.clone());
+    }
+
+    /// Keeps the latest ended jobs for queries and drops older ones.
+    pub(super) fn remember_ended(&mut self, name: JobName) {
+        self.ended.push_back(name);
+        if self.ended.len() > ENDED_JOBS_LIMIT
+            && let Some(oldest) = self.ended.pop_front()
+        {
+            self.jobs.remove(&oldest);
+        }
+    }
+
+    /// Keeps new work away from an upstream that refused a stage message.
+    pub(super) fn note_refusal(&mut self, ix: UpstreamIx, now_ms: u64) {
+        self.pool.change(ix, |u| u.suspended = true);
+        self.timers.set(Timer::Resume(ix), now_ms + REFUSAL_PAUSE_MS);
+    }
+
+    pub(super) fn resume_upstream(&mut self, ix: UpstreamIx) {
+        self.pool.change(ix, |u| u.suspended = false);
+        self.queue.retry_all();
+    }
+
+    /// Notes that a member failed, against its job and its upstream.
+    pub(super) fn note_member_failure(&mut self, id: GangId, ix: UpstreamIx, now_ms: u64) {
+        let Some(gang) = self.gangs.get(&id) else { return };
+        let upstream = self.pool.upstream(ix).name.clone();
+        if let Some(job) = self.jobs.get_mut(&gang.job) {
+            job.note_failure(&upstream);
+        }
+        self.note_refusal(ix, now_ms);
+    }
+}
--- /dev/null
+++ b/src/scheduler/tests/gangs.rs
@@ -0,0 +1,278 @@
+//! Gangs from placement to their end, and every kind of lost member.
+
+use rstest::rstest;
+
+use super::harness::{Core, job, upstream};
+use crate::scheduler::limits::{GANG_LEASE_MS, START_LEASE_MS, certain_end_ms};
+use crate::scheduler::{Decision, Event, JobEnd, JobState, MemberEnd, Ran, StopStatus};
+
+/// Guards against a member that starts before all are staged, a lease that is granted before all
+/// have started, and records that are missing or late.
+#[test]
+fn messages_of_a_healthy_gang() {
+    let mut core = Core::with_racks(1, 2);
+    core.take_log();
+    let gang = core.start(job("a", 16));
+    core.run_ms(5_000);
+    for position in 0..2 {
+        let upstream = upstream(0, position);
+        core.step(Event::MemberEnded { gang, upstream, end: MemberEnd::Completed });
+    }
+    insta::assert_snapshot!(core.take_log());
+    assert_eq!(core.ends, [("a".to_owned(), JobEnd::Completed)]);
+}
+
+/// Guards against a shape that is not adjacent or not aligned.
+#[rstest]
+#[case(&[1, 2, 3], &[0b1, 0b1100, 0b111_0000])]
+#[case(&[5, 3], &[0b1_1111, 0b111])]
+#[case(&[4, 4, 8], &[0b1111, 0b1111_0000, 0xff])]
+#[case(&[24], &[0xff, 0xff, 0xff])]
+#[case(&[17], &[0xff, 0xff, 0xff])]
+fn shapes_are_adjacent_and_aligned(#[case] sizes: &[u32], #[case] masks: &[u32]) {
+    let mut core = Core::with_racks(1, 3);
+    for (i, size) in sizes.iter().enumerate() {
+        core.submit(job(&format!("j{i}"), *size));
+    }
+    let staged = core.inbox.iter().filter_map(|decision| match decision {
+        Decision::Stage { mask, .. } => Some(*mask),
+        _ => None,
+    });
+    assert_eq!(staged.collect::<Vec<_>>(), masks);
+}
+
+/// Guards against a large gang across a gap in the rack or across two racks.
+#[test]
+fn a_large_gang_needs_one_gapless_run() {
+    let mut core = Core::with_racks(2, 3);
+    core.start(job("middle", 1));
+    core.submit(job("large", 24));
+    assert_eq!(core.upstreams("large"), ["u1-0", "u1-1", "u1-2"]);
+    core.submit(job("second", 24));
+    assert_eq!(core.state("second"), JobState::Waiting);
+}
+
+/// Guards against a refusal without the failing constraint, and one before the pool is known.
+#[rstest]
+#[case(0, 20_000, Some("a job needs at least 1 accelerator"))]
+#[case(65, 0, Some("65 accelerators exceed the limit of 64 adjacent ones"))]
+#[case(32, 20_000, Some("no rack has 32 adjacent accelerators; the largest block has 24"))]
+#[case(32, 0, None)]
+fn a_job_that_cannot_run_is_refused(
+    #[case] size: u32,
+    #[case] at_ms: u64,
+    #[case] reason: Option<&str>,
+) {
+    let mut core = Core::with_racks(2, 3);
+    core.wait_ms(at_ms);
+    core.submit(job("a", size));
+    assert_eq!(core.refusals.first().map(String::as_str), reason);
+}
+
+/// Guards against a job that waits forever for an upstream that is gone for good.
+#[test]
+fn a_waiting_job_ends_when_its_rack_is_gone() {
+    let mut core = Core::with_racks(1, 2);
+    core.start(job("small", 1));
+    core.submit(job("large", 16));
+    core.wait_ms(20_000);
+    core.step(Event::UpstreamLost { upstream: upstream(0, 1) });
+    core.wait_ms(599_000);
+    assert_eq!(core.state("large"), JobState::Waiting);
+    core.wait_ms(2_000);
+    let reason = "no rack has 16 adjacent accelerators; the largest block has 8".to_owned();
+    assert_eq!(core.ends, [("large".to_owned(), JobEnd::Unrunnable { reason, ran: Ran::No })]);
+}
+
+/// Guards against a second start while a member of the first gang may still work: the job waits
+/// until the last lease sent has certainly ended.
+#[rstest]
+#[case::commit_unanswered(1, certain_end_ms(0, START_LEASE_MS))]
+#[case::renewal_unanswered(2, certain_end_ms(0, GANG_LEASE_MS))]
+fn placed_again_only_after_the_old_lease(#[case] answered_rounds: u32, #[case] free_ms: u64) {
+    let mut core = Core::with_racks(1, 1);
+    core.submit(job("a", 8));
+    for _ in 0..answered_rounds {
+        for message in std::mem::take(&mut core.inbox) {
+            let mut one = vec![message];
+            std::mem::swap(&mut one, &mut core.inbox);
+            answer_round(&mut core, one);
+        }
+    }
+    let first = core.gang("a");
+    core.wait_ms(free_ms - 1);
+    assert_eq!(core.gang("a"), first);
+    core.wait_ms(1);
+    assert_ne!(core.gang("a"), first);
+}
+
+/// Answers only the messages at hand and not those that follow from the answers.
+fn answer_round(core: &mut Core, rest: Vec<Decision>) {
+    let messages = std::mem::replace(&mut core.inbox, rest);
+    for message in messages {
+        match message {
+            Decision::Stage { gang, upstream, .. } => {
+                core.step(Event::StageAnswered { gang, upstream, staged: true });
+            }
+            Decision::Commit { gang, upstream, .. } => {
+                core.step(Event::CommitAnswered { gang, upstream, started: true });
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Guards against a gang that is renewed although one member is silent.
+#[test]
+fn a_silent_member_ends_the_lease_of_all() {
+    let mut core = Core::with_racks(1, 2);
+    let gang = core.start(job("a", 16));
+    // The round of 5 s is the last one that every member could have answered.
+    for _ in 0..351 {
+        core.wait_ms(100);
+        core.answer_except("u0-1");
+    }
+    assert_eq!(core.gang("a"), gang);
+    assert_eq!(core.stage("a"), Some("stopping"));
+    let explanation = core.scheduler.explain(&"a".parse().expect("name"), core.now_ms);
+    insta::assert_json_snapshot!(explanation);
+}
+
+/// Guards against a single lost answer that ends a healthy gang.
+#[test]
+fn one_lost_answer_does_not_end_a_gang() {
+    let mut core = Core::with_racks(1, 2);
+    let gang = core.start(job("a", 16));
+    core.wait_ms(5_000);
+    core.answer_except("u0-1");
+    core.run_ms(60_000);
+    assert_eq!(core.gang("a"), gang);
+    assert_eq!(core.stage("a"), Some("running"));
+}
+
+/// Guards against members that go on for up to 30 s after the loss of one.
+#[test]
+fn the_loss_of_a_member_stops_the_others_at_once() {
+    let mut core = Core::with_racks(1, 3);
+    let gang = core.start(job("a", 16));
+    core.step(Event::UpstreamLost { upstream: upstream(0, 0) });
+    let stopped = Decision::Stop { gang, upstream: upstream(0, 1) };
+    assert!(core.inbox.contains(&stopped));
+    core.answer_except("u0-0");
+    assert_eq!(core.gang("a"), gang, "the lost member may still work");
+    core.run_ms(31_000);
+    assert_eq!(core.upstreams("a"), ["u0-1", "u0-2"]);
+}
+
+/// Guards against a needless wait for the lease when the members of a restarted upstream are gone.
+#[test]
+fn a_restarted_upstream_has_no_old_members() {
+    let mut core = Core::with_racks(1, 1);
+    let gang = core.start(job("a", 8));
+    core.announce(0, 0, 2);
+    assert_ne!(core.gang("a"), gang);
+}
+
+/// Guards against new work on an upstream that leaves, and the loss of work that is there.
+#[test]
+fn a_leaving_upstream_keeps_its_work_and_gets_no_more() {
+    let mut core = Core::with_racks(1, 1);
+    let gang = core.start(job("a", 1));
+    core.step(Event::UpstreamLeaving { upstream: upstream(0, 0), incarnation: 1 });
+    core.submit(job("b", 1));
+    core.announce(0, 0, 1);
+    core.run_ms(60_000);
+    assert_eq!((core.gang("a"), core.state("b")), (gang, JobState::Waiting));
+    core.announce(0, 0, 2);
+    assert!(matches!(core.state("b"), JobState::Placed(_)));
+}
+
+/// When a cancellation arrives.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Moment {
+    Waiting,
+    Staging,
+    Committing,
+    Running,
+    Completed,
+}
+
+/// Guards against a cancellation without an answer, with two, or with a false one.
+#[rstest]
+#[case(Moment::Waiting, StopStatus::NotStarted, JobEnd::Cancelled { ran: Ran::No })]
+#[case(Moment::Staging, StopStatus::NotStarted, JobEnd::Cancelled { ran: Ran::No })]
+#[case(Moment::Committing, StopStatus::NotStarted, JobEnd::Cancelled { ran: Ran::No })]
+#[case(Moment::Committing, StopStatus::Stopped, JobEnd::Cancelled { ran: Ran::Yes })]
+#[case(Moment::Running, StopStatus::Stopped, JobEnd::Cancelled { ran: Ran::Yes })]
+#[case(Moment::Running, StopStatus::Completed, JobEnd::Completed)]
+#[case(Moment::Completed, StopStatus::Completed, JobEnd::Completed)]
+fn a_cancellation_gets_one_true_answer(
+    #[case] moment: Moment,
+    #[case] status: StopStatus,
+    #[case] end: JobEnd,
+) {
+    let mut core = Core::with_racks(1, 1);
+    if moment == Moment::Waiting {
+        core.start(job("blocker", 8));
+    }
+    core.submit(job("a", 8));
+    match moment {
+        Moment::Committing => answer_round(&mut core, Vec::new()),
+        Moment::Running => core.answer_all(),
+        Moment::Completed => {
+            core.answer_all();
+            let (gang, upstream) = (core.gang("a"), upstream(0, 0));
+            core.step(Event::MemberEnded { gang, upstream, end: MemberEnd::Completed });
+        }
+        Moment::Waiting | Moment::Staging => {}
+    }
+    core.inbox.clear();
+    core.step(Event::JobCancelled { job: "a".parse().expect("name") });
+    core.step(Event::JobCancelled { job: "a".parse().expect("name") });
+    for message in std::mem::take(&mut core.inbox) {
+        if let Decision::Stop { gang, upstream } = message {
+            core.step(Event::StopAnswered { gang, upstream: upstream.clone(), status });
+            core.step(Event::StopAnswered { gang, upstream, status });
+        }
+    }
+    core.run_ms(40_000);
+    assert_eq!(core.ends, [("a".to_owned(), end)]);
+}
+
+/// Guards against a cancellation that claims to know what a silent member did.
+#[test]
+fn a_cancelled_job_with_a_silent_member_is_unknown() {
+    let mut core = Core::with_racks(1, 1);
+    core.submit(job("a", 8));
+    answer_round(&mut core, Vec::new());
+    core.step(Event::JobCancelled { job: "a".parse().expect("name") });
+    core.wait_ms(certain_end_ms(0, START_LEASE_MS));
+    assert_eq!(core.ends, [("a".to_owned(), JobEnd::Cancelled { ran: Ran::Unknown })]);
+}
+
+/// Guards against a job that fails everywhere and is started forever.
+#[test]
+fn a_job_that_fails_on_three_upstreams_is_at_fault() {
+    let mut core = Core::with_racks(1, 4);
+    core.submit(job("a", 8));
+    for _ in 0..3 {
+        core.run_ms(3_000);
+        let gang = core.gang("a");
+        let upstream = core.upstreams("a")[0].parse().expect("name");
+        core.step(Event::MemberEnded { gang, upstream, end: MemberEnd::Failed });
+    }
+    let reason = "the job failed on 3 upstreams".to_owned();
+    assert_eq!(core.ends, [("a".to_owned(), JobEnd::Failed { reason })]);
+}
+
+/// Guards against a repeated submission that runs the job twice, and a reused name.
+#[test]
+fn a_repeated_submission_is_one_job() {
+    let mut core = Core::with_racks(1, 2);
+    core.submit(job("a", 1));
+    core.submit(job("a", 1));
+    core.submit(job("a", 2));
+    assert_eq!(core.refusals, ["another job has this name"]);
+    let accepted = core.records.iter().filter(|r| format!("{r:?}").starts_with("Accepted"));
+    assert_eq!(accepted.count(), 1);
+}
--- /dev/null
+++ b/src/scheduler/tests/recovery.rs
@@ -0,0 +1,71 @@
+//! Restarts of the scheduler from its records.
+
+use super::harness::{Core, job, upstream};
+use crate::scheduler::limits::{GANG_LEASE_MS, certain_end_ms};
+use crate::scheduler::{Event, JobEnd, JobState, Ran, Scheduler};
+
+fn restart(core: &Core) -> Core {
+    let mut next = Core::new(Scheduler::recover(core.records.iter().cloned(), core.now_ms));
+    next.now_ms = core.now_ms;
+    next.records.clone_from(&core.records);
+    next
+}
+
+/// Guards against the loss of running work by a restart, and of waiting jobs and known ends.
+#[test]
+fn a_restart_keeps_gangs_whose_members_all_confirm() {
+    let mut core = Core::with_racks(1, 2);
+    let gang = core.start(job("a", 16));
+    core.submit(job("waits", 16));
+    core.step(Event::JobCancelled { job: "waits".parse().expect("name") });
+    core.submit(job("b", 8));
+    let mut core = restart(&core);
+    assert_eq!(core.stage("a"), Some("confirming after a restart"));
+    core.announce(0, 0, 1);
+    core.announce(0, 1, 1);
+    core.run_ms(60_000);
+    assert_eq!((core.gang("a"), core.stage("a")), (gang, Some("running")));
+    assert_eq!(core.state("b"), JobState::Waiting);
+    assert_eq!(core.state("waits"), JobState::Ended(JobEnd::Cancelled { ran: Ran::No }));
+}
+
+/// Guards against a second start of a gang that may still work without the scheduler's knowledge.
+#[test]
+fn a_restart_places_silent_gangs_again_after_their_lease() {
+    let mut core = Core::with_racks(2, 1);
+    let gang = core.start(job("a", 8));
+    let mut core = restart(&core);
+    let other = core.upstreams("a")[0] == "u0-0";
+    core.announce(u32::from(other), 0, 1);
+    core.wait_ms(certain_end_ms(0, GANG_LEASE_MS) - 1);
+    assert_eq!(core.gang("a"), gang);
+    core.wait_ms(1);
+    assert!(core.gang("a") > gang);
+}
+
+/// Guards against a cancellation that is forgotten, or answered twice, after a restart.
+#[test]
+fn a_restart_completes_a_cancellation() {
+    let mut core = Core::with_racks(1, 1);
+    core.start(job("a", 8));
+    core.step(Event::JobCancelled { job: "a".parse().expect("name") });
+    assert!(core.ends.is_empty());
+    let mut core = restart(&core);
+    core.announce(0, 0, 1);
+    core.run_ms(1_000);
+    assert_eq!(core.ends, [("a".to_owned(), JobEnd::Cancelled { ran: Ran::Yes })]);
+    assert!(restart(&core).scheduler.step(Event::Tick, core.now_ms).is_empty());
+}
+
+/// Guards against a gang identity that is used again for another placement.
+#[test]
+fn a_restart_does_not_reuse_gang_identities() {
+    let mut core = Core::with_racks(1, 1);
+    let first = core.start(job("a", 8));
+    core.step(Event::JobCancelled { job: "a".parse().expect("name") });
+    core.answer_all();
+    let mut core = restart(&core);
+    core.announce(0, 0, 1);
+    assert!(core.start(job("b", 8)) > first);
+    core.step(Event::UpstreamLost { upstream: upstream(0, 0) });
+}
--- /dev/null
+++ b/src/scheduler/timers.rs
@@ -0,0 +1,65 @@
+//! Times at which the core acts without an event.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::event::GangId;
+use super::pool::{RackIx, UpstreamIx};
+
+/// What is due at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timer {
+    /// A gang's messages stayed unanswered, or its lease ended.
+    Gang(GangId),
+    /// The gangs of a rack are renewed.
+    Rack(RackIx),
+    /// A suspended upstream is trusted again.
+    Resume(UpstreamIx),
+    /// A lost upstream leaves the layout.
+    Forget(UpstreamIx),
+    /// The pool is known well enough to refuse jobs that cannot run.
+    Discovered,
+}
+
+/// At most one due time for each timer.
+#[derive(Debug, Default)]
+pub struct Timers {
+    due: BTreeSet<(u64, Timer)>,
+    at: BTreeMap<Timer, u64>,
+}
+
+impl Timers {
+    /// Sets the due time, instead of an earlier setting.
+    pub fn set(&mut self, timer: Timer, due_ms: u64) {
+        if let Some(old) = self.at.insert(timer, due_ms) {
+            self.due.remove(&(old, timer));
+        }
+        self.due.insert((due_ms, timer));
+    }
+
+    /// Removes the timer.
+    pub fn clear(&mut self, timer: Timer) {
+        if let Some(old) = self.at.remove(&timer) {
+            self.due.remove(&(old, timer));
+        }
+    }
+
+    /// Returns whether the timer is set.
+    pub fn is_set(&self, timer: Timer) -> bool {
+        self.at.contains_key(&timer)
+    }
+
+    /// Takes the earliest timer that is due.
+    pub fn take_due(&mut self, now_ms: u64) -> Option<Timer> {
+        let &(due_ms, timer) = self.due.first()?;
+        if due_ms > now_ms {
+            return None;
+        }
+        self.clear(timer);
+        Some(timer)
+    }
+
+    /// Returns the earliest due time.
+    pub fn next_due_ms(&self) -> Option<u64> {
+        self.due.first().map(|(due_ms, _)| *due_ms)
+    }
+}
--- /dev/null
+++ b/src/scheduler/upstreams.rs
@@ -0,0 +1,95 @@
+//! Upstreams that arrive, leave, are lost and come back.
+
+use super::event::{Announcement, GangId};
+use super::gang::{Phase, StopReason};
+use super::limits::LAYOUT_MEMORY_MS;
+use super::pool::{Announced, UpstreamIx};
+use super::timers::Timer;
+use super::{Decision, Renewal, Scheduler};
+use crate::names::UpstreamName;
+
+impl Scheduler {
+    pub(super) fn on_announced(&mut self, announcement: &Announcement, now_ms: u64) {
+        match self.pool.announce(announcement) {
+            Announced::Unchanged | Announced::Invalid => {}
+            Announced::Changed(ix) => self.on_upstream_back(ix, now_ms),
+            Announced::Restarted(ix) => {
+                self.end_old_members(ix, now_ms);
+                self.on_upstream_back(ix, now_ms);
+            }
+        }
+    }
+
+    fn on_upstream_back(&mut self, ix: UpstreamIx, now_ms: u64) {
+        self.timers.clear(Timer::Forget(ix));
+        for gang in self.gangs_on(ix) {
+            self.resend_to(gang, ix, now_ms);
+        }
+        self.queue.retry_all();
+    }
+
+    /// Repeats the current message of a gang to a member that can be reached again.
+    fn resend_to(&mut self, id: GangId, ix: UpstreamIx, now_ms: u64) {
+        let Some(gang) = self.gangs.get_mut(&id) else { return };
+        let upstream = self.pool.upstream(ix).name.clone();
+        match gang.phase {
+            Phase::Stopping => self.send_stops(id, now_ms),
+            Phase::Confirming => {
+                let round = gang.round;
+                let gangs = vec![Renewal { gang: id, lease_ms: 0 }];
+                self.emit(Decision::Renew { upstream, round, gangs });
+            }
+            Phase::Staging | Phase::Committing | Phase::Running => {}
+        }
+    }
+
+    /// Ends the members that an earlier incarnation of the upstream ran.
+    fn end_old_members(&mut self, ix: UpstreamIx, now_ms: u64) {
+        let upstream = self.pool.upstream(ix);
+        let (name, incarnation) = (upstream.name.clone(), upstream.incarnation);
+        for id in self.gangs_on(ix) {
+            let Some(gang) = self.gangs.get_mut(&id) else { continue };
+            let Some(member) = gang.member_mut(ix) else { continue };
+            if member.incarnation < incarnation && !member.ended {
+                member.ended = true;
+                self.stop_gang(id, StopReason::MemberLost(name.clone()), now_ms);
+            }
+        }
+    }
+
+    pub(super) fn on_lost(&mut self, upstream: &UpstreamName, now_ms: u64) {
+        let Some(ix) = self.pool.find(upstream) else { return };
+        if !self.pool.upstream(ix).live {
+            return;
+        }
+        self.pool.lose(ix);
+        self.timers.set(Timer::Forget(ix), now_ms + LAYOUT_MEMORY_MS);
+        for id in self.gangs_on(ix) {
+            let ended =
+                self.gangs.get_mut(&id).and_then(|g| g.member_mut(ix)).is_none_or(|m| m.ended);
+            if !ended {
+                self.stop_gang(id, StopReason::MemberLost(upstream.clone()), now_ms);
+            }
+        }
+        // Another upstream may have been waiting for the position.
+        self.queue.retry_all();
+    }
+
+    pub(super) fn on_leaving(&mut self, upstream: &UpstreamName, incarnation: u64) {
+        let Some(ix) = self.pool.find(upstream) else { return };
+        self.pool.change(ix, |u| u.leaving = u.leaving.max(Some(incarnation)));
+    }
+
+    /// Takes an upstream that has been away for long out of the layout.
+    pub(super) fn forget_upstream(&mut self, ix: UpstreamIx, now_ms: u64) {
+        if self.pool.upstream(ix).live {
+            return;
+        }
+        self.pool.unmount(ix);
+        self.refuse_unrunnable(now_ms);
+    }
+
+    fn gangs_on(&self, ix: UpstreamIx) -> Vec<GangId> {
+        self.pool.upstream(ix).gangs.iter().map(|(id, _)| *id).collect()
+    }
+}
