--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 mod names;
 mod outcome;
 mod rpc;
-mod scheduler;
+pub mod scheduler;
 pub mod standin;
 mod upstream_http;
 
