Add the command line for callers and operators

Cause: main.rs was empty; callers and operators had no way to send, look up or change anything. Change: commands check, send, request, sign-off, submit, status, cancel, explain, documents, upstreams, drain and health, one file each, with bpaf and ureq. A call moves to the next entry host only if no connection was opened or repeating it is safe; a connector in ureq's chain records whether a connection was opened, since its errors alone do not tell. Exit codes are 0 done, 1 not run or failed, 2 unknown. httpdate, already locked through hyper, prints times.

--- /dev/null
+++ b/src/cmd/request.rs
@@ -0,0 +1,60 @@
+//! `cactuslatch request`: looks up what became of a request.
+
+use bpaf::{OptionParser, Parser, construct, positional};
+use cactuslatch::RequestKey;
+use eyre::eyre;
+use serde_json::Value;
+use ureq::http::Method;
+
+use super::http::Call;
+use super::util::{self, Exit, Remote};
+
+const USAGE: &str = "Looks up the record of a request by its key.";
+
+const FOOTER: &str = "Exit codes: 0 done, 1 not run or the look-up failed, 2 unknown: in flight, no \
+    record, expired, or an outcome that is not known. A missing record does not show that the \
+    request cannot still arrive.";
+
+/// Arguments of `request`.
+#[derive(Debug, Clone)]
+pub(crate) struct Args {
+    remote: Remote,
+    key: RequestKey,
+}
+
+pub(crate) fn options() -> OptionParser<Args> {
+    let remote = util::remote();
+    let key = positional::<RequestKey>("KEY").help("DATA_CENTRE/ID of the request");
+    construct!(Args { remote, key }).to_options().descr(USAGE).footer(FOOTER)
+}
+
+pub(crate) fn run(args: &Args) -> eyre::Result<Exit> {
+    let path = format!("/v1/requests/{}/{}", args.key.data_centre(), args.key.id());
+    let call = Call::new("look up the request", Method::GET, path);
+    let answer = call.run(&args.remote.entries()?, args.remote.timeout())?;
+    let value = answer.json().unwrap_or_default();
+    let Some(exit) = state(&value).and_then(exit_of) else {
+        return Err(if answer.is_success() {
+            eyre!("look up the request ({}): the answer names no known state", answer.host)
+        } else {
+            answer.refusal().into()
+        });
+    };
+    let text = if args.remote.json { value.to_string() } else { util::lines(&value) };
+    util::print(&text)?;
+    Ok(exit)
+}
+
+/// A record that is still open has a state, one that ended may have only an outcome.
+fn state(value: &Value) -> Option<&str> {
+    value.get("state").or_else(|| value.get("outcome"))?.as_str()
+}
+
+fn exit_of(state: &str) -> Option<Exit> {
+    match state {
+        "done" => Some(Exit::Done),
+        "not_run" => Some(Exit::NotRun),
+        "unknown" | "in_flight" | "absent" | "expired" => Some(Exit::Unknown),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/cmd/util.rs
@@ -0,0 +1,221 @@
+//! Options, output and exit codes shared by the commands.
+
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::{Parser, construct, long};
+use cactuslatch::StepError;
+use eyre::eyre;
+use serde_json::Value;
+
+use super::http::Answer;
+
+/// Environment variable with the addresses of entry hosts, separated by commas.
+const ENTRY_VARIABLE: &str = "CACTUSLATCH_ENTRY";
+
+/// Time for a command when `--timeout-ms` is absent; an entry host's own default is 10 s.
+const DEFAULT_TIMEOUT_MS: u64 = 15_000;
+
+/// Longest time that may be asked for.
+const TIMEOUT_MAX_MS: u64 = 3_600_000;
+
+/// How a command ended, as its exit code.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Exit {
+    /// The command did what was asked.
+    Done,
+    /// It certainly did not.
+    NotRun,
+    /// It may have.
+    Unknown,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(match exit {
+            Exit::Done => 0,
+            Exit::NotRun => 1,
+            Exit::Unknown => 2,
+        })
+    }
+}
+
+/// Options of every command that talks to entry hosts.
+#[derive(Debug, Clone)]
+pub(crate) struct Remote {
+    entry: Vec<SocketAddr>,
+    pub(crate) timeout_ms: Option<u64>,
+    pub(crate) json: bool,
+}
+
+impl Remote {
+    /// Returns the entry hosts in the order in which they are tried.
+    pub(crate) fn entries(&self) -> eyre::Result<Vec<SocketAddr>> {
+        if !self.entry.is_empty() {
+            return Ok(self.entry.clone());
+        }
+        let text = std::env::var(ENTRY_VARIABLE).unwrap_or_default();
+        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+        let read = |part: &str| {
+            let form = "use an IP number and port such as 10.0.0.5:7001";
+            part.parse().map_err(|_| eyre!("{ENTRY_VARIABLE}: {part:?} is not an address; {form}"))
+        };
+        let entries: Vec<_> = parts.map(read).collect::<Result<_, _>>()?;
+        if entries.is_empty() {
+            return Err(eyre!("no entry host is given; use --entry ADDRESS or {ENTRY_VARIABLE}"));
+        }
+        Ok(entries)
+    }
+
+    /// Returns the time for the whole command.
+    pub(crate) fn timeout(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS))
+    }
+}
+
+/// Parses the options of [`Remote`].
+pub(crate) fn remote() -> impl Parser<Remote> {
+    let entry = long("entry")
+        .help(
+            "Address of an entry host; repeat it to name hosts to fail over to [CACTUSLATCH_ENTRY]",
+        )
+        .argument::<SocketAddr>("ADDRESS")
+        .many();
+    let timeout_ms = timeout_ms().optional();
+    let json = json();
+    construct!(Remote { entry, timeout_ms, json })
+}
+
+/// Parses `--timeout-ms`.
+pub(crate) fn timeout_ms() -> impl Parser<u64> {
+    long("timeout-ms")
+        .help("Time for the whole command, over all hosts that are tried")
+        .argument::<u64>("MS")
+        .guard(|ms| (1..=TIMEOUT_MAX_MS).contains(ms), "use 1 to 3600000 ms")
+}
+
+/// Parses `--json`.
+pub(crate) fn json() -> impl Parser<bool> {
+    long("json").help("Print one JSON value instead of text").switch()
+}
+
+/// Options of the commands that talk to one daemon's admin port.
+#[derive(Debug, Clone)]
+pub(crate) struct Admin {
+    pub(crate) address: SocketAddr,
+    timeout_ms: Option<u64>,
+    pub(crate) json: bool,
+}
+
+impl Admin {
+    /// Returns the time for the whole command.
+    pub(crate) fn timeout(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS))
+    }
+}
+
+/// Parses the options of [`Admin`].
+pub(crate) fn admin() -> impl Parser<Admin> {
+    let address = long("admin")
+        .help("Admin address of an entry host or control process")
+        .argument::<SocketAddr>("ADDRESS");
+    let timeout_ms = timeout_ms().optional();
+    let json = json();
+    construct!(Admin { address, timeout_ms, json })
+}
+
+/// Writes text and a line end to standard output.
+pub(crate) fn print(text: &str) -> eyre::Result<()> {
+    let mut out = std::io::stdout().lock();
+    let end = if text.ends_with('\n') { "" } else { "\n" };
+    let written = write!(out, "{text}{end}").and_then(|()| out.flush());
+    written.map_err(|error| StepError::new("write the output", "standard output", error).into())
+}
+
+/// Reads a file, or standard input if the path is `-`.
+pub(crate) fn read_input(path: &str) -> eyre::Result<Vec<u8>> {
+    if path != "-" {
+        return std::fs::read(path).map_err(|e| StepError::new("read the file", path, e).into());
+    }
+    let mut body = Vec::new();
+    let read = std::io::stdin().lock().read_to_end(&mut body);
+    read.map_err(|error| StepError::new("read the input", "standard input", error))?;
+    Ok(body)
+}
+
+/// Prints an answer as JSON or through `render`; an answer that is no success is an error.
+pub(crate) fn conclude(
+    answer: &Answer,
+    json: bool,
+    render: impl FnOnce(&Value) -> String,
+) -> eyre::Result<Exit> {
+    let value = answer.json();
+    if json && let Some(value) = &value {
+        print(&value.to_string())?;
+    }
+    if !answer.is_success() {
+        return Err(answer.refusal().into());
+    }
+    let value = value.ok_or_else(|| answer.not_json())?;
+    if !json {
+        print(&render(&value))?;
+    }
+    Ok(Exit::Done)
+}
+
+/// Returns a member as text; `-` stands for one that is absent.
+pub(crate) fn field(value: &Value, name: &str) -> String {
+    match value.get(name) {
+        None | Some(Value::Null) => "-".to_owned(),
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    }
+}
+
+/// Returns the first of the named members that is present, or the value itself.
+pub(crate) fn inner<'a>(value: &'a Value, names: &[&str]) -> &'a Value {
+    names.iter().find_map(|name| value.get(name)).unwrap_or(value)
+}
+
+/// Writes a JSON value as indented `name: value` lines.
+pub(crate) fn lines(value: &Value) -> String {
+    let mut out = String::new();
+    write_lines(&mut out, value, 0);
+    out.trim_end().to_owned()
+}
+
+fn write_lines(out: &mut String, value: &Value, depth: usize) {
+    match value {
+        Value::Object(map) => {
+            for (name, value) in map {
+                write_member(out, &format!("{name}:"), value, depth);
+            }
+        }
+        Value::Array(list) => {
+            for value in list {
+                write_member(out, "-", value, depth);
+            }
+        }
+        plain => write_member(out, "", plain, depth),
+    }
+}
+
+fn write_member(out: &mut String, label: &str, value: &Value, depth: usize) {
+    let indent = "  ".repeat(depth);
+    let text = match value {
+        Value::Object(_) | Value::Array(_) => {
+            out.push_str(&indent);
+            out.push_str(label);
+            out.push('\n');
+            return write_lines(out, value, depth + 1);
+        }
+        Value::Null => "-".to_owned(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    };
+    let line = format!("{indent}{label} {text}");
+    out.push_str(line.trim_end());
+    out.push('\n');
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,10 @@
 //! The `cactuslatch` command line.
 
-fn main() {}
+mod cmd;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let run = cmd::options().run();
+    cmd::finish(run())
+}
--- /dev/null
+++ b/tests/cli/main.rs
@@ -0,0 +1,11 @@
+//! Runs the `cactuslatch` binary against files and loopback hosts.
+
+mod check;
+mod documents;
+mod failover;
+mod help;
+mod host;
+mod jobs;
+mod operate;
+mod send;
+mod work;
