--- a/src/bin/cactuslatch-standin.rs
+++ b/src/bin/cactuslatch-standin.rs
@@ -13,6 +13,10 @@
         long("incarnation").help("goes up with each start").argument::<u64>("NUMBER").fallback(1);
     let address =
         long("address").help("address at which it takes work").argument::<SocketAddr>("ADDRESS");
+    let advertised = long("advertise")
+        .help("address that it announces, if that differs")
+        .argument::<SocketAddr>("ADDRESS")
+        .optional();
     let services = long("service")
         .help("service that it runs")
         .argument::<ServiceName>("SERVICE")
@@ -33,6 +37,7 @@
         name,
         incarnation,
         address,
+        advertised,
         services,
         rack,
         rack_position,
--- /dev/null
+++ b/src/cmd/demo.rs
@@ -0,0 +1,32 @@
+//! `cactuslatch demo`: a whole installation on loopback that shows the main job.
+
+use bpaf::{OptionParser, Parser, construct, long};
+use cactuslatch::demo;
+use eyre::WrapErr;
+
+use super::util::{self, Exit};
+
+const USAGE: &str = "Starts an installation on loopback, sends requests and a gang job through it.";
+
+const FOOTER: &str = "Exit codes: 0 everything ended as it must, 1 a step failed.";
+
+/// Arguments of `demo`.
+#[derive(Debug, Clone)]
+pub(crate) struct Args {
+    json: bool,
+}
+
+pub(crate) fn options() -> OptionParser<Args> {
+    let json = long("json").help("print one JSON object as the last line").switch();
+    construct!(Args { json }).to_options().descr(USAGE).footer(FOOTER)
+}
+
+pub(crate) fn run(args: &Args) -> eyre::Result<Exit> {
+    let folder = tempfile::tempdir().wrap_err("create a folder for the demo's state")?;
+    let runtime = tokio::runtime::Runtime::new().wrap_err("start the runtime")?;
+    let report = runtime.block_on(demo::run(folder.path(), false))?;
+    if args.json {
+        util::print(&report.into_json().to_string())?;
+    }
+    Ok(Exit::Done)
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod cancel;
 mod check;
+mod demo;
 mod documents;
 mod drain;
 mod explain;
@@ -33,6 +34,7 @@
 /// Returns the parser of the whole command line.
 pub(crate) fn options() -> OptionParser<Run> {
     let check = slot("check", check::options(), check::run);
+    let demo = slot("demo", demo::options(), demo::run);
     let send = slot("send", send::options(), send::run);
     let request = slot("request", request::options(), request::run);
     let sign_off = slot("sign-off", sign_off::options(), sign_off::run);
@@ -45,7 +47,7 @@
     let drain = slot("drain", drain::options(), drain::run);
     let health = slot("health", health::options(), health::run);
     construct!([
-        check, send, request, sign_off, submit, status, cancel, explain, documents, upstreams,
+        check, demo, send, request, sign_off, submit, status, cancel, explain, documents, upstreams,
         drain, health
     ])
     .to_options()
--- /dev/null
+++ b/src/demo/mod.rs
@@ -0,0 +1,91 @@
+//! The demo: a whole installation on loopback, requests and a gang job, a document that changes.
+
+mod steps;
+
+use std::path::Path;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde_json::{Map, Value};
+
+use crate::config::{Limits, Timeouts};
+use crate::error::StepError;
+use crate::local::{LocalCluster, LocalDataCentre, LocalSettings};
+
+/// Entry hosts in the demo's data centre.
+const ENTRY_HOSTS: u8 = 2;
+/// Stand-ins in the demo's data centre: one rack.
+const UPSTREAMS: u8 = 4;
+
+/// What the demo did, as lines for a person and values for a program.
+#[derive(Debug, Default)]
+pub struct Report {
+    values: Mutex<Map<String, Value>>,
+    quiet: bool,
+}
+
+impl Report {
+    fn say(&self, key: &str, value: impl Into<Value>, line: &str) {
+        let mut values = self.values.lock().expect("no panic while the report is locked");
+        values.insert(key.to_owned(), value.into());
+        if !self.quiet {
+            println!("{line}");
+        }
+    }
+
+    /// Returns the values as one JSON object.
+    #[must_use]
+    pub fn into_json(self) -> Value {
+        Value::Object(self.values.into_inner().expect("no panic while the report was locked"))
+    }
+}
+
+/// Runs the demo in `folder` and reports what happened.
+///
+/// # Errors
+/// Returns an error if a step does not end as it must.
+pub async fn run(folder: &Path, quiet: bool) -> Result<Report, StepError> {
+    let report = Report { quiet, ..Report::default() };
+    let settings = LocalSettings {
+        data_centres: vec![LocalDataCentre {
+            name: "north".parse().expect("a valid name"),
+            entry_hosts: ENTRY_HOSTS,
+            upstreams: UPSTREAMS,
+        }],
+        folder: folder.to_owned(),
+        timeouts: Timeouts { balancer_notice_ms: 1_000, ..Timeouts::default() },
+        limits: Limits::default(),
+    };
+    let mut cluster = LocalCluster::start(settings).await?;
+    report.say(
+        "entry_hosts",
+        ENTRY_HOSTS,
+        &format!("started 1 control process, {ENTRY_HOSTS} entry hosts, {UPSTREAMS} upstreams"),
+    );
+    steps::put_document(&cluster, &report).await?;
+    steps::idempotent_requests(&cluster, &report).await?;
+    steps::request_once(&cluster, &report).await?;
+    steps::gang_job(&cluster, &report).await?;
+    steps::change_document(&cluster, &report).await?;
+    steps::leaving_upstream(&mut cluster, &report).await?;
+    steps::drain_under_load(&mut cluster, &report).await?;
+    cluster.stop().await;
+    report.say("ok", true, "all processes ended");
+    Ok(report)
+}
+
+/// Repeats a check until it holds; an error names the step that did not come about.
+async fn wait_until(
+    step: &'static str,
+    limit: Duration,
+    mut check: impl AsyncFnMut() -> bool,
+) -> Result<Duration, StepError> {
+    let started = tokio::time::Instant::now();
+    while !check().await {
+        if started.elapsed() >= limit {
+            return Err(StepError::new(step, "demo", format!("not seen within {limit:?}")));
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(started.elapsed())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,10 +7,13 @@
 pub mod config;
 mod control;
 pub mod daemon_util;
+pub mod demo;
 pub mod entry;
 mod error;
 mod http;
 mod journal;
+mod key_date;
+pub mod local;
 mod names;
 mod outcome;
 mod rpc;
@@ -19,6 +22,7 @@
 mod upstream_http;
 
 pub use class::{Class, InvalidClass};
+pub use key_date::today_utc;
 pub use error::StepError;
 pub use names::{
     DataCentreName, HostName, InvalidName, JobName, KEY_ID_LIMIT_BYTES, NAME_LIMIT_BYTES,
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -38,6 +38,8 @@
     pub incarnation: u64,
     /// Address at which it takes work; port 0 picks a free one.
     pub address: SocketAddr,
+    /// Address that it announces, if that differs, as behind a proxy.
+    pub advertised: Option<SocketAddr>,
     /// Services it runs.
     pub services: Vec<ServiceName>,
     /// Rack in which it stands.
@@ -143,7 +145,7 @@
         let settings = &self.settings;
         Announcement {
             incarnation: settings.incarnation,
-            address: settings.address,
+            address: settings.advertised.unwrap_or(settings.address),
             services: settings.services.clone(),
             rack: settings.rack.clone(),
             rack_position: settings.rack_position,
