Extend messages for lookups, watch sequences and document pulls

Cause: a reply on the watch stream that is delayed by a partition would renew a lease of shares that control has already lent to another host; a lookup gave an answer without saying whose request it was; and copies of the documents had no message to pull them with. Change: WatchRequest and WatchReply carry a sequence, LookupReply carries the identity of the record, and PullDocuments brings a copy what it lacks. Generated code follows. Conclusion: the lease of lent shares can count from the sending of the request answered.

--- a/src/rpc/generated.rs
+++ b/src/rpc/generated.rs
@@ -100,6 +100,13 @@
     pub upstream: ::prost::alloc::string::String,
     #[prost(string, tag = "4")]
     pub signed_off_by: ::prost::alloc::string::String,
+    /// Identity with which the record was made; a caller with another one gets no answer.
+    #[prost(string, tag = "5")]
+    pub organisation: ::prost::alloc::string::String,
+    #[prost(string, tag = "6")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(bytes = "bytes", tag = "7")]
+    pub body_digest: ::prost::bytes::Bytes,
 }
 /// Allows one re-run of a request whose outcome is unknown.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -194,6 +201,9 @@
     pub document_index: u64,
     #[prost(message, repeated, tag = "5")]
     pub r#use: ::prost::alloc::vec::Vec<ShareUse>,
+    /// Counts the messages of this stream, from 1.
+    #[prost(uint64, tag = "6")]
+    pub sequence: u64,
 }
 /// Demand for one upstream as seen by one host.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -223,6 +233,10 @@
     pub documents: ::prost::alloc::vec::Vec<Document>,
     #[prost(uint64, tag = "7")]
     pub document_index: u64,
+    /// Newest request of this stream that control had received. The lease of lent shares counts
+    /// from the time at which the host sent that request, so a delayed reply renews nothing.
+    #[prost(uint64, tag = "8")]
+    pub sequence: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Document {
@@ -287,6 +301,30 @@
     #[prost(uint64, tag = "5")]
     pub accepted_at_ms: u64,
 }
+/// Sent by the control process of another data centre to the writer of documents.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PullDocumentsRequest {
+    /// Index of the newest change that the sender holds.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PullDocumentsReply {
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub documents: ::prost::alloc::vec::Vec<PulledDocument>,
+}
+/// A document and those of its changes that the receiver lacks.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PulledDocument {
+    #[prost(message, optional, tag = "1")]
+    pub document: ::core::option::Option<Document>,
+    #[prost(message, repeated, tag = "2")]
+    pub changes: ::prost::alloc::vec::Vec<DocumentChange>,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SubmitJobRequest {
     #[prost(string, tag = "1")]
@@ -644,6 +682,30 @@
                 .insert(GrpcMethod::new("cactuslatch.v1.Control", "GetDocument"));
             self.inner.unary(req, path, codec).await
         }
+        pub async fn pull_documents(
+            &mut self,
+            request: impl tonic::IntoRequest<super::PullDocumentsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::PullDocumentsReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/cactuslatch.v1.Control/PullDocuments",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("cactuslatch.v1.Control", "PullDocuments"));
+            self.inner.unary(req, path, codec).await
+        }
         pub async fn submit_job(
             &mut self,
             request: impl tonic::IntoRequest<super::SubmitJobRequest>,
@@ -811,6 +873,13 @@
             tonic::Response<super::GetDocumentReply>,
             tonic::Status,
         >;
+        async fn pull_documents(
+            &self,
+            request: tonic::Request<super::PullDocumentsRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::PullDocumentsReply>,
+            tonic::Status,
+        >;
         async fn submit_job(
             &self,
             request: tonic::Request<super::SubmitJobRequest>,
@@ -1263,6 +1332,51 @@
                     };
                     Box::pin(fut)
                 }
+                "/cactuslatch.v1.Control/PullDocuments" => {
+                    #[allow(non_camel_case_types)]
+                    struct PullDocumentsSvc<T: Control>(pub Arc<T>);
+                    impl<
+                        T: Control,
+                    > tonic::server::UnaryService<super::PullDocumentsRequest>
+                    for PullDocumentsSvc<T> {
+                        type Response = super::PullDocumentsReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::PullDocumentsRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Control>::pull_documents(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = PullDocumentsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/cactuslatch.v1.Control/SubmitJob" => {
                     #[allow(non_camel_case_types)]
                     struct SubmitJobSvc<T: Control>(pub Arc<T>);
