--- /dev/null
+++ b/src/journal/files.rs
@@ -0,0 +1,107 @@
+//! Files of the journal's folder: segments, snapshots and the lock.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use crate::StepError;
+
+const SEGMENT_SUFFIX: &str = ".log";
+const SNAPSHOT_SUFFIX: &str = ".snapshot";
+const TEMPORARY_SUFFIX: &str = ".tmp";
+const LOCK_FILE: &str = "journal.lock";
+
+/// A file to which records are written.
+pub(crate) trait Sink: Write + Send {
+    /// Makes everything written so far durable.
+    fn sync(&mut self) -> io::Result<()>;
+}
+
+impl Sink for File {
+    fn sync(&mut self) -> io::Result<()> {
+        self.sync_data()
+    }
+}
+
+/// Opens a file for appending; tests replace it to inject faults.
+pub(crate) type OpenSink = Box<dyn FnMut(&Path) -> io::Result<Box<dyn Sink>> + Send>;
+
+/// Opens plain files.
+pub(super) fn plain_files() -> OpenSink {
+    Box::new(|path| {
+        let file = OpenOptions::new().append(true).create(true).open(path)?;
+        Ok(Box::new(file))
+    })
+}
+
+/// Files found in the folder, each list in the order of the first index.
+#[derive(Debug, Default)]
+pub(super) struct Listing {
+    pub(super) segments: Vec<(u64, PathBuf)>,
+    pub(super) snapshots: Vec<(u64, PathBuf)>,
+    pub(super) temporary: Vec<PathBuf>,
+}
+
+pub(super) fn list(folder: &Path) -> io::Result<Listing> {
+    let mut listing = Listing::default();
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        let Some(name) = path.file_name().and_then(|name| name.to_str()) else { continue };
+        if name.ends_with(TEMPORARY_SUFFIX) && name.contains(SNAPSHOT_SUFFIX) {
+            listing.temporary.push(path);
+        } else if let Some(first) = index_of(name, SEGMENT_SUFFIX) {
+            listing.segments.push((first, path));
+        } else if let Some(first) = index_of(name, SNAPSHOT_SUFFIX) {
+            listing.snapshots.push((first, path));
+        }
+    }
+    listing.segments.sort();
+    listing.snapshots.sort();
+    Ok(listing)
+}
+
+fn index_of(name: &str, suffix: &str) -> Option<u64> {
+    name.strip_suffix(suffix)?.parse().ok()
+}
+
+/// Path of the segment whose first record has this index.
+pub(super) fn segment_path(folder: &Path, first_index: u64) -> PathBuf {
+    folder.join(format!("{first_index:020}{SEGMENT_SUFFIX}"))
+}
+
+/// Path of the snapshot that replaces all records below this index.
+pub(super) fn snapshot_path(folder: &Path, next_index: u64) -> PathBuf {
+    folder.join(format!("{next_index:020}{SNAPSHOT_SUFFIX}"))
+}
+
+/// Makes created, renamed and removed names of a folder durable.
+pub(crate) fn sync_folder(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
+}
+
+/// Replaces a file so that after a crash either the old or the new content is found.
+pub(crate) fn replace_file(path: &Path, content: &[u8]) -> io::Result<()> {
+    let mut temporary = path.as_os_str().to_owned();
+    temporary.push(TEMPORARY_SUFFIX);
+    let mut file = File::create(&temporary)?;
+    file.write_all(content)?;
+    file.sync_all()?;
+    fs::rename(&temporary, path)?;
+    sync_folder(path.parent().unwrap_or(Path::new(".")))
+}
+
+/// Takes the folder's lock, which ends with the process.
+pub(super) fn lock(folder: &Path) -> Result<File, StepError> {
+    let path = folder.join(LOCK_FILE);
+    let failed = |fault: io::Error| StepError::new("lock the data folder", path.display(), fault);
+    let file = OpenOptions::new().write(true).create(true).truncate(false).open(&path);
+    let file = file.map_err(failed)?;
+    match file.try_lock() {
+        Ok(()) => Ok(file),
+        Err(fs::TryLockError::WouldBlock) => {
+            let text = "another process uses this data folder";
+            Err(StepError::new("lock the data folder", path.display(), text))
+        }
+        Err(fs::TryLockError::Error(fault)) => Err(failed(fault)),
+    }
+}
--- /dev/null
+++ b/src/journal/format.rs
@@ -0,0 +1,100 @@
+//! Layout of records on disk: length u32, crc32 u32, index u64, kind u8, payload.
+//!
+//! Numbers are little-endian. The checksum covers the length, index, kind and payload. The high
+//! bit of the stored kind marks the first record of a write. Everything before such a record was
+//! synced, whereas records of one unsynced write can reach the disk in any order.
+
+use super::Record;
+
+/// Bytes in front of each payload.
+pub(super) const HEADER_BYTES: usize = 17;
+
+/// Largest payload; a larger length in a file is corruption.
+pub(super) const PAYLOAD_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
+/// Bit of the stored kind that marks the first record of a write.
+pub(super) const FIRST_OF_WRITE: u8 = 0x80;
+
+/// Appends the stored form of a record to `out`.
+pub(super) fn encode(out: &mut Vec<u8>, index: u64, stored_kind: u8, payload: &[u8]) {
+    let length = u32::try_from(payload.len()).expect("payloads are bounded before they are queued");
+    let crc = checksum(length, index, stored_kind, payload);
+    out.extend_from_slice(&length.to_le_bytes());
+    out.extend_from_slice(&crc.to_le_bytes());
+    out.extend_from_slice(&index.to_le_bytes());
+    out.push(stored_kind);
+    out.extend_from_slice(payload);
+}
+
+fn checksum(length: u32, index: u64, stored_kind: u8, payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&length.to_le_bytes());
+    hasher.update(&index.to_le_bytes());
+    hasher.update(&[stored_kind]);
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+/// A valid record found in a file.
+#[derive(Debug)]
+pub(super) struct Decoded {
+    pub(super) record: Record,
+    pub(super) first_of_write: bool,
+    pub(super) size_bytes: usize,
+}
+
+/// Decodes the record at the start of `bytes`, if it is whole and its checksum fits.
+pub(super) fn decode(bytes: &[u8], indexes: std::ops::RangeInclusive<u64>) -> Option<Decoded> {
+    let header = bytes.get(..HEADER_BYTES)?;
+    let length = u32::from_le_bytes(header[0..4].try_into().ok()?);
+    let crc = u32::from_le_bytes(header[4..8].try_into().ok()?);
+    let index = u64::from_le_bytes(header[8..16].try_into().ok()?);
+    let stored_kind = header[16];
+    let size = usize::try_from(length).ok()?;
+    if size > PAYLOAD_LIMIT_BYTES || !indexes.contains(&index) {
+        return None;
+    }
+    let payload = bytes.get(HEADER_BYTES..HEADER_BYTES + size)?;
+    if checksum(length, index, stored_kind, payload) != crc {
+        return None;
+    }
+    Some(Decoded {
+        record: Record { index, kind: stored_kind & !FIRST_OF_WRITE, payload: payload.to_vec() },
+        first_of_write: stored_kind & FIRST_OF_WRITE != 0,
+        size_bytes: HEADER_BYTES + size,
+    })
+}
+
+/// What one file holds.
+#[derive(Debug)]
+pub(super) struct Scan {
+    pub(super) records: Vec<Record>,
+    /// Length of the valid part, in bytes.
+    pub(super) valid_bytes: usize,
+    /// Offset of a synced record after the first invalid byte; proof of corruption.
+    pub(super) valid_after: Option<usize>,
+}
+
+/// Reads records with consecutive indexes from `first_index` on.
+pub(super) fn scan(bytes: &[u8], first_index: u64) -> Scan {
+    let mut records = Vec::new();
+    let mut offset = 0;
+    let mut next = first_index;
+    while let Some(found) = decode(&bytes[offset..], next..=next) {
+        offset += found.size_bytes;
+        next += 1;
+        records.push(found.record);
+    }
+    let valid_after = synced_after(bytes, offset, next);
+    Scan { records, valid_bytes: offset, valid_after }
+}
+
+/// Finds a record after `offset` that begins a later write.
+///
+/// A valid record that does not begin a write belongs to the torn write itself.
+fn synced_after(bytes: &[u8], offset: usize, next: u64) -> Option<usize> {
+    let most = (bytes.len() - offset) / HEADER_BYTES;
+    let indexes = next..=next.saturating_add(most as u64);
+    (offset + 1..bytes.len())
+        .find(|at| decode(&bytes[*at..], indexes.clone()).is_some_and(|found| found.first_of_write))
+}
--- /dev/null
+++ b/src/journal/recovery.rs
@@ -0,0 +1,135 @@
+//! Reading the journal's folder at start.
+
+use std::fs::{self, OpenOptions};
+use std::io;
+use std::path::{Path, PathBuf};
+
+use tracing::warn;
+
+use super::files::{self, Listing};
+use super::format::{Scan, scan};
+use super::{CutTail, Record};
+use crate::StepError;
+
+/// State of the folder after recovery.
+#[derive(Debug)]
+pub(super) struct Recovered {
+    /// Records of the newest snapshot, then those written after it.
+    pub(super) records: Vec<Record>,
+    /// Index of the next record.
+    pub(super) next_index: u64,
+    /// Segment to which the next record goes.
+    pub(super) segment: PathBuf,
+    /// Bytes in segments that the newest snapshot does not cover.
+    pub(super) log_bytes: u64,
+    pub(super) cut: Option<CutTail>,
+}
+
+/// Reads all records and cuts off a torn tail.
+pub(super) fn recover(folder: &Path) -> Result<Recovered, StepError> {
+    let listing = step("list the journal", folder, files::list(folder))?;
+    let (mut records, first) = read_snapshot(&listing)?;
+    remove_covered(folder, &listing, first)?;
+    let segments: Vec<_> = listing.segments.iter().filter(|(at, _)| *at >= first).collect();
+    let mut next_index = first;
+    let mut log_bytes = 0;
+    let mut cut = None;
+    for (at, (first_index, path)) in segments.iter().enumerate() {
+        if *first_index != next_index {
+            let text = format!("records {next_index} to {} are missing", first_index - 1);
+            return Err(StepError::new("read the journal", path.display(), text));
+        }
+        let is_last = at + 1 == segments.len();
+        let found = read_segment(path, *first_index, is_last)?;
+        next_index += found.records.len() as u64;
+        log_bytes += found.valid_bytes as u64;
+        records.extend(found.records);
+        cut = found.cut;
+    }
+    let segment = segments
+        .last()
+        .map_or_else(|| files::segment_path(folder, next_index), |(_, path)| path.clone());
+    Ok(Recovered { records, next_index, segment, log_bytes, cut })
+}
+
+/// Reads the newest snapshot and the index of the first record after it.
+fn read_snapshot(listing: &Listing) -> Result<(Vec<Record>, u64), StepError> {
+    let Some((next_index, path)) = listing.snapshots.last() else { return Ok((Vec::new(), 1)) };
+    let bytes = step("read the snapshot", path, fs::read(path))?;
+    let found = scan(&bytes, 0);
+    if found.valid_bytes != bytes.len() || found.records.is_empty() {
+        return Err(corrupt(path, found.valid_bytes));
+    }
+    let mut records = found.records;
+    // The last record states the count, so that a file cut between two records is noticed.
+    let count = records.pop().and_then(|last| String::from_utf8(last.payload).ok());
+    if count.and_then(|text| text.parse().ok()) != Some(records.len()) {
+        return Err(corrupt(path, found.valid_bytes));
+    }
+    Ok((records, *next_index))
+}
+
+/// Removes files that the newest snapshot replaces, and unfinished snapshots.
+fn remove_covered(folder: &Path, listing: &Listing, first: u64) -> Result<(), StepError> {
+    let old_segments = listing.segments.iter().filter(|(at, _)| *at < first);
+    let old_snapshots = listing.snapshots.iter().filter(|(at, _)| *at < first);
+    let old = old_segments.chain(old_snapshots).map(|(_, path)| path);
+    for path in old.chain(&listing.temporary) {
+        step("remove a replaced file", path, fs::remove_file(path))?;
+    }
+    step("sync the folder", folder, files::sync_folder(folder))
+}
+
+struct Segment {
+    records: Vec<Record>,
+    valid_bytes: usize,
+    cut: Option<CutTail>,
+}
+
+fn read_segment(path: &Path, first_index: u64, is_last: bool) -> Result<Segment, StepError> {
+    let bytes = step("read the journal", path, fs::read(path))?;
+    let Scan { records, valid_bytes, valid_after } = scan(&bytes, first_index);
+    if valid_bytes == bytes.len() {
+        return Ok(Segment { records, valid_bytes, cut: None });
+    }
+    // A segment is synced whole before the next one is created.
+    if valid_after.is_some() || !is_last {
+        return Err(corrupt(path, valid_bytes));
+    }
+    let cut = cut_tail(path, valid_bytes, bytes.len())?;
+    Ok(Segment { records, valid_bytes, cut: Some(cut) })
+}
+
+fn cut_tail(path: &Path, valid_bytes: usize, size_bytes: usize) -> Result<CutTail, StepError> {
+    let cut = CutTail {
+        file: path.to_owned(),
+        offset: valid_bytes as u64,
+        size_bytes: (size_bytes - valid_bytes) as u64,
+    };
+    let truncate = || {
+        let file = OpenOptions::new().write(true).open(path)?;
+        file.set_len(cut.offset)?;
+        file.sync_all()
+    };
+    step("cut off the torn tail", path, truncate())?;
+    warn!(
+        file = %path.display(),
+        offset = cut.offset,
+        size_bytes = cut.size_bytes,
+        "cut off a torn tail of the journal"
+    );
+    Ok(cut)
+}
+
+fn corrupt(path: &Path, offset: usize) -> StepError {
+    let text = format!("corrupt record at offset {offset}, with synced data after it");
+    StepError::new("read the journal", path.display(), text)
+}
+
+pub(super) fn step<T>(
+    name: &'static str,
+    path: &Path,
+    result: io::Result<T>,
+) -> Result<T, StepError> {
+    result.map_err(|fault| StepError::new(name, path.display(), fault))
+}
--- /dev/null
+++ b/src/journal/tests.rs
@@ -0,0 +1,248 @@
+//! Faults of the journal's files.
+
+use std::fs;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use rstest::rstest;
+use tempfile::TempDir;
+
+use super::files::Sink;
+use super::{Entry, Journal, OpenSink, Record};
+
+fn work() -> TempDir {
+    tempfile::tempdir().expect("a work directory")
+}
+
+async fn write(folder: &Path, payloads: &[&str]) {
+    let (journal, _) = Journal::open(folder).expect("the journal opens");
+    for payload in payloads {
+        journal.append(3, payload.as_bytes().to_vec()).await.expect("the record is synced");
+    }
+}
+
+fn read(folder: &Path) -> Vec<String> {
+    let (_, records) = Journal::open(folder).expect("the journal opens");
+    texts(&records)
+}
+
+fn texts(records: &[Record]) -> Vec<String> {
+    let indexes = records.iter().map(|record| record.index);
+    assert!(indexes.eq(1..=records.len() as u64), "indexes are consecutive");
+    let text = |record: &Record| String::from_utf8(record.payload.clone()).expect("text");
+    records.iter().map(text).collect()
+}
+
+fn segment(folder: &Path) -> PathBuf {
+    folder.join(format!("{:020}.log", 1))
+}
+
+/// Guards against a crash at any point of a write losing synced records or blocking the start.
+#[tokio::test]
+async fn a_file_cut_at_any_byte_keeps_every_whole_record() {
+    let work = work();
+    write(work.path(), &["first", "second", "third"]).await;
+    let whole = fs::read(segment(work.path())).expect("the segment");
+    let ends = [17 + 5, 2 * 17 + 11, 3 * 17 + 16];
+    assert_eq!(whole.len(), ends[2]);
+    for size in 0..=whole.len() {
+        fs::write(segment(work.path()), &whole[..size]).expect("the segment is cut");
+        let expected = ends.iter().filter(|end| **end <= size).count();
+        let (journal, records) = Journal::open(work.path()).expect("the journal opens");
+        assert_eq!(records.len(), expected, "after {size} bytes");
+        let cut = journal.cut_tail().map(|cut| (cut.offset, cut.size_bytes));
+        let valid = if expected == 0 { 0 } else { ends[expected - 1] };
+        let torn = (size > valid).then_some((valid as u64, (size - valid) as u64));
+        assert_eq!(cut, torn, "after {size} bytes");
+        journal.append(3, b"next".to_vec()).await.expect("the record is synced");
+        drop(journal);
+        assert_eq!(read(work.path()).len(), expected + 1, "after {size} bytes");
+    }
+}
+
+/// Guards against starting without a synced record whose bytes have changed.
+#[tokio::test]
+async fn a_changed_byte_before_the_last_record_is_refused() {
+    let work = work();
+    write(work.path(), &["first", "second", "third"]).await;
+    let whole = fs::read(segment(work.path())).expect("the segment");
+    let last = 2 * 17 + 11;
+    for at in 0..whole.len() {
+        let mut changed = whole.clone();
+        changed[at] ^= 0x40;
+        fs::write(segment(work.path()), &changed).expect("the segment is changed");
+        let opened = Journal::open(work.path());
+        if at >= last {
+            assert_eq!(texts(&opened.expect("the tail is cut off").1), ["first", "second"]);
+            continue;
+        }
+        let fault = opened.map(|_| ()).expect_err("the change is found").to_string();
+        let offset = if at < 22 { 0 } else { 22 };
+        let found = format!("{:020}.log): corrupt record at offset {offset}", 1);
+        assert!(fault.contains(&found), "byte {at}: {fault}");
+    }
+}
+
+/// Guards against refusing to start after a power loss during one write of several records.
+#[tokio::test]
+async fn a_write_whose_parts_reached_the_disk_out_of_order_is_cut_off() {
+    let work = work();
+    write(work.path(), &["first"]).await;
+    let mut bytes = fs::read(segment(work.path())).expect("the segment");
+    let valid = bytes.len();
+    super::format::encode(&mut bytes, 2, 3 | super::format::FIRST_OF_WRITE, b"second");
+    super::format::encode(&mut bytes, 3, 3, b"third");
+    bytes[valid..valid + 20].fill(0);
+    fs::write(segment(work.path()), &bytes).expect("the segment is changed");
+    assert_eq!(read(work.path()), ["first"]);
+}
+
+/// Guards against two processes that write the same folder.
+#[tokio::test]
+async fn a_folder_in_use_is_refused() {
+    let work = work();
+    let first = Journal::open(work.path()).expect("the journal opens");
+    let fault = Journal::open(work.path()).map(|_| ()).expect_err("it is in use");
+    assert!(fault.to_string().contains("another process uses this data folder"), "{fault}");
+    drop(first);
+    Journal::open(work.path()).expect("the journal opens again");
+}
+
+/// A file that fails at one of its operations.
+struct Failing {
+    file: fs::File,
+    left: Arc<AtomicUsize>,
+    fails_at_sync: bool,
+}
+
+impl Failing {
+    fn step(&self, is_sync: bool) -> io::Result<()> {
+        if is_sync != self.fails_at_sync {
+            return Ok(());
+        }
+        let left = self.left.load(Ordering::SeqCst);
+        if left == 0 {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        self.left.store(left - 1, Ordering::SeqCst);
+        Ok(())
+    }
+}
+
+impl Write for Failing {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        if let Err(fault) = self.step(false) {
+            // A full disk takes a part of the write.
+            self.file.write_all(&buf[..buf.len() / 2])?;
+            return Err(fault);
+        }
+        self.file.write_all(buf)?;
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Sink for Failing {
+    fn sync(&mut self) -> io::Result<()> {
+        self.step(true)?;
+        self.file.sync_data()
+    }
+}
+
+fn failing_after(left: usize, fails_at_sync: bool) -> OpenSink {
+    let left = Arc::new(AtomicUsize::new(left));
+    Box::new(move |path| {
+        let file = fs::OpenOptions::new().append(true).create(true).open(path)?;
+        Ok(Box::new(Failing { file, left: Arc::clone(&left), fails_at_sync }))
+    })
+}
+
+/// Guards against acknowledging records after a fault whose effect on the file is not known.
+#[rstest]
+#[case::full_disk(false, 2)]
+#[case::failed_sync(true, 3)]
+#[tokio::test]
+async fn a_failed_write_stops_appends_until_restart(
+    #[case] fails_at_sync: bool,
+    #[case] found_after: usize,
+) {
+    let work = work();
+    let opened = Journal::open_with(work.path(), failing_after(2, fails_at_sync));
+    let (journal, _) = opened.expect("the journal opens");
+    for payload in ["first", "second"] {
+        journal.append(3, payload.into()).await.expect("the record is synced");
+    }
+    for payload in ["third", "fourth"] {
+        let fault = journal.append(3, payload.into()).await.expect_err("the disk is full");
+        assert_eq!(fault.step(), "append to the journal");
+    }
+    assert!(journal.check().is_err());
+    drop(journal);
+    // The third record was never acknowledged, so it may or may not be found.
+    assert_eq!(read(work.path()).len(), found_after);
+}
+
+/// Guards against one sync for each record, which would bound the rate of requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_appends_share_syncs() {
+    let work = work();
+    let (journal, _) = Journal::open(work.path()).expect("the journal opens");
+    let journal = Arc::new(journal);
+    let mut tasks = tokio::task::JoinSet::new();
+    for number in 0..500_u32 {
+        let journal = Arc::clone(&journal);
+        tasks.spawn(async move { journal.append(3, number.to_string().into()).await });
+    }
+    let mut indexes: Vec<u64> = tasks.join_all().await.into_iter().map(Result::unwrap).collect();
+    indexes.sort_unstable();
+    assert!(indexes.into_iter().eq(1..=500));
+    let mut registry = prometheus_client::registry::Registry::default();
+    journal.metrics().register(&mut registry);
+    let mut text = String::new();
+    prometheus_client::encoding::text::encode(&mut text, &registry).expect("the text");
+    let line = text.lines().find(|line| line.starts_with("journal_sync_seconds_count"));
+    let syncs: u64 = line.and_then(|l| l.rsplit(' ').next()?.parse().ok()).expect("a count");
+    assert!(syncs < 250, "{syncs} syncs for 500 records");
+}
+
+/// Guards against recovery time that grows with the age of the folder.
+#[tokio::test]
+async fn a_snapshot_replaces_older_records_and_files() {
+    let work = work();
+    let (journal, _) = Journal::open(work.path()).expect("the journal opens");
+    for payload in ["first", "second"] {
+        journal.append(3, payload.into()).await.expect("the record is synced");
+    }
+    journal.snapshot(|| vec![Entry { kind: 5, payload: b"state".to_vec() }]);
+    journal.append(3, b"third".to_vec()).await.expect("the record is synced");
+    drop(journal);
+    assert!(!segment(work.path()).exists());
+    let (journal, records) = Journal::open(work.path()).expect("the journal opens");
+    let found: Vec<_> = records.iter().map(|r| (r.index, r.kind, &r.payload[..])).collect();
+    assert_eq!(found, [(0, 5, &b"state"[..]), (3, 3, b"third")]);
+    assert_eq!(journal.append(3, b"fourth".to_vec()).await.expect("the record is synced"), 4);
+}
+
+/// Guards against starting from a snapshot that has lost its end.
+#[tokio::test]
+async fn a_damaged_snapshot_is_refused() {
+    let work = work();
+    let (journal, _) = Journal::open(work.path()).expect("the journal opens");
+    journal.append(3, b"first".to_vec()).await.expect("the record is synced");
+    journal.snapshot(|| vec![Entry { kind: 5, payload: b"state".to_vec() }]);
+    drop(journal);
+    let path = work.path().join(format!("{:020}.snapshot", 2));
+    let whole = fs::read(&path).expect("the snapshot");
+    for size in 0..whole.len() {
+        fs::write(&path, &whole[..size]).expect("the snapshot is cut");
+        let fault = Journal::open(work.path()).map(|_| ()).expect_err("the damage is found");
+        assert!(fault.to_string().contains(".snapshot"), "{fault}");
+    }
+    fs::write(&path, &whole).expect("the snapshot is whole");
+    Journal::open(work.path()).expect("the journal opens");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 #[expect(dead_code, unused_imports, reason = "used by the daemons")]
 mod http;
+#[expect(dead_code, unused_imports, reason = "used by the control process")]
 mod journal;
 mod names;
 mod outcome;
