Add the control process with its RPC service

Cause: entry hosts need durable intents, shares of upstream limits and service documents. Change: aggregates for at-most-once records, documents, upstreams and shares; one lock under which a decision is journalled and applied, with the answer sent once it is durable; the RPC service, the watch stream, questions to upstreams about open attempts, copies of documents in other data centres, and the admin port. Jobs answer unimplemented.

--- /dev/null
+++ b/src/control/event.rs
@@ -0,0 +1,48 @@
+//! Transitions of the control process as records of the journal.
+
+use crate::StepError;
+use crate::journal::{Entry, Record};
+
+use super::documents::DocumentEvent;
+use super::records::RecordEvent;
+
+const KIND_RECORD: u8 = 1;
+const KIND_DOCUMENT: u8 = 2;
+
+/// A journalled transition.
+#[derive(Debug, Clone)]
+pub(super) enum Event {
+    Record(RecordEvent),
+    Document(DocumentEvent),
+}
+
+impl Event {
+    /// Returns the stored form.
+    ///
+    /// # Errors
+    /// Returns an error if the transition cannot be written as JSON.
+    pub(super) fn to_entry(&self) -> Result<Entry, StepError> {
+        let (kind, payload) = match self {
+            Self::Record(event) => (KIND_RECORD, serde_json::to_vec(event)),
+            Self::Document(event) => (KIND_DOCUMENT, serde_json::to_vec(event)),
+        };
+        let payload = payload.map_err(|fault| StepError::new("write a record", kind, fault))?;
+        Ok(Entry { kind, payload })
+    }
+
+    /// Reads the stored form.
+    ///
+    /// # Errors
+    /// Returns an error if the kind is not known or the payload has another form.
+    pub(super) fn from_record(record: &Record) -> Result<Self, StepError> {
+        let event = match record.kind {
+            KIND_RECORD => serde_json::from_slice(&record.payload).map(Self::Record),
+            KIND_DOCUMENT => serde_json::from_slice(&record.payload).map(Self::Document),
+            kind => {
+                let text = format!("kind {kind} is not known; was it written by a newer version?");
+                return Err(StepError::new("read a record", record.index, text));
+            }
+        };
+        event.map_err(|fault| StepError::new("read a record", record.index, fault))
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,1 +1,141 @@
 //! The control process, which decides for one data centre.
+
+mod admin;
+mod clock;
+mod core;
+mod documents;
+mod epoch;
+mod event;
+mod fence;
+mod metrics;
+mod put_document;
+mod records;
+mod registry;
+mod relay;
+mod replica;
+mod requests;
+mod resolver;
+mod service;
+mod shares;
+#[cfg(test)]
+mod tests;
+mod ticker;
+mod watch_stream;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tracing::{info, warn};
+
+use crate::StepError;
+use crate::config::{ControlSettings, ServiceDocument};
+use crate::http::stopped;
+use crate::rpc::control_server::ControlServer;
+
+use self::core::Core;
+use documents::Validate;
+use fence::Fence;
+use service::ControlRpc;
+
+/// Interval of probes on connections; a peer that went silent is noticed by them.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time for a peer to answer a probe.
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Largest message; answers of upstreams are part of messages.
+const MESSAGE_LIMIT_BYTES: usize = 32 * 1024 * 1024;
+
+/// Time for calls in flight to end at shutdown.
+const SHUTDOWN_LIMIT: Duration = Duration::from_secs(5);
+
+/// Runs the control process until `stop` becomes true.
+///
+/// # Errors
+/// Returns an error if the data folder cannot be used or an address cannot be bound.
+pub async fn run(settings: ControlSettings, stop: watch::Receiver<bool>) -> Result<(), StepError> {
+    let bound = Bound::bind(settings, Arc::new(read_document), fence::over_http()).await?;
+    bound.serve(stop).await
+}
+
+/// Reads a document in its JSON form, which is also YAML.
+fn read_document(body: &str) -> Result<ServiceDocument, String> {
+    serde_json::from_str(body).map_err(|fault| fault.to_string())
+}
+
+/// A control process whose state is read and whose addresses are bound.
+struct Bound {
+    core: Arc<Core>,
+    rpc: TcpListener,
+    admin: TcpListener,
+}
+
+impl Bound {
+    async fn bind(
+        settings: ControlSettings,
+        validate: Arc<Validate>,
+        fence: Fence,
+    ) -> Result<Self, StepError> {
+        let rpc = listen(settings.rpc_address).await?;
+        let admin = listen(settings.admin_address).await?;
+        let core = Arc::new(Core::open(settings, validate, fence)?);
+        Ok(Self { core, rpc, admin })
+    }
+
+    async fn serve(self, stop: watch::Receiver<bool>) -> Result<(), StepError> {
+        let Self { core, rpc, admin } = self;
+        let mut tasks = JoinSet::new();
+        tasks.spawn(admin::run(Arc::clone(&core), admin, stop.clone()));
+        tasks.spawn(ticker::run(Arc::clone(&core), stop.clone()));
+        tasks.spawn(resolver::Resolver::new(Arc::clone(&core)).run(stop.clone()));
+        if let Some(writer) = core.settings.document_writer {
+            tasks.spawn(replica::run(Arc::clone(&core), writer, stop.clone()));
+        }
+        info!(host = %core.settings.host, epoch = core.epoch, "control serves");
+        let served = serve_rpc(core, rpc, stop).await;
+        while tasks.join_next().await.is_some() {}
+        served
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StepError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|fault| StepError::new("listen", address, fault))
+}
+
+async fn serve_rpc(
+    core: Arc<Core>,
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+) -> Result<(), StepError> {
+    let address = core.settings.rpc_address;
+    let service = ControlServer::new(ControlRpc { core, stop: stop.clone() })
+        .max_decoding_message_size(MESSAGE_LIMIT_BYTES)
+        .max_encoding_message_size(MESSAGE_LIMIT_BYTES);
+    let (mut until_stop, mut until_limit) = (stop.clone(), stop);
+    let server = Server::builder()
+        .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
+        .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
+        .serve_with_incoming_shutdown(
+            service,
+            TcpIncoming::from(listener).with_nodelay(Some(true)),
+            async move { stopped(&mut until_stop).await },
+        );
+    let limit = async {
+        stopped(&mut until_limit).await;
+        tokio::time::sleep(SHUTDOWN_LIMIT).await;
+    };
+    tokio::select! {
+        result = server => result.map_err(|fault| StepError::new("serve", address, fault)),
+        () = limit => {
+            warn!("calls were still in flight at the end of the shutdown");
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/src/control/put_document.rs
@@ -0,0 +1,139 @@
+//! Messages about service documents, at the writer and at the copies of other data centres.
+
+use std::time::Duration;
+
+use tokio::time::timeout;
+use tonic::Status;
+use tracing::info;
+
+use crate::names::ServiceName;
+use crate::rpc;
+use crate::rpc::control_client::ControlClient;
+
+use super::core::Core;
+use super::documents::{self, Answer, Put, Refused, is_owner};
+use super::event::Event;
+
+/// Time for the writer to answer a forwarded change.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(3);
+
+pub(super) async fn put(
+    core: &Core,
+    request: rpc::PutDocumentRequest,
+) -> Result<rpc::PutDocumentReply, Status> {
+    if let Some(writer) = core.settings.document_writer {
+        return Ok(forward(&format!("http://{writer}"), request).await);
+    }
+    let Ok(service) = request.service.parse::<ServiceName>() else {
+        return Ok(refusal("invalid", "the service's name has a wrong form"));
+    };
+    if !is_owner(&core.settings.credentials, &service, &request.credential) {
+        return Ok(refusal("forbidden", "the credential does not belong to this service's team"));
+    }
+    let put = Put {
+        service,
+        base_version: request.base_version,
+        operation: request.operation,
+        body_yaml: request.body_yaml,
+    };
+    let checked = documents::check(&put, &*core.validate);
+    let decided = core.decide(|state, now_ms| match state.documents.put(&put, checked, now_ms) {
+        Ok((answer, event)) => (Ok(answer), event.map(Event::Document)),
+        Err(refused) => (Err(refused), None),
+    });
+    let answer = decided.await?;
+    if let Ok(Answer::Accepted { document, .. }) = &answer {
+        core.lock().documents.mark_durable(document.index);
+        core.notify();
+        info!(service = %put.service, version = document.version, "accepted a document");
+    }
+    Ok(put_reply(&put.service, answer))
+}
+
+fn put_reply(service: &ServiceName, answer: Result<Answer, Refused>) -> rpc::PutDocumentReply {
+    match answer {
+        Ok(Answer::Accepted { document, diff }) => rpc::PutDocumentReply {
+            accepted: true,
+            current: Some(document.to_wire(service)),
+            diff,
+            ..rpc::PutDocumentReply::default()
+        },
+        Ok(Answer::Conflict { current, diff }) => {
+            let version = current.as_ref().map_or(0, |document| document.version);
+            let text = format!("the document stands at version {version}");
+            let current = current.map(|document| document.to_wire(service));
+            rpc::PutDocumentReply { current, diff, ..refusal("conflict", &text) }
+        }
+        Err(Refused::Invalid(text)) => refusal("invalid", &text),
+        Err(Refused::Reused) => {
+            refusal("invalid", "the operation's identifier was used for another change")
+        }
+    }
+}
+
+fn refusal(code: &str, reason: &str) -> rpc::PutDocumentReply {
+    rpc::PutDocumentReply {
+        code: code.into(),
+        reason: reason.into(),
+        ..rpc::PutDocumentReply::default()
+    }
+}
+
+async fn forward(writer: &str, request: rpc::PutDocumentRequest) -> rpc::PutDocumentReply {
+    let answer = timeout(FORWARD_TIMEOUT, async {
+        let client = ControlClient::connect(writer.to_owned()).await;
+        let mut client = client.map_err(|fault| Status::unavailable(fault.to_string()))?;
+        client.put_document(request).await
+    });
+    let text = match answer.await {
+        Ok(Ok(reply)) => return reply.into_inner(),
+        Ok(Err(status)) => status.message().to_owned(),
+        Err(elapsed) => elapsed.to_string(),
+    };
+    let text = format!("the writer of documents gave no answer ({text}); resend the operation");
+    refusal("unavailable", &text)
+}
+
+pub(super) async fn get(
+    core: &Core,
+    request: &rpc::GetDocumentRequest,
+) -> Result<rpc::GetDocumentReply, Status> {
+    let service: ServiceName =
+        request.service.parse().map_err(|fault| Status::invalid_argument(format!("{fault}")))?;
+    core.decide(|state, _| {
+        let found = state.documents.get(&service);
+        let reply = found.map(|(document, history)| rpc::GetDocumentReply {
+            document: Some(document.to_wire(&service)),
+            history: history.iter().map(documents::Change::to_wire).collect(),
+        });
+        (reply.unwrap_or_default(), None)
+    })
+    .await
+}
+
+/// Answers a copy with what it lacks.
+pub(super) fn pulled(
+    core: &Core,
+    request: rpc::PullDocumentsRequest,
+) -> Result<rpc::PullDocumentsReply, Status> {
+    if core.settings.document_writer.is_some() {
+        return Err(Status::failed_precondition("this process does not write documents"));
+    }
+    let state = core.lock();
+    let newer = state.documents.newer_than(request.index);
+    let documents = newer.into_iter().map(|(service, document)| {
+        let history = state.documents.get(service).map_or(&[][..], |(_, history)| history);
+        let changes = history
+            .iter()
+            .filter(|change| change.index > request.index && change.index <= document.index);
+        rpc::PulledDocument {
+            document: Some(document.to_wire(service)),
+            changes: changes.map(documents::Change::to_wire).collect(),
+        }
+    });
+    Ok(rpc::PullDocumentsReply {
+        epoch: core.epoch,
+        index: state.documents.durable_index(),
+        documents: documents.collect(),
+    })
+}
--- /dev/null
+++ b/src/control/relay.rs
@@ -0,0 +1,86 @@
+//! Announcements and leaves that entry hosts relay.
+
+use tonic::Status;
+use tracing::{info, warn};
+
+use crate::names::{HostName, UpstreamName};
+use crate::rpc;
+
+use super::core::{Core, State};
+use super::registry::{Change, Upstream};
+use super::shares::UpstreamLimits;
+
+/// Applies a batch to the registry and the shares.
+///
+/// # Errors
+/// Returns a status if the sender is not a configured entry host.
+pub(super) fn relay(core: &Core, request: &rpc::RelayRequest) -> Result<rpc::RelayReply, Status> {
+    let host: HostName =
+        request.host.parse().map_err(|fault| Status::invalid_argument(format!("{fault}")))?;
+    let now_ms = core.now_ms();
+    let mut state = core.lock();
+    if !state.shares.is_configured(&host) {
+        return Err(Status::permission_denied(format!("{host} is not a configured entry host")));
+    }
+    let before = (state.shares.total_revision(), state.registry.revision());
+    for upstream in &request.announced {
+        if let Err(fault) = apply(&mut state, upstream, now_ms) {
+            core.metrics.refused_announcements.inc();
+            warn!(host = %host, upstream = upstream.name, error = fault, "refused an upstream");
+        }
+    }
+    let mut resend = Vec::new();
+    for renewal in &request.renewed {
+        if renew(&mut state, renewal, now_ms) == Change::Unknown {
+            resend.push(renewal.name.clone());
+        }
+    }
+    let changed = before != (state.shares.total_revision(), state.registry.revision());
+    drop(state);
+    if changed {
+        core.notify();
+    }
+    Ok(rpc::RelayReply { resend })
+}
+
+fn apply(state: &mut State, wire: &rpc::Upstream, now_ms: u64) -> Result<(), String> {
+    if wire.leaving {
+        let name: UpstreamName = wire.name.parse().map_err(|fault| format!("{fault}"))?;
+        if state.registry.leave(&name, wire.incarnation, now_ms) == Change::Left {
+            info!(upstream = %name, incarnation = wire.incarnation, "an upstream left");
+            state.shares.remove(&name);
+        }
+        return Ok(());
+    }
+    let upstream = Upstream::from_wire(wire)?;
+    let limits = limits(&upstream);
+    if !state.shares.fits(limits) {
+        return Err("it has fewer slots or connections than the base shares need".into());
+    }
+    let (name, incarnation) = (upstream.name.clone(), upstream.incarnation);
+    if matches!(state.registry.announce(upstream, now_ms), Change::Added | Change::Returned) {
+        info!(upstream = %name, incarnation, "an upstream announced itself");
+        state.shares.add(&name, limits, now_ms);
+    }
+    Ok(())
+}
+
+fn renew(state: &mut State, renewal: &rpc::Renewal, now_ms: u64) -> Change {
+    let Ok(name) = renewal.name.parse() else { return Change::Stale };
+    let change = state.registry.renew(&name, renewal.incarnation, now_ms);
+    if change == Change::Returned
+        && let Some((upstream, _)) = state.registry.get(&name)
+    {
+        let limits = limits(upstream);
+        state.shares.add(&name, limits, now_ms);
+    }
+    change
+}
+
+const fn limits(upstream: &Upstream) -> UpstreamLimits {
+    UpstreamLimits {
+        incarnation: upstream.incarnation,
+        slots: upstream.slots,
+        connections: upstream.connections,
+    }
+}
--- /dev/null
+++ b/src/control/requests.rs
@@ -0,0 +1,145 @@
+//! Begin, finish, look up and sign off: messages to and from the records.
+
+use tonic::Status;
+
+use crate::names::{DataCentreName, RequestKey};
+use crate::outcome::{NotRun, NotRunCause, Outcome};
+use crate::rpc;
+use crate::rpc::begin_reply::Verdict as WireVerdict;
+
+use super::core::Core;
+use super::event::Event;
+use super::records::{Begin, Blob, Found, Identity, Intent, SignOff, Verdict};
+
+pub(super) async fn begin(
+    core: &Core,
+    request: rpc::BeginRequest,
+) -> Result<rpc::BeginReply, Status> {
+    let verdict = match read_begin(core, request) {
+        Err(refused) => Verdict::Refused(refused),
+        Ok(mut begin) => {
+            core.decide(|state, now_ms| {
+                begin.intent.begun_at_ms = now_ms;
+                let (verdict, event) = state.records.begin(&begin, now_ms);
+                (verdict, event.map(Event::Record))
+            })
+            .await?
+        }
+    };
+    let verdict = match verdict {
+        Verdict::Proceed(attempt) => WireVerdict::ProceedAttempt(attempt),
+        Verdict::Ended(outcome) => WireVerdict::Ended(outcome.into()),
+        Verdict::InFlight => WireVerdict::InFlight(true),
+        Verdict::Refused(reason) => WireVerdict::Refused(reason.to_string()),
+    };
+    Ok(rpc::BeginReply { verdict: Some(verdict), epoch: core.epoch })
+}
+
+fn read_begin(core: &Core, request: rpc::BeginRequest) -> Result<Begin, NotRun> {
+    let bad =
+        |fault: &dyn std::fmt::Display| NotRun::new(NotRunCause::BadRequest, fault.to_string());
+    let identity = request.identity.ok_or_else(|| bad(&"the identity is missing"))?;
+    let key = read_key(core, &identity.data_centre, &identity.id).map_err(|fault| bad(&fault))?;
+    let host = request.host.parse().map_err(|fault| bad(&fault))?;
+    if !core.lock().shares.is_configured(&host) {
+        return Err(bad(&format!("{host} is not a configured entry host")));
+    }
+    let intent = Intent {
+        host,
+        upstream: request.upstream.parse().map_err(|fault| bad(&fault))?,
+        upstream_address: request.upstream_address,
+        incarnation: request.incarnation,
+        begun_at_ms: 0,
+        epoch: core.epoch,
+    };
+    let identity = Identity {
+        organisation: identity.organisation.parse().map_err(|fault| bad(&fault))?,
+        service: identity.service.parse().map_err(|fault| bad(&fault))?,
+        body_digest: Blob(identity.body_digest),
+    };
+    Ok(Begin { key, identity, intent, replaces_attempt: request.replaces_attempt })
+}
+
+/// Reads a key that this data centre owns.
+fn read_key(core: &Core, data_centre: &str, id: &str) -> Result<RequestKey, String> {
+    let name: DataCentreName = data_centre.parse().map_err(|fault| format!("{fault}"))?;
+    if name != core.settings.data_centre {
+        return Err(format!("data centre {name} owns the key, not {}", core.settings.data_centre));
+    }
+    RequestKey::new(name, id).map_err(|fault| fault.to_string())
+}
+
+fn key_or_status(core: &Core, data_centre: &str, id: &str) -> Result<RequestKey, Status> {
+    read_key(core, data_centre, id).map_err(Status::invalid_argument)
+}
+
+pub(super) async fn finish(
+    core: &Core,
+    request: rpc::FinishRequest,
+) -> Result<rpc::FinishReply, Status> {
+    let key = key_or_status(core, &request.data_centre, &request.id)?;
+    if request.epoch > core.epoch {
+        let text = format!("epoch {} is later than {}", request.epoch, core.epoch);
+        return Err(Status::failed_precondition(text));
+    }
+    let outcome = request.outcome.ok_or_else(|| Status::invalid_argument("no outcome"))?;
+    let outcome = match Outcome::from(outcome) {
+        // The attempt's number is in the message itself.
+        Outcome::Done { answer, .. } => Outcome::Done { answer, attempt: request.attempt },
+        other => other,
+    };
+    let kept = core.decide(|state, now_ms| {
+        let event = state.records.finish(&key, request.attempt, outcome.clone(), now_ms);
+        let kept = event.is_some() || state.records.holds(&key, request.attempt, &outcome);
+        (kept, event.map(Event::Record))
+    });
+    if !kept.await? {
+        core.metrics.late_finishes.inc();
+    }
+    Ok(rpc::FinishReply {})
+}
+
+pub(super) async fn lookup(
+    core: &Core,
+    request: rpc::LookupRequest,
+) -> Result<rpc::LookupReply, Status> {
+    let key = key_or_status(core, &request.data_centre, &request.id)?;
+    core.decide(|state, now_ms| (lookup_reply(state.records.lookup(&key, now_ms)), None)).await
+}
+
+fn lookup_reply(found: Found<'_>) -> rpc::LookupReply {
+    let (state, outcome, record) = match found {
+        Found::Absent => ("absent", None, None),
+        Found::Expired => ("expired", None, None),
+        Found::Record { state, outcome, record } => (state, outcome, Some(record)),
+    };
+    let mut reply = rpc::LookupReply {
+        state: state.into(),
+        outcome: outcome.map(Into::into),
+        ..rpc::LookupReply::default()
+    };
+    if let Some(record) = record {
+        reply.upstream = record.intent().upstream.to_string();
+        reply.signed_off_by = record.signed_off_by().unwrap_or_default().into();
+        reply.organisation = record.identity().organisation.to_string();
+        reply.service = record.identity().service.to_string();
+        reply.body_digest = record.identity().body_digest.0.clone();
+    }
+    reply
+}
+
+pub(super) async fn sign_off(
+    core: &Core,
+    request: rpc::SignOffRequest,
+) -> Result<rpc::SignOffReply, Status> {
+    let key = key_or_status(core, &request.data_centre, &request.id)?;
+    let decided = core.decide(|state, now_ms| {
+        let sign_off = SignOff { name: request.name, reason: request.reason, at_ms: now_ms };
+        match state.records.sign_off(&key, sign_off, now_ms) {
+            Ok(event) => (Ok(()), event.map(Event::Record)),
+            Err(refused) => (Err(refused), None),
+        }
+    });
+    let refused = decided.await?.err();
+    Ok(rpc::SignOffReply { accepted: refused.is_none(), refused: refused.unwrap_or_default() })
+}
--- /dev/null
+++ b/src/control/service.rs
@@ -0,0 +1,110 @@
+//! The RPC service of the control process.
+
+use std::sync::Arc;
+
+use tokio::sync::{mpsc, watch};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::rpc;
+use crate::rpc::control_server::Control;
+
+use super::core::Core;
+use super::watch_stream::WatchStream;
+use super::{put_document, relay, requests};
+
+/// Replies that wait for a slow entry host before its stream is given up.
+const REPLY_QUEUE: usize = 4;
+
+const JOBS_MISSING: &str = "jobs are not served yet";
+
+type Reply<T> = Result<Response<T>, Status>;
+
+/// Serves the RPCs of one control process.
+pub(super) struct ControlRpc {
+    pub(super) core: Arc<Core>,
+    pub(super) stop: watch::Receiver<bool>,
+}
+
+#[tonic::async_trait]
+impl Control for ControlRpc {
+    type WatchStream = ReceiverStream<Result<rpc::WatchReply, Status>>;
+
+    async fn begin(&self, request: Request<rpc::BeginRequest>) -> Reply<rpc::BeginReply> {
+        requests::begin(&self.core, request.into_inner()).await.map(Response::new)
+    }
+
+    async fn finish(&self, request: Request<rpc::FinishRequest>) -> Reply<rpc::FinishReply> {
+        requests::finish(&self.core, request.into_inner()).await.map(Response::new)
+    }
+
+    async fn lookup(&self, request: Request<rpc::LookupRequest>) -> Reply<rpc::LookupReply> {
+        requests::lookup(&self.core, request.into_inner()).await.map(Response::new)
+    }
+
+    async fn sign_off(&self, request: Request<rpc::SignOffRequest>) -> Reply<rpc::SignOffReply> {
+        requests::sign_off(&self.core, request.into_inner()).await.map(Response::new)
+    }
+
+    async fn relay(&self, request: Request<rpc::RelayRequest>) -> Reply<rpc::RelayReply> {
+        relay::relay(&self.core, &request.into_inner()).map(Response::new)
+    }
+
+    async fn watch(
+        &self,
+        request: Request<Streaming<rpc::WatchRequest>>,
+    ) -> Reply<Self::WatchStream> {
+        let mut requests = request.into_inner();
+        let missing = || Status::invalid_argument("the stream ended before its first message");
+        let first = requests.message().await?.ok_or_else(missing)?;
+        let stream = WatchStream::open(Arc::clone(&self.core), &first)?;
+        let (out, replies) = mpsc::channel(REPLY_QUEUE);
+        tokio::spawn(stream.run(first, requests, out, self.stop.clone()));
+        Ok(Response::new(ReceiverStream::new(replies)))
+    }
+
+    async fn put_document(
+        &self,
+        request: Request<rpc::PutDocumentRequest>,
+    ) -> Reply<rpc::PutDocumentReply> {
+        put_document::put(&self.core, request.into_inner()).await.map(Response::new)
+    }
+
+    async fn get_document(
+        &self,
+        request: Request<rpc::GetDocumentRequest>,
+    ) -> Reply<rpc::GetDocumentReply> {
+        put_document::get(&self.core, &request.into_inner()).await.map(Response::new)
+    }
+
+    async fn pull_documents(
+        &self,
+        request: Request<rpc::PullDocumentsRequest>,
+    ) -> Reply<rpc::PullDocumentsReply> {
+        put_document::pulled(&self.core, request.into_inner()).map(Response::new)
+    }
+
+    async fn submit_job(&self, _: Request<rpc::SubmitJobRequest>) -> Reply<rpc::JobReply> {
+        Err(Status::unimplemented(JOBS_MISSING))
+    }
+
+    async fn get_job(&self, _: Request<rpc::JobNameRequest>) -> Reply<rpc::JobReply> {
+        Err(Status::unimplemented(JOBS_MISSING))
+    }
+
+    async fn cancel_job(&self, _: Request<rpc::JobNameRequest>) -> Reply<rpc::JobReply> {
+        Err(Status::unimplemented(JOBS_MISSING))
+    }
+
+    async fn explain_job(&self, _: Request<rpc::JobNameRequest>) -> Reply<rpc::JobReply> {
+        Err(Status::unimplemented(JOBS_MISSING))
+    }
+
+    async fn list_upstreams(
+        &self,
+        _: Request<rpc::ListUpstreamsRequest>,
+    ) -> Reply<rpc::ListUpstreamsReply> {
+        let upstreams = self.core.lock().registry.changed_since(0);
+        Ok(Response::new(rpc::ListUpstreamsReply { upstreams }))
+    }
+}
--- /dev/null
+++ b/src/control/shares/mod.rs
@@ -0,0 +1,216 @@
+//! Shares of each upstream's slots and connections, lent to entry hosts on leases.
+//!
+//! Every configured host holds a permanent base share. The rest is lent by demand. Until a host
+//! acknowledges a smaller share it counts with the largest it may still hold, so the sum of what
+//! hosts can use never exceeds the limits of the upstream.
+//!
+//! A host acknowledges a revision only once it uses no more than that revision grants, and counts
+//! the lease of lent shares from the time at which it sent the request that a reply answers.
+
+mod pool;
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
+
+use crate::names::{HostName, UpstreamName};
+use crate::rpc;
+use pool::Pool;
+
+/// Limits of one incarnation of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct UpstreamLimits {
+    pub(crate) incarnation: u64,
+    pub(crate) slots: u32,
+    pub(crate) connections: u32,
+}
+
+/// Demand of one host for one upstream.
+#[derive(Debug, Clone)]
+pub(crate) struct Demand {
+    pub(crate) upstream: UpstreamName,
+    pub(crate) slots_in_use: u32,
+    pub(crate) slots_wanted: u32,
+}
+
+/// What control knows about one host.
+#[derive(Debug, Clone)]
+struct Host {
+    /// Revision of the newest complete list of shares for this host.
+    revision: u64,
+    heard_at_ms: Option<u64>,
+}
+
+/// Shares of all upstreams of one data centre.
+#[derive(Debug, Clone)]
+pub(crate) struct Shares {
+    hosts: BTreeMap<HostName, Host>,
+    pools: BTreeMap<UpstreamName, Pool>,
+    /// Time after which a silent host certainly holds no lent share.
+    silence_ms: u64,
+    /// Shares lent before a restart have certainly ended at this time.
+    lend_from_ms: u64,
+}
+
+impl Shares {
+    /// Starts without any loan.
+    ///
+    /// Revisions begin at `first_revision`, which must exceed those of earlier epochs.
+    pub(crate) fn new(
+        hosts: &[HostName],
+        first_revision: u64,
+        silence_ms: u64,
+        started_ms: u64,
+    ) -> Self {
+        let host = Host { revision: first_revision, heard_at_ms: None };
+        let hosts = hosts.iter().map(|name| (name.clone(), host.clone())).collect();
+        let lend_from_ms = started_ms + silence_ms;
+        Self { hosts, pools: BTreeMap::new(), silence_ms, lend_from_ms }
+    }
+
+    /// Tells whether every host's base share fits the limits of an upstream.
+    pub(crate) fn fits(&self, limits: UpstreamLimits) -> bool {
+        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        limits.slots >= hosts && limits.connections / 2 >= hosts
+    }
+
+    /// Begins to share an upstream; a new incarnation starts without loans.
+    pub(crate) fn add(&mut self, name: &UpstreamName, limits: UpstreamLimits, now_ms: u64) {
+        let known = self.pools.get(name).is_some_and(|pool| pool.limits() == limits);
+        if !known {
+            let hosts = self.hosts.keys().cloned();
+            self.pools.insert(name.clone(), Pool::new(limits, hosts));
+            self.raise_all();
+        }
+        self.set_open(name, true);
+        self.rebalance(now_ms);
+    }
+
+    /// Takes back the loans of an upstream that is lost and may return.
+    pub(crate) fn suspend(&mut self, name: &UpstreamName, now_ms: u64) {
+        self.set_open(name, false);
+        self.rebalance(now_ms);
+    }
+
+    fn set_open(&mut self, name: &UpstreamName, open: bool) {
+        let Some(pool) = self.pools.get_mut(name) else { return };
+        if pool.is_open() != open {
+            pool.set_open(open);
+            self.raise_all();
+        }
+    }
+
+    /// Forgets an upstream whose incarnation has left for good.
+    pub(crate) fn remove(&mut self, name: &UpstreamName) {
+        if self.pools.remove(name).is_some() {
+            self.raise_all();
+        }
+    }
+
+    /// Tells whether this host takes part in the shares.
+    pub(crate) fn is_configured(&self, host: &HostName) -> bool {
+        self.hosts.contains_key(host)
+    }
+
+    /// Takes in a message of a host: its acknowledgement and its demand.
+    pub(crate) fn heard(
+        &mut self,
+        host: &HostName,
+        acknowledged: u64,
+        demands: &[Demand],
+        now_ms: u64,
+    ) {
+        let Some(known) = self.hosts.get_mut(host) else { return };
+        known.heard_at_ms = Some(now_ms);
+        // No host can have applied what was never sent.
+        let acknowledged = acknowledged.min(known.revision);
+        for pool in self.pools.values_mut() {
+            pool.acknowledge(host, acknowledged);
+        }
+        for (name, pool) in &mut self.pools {
+            let demand = demands.iter().find(|demand| demand.upstream == *name);
+            let wanted = demand.map_or(0, |d| d.slots_in_use.saturating_add(d.slots_wanted));
+            pool.set_demand(host, wanted, now_ms);
+        }
+        self.rebalance(now_ms);
+    }
+
+    /// Takes back the loans of hosts that have been silent for too long, and lends by demand.
+    pub(crate) fn tick(&mut self, now_ms: u64) {
+        let silence_ms = self.silence_ms;
+        for (name, host) in &mut self.hosts {
+            let silent = host.heard_at_ms.is_some_and(|at| at + silence_ms < now_ms);
+            if !silent {
+                continue;
+            }
+            host.heard_at_ms = None;
+            host.revision += 1;
+            self.pools.values_mut().for_each(|pool| pool.expire(name));
+        }
+        self.rebalance(now_ms);
+    }
+
+    /// Returns when a host was last heard, unless it has been silent for too long.
+    pub(crate) fn heard_at_ms(&self, host: &HostName) -> Option<u64> {
+        self.hosts.get(host)?.heard_at_ms
+    }
+
+    /// Returns the revision of a host's shares.
+    pub(crate) fn revision(&self, host: &HostName) -> u64 {
+        self.hosts.get(host).map_or(0, |host| host.revision)
+    }
+
+    /// Returns a number that goes up with every change of any host's shares.
+    pub(crate) fn total_revision(&self) -> u64 {
+        self.hosts.values().fold(0, |sum, host| sum.wrapping_add(host.revision))
+    }
+
+    /// Returns the complete list of a host's shares, base shares included.
+    pub(crate) fn list(&self, host: &HostName) -> Vec<rpc::Share> {
+        let open = self.pools.iter().filter(|(_, pool)| pool.is_open());
+        let share = |(name, pool): (&UpstreamName, &Pool)| {
+            let grant = pool.granted(host)?;
+            Some(rpc::Share {
+                upstream: name.to_string(),
+                incarnation: pool.limits().incarnation,
+                slots: grant.slots,
+                connections: grant.connections,
+            })
+        };
+        open.filter_map(share).collect()
+    }
+
+    /// Returns the number of slots lent beyond the base shares.
+    pub(crate) fn lent_slots(&self) -> u32 {
+        self.pools.values().map(Pool::lent_slots).sum()
+    }
+
+    fn raise_all(&mut self) {
+        self.hosts.values_mut().for_each(|host| host.revision += 1);
+    }
+
+    /// Moves loans towards demand; only hosts heard within their lease can get more.
+    fn rebalance(&mut self, now_ms: u64) {
+        if now_ms >= self.lend_from_ms {
+            self.lend();
+        }
+        for (name, pool) in &self.pools {
+            pool.assert_within_limits(name);
+        }
+    }
+
+    fn lend(&mut self) {
+        let hosts = &mut self.hosts;
+        for pool in self.pools.values_mut() {
+            let reachable =
+                |name: &HostName| hosts.get(name).is_some_and(|host| host.heard_at_ms.is_some());
+            let targets = pool.targets(reachable);
+            for (name, slots) in targets {
+                let Some(host) = hosts.get_mut(&name) else { continue };
+                if pool.grant(&name, slots, host.revision + 1) {
+                    host.revision += 1;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/control/shares/pool.rs
@@ -0,0 +1,201 @@
+//! The shares of one upstream.
+
+use std::collections::BTreeMap;
+
+use smallvec::SmallVec;
+
+use super::UpstreamLimits;
+use crate::names::{HostName, UpstreamName};
+
+/// Slots that each configured host holds permanently.
+const BASE_SLOTS: u32 = 1;
+
+/// Time for which a peak of demand counts, so that loans do not follow every single request.
+const PEAK_MS: u64 = 1000;
+
+/// A number of slots and the connections that go with them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Grant {
+    pub(super) slots: u32,
+    pub(super) connections: u32,
+}
+
+/// Loan to one host, in slots.
+#[derive(Debug, Clone, Default)]
+struct Loan {
+    granted: u32,
+    /// Larger loans that the host may still use, each with the revision that replaced it.
+    replaced: SmallVec<[(u64, u32); 4]>,
+    demand: u32,
+    demand_peak: u32,
+    peak_at_ms: u64,
+}
+
+impl Loan {
+    /// Returns the largest loan that the host may still use.
+    fn worst_case(&self) -> u32 {
+        let replaced = self.replaced.iter().map(|(_, slots)| *slots);
+        replaced.max().unwrap_or(0).max(self.granted)
+    }
+
+    /// Returns the slots wanted beyond the base share.
+    fn need(&self) -> u32 {
+        self.demand_peak.saturating_sub(BASE_SLOTS)
+    }
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Pool {
+    limits: UpstreamLimits,
+    open: bool,
+    loans: BTreeMap<HostName, Loan>,
+}
+
+impl Pool {
+    pub(super) fn new(limits: UpstreamLimits, hosts: impl Iterator<Item = HostName>) -> Self {
+        let loans = hosts.map(|host| (host, Loan::default())).collect();
+        Self { limits, open: true, loans }
+    }
+
+    pub(super) const fn limits(&self) -> UpstreamLimits {
+        self.limits
+    }
+
+    pub(super) const fn is_open(&self) -> bool {
+        self.open
+    }
+
+    pub(super) const fn set_open(&mut self, open: bool) {
+        self.open = open;
+    }
+
+    fn hosts(&self) -> u32 {
+        u32::try_from(self.loans.len()).unwrap_or(u32::MAX)
+    }
+
+    fn base_connections(&self) -> u32 {
+        self.limits.connections / (2 * self.hosts().max(1))
+    }
+
+    /// Slots that can be lent; each needs at least one connection.
+    fn lendable(&self) -> u32 {
+        let slots = self.limits.slots.saturating_sub(self.hosts() * BASE_SLOTS);
+        slots.min(self.lendable_connections())
+    }
+
+    fn lendable_connections(&self) -> u32 {
+        self.limits.connections.saturating_sub(self.base_connections() * self.hosts())
+    }
+
+    /// Returns the share that belongs to a loan of this many slots.
+    fn share(&self, lent: u32) -> Grant {
+        let per_slot = self.lendable_connections() / self.lendable().max(1);
+        Grant { slots: BASE_SLOTS + lent, connections: self.base_connections() + lent * per_slot }
+    }
+
+    pub(super) fn granted(&self, host: &HostName) -> Option<Grant> {
+        self.loans.get(host).map(|loan| self.share(loan.granted))
+    }
+
+    pub(super) fn lent_slots(&self) -> u32 {
+        self.loans.values().map(|loan| loan.granted).sum()
+    }
+
+    /// Drops the larger loans that the host has given up by this revision.
+    pub(super) fn acknowledge(&mut self, host: &HostName, revision: u64) {
+        let Some(loan) = self.loans.get_mut(host) else { return };
+        loan.replaced.retain(|(replaced_by, _)| *replaced_by > revision);
+    }
+
+    pub(super) fn set_demand(&mut self, host: &HostName, slots: u32, now_ms: u64) {
+        let Some(loan) = self.loans.get_mut(host) else { return };
+        loan.demand = slots;
+        if slots >= loan.demand_peak || loan.peak_at_ms + PEAK_MS <= now_ms {
+            loan.demand_peak = slots;
+            loan.peak_at_ms = now_ms;
+        }
+    }
+
+    /// Takes back the whole loan of a host whose lease has certainly ended.
+    pub(super) fn expire(&mut self, host: &HostName) {
+        if let Some(loan) = self.loans.get_mut(host) {
+            *loan = Loan::default();
+        }
+    }
+
+    /// Changes a loan; returns whether it differs from before.
+    pub(super) fn grant(&mut self, host: &HostName, slots: u32, revision: u64) -> bool {
+        let Some(loan) = self.loans.get_mut(host) else { return false };
+        if slots == loan.granted {
+            return false;
+        }
+        if slots < loan.granted {
+            loan.replaced.push((revision, loan.granted));
+        }
+        loan.granted = slots;
+        true
+    }
+
+    /// Computes the loans that suit demand and fit what no host can still use.
+    ///
+    /// A host keeps an idle loan until another host lacks slots.
+    pub(super) fn targets(&self, reachable: impl Fn(&HostName) -> bool) -> Vec<(HostName, u32)> {
+        if !self.open {
+            return self.loans.keys().map(|host| (host.clone(), 0)).collect();
+        }
+        let fair = self.fair_shares(&reachable);
+        let lacking: u32 = self.sum_where(&fair, |loan, fair| fair.saturating_sub(loan.granted));
+        let used: u32 = self.loans.values().map(Loan::worst_case).sum();
+        let mut free = self.lendable().saturating_sub(used);
+        let returning: u32 = self.loans.values().map(|loan| loan.worst_case() - loan.granted).sum();
+        let mut to_take = lacking.saturating_sub(free + returning);
+        let mut targets = Vec::new();
+        for ((host, loan), fair) in self.loans.iter().zip(&fair) {
+            let mut slots = loan.granted;
+            if *fair > slots && reachable(host) {
+                // Slots below the worst case are counted already.
+                let counted = loan.worst_case() - slots;
+                let more = (fair - slots).min(counted + free);
+                free -= more.saturating_sub(counted);
+                slots += more;
+            } else {
+                let give = slots.saturating_sub(*fair).min(to_take);
+                to_take -= give;
+                slots -= give;
+            }
+            targets.push((host.clone(), slots));
+        }
+        targets
+    }
+
+    fn sum_where(&self, fair: &[u32], part: impl Fn(&Loan, u32) -> u32) -> u32 {
+        self.loans.values().zip(fair).map(|(loan, fair)| part(loan, *fair)).sum()
+    }
+
+    /// Divides the lendable slots by need: one slot at a time to the host that has the fewest.
+    fn fair_shares(&self, reachable: &impl Fn(&HostName) -> bool) -> Vec<u32> {
+        let need = |(host, loan): (&HostName, &Loan)| {
+            if reachable(host) { loan.need() } else { 0 }
+        };
+        let needs: SmallVec<[u32; 4]> = self.loans.iter().map(need).collect();
+        let mut fair = vec![0; needs.len()];
+        for _ in 0..self.lendable() {
+            let unmet = (0..needs.len()).filter(|at| fair[*at] < needs[*at]);
+            let Some(fewest) = unmet.min_by_key(|at| fair[*at]) else { break };
+            fair[fewest] += 1;
+        }
+        fair
+    }
+
+    /// Checks the invariant of the shares.
+    ///
+    /// # Panics
+    /// Panics if the hosts together could use more than the upstream's limits.
+    pub(super) fn assert_within_limits(&self, name: &UpstreamName) {
+        let worst = self.loans.values().map(|loan| self.share(loan.worst_case()));
+        let (slots, connections) =
+            worst.fold((0, 0), |sum, share| (sum.0 + share.slots, sum.1 + share.connections));
+        assert!(slots <= self.limits.slots, "slots of {name} shared beyond its limit");
+        assert!(connections <= self.limits.connections, "connections of {name} over its limit");
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,7 +2,7 @@
 
 mod server;
 
-pub(crate) use server::{Received, ServerLimits, serve};
+pub(crate) use server::{Received, ServerLimits, serve, stopped};
 
 use bytes::Bytes;
 use http_body_util::Full;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,12 +4,11 @@
 //! the modules, who owns which state, and what happens when each part fails.
 
 pub mod config;
-mod control;
+pub mod control;
 mod entry;
 mod error;
-#[expect(dead_code, unused_imports, reason = "used by the daemons")]
+#[expect(dead_code, reason = "used by the daemons")]
 mod http;
-#[expect(dead_code, unused_imports, reason = "used by the control process")]
 mod journal;
 mod names;
 mod outcome;
