--- a/src/demo/steps.rs
+++ b/src/demo/steps.rs
@@ -76,13 +76,13 @@
     body: String,
 ) -> Result<Reply, StepError> {
     let bearer = format!("Bearer {TEAM_SECRET}");
-    let version = version.to_string();
-    let headers = [
-        ("If-Match", version.as_str()),
-        ("Cactuslatch-Operation", operation),
-        ("Authorization", bearer.as_str()),
-    ];
-    call(client, "PUT", format!("/v1/documents/{SERVICE}"), &headers, body).await
+    let headers = [("Authorization", bearer.as_str())];
+    let body = serde_json::json!({
+        "base_version": version,
+        "operation": operation,
+        "body_yaml": body,
+    });
+    call(client, "PUT", format!("/v1/documents/{SERVICE}"), &headers, body.to_string()).await
 }
 
 /// Waits until the document's version is in force on every entry host.
--- a/src/entry/api/documents.rs
+++ b/src/entry/api/documents.rs
@@ -1,6 +1,6 @@
 //! Service documents: read, change, history.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::{EntryHost, FullResponse, Received, error, json};
 use crate::rpc;
@@ -10,13 +10,22 @@
     service: String,
     version: u64,
     index: u64,
-    document: String,
+    body_yaml: String,
     /// Index in force at the host that answers, and the age of its knowledge.
     in_force_index: Option<u64>,
     in_force_version: Option<u64>,
     age_ms: Option<u64>,
 }
 
+/// Body of a change: the version it builds on, its identity for resends, and the new document.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PutBody {
+    base_version: u64,
+    operation: String,
+    body_yaml: String,
+}
+
 #[derive(Debug, Serialize)]
 struct ChangeBody {
     version: u64,
@@ -52,7 +61,7 @@
         service: document.service,
         version: document.version,
         index: document.index,
-        document: document.body_yaml,
+        body_yaml: document.body_yaml,
         in_force_index: in_force.as_ref().map(|in_force| in_force.index),
         in_force_version: in_force.as_ref().map(|in_force| in_force.version),
         age_ms: host.documents.age_ms(),
@@ -96,27 +105,18 @@
 }
 
 fn read_put(service: &str, received: &Received) -> Result<rpc::PutDocumentRequest, String> {
-    let base_version = received
-        .header("if-match")
-        .ok_or("the header If-Match with the version you have changed is missing")?
-        .trim_matches('"')
-        .parse()
-        .map_err(|_| "If-Match is not a version number".to_owned())?;
-    let operation = received
-        .header("cactuslatch-operation")
-        .ok_or("the header Cactuslatch-Operation is missing; resends repeat it")?;
     let credential = received
         .header("authorization")
         .and_then(|value| value.strip_prefix("Bearer "))
         .ok_or("the header Authorization with your team's bearer token is missing")?;
-    let body_yaml = std::str::from_utf8(&received.body)
-        .map_err(|error| format!("the document is not UTF-8: {error}"))?;
+    let body: PutBody = serde_json::from_slice(&received.body)
+        .map_err(|fault| format!("the body is not as expected: {fault}"))?;
     Ok(rpc::PutDocumentRequest {
         service: service.to_owned(),
-        base_version,
-        operation: operation.to_owned(),
+        base_version: body.base_version,
+        operation: body.operation,
         credential: credential.to_owned(),
-        body_yaml: body_yaml.to_owned(),
+        body_yaml: body.body_yaml,
     })
 }
 
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -179,7 +179,7 @@
 
 async fn ask(slot: &Slot, key: &RequestKey, attempt: u32) -> Result<Fenced, String> {
     let mut connection = slot.fresh_connection().await.map_err(|error| error.to_string())?;
-    let question = FenceRequest { key: key.clone(), attempt };
+    let question = FenceRequest { key: key.clone(), attempt, incarnation: slot.incarnation() };
     let body = serde_json::to_vec(&question).map_err(|error| error.to_string())?;
     let request = Request::post(FENCE_PATH)
         .header(HOST, slot.address().to_string())
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -221,7 +221,7 @@
     }
     host.documents.refreshed(reply.document_index);
     let lease = Duration::from_millis(reply.share_lease_ms.into());
-    let Some(until) = reports.echoed_at(reply.echo_sequence).map(|sent_at| sent_at + lease) else {
+    let Some(until) = reports.echoed_at(reply.sequence).map(|sent_at| sent_at + lease) else {
         return false;
     };
     if reply.share_revision == reports.revision {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 
 mod class;
 pub mod config;
-mod control;
+pub mod control;
 pub mod daemon_util;
 pub mod demo;
 pub mod entry;
@@ -22,8 +22,8 @@
 mod upstream_http;
 
 pub use class::{Class, InvalidClass};
-pub use key_date::today_utc;
 pub use error::StepError;
+pub use key_date::today_utc;
 pub use names::{
     DataCentreName, HostName, InvalidName, JobName, KEY_ID_LIMIT_BYTES, NAME_LIMIT_BYTES,
     OrganisationName, RackName, RequestKey, ServiceName, ShapeName, UpstreamName,
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -275,6 +275,9 @@
         Ok(question) => question,
         Err(fault) => return error(400, &fault.to_string()),
     };
+    if question.incarnation != shared.settings.incarnation {
+        return error(409, "this is another incarnation");
+    }
     let (state, answer) = shared.attempts().fence(&(question.key, question.attempt));
     let answer = answer.and_then(|answer| {
         RawValue::from_string(String::from_utf8_lossy(&answer).into_owned()).ok()
--- a/src/upstream_http.rs
+++ b/src/upstream_http.rs
@@ -63,6 +63,8 @@
 pub(crate) struct FenceRequest {
     pub(crate) key: RequestKey,
     pub(crate) attempt: u32,
+    /// Incarnation that got the attempt; another one refuses, since it cannot know.
+    pub(crate) incarnation: u64,
 }
 
 /// State of an attempt at the upstream.
