Keep the team's credential out of help texts

Change: the command reads the variable itself after parsing. Conclusion: secrets reach the terminal neither through help nor through errors.

--- a/src/cmd/documents.rs
+++ b/src/cmd/documents.rs
@@ -113,7 +113,7 @@
 #[derive(Debug, Clone)]
 struct PutArgs {
     base_version: u64,
-    credential: String,
+    credential: Option<String>,
     operation: Option<String>,
     remote: Remote,
     service: ServiceName,
@@ -125,9 +125,9 @@
         .help("Version on which the change is based")
         .argument::<u64>("VERSION");
     let credential = long("credential")
-        .env(CREDENTIAL_VARIABLE)
-        .help("Secret of the team that owns the document")
-        .argument::<String>("SECRET");
+        .help("Secret of the team that owns the document [CACTUSLATCH_CREDENTIAL]")
+        .argument::<String>("SECRET")
+        .optional();
     let operation = long("operation")
         .help("Identity of the change; a resend carries the same one")
         .argument::<String>("ID")
@@ -143,6 +143,7 @@
 
 fn put(args: &PutArgs) -> eyre::Result<Exit> {
     let entries = args.remote.entries()?;
+    let credential = credential(args)?;
     let body = read_document(&args.file, &args.service)?;
     let operation = args.operation.clone().unwrap_or_else(new_operation);
     eprintln!("operation {operation}");
@@ -152,7 +153,7 @@
         "operation": operation,
         "body_yaml": body,
     }));
-    call.headers.push(("authorization", format!("Bearer {}", args.credential)));
+    call.headers.push(("authorization", format!("Bearer {credential}")));
     let answer = call.run(&entries, args.remote.timeout())?;
     print_diff(&answer);
     util::conclude(&answer, args.remote.json, |value| {
@@ -161,6 +162,12 @@
     })
 }
 
+/// Reads the variable here and not in the parser, whose help would show the secret.
+fn credential(args: &PutArgs) -> eyre::Result<String> {
+    let given = args.credential.clone().or_else(|| std::env::var(CREDENTIAL_VARIABLE).ok());
+    given.ok_or_else(|| eyre!("no credential is given; use --credential or {CREDENTIAL_VARIABLE}"))
+}
+
 fn read_document(file: &str, service: &ServiceName) -> eyre::Result<String> {
     let body = util::read_input(file)?;
     let text =
--- a/tests/cli/documents.rs
+++ b/tests/cli/documents.rs
@@ -1,7 +1,7 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 
-use crate::host::{Host, Reply};
+use crate::host::{CLOSED, Host, Reply};
 use crate::work::{Ran, Work};
 
 const PLAN: &str = "kind: service\nservice: plan\ncompletion_weight: 1\nfragmentation_weight: 0\n\
@@ -60,6 +60,26 @@
     assert!(host.seen().is_empty(), "nothing may be sent");
 }
 
+/// A secret in the environment must not appear on the terminal.
+#[test]
+fn help_and_errors_keep_the_credential_out() {
+    let env = [("CACTUSLATCH_CREDENTIAL", "0123456789abcdef")];
+    let help = Work::new().run_with(&["documents", "put", "--help"], &env, "");
+    assert!(!help.out.contains("0123456789abcdef"), "{}", help.out);
+    let host = Host::start([Reply::Json(403, json!({"error": "not your document"}))]);
+    let ran = put(&host, PLAN, &[]);
+    assert_eq!(ran.code, 1);
+    assert!(!ran.err.contains("0123456789abcdef"), "{}", ran.err);
+}
+
+#[test]
+fn a_missing_credential_is_named() {
+    let args = ["documents", "put", "plan", "-", "--base-version", "0", "--entry", CLOSED];
+    let ran = Work::new().run_with(&args, &[], PLAN);
+    assert_eq!(ran.code, 1);
+    assert!(ran.err.contains("no credential is given; use --credential or"), "{}", ran.err);
+}
+
 #[test]
 fn an_absent_operation_is_made_up_and_differs_each_time() {
     let host = Host::start([Reply::Json(200, json!({})), Reply::Json(200, json!({}))]);
