Harden the settings reader: byte order marks, debug output, random texts

Cause: a file with a byte order mark failed with an unknown first key, and the Debug output of ControlSettings held the teams' secrets. Change: the mark is dropped, TeamCredential's Debug leaves the secret out, and a property test feeds the reader random YAML fragments, because the loader has assertions of its own. Conclusion: no text tried so far stops the process.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -1,5 +1,6 @@
 //! Plain values of settings and service documents.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -143,7 +144,7 @@
 }
 
 /// The secret with which a team changes its own document.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct TeamCredential {
     /// Service whose document the team owns.
     pub service: ServiceName,
@@ -151,6 +152,13 @@
     pub secret: String,
 }
 
+/// Leaves the secret out, because settings are written to logs.
+impl fmt::Debug for TeamCredential {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("TeamCredential").field("service", &self.service).finish_non_exhaustive()
+    }
+}
+
 /// What a service needs, stated by the team that owns it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceDocument {
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -72,11 +72,24 @@
     assert_eq!(entry.timeouts, Timeouts::default());
     let control = parse(CONTROL, Kind::Control, control::read).expect("valid");
     assert_eq!((control.upstream_lease_ms, control.document_writer), (3_000, None));
+    assert!(!format!("{control:?}").contains("0123456789abcdef"), "secrets must stay out of logs");
     let document = ServiceDocument::parse(SERVICE).expect("valid");
     assert_eq!(document.organisations[0].guaranteed_blocks.as_slice(), [1, 8, 64]);
     assert!(document.job_shapes[0].may_wait && document.job_shapes[0].may_borrow());
 }
 
+/// Files written on other systems must read the same, with the same line numbers.
+#[test]
+fn carriage_returns_and_byte_order_marks_are_accepted() {
+    assert_eq!(faults_of(&format!("\u{FEFF}{ENTRY}")), "accepted as entry");
+    assert_eq!(faults_of(&ENTRY.replace('\n', "\r\n")), "accepted as entry");
+    let twice = ENTRY.replace("host: entry-1", "host: a\nhost: b").replace('\n', "\r\n");
+    assert_eq!(
+        faults_of(&twice),
+        "document:3: host: the key is given twice, first on line 2; keep one"
+    );
+}
+
 #[rstest]
 #[case::syntax("data_centres:", "data_centres: ]", "document:8: not valid YAML: ")]
 #[case::duplicate(
@@ -342,3 +355,20 @@
 fn hostile_text_is_refused_without_a_panic(#[case] text: String) {
     assert!(check_text(&text).is_err());
 }
+
+proptest::proptest! {
+    /// The loader has assertions of its own; no text from an operator may reach them.
+    #[test]
+    fn no_text_causes_a_panic(
+        pieces in proptest::collection::vec(
+            proptest::sample::select(vec![
+                "kind: service\n", "a", "b: ", "- ", "? ", ": ", "\n", "\n  ", "[", "]", "{", "}", ",",
+                "&a ", "*a", "!t ", "!!str ", "'", "\"", "#", "|\n", ">\n", "---\n", "...\n", "%YAML 1.2\n",
+                "%TAG ! x\n", "\t", "\r", "\\x", "\u{FEFF}", "\u{E000}", "~", "<<", "@", "`", "\0", "é",
+            ]),
+            0..24,
+        )
+    ) {
+        _ = check_text(&pieces.concat());
+    }
+}
--- a/src/config/text.rs
+++ b/src/config/text.rs
@@ -24,7 +24,8 @@
 /// Reads text into a tree; repeated keys appear in it with [`DUPLICATE_MARK`] in front.
 pub(super) fn load(text: &str) -> Result<Node, Faults> {
     check_form(text)?;
-    let mut text = text.to_owned();
+    // The YAML parser takes a byte order mark for a part of the first key.
+    let mut text = text.strip_prefix('\u{FEFF}').unwrap_or(text).to_owned();
     for _ in 0..DUPLICATE_LIMIT {
         let options = LoaderOptions::default().error_on_duplicate_keys(true).prevent_coercion(true);
         match parse_yaml_with_options(0, &text, options) {
