--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -90,6 +90,22 @@
     );
 }
 
+/// The example claims to show the defaults, and operators copy from it.
+#[test]
+fn the_entry_example_shows_the_defaults() {
+    let text = include_str!("../../examples/settings/entry.yaml");
+    let settings = parse(text, Kind::Entry, entry::read).expect("valid");
+    assert_eq!(settings.timeouts, Timeouts::default());
+    assert_eq!(settings.limits, Limits::default());
+    let page = include_str!("../../docs/operators.md");
+    for line in
+        text.lines().filter(|line| line.starts_with("  ") && !line.contains(['-', '#', '[']))
+    {
+        let (key, default) = line.trim().split_once(": ").expect("a key with a value");
+        assert!(page.contains(&format!("| `{key}` | {default} |")), "operators.md: {key}");
+    }
+}
+
 #[rstest]
 #[case::syntax("data_centres:", "data_centres: ]", "document:8: not valid YAML: ")]
 #[case::duplicate(
--- a/tests/cli/check.rs
+++ b/tests/cli/check.rs
@@ -1,3 +1,5 @@
+use rstest::rstest;
+
 use crate::work::Work;
 
 const BAD: &str = "kind: service\nservice: plan\ncompletion_weight: 0\nfragmentation_weight: 0\n\
@@ -29,3 +31,15 @@
     let ran = work.run(&["check", "good.yaml", "absent.yaml"]);
     insta::assert_snapshot!(ran.show(&[]));
 }
+
+/// An example that does not pass would be copied into an installation that does not start.
+#[rstest]
+#[case("entry.yaml", "entry")]
+#[case("control.yaml", "control")]
+#[case("plan.yaml", "service")]
+#[case("check.yaml", "service")]
+fn examples_pass(#[case] name: &str, #[case] kind: &str) {
+    let file = format!("{}/examples/settings/{name}", env!("CARGO_MANIFEST_DIR"));
+    let ran = Work::new().run(&["check", &file]);
+    assert_eq!((ran.code, ran.out), (0, format!("{file}: no faults, kind {kind}\n")));
+}
