Escape unknown keys in faults

Cause: a quoted YAML key may hold line ends or terminal controls, which then split a fault over two lines or reached the operator's terminal. Change: the path of an unknown key shows them escaped. Conclusion: each fault stays one line.

--- a/src/config/section.rs
+++ b/src/config/section.rs
@@ -212,7 +212,9 @@
                 let sentence = format!("the key is given twice, first on line {line}; keep one");
                 self.fault(place, self.path_of(plain), sentence);
             } else if !self.known.borrow().contains(&name) {
-                self.fault(place, self.path_of(name), self.unknown(name));
+                // A quoted key may hold line ends or terminal controls.
+                let shown = name.escape_debug().to_string();
+                self.fault(place, self.path_of(&shown), self.unknown(name));
             }
         }
     }
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -124,6 +124,11 @@
     "15: limits.park_mx: the key is not known; did you mean park_max?"
 )]
 #[case::unknown_far("limits:", "zebra:", "15: zebra: the key is not known; known here: kind, host")]
+#[case::unknown_with_controls(
+    "limits:",
+    "\"a\\n\\e[2J\": 1\nlimits:",
+    "15: a\\n\\u{1b}[2J: the key is not known"
+)]
 #[case::missing("host: entry-1\n", "", "1: host: the key is missing")]
 #[case::not_a_number(
     "10000",
