Divide a repeatable call's time among the entry hosts left

Cause: a host that accepts a call and stays silent used up the whole time, so the next host was never tried. Change: calls that may be repeated give each host an equal part of the time left. `send` keeps all of it for one host, since the request itself may take long. Conclusion: a silent host costs a look-up its part of the time and no longer its result.

--- a/src/cmd/http.rs
+++ b/src/cmd/http.rs
@@ -34,6 +34,8 @@
     pub(crate) body: Vec<u8>,
     /// Whether running it twice has the effect of running it once.
     pub(crate) may_repeat: bool,
+    /// Whether one host may use all the time, because the work itself takes long.
+    pub(crate) whole_time: bool,
     /// Header that is true only for the first host that may have received the call.
     pub(crate) first_only_header: Option<&'static str>,
 }
@@ -42,8 +44,16 @@
     /// Builds a call without headers or body; only a `GET` may be repeated.
     pub(crate) fn new(step: &'static str, method: Method, path: String) -> Self {
         let may_repeat = method == Method::GET;
-        let (headers, body) = (Vec::new(), Vec::new());
-        Self { step, method, path, headers, body, may_repeat, first_only_header: None }
+        Self {
+            step,
+            method,
+            path,
+            headers: Vec::new(),
+            body: Vec::new(),
+            may_repeat,
+            whole_time: false,
+            first_only_header: None,
+        }
     }
 
     /// Adds a JSON body.
@@ -70,8 +80,9 @@
         let deadline = Instant::now() + timeout;
         let mut errors = Vec::new();
         let mut sent = false;
-        for host in hosts {
+        for (hosts_left, host) in (1..=hosts.len()).rev().zip(hosts) {
             let left = deadline.saturating_duration_since(Instant::now());
+            let left = self.share(left, hosts_left);
             if left.is_zero() {
                 let sentence = format!("not tried; the {} ms are used up", timeout.as_millis());
                 errors.push(StepError::new(self.step, host, sentence));
@@ -96,6 +107,14 @@
         Err(CallError { errors, sent, changes_state: self.changes_state() })
     }
 
+    /// Leaves time for the hosts behind one that accepts the call and stays silent.
+    fn share(&self, left: Duration, hosts_left: usize) -> Duration {
+        match u32::try_from(hosts_left) {
+            Ok(hosts) if hosts > 1 && self.may_repeat && !self.whole_time => left / hosts,
+            _ => left,
+        }
+    }
+
     fn attempt(&self, host: SocketAddr, left: Duration, sent: bool) -> Result<Answer, Failure> {
         let connected = Arc::new(AtomicBool::new(false));
         let agent = agent(left, Arc::clone(&connected));
--- a/src/cmd/send.rs
+++ b/src/cmd/send.rs
@@ -114,6 +114,7 @@
     let path = format!("/v1/services/{}/requests", args.service);
     // The owner of a key lets its request run at most once, so a resend is safe with either.
     let mut call = Call::new("send the request", Method::POST, path).repeatable();
+    call.whole_time = true;
     call.first_only_header = Some(FIRST_SUBMISSION);
     call.headers = vec![
         ("cactuslatch-organisation", args.organisation.to_string()),
--- a/tests/cli/failover.rs
+++ b/tests/cli/failover.rs
@@ -19,6 +19,8 @@
 #[case::idempotent_send_after_close(IDEMPOTENT, Reply::Close, 0, 1)]
 #[case::status_after_close(STATUS, Reply::Close, 0, 1)]
 #[case::status_after_truncation(STATUS, Reply::Truncated, 0, 1)]
+#[case::status_after_silence(STATUS, Reply::Silent, 0, 1)]
+#[case::cancel_after_silence(CANCEL, Reply::Silent, 0, 1)]
 #[case::cancel_after_close(CANCEL, Reply::Close, 0, 1)]
 #[case::submit_after_close(SUBMIT, Reply::Close, 2, 0)]
 #[case::submit_after_truncation(SUBMIT, Reply::Truncated, 2, 0)]
