--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -72,11 +72,40 @@
     assert_eq!(entry.timeouts, Timeouts::default());
     let control = parse(CONTROL, Kind::Control, control::read).expect("valid");
     assert_eq!((control.upstream_lease_ms, control.document_writer), (3_000, None));
+    assert!(!format!("{control:?}").contains("0123456789abcdef"), "secrets must stay out of logs");
     let document = ServiceDocument::parse(SERVICE).expect("valid");
     assert_eq!(document.organisations[0].guaranteed_blocks.as_slice(), [1, 8, 64]);
     assert!(document.job_shapes[0].may_wait && document.job_shapes[0].may_borrow());
 }
 
+/// Files written on other systems must read the same, with the same line numbers.
+#[test]
+fn carriage_returns_and_byte_order_marks_are_accepted() {
+    assert_eq!(faults_of(&format!("\u{FEFF}{ENTRY}")), "accepted as entry");
+    assert_eq!(faults_of(&ENTRY.replace('\n', "\r\n")), "accepted as entry");
+    let twice = ENTRY.replace("host: entry-1", "host: a\nhost: b").replace('\n', "\r\n");
+    assert_eq!(
+        faults_of(&twice),
+        "document:3: host: the key is given twice, first on line 2; keep one"
+    );
+}
+
+/// The example claims to show the defaults, and operators copy from it.
+#[test]
+fn the_entry_example_shows_the_defaults() {
+    let text = include_str!("../../examples/settings/entry.yaml");
+    let settings = parse(text, Kind::Entry, entry::read).expect("valid");
+    assert_eq!(settings.timeouts, Timeouts::default());
+    assert_eq!(settings.limits, Limits::default());
+    let page = include_str!("../../docs/operators.md");
+    for line in
+        text.lines().filter(|line| line.starts_with("  ") && !line.contains(['-', '#', '[']))
+    {
+        let (key, default) = line.trim().split_once(": ").expect("a key with a value");
+        assert!(page.contains(&format!("| `{key}` | {default} |")), "operators.md: {key}");
+    }
+}
+
 #[rstest]
 #[case::syntax("data_centres:", "data_centres: ]", "document:8: not valid YAML: ")]
 #[case::duplicate(
@@ -95,6 +124,11 @@
     "15: limits.park_mx: the key is not known; did you mean park_max?"
 )]
 #[case::unknown_far("limits:", "zebra:", "15: zebra: the key is not known; known here: kind, host")]
+#[case::unknown_with_controls(
+    "limits:",
+    "\"a\\n\\e[2J\": 1\nlimits:",
+    "15: a\\n\\u{1b}[2J: the key is not known"
+)]
 #[case::missing("host: entry-1\n", "", "1: host: the key is missing")]
 #[case::not_a_number(
     "10000",
@@ -342,3 +376,20 @@
 fn hostile_text_is_refused_without_a_panic(#[case] text: String) {
     assert!(check_text(&text).is_err());
 }
+
+proptest::proptest! {
+    /// The loader has assertions of its own; no text from an operator may reach them.
+    #[test]
+    fn no_text_causes_a_panic(
+        pieces in proptest::collection::vec(
+            proptest::sample::select(vec![
+                "kind: service\n", "a", "b: ", "- ", "? ", ": ", "\n", "\n  ", "[", "]", "{", "}", ",",
+                "&a ", "*a", "!t ", "!!str ", "'", "\"", "#", "|\n", ">\n", "---\n", "...\n", "%YAML 1.2\n",
+                "%TAG ! x\n", "\t", "\r", "\\x", "\u{FEFF}", "\u{E000}", "~", "<<", "@", "`", "\0", "é",
+            ]),
+            0..24,
+        )
+    ) {
+        _ = check_text(&pieces.concat());
+    }
+}
