Add gang messages and the stand-in's gang members

Cause: the scheduling core decides on gangs, but no upstream understands its messages. Change: JSON bodies for stage, commit, renew, checkpoint and stop, with the sender's epoch, the addressed incarnation and the clock that leases count from; the stand-in holds staged members, runs committed ones until their work or lease ends, and reports which members ran, from when to when. A member takes one of the slots that requests use too. Conclusion: control can be joined with upstreams; the sender's side follows.

--- /dev/null
+++ b/src/standin/gangs.rs
@@ -0,0 +1,225 @@
+//! Gang members of the stand-in: staged, running under leases, ended.
+
+mod http;
+mod member;
+#[cfg(test)]
+mod tests;
+
+pub(super) use http::handle;
+pub use member::{MemberRun, RunEnd};
+
+use std::collections::BTreeMap;
+
+use tokio::time::Instant;
+
+use crate::scheduler::{GangId, MemberStatus, Renewal, StopStatus};
+use crate::upstream_http::{
+    CheckpointRequest, CommitRequest, GangAnswer, GangMessage, GangReply, GangRequest, MemberState,
+    RefusalCode, RenewRequest, Sender, StageRequest, StopRequest,
+};
+use member::{Member, State};
+
+/// Capacity for gang members at the moment of a message.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Room {
+    /// Slots that requests have left.
+    pub(crate) slots: u32,
+    /// Whether new members are taken.
+    pub(crate) open: bool,
+}
+
+/// Gang members of one incarnation of the stand-in; nothing is forgotten while it runs.
+#[derive(Debug)]
+pub(crate) struct Gangs {
+    incarnation: u64,
+    accelerators: u32,
+    started: Instant,
+    epoch: u64,
+    members: BTreeMap<GangId, Member>,
+}
+
+impl Gangs {
+    /// Builds the state of an incarnation that has just started.
+    pub(crate) fn new(incarnation: u64, accelerators: u32) -> Self {
+        let started = Instant::now();
+        Self { incarnation, accelerators, started, epoch: 0, members: BTreeMap::new() }
+    }
+
+    /// Carries out a message and answers it.
+    pub(crate) fn answer(&mut self, request: &GangRequest, room: Room) -> GangReply {
+        let now_ms = self.clock_ms();
+        self.settle(now_ms);
+        let answer = self
+            .check_sender(&request.sender)
+            .and_then(|()| self.carry_out(request, room, now_ms))
+            .unwrap_or_else(|code| GangAnswer::Refused { code, epoch: self.epoch });
+        GangReply { incarnation: self.incarnation, clock_ms: now_ms, answer }
+    }
+
+    /// Returns how many slots gang members take.
+    pub(crate) fn slots_taken(&mut self) -> u32 {
+        self.settle(self.clock_ms());
+        let active = self.members.values().filter(|m| m.is_active()).count();
+        u32::try_from(active).unwrap_or(u32::MAX)
+    }
+
+    /// Returns which members worked, from when to when.
+    pub(crate) fn runs(&mut self) -> Vec<MemberRun> {
+        self.settle(self.clock_ms());
+        self.members.iter().filter_map(|(id, member)| member.run(*id, self.started)).collect()
+    }
+
+    /// Returns the time since the start, which no change of the wall clock affects.
+    fn clock_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Ends the members whose hold, lease or work is over.
+    fn settle(&mut self, now_ms: u64) {
+        for member in self.members.values_mut() {
+            member.settle(now_ms);
+        }
+    }
+
+    fn check_sender(&mut self, sender: &Sender) -> Result<(), RefusalCode> {
+        if sender.epoch < self.epoch {
+            return Err(RefusalCode::OlderEpoch);
+        }
+        self.epoch = sender.epoch;
+        if sender.incarnation == self.incarnation {
+            Ok(())
+        } else {
+            Err(RefusalCode::OtherIncarnation)
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        request: &GangRequest,
+        room: Room,
+        now_ms: u64,
+    ) -> Result<GangAnswer, RefusalCode> {
+        let clock_ms = request.sender.clock_ms;
+        match &request.message {
+            GangMessage::Stage(stage) => self.stage(stage, room, now_ms),
+            GangMessage::Commit(commit) => {
+                let until_ms = lease_end(clock_ms, commit.lease_ms, now_ms);
+                self.commit(commit, until_ms, now_ms)
+            }
+            GangMessage::Renew(renew) => Ok(self.renew(renew, clock_ms, now_ms)),
+            GangMessage::Checkpoint(checkpoint) => Ok(self.checkpoint(*checkpoint)),
+            GangMessage::Stop(stop) => Ok(self.stop(*stop, now_ms)),
+        }
+    }
+
+    fn stage(
+        &mut self,
+        stage: &StageRequest,
+        room: Room,
+        now_ms: u64,
+    ) -> Result<GangAnswer, RefusalCode> {
+        match self.members.get(&stage.gang).map(Member::state) {
+            // A repeated message does not prolong the hold.
+            Some(State::Staged { .. }) => return Ok(GangAnswer::Staged),
+            Some(_) => return Err(RefusalCode::Stopped),
+            None => {}
+        }
+        let refusal = self.stage_refusal(stage, room);
+        // A refusal promises that the gang is never staged here, not even by a late copy.
+        let member = refusal.map_or_else(|| Member::stage(stage, now_ms), |_| Member::never());
+        self.members.insert(stage.gang, member);
+        refusal.map_or(Ok(GangAnswer::Staged), Err)
+    }
+
+    fn stage_refusal(&mut self, stage: &StageRequest, room: Room) -> Option<RefusalCode> {
+        if !room.open {
+            return Some(RefusalCode::Leaving);
+        }
+        let full = self.slots_taken() >= room.slots || !self.is_free(stage.mask);
+        full.then_some(RefusalCode::NoCapacity)
+    }
+
+    /// Returns whether accelerators exist and no active member holds any of them.
+    fn is_free(&self, mask: u32) -> bool {
+        let exists = mask != 0 && mask.checked_shr(self.accelerators).unwrap_or(0) == 0;
+        let taken = |member: &&Member| member.is_active() && member.mask() & mask != 0;
+        exists && !self.members.values().any(|member| taken(&member))
+    }
+
+    /// Starts a staged member; one whose lease is not usable never starts.
+    fn commit(
+        &mut self,
+        commit: &CommitRequest,
+        until_ms: Option<u64>,
+        now_ms: u64,
+    ) -> Result<GangAnswer, RefusalCode> {
+        let member = self.members.entry(commit.gang).or_insert_with(Member::never);
+        match (member.state(), until_ms) {
+            (State::Staged { .. }, Some(until_ms)) => {
+                member.start(now_ms, until_ms);
+                Ok(GangAnswer::Started)
+            }
+            (State::Staged { .. }, None) => {
+                member.stop(now_ms);
+                Err(RefusalCode::NoLease)
+            }
+            (State::Running { .. } | State::Ended { .. }, _) => Ok(GangAnswer::Started),
+            (State::Never, _) => Err(RefusalCode::NotStaged),
+        }
+    }
+
+    fn renew(&mut self, renew: &RenewRequest, clock_ms: Option<u64>, now_ms: u64) -> GangAnswer {
+        let states = renew.gangs.iter().filter_map(|renewal| {
+            let status = self.renew_one(renewal, clock_ms, now_ms)?;
+            Some(MemberState { gang: renewal.gang, status })
+        });
+        GangAnswer::Renewed { round: renew.round, members: states.collect() }
+    }
+
+    /// Renews one lease; `None` if the member runs and could not take the new lease, because the
+    /// status `Running` promises that it did.
+    fn renew_one(
+        &mut self,
+        renewal: &Renewal,
+        clock_ms: Option<u64>,
+        now_ms: u64,
+    ) -> Option<MemberStatus> {
+        let member = self.members.entry(renewal.gang).or_insert_with(Member::never);
+        if let State::Running { .. } = member.state()
+            && renewal.lease_ms > 0
+        {
+            member.extend(lease_end(clock_ms, renewal.lease_ms, now_ms)?);
+        }
+        // An absent member must not start later: control gives its accelerators away.
+        if let State::Staged { .. } = member.state() {
+            member.stop(now_ms);
+        }
+        Some(member.status())
+    }
+
+    fn checkpoint(&mut self, checkpoint: CheckpointRequest) -> GangAnswer {
+        if let Some(member) = self.members.get_mut(&checkpoint.gang) {
+            member.checkpoint();
+        }
+        GangAnswer::CheckpointRequested
+    }
+
+    fn stop(&mut self, stop: StopRequest, now_ms: u64) -> GangAnswer {
+        let member = self.members.entry(stop.gang).or_insert_with(Member::never);
+        member.stop(now_ms);
+        let status = match member.state() {
+            State::Ended { end: RunEnd::Completed, .. } => StopStatus::Completed,
+            State::Ended { .. } | State::Running { .. } => StopStatus::Stopped,
+            State::Staged { .. } | State::Never => StopStatus::NotStarted,
+        };
+        GangAnswer::Stopped { status }
+    }
+}
+
+/// Returns when a lease ends that counts from a moment on this clock; `None` if the moment is
+/// missing or lies in the future, or the lease has ended.
+fn lease_end(clock_ms: Option<u64>, lease_ms: u64, now_ms: u64) -> Option<u64> {
+    let from_ms = clock_ms.filter(|clock_ms| *clock_ms <= now_ms)?;
+    let until_ms = from_ms.saturating_add(lease_ms);
+    (until_ms > now_ms).then_some(until_ms)
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,10 +1,13 @@
 //! A small upstream for tests and the demo.
 //!
 //! It keeps the promises that upstreams make: it refuses before start when its slots are taken, and
-//! an attempt that it has reported as not started never starts.
+//! an attempt that it has reported as not started never starts. A staged gang member does no work,
+//! and a running one ends with its lease.
 
 mod announcer;
 mod attempts;
+mod gangs;
 mod server;
 
+pub use gangs::{MemberRun, RunEnd};
 pub use server::{RunningStandin, StandinSettings, start};
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -16,12 +16,13 @@
 
 use super::announcer::{ANNOUNCE_INTERVAL, Announcer};
 use super::attempts::{Attempts, Refusal};
+use super::gangs::{self, Gangs, MemberRun, Room};
 use crate::error::StepError;
 use crate::http::{self, FullResponse, Received, ServerLimits, error, json};
 use crate::names::{RackName, RequestKey, ServiceName, UpstreamName};
 use crate::upstream_http::{
-    ATTEMPT_HEADER, Announcement, FENCE_PATH, FenceReply, FenceRequest, KEY_HEADER,
-    NOT_STARTED_HEADER, PROBE_PATH, RUN_PATH,
+    ATTEMPT_HEADER, Announcement, FENCE_PATH, FenceReply, FenceRequest, GANG_PATH_PREFIX,
+    KEY_HEADER, NOT_STARTED_HEADER, PROBE_PATH, RUN_PATH,
 };
 
 /// Time for a peer to send a head or a body.
@@ -66,6 +67,7 @@
 struct Shared {
     settings: StandinSettings,
     attempts: Mutex<Attempts>,
+    gangs: Mutex<Gangs>,
     leaving: AtomicBool,
 }
 
@@ -116,6 +118,12 @@
         self.shared.attempts().running_peak()
     }
 
+    /// Returns which gang members worked, from when to when.
+    #[must_use]
+    pub fn gang_runs(&self) -> Vec<MemberRun> {
+        self.shared.gangs().runs()
+    }
+
     /// Leaves: tells the entry hosts, refuses new work and finishes what runs.
     pub async fn leave(self) {
         self.shared.leaving.store(true, Ordering::Release);
@@ -135,6 +143,11 @@
         self.attempts.lock().expect("no panic while attempts are locked")
     }
 
+    /// Locks the gang members; a caller that needs both locks takes the attempts first.
+    fn gangs(&self) -> std::sync::MutexGuard<'_, Gangs> {
+        self.gangs.lock().expect("no panic while gangs are locked")
+    }
+
     fn announcer(&self) -> Announcer {
         Announcer::new(self.settings.name.clone(), self.settings.entry_hosts.clone())
     }
@@ -168,9 +181,11 @@
         body_limit_bytes: BODY_LIMIT_BYTES,
         max_connections: settings.connections as usize,
     };
+    let gangs = Gangs::new(settings.incarnation, settings.accelerators);
     let shared = Arc::new(Shared {
         settings,
         attempts: Mutex::new(Attempts::default()),
+        gangs: Mutex::new(gangs),
         leaving: AtomicBool::new(false),
     });
     let (stop, stopped) = watch::channel(false);
@@ -199,12 +214,22 @@
     match (received.method.as_str(), received.uri.path()) {
         ("POST", RUN_PATH) => run(shared, received).await,
         ("POST", FENCE_PATH) => fence(&shared, &received),
+        ("POST", path) if path.starts_with(GANG_PATH_PREFIX) => gang(&shared, &received),
         ("GET", PROBE_PATH) => http::text(200, "ok\n"),
         ("GET", "/standin/stats") => stats(&shared),
         _ => error(404, "the stand-in has nothing at this path"),
     }
 }
 
+fn gang(shared: &Shared, received: &Received) -> FullResponse {
+    let attempts = shared.attempts();
+    let room = Room {
+        slots: shared.settings.slots.saturating_sub(attempts.running()),
+        open: !shared.leaving.load(Ordering::Acquire),
+    };
+    gangs::handle(&mut shared.gangs(), received, room)
+}
+
 fn stats(shared: &Shared) -> FullResponse {
     let attempts = shared.attempts();
     let body = StatsBody {
@@ -225,7 +250,9 @@
     let started = if shared.leaving.load(Ordering::Acquire) {
         Err(Refusal::Leaving)
     } else {
-        shared.attempts().start(&id, shared.settings.slots)
+        let mut attempts = shared.attempts();
+        let slots = shared.settings.slots.saturating_sub(shared.gangs().slots_taken());
+        attempts.start(&id, slots)
     };
     let response = match started {
         Err(refusal) => refused(refusal),
--- a/src/upstream_http.rs
+++ b/src/upstream_http.rs
@@ -1,5 +1,13 @@
 //! The HTTP interface of upstreams: paths, headers and bodies that both sides use.
 
+mod gangs;
+
+pub(crate) use gangs::{
+    CheckpointRequest, CommitRequest, GANG_PATH_PREFIX, GangAnswer, GangMessage, GangReply,
+    GangRequest, GangWork, MemberState, RefusalCode, RenewRequest, Sender, StageRequest,
+    StopRequest,
+};
+
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
