--- /dev/null
+++ b/src/control/jobs/submission.rs
@@ -0,0 +1,103 @@
+//! A job as callers submit it.
+
+use serde::{Deserialize, Serialize};
+
+use super::FindShape;
+use crate::config::JobShape;
+use crate::names::{JobName, OrganisationName, ServiceName, ShapeName};
+use crate::outcome::{NotRun, NotRunCause};
+use crate::scheduler::JobSpec;
+use crate::upstream_http::GangWork;
+
+/// Longest `kind`, in bytes; it is kept for each job and labels what is learned.
+const KIND_LIMIT_BYTES: usize = 64;
+
+/// Body of a submission.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Submission {
+    pub(crate) name: JobName,
+    pub(crate) organisation: OrganisationName,
+    pub(crate) service: ServiceName,
+    /// Number of adjacent accelerators, unless a shape gives it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    accelerators: Option<u32>,
+    /// Shape of the service document that gives what the submission leaves out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    shape: Option<ShapeName>,
+    #[serde(default)]
+    guaranteed: bool,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    can_checkpoint: Option<bool>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    can_stop: Option<bool>,
+    #[serde(default)]
+    kind: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    declared_run_ms: Option<u64>,
+    /// Time for which the stand-in runs each member.
+    #[serde(default)]
+    run_ms: u64,
+    /// Whether the stand-in lets each member fail at its end.
+    #[serde(default)]
+    fails: bool,
+}
+
+impl Submission {
+    /// Reads a submission from JSON.
+    ///
+    /// # Errors
+    /// Returns a sentence that names the key that is unknown, missing or of the wrong form.
+    pub(crate) fn read(json: &str) -> Result<Self, NotRun> {
+        let submission: Self = serde_json::from_str(json)
+            .map_err(|fault| bad(format!("the job cannot be read: {fault}")))?;
+        if submission.kind.len() > KIND_LIMIT_BYTES {
+            return Err(bad(format!("kind is longer than {KIND_LIMIT_BYTES} bytes")));
+        }
+        Ok(submission)
+    }
+
+    /// Returns what the upstreams run.
+    pub(super) const fn work(&self) -> GangWork {
+        GangWork { run_ms: self.run_ms, fails: self.fails }
+    }
+
+    /// Builds the job that the core schedules.
+    pub(super) fn resolve(&self, find_shape: &FindShape) -> Result<JobSpec, NotRun> {
+        let shape = self.find(find_shape)?;
+        let shape = shape.as_ref();
+        let accelerators = match (self.accelerators, shape) {
+            (Some(accelerators), None) => accelerators,
+            (None, Some(shape)) => shape.accelerators,
+            (None, None) => return Err(bad("the job needs either accelerators or a shape")),
+            (Some(_), Some(_)) => {
+                return Err(bad("the job has both accelerators and a shape; give one of them"));
+            }
+        };
+        let can_checkpoint = shape.is_some_and(|shape| shape.can_checkpoint);
+        let can_stop = shape.is_some_and(|shape| shape.can_stop);
+        Ok(JobSpec {
+            name: self.name.clone(),
+            organisation: self.organisation.clone(),
+            service: self.service.clone(),
+            accelerators,
+            guaranteed: self.guaranteed,
+            can_checkpoint: self.can_checkpoint.unwrap_or(can_checkpoint),
+            can_stop: self.can_stop.unwrap_or(can_stop),
+            kind: self.kind.clone(),
+            declared_run_ms: self.declared_run_ms,
+        })
+    }
+
+    fn find(&self, find_shape: &FindShape) -> Result<Option<JobShape>, NotRun> {
+        let Some(name) = &self.shape else { return Ok(None) };
+        let shape = find_shape(&self.service, name).ok_or_else(|| {
+            bad(format!("the document of service {} has no job shape {name}", self.service))
+        })?;
+        Ok(Some(shape))
+    }
+}
+
+fn bad(detail: impl Into<String>) -> NotRun {
+    NotRun::new(NotRunCause::BadRequest, detail)
+}
--- /dev/null
+++ b/src/control/jobs/task.rs
@@ -0,0 +1,299 @@
+//! The task that owns the scheduling core.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep_until, timeout};
+use tracing::{error, warn};
+
+use super::book::Book;
+use super::peers::{Outgoing, Peers};
+use super::record::{self, JOBS_RECORD_KIND, StoredRecord};
+use super::submission::Submission;
+use super::{Call, CallResult, Input, JobsParts, messages, status, unavailable};
+use crate::error::StepError;
+use crate::names::JobName;
+use crate::outcome::{NotRun, NotRunCause};
+use crate::scheduler::{Decision, Event, JobRecord, Scheduler};
+use crate::upstream_http::{GangAnswer, GangReply, RefusalCode};
+
+/// Time for an upstream to answer a gang message. It is as long as the start lease, after which
+/// the answer to a commit is useless.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Most inputs whose records become durable together.
+const BATCH_LIMIT: usize = 64;
+
+/// The scheduling core with its surroundings.
+pub(crate) struct Jobs {
+    scheduler: Scheduler,
+    book: Book,
+    peers: Peers,
+    parts: JobsParts,
+    started: Instant,
+    started_ms: u64,
+    inbox: mpsc::WeakSender<Input>,
+    /// Why no step is made any more, once that is so.
+    halted: Option<String>,
+}
+
+/// What the steps of one batch of inputs lead to.
+#[derive(Default)]
+struct Batch {
+    records: Vec<StoredRecord>,
+    messages: Vec<Outgoing>,
+    answers: Vec<(oneshot::Sender<CallResult>, CallResult)>,
+}
+
+impl Jobs {
+    /// Rebuilds the state from earlier records.
+    pub(super) fn recover(
+        records: Vec<StoredRecord>,
+        parts: JobsParts,
+        inbox: mpsc::WeakSender<Input>,
+    ) -> Self {
+        let started_ms = records.iter().filter_map(accepted_ms).fold(parts.now_ms, u64::max);
+        let mut book = Book::default();
+        for stored in &records {
+            book.apply(stored, started_ms);
+        }
+        let records = records.into_iter().map(|stored| stored.record);
+        Self {
+            scheduler: Scheduler::recover(records, started_ms),
+            book,
+            peers: Peers::new(parts.epoch),
+            parts,
+            started: Instant::now(),
+            started_ms,
+            inbox,
+            halted: None,
+        }
+    }
+
+    /// Runs until every handle is dropped.
+    pub(super) async fn run(mut self, mut inbox: mpsc::Receiver<Input>) {
+        let mut inputs = Vec::new();
+        loop {
+            let due = self.next_due();
+            tokio::select! {
+                count = inbox.recv_many(&mut inputs, BATCH_LIMIT) => {
+                    if count == 0 {
+                        return;
+                    }
+                }
+                () = sleep_until_some(due) => {}
+            }
+            self.handle(std::mem::take(&mut inputs)).await;
+        }
+    }
+
+    /// Returns when the core next acts without an event.
+    fn next_due(&self) -> Option<Instant> {
+        if self.halted.is_some() {
+            return None;
+        }
+        let due_ms = self.scheduler.next_due_ms()?;
+        Some(self.started + Duration::from_millis(due_ms.saturating_sub(self.started_ms)))
+    }
+
+    fn now_ms(&self) -> u64 {
+        let elapsed_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.started_ms.saturating_add(elapsed_ms)
+    }
+
+    /// Applies inputs, makes the records durable and only then lets anything out.
+    async fn handle(&mut self, inputs: Vec<Input>) {
+        let now_ms = self.now_ms();
+        let mut batch = Batch::default();
+        self.step(Event::Tick, None, now_ms, &mut batch);
+        for input in inputs {
+            self.apply(input, now_ms, &mut batch);
+        }
+        self.book.prune(&self.scheduler);
+        if let Err(fault) = self.persist(&batch.records).await {
+            self.halt(format!("the journal cannot be written: {fault}"));
+            let refusal = "the journal could not be written, so it is not known whether the call \
+                           takes effect; repeat it after the control process has restarted";
+            batch.answers.iter_mut().for_each(|(_, answer)| *answer = Err(unavailable(refusal)));
+            batch.messages.clear();
+        }
+        for message in batch.messages {
+            self.send(message);
+        }
+        for (caller, answer) in batch.answers {
+            // A caller that has gone away asks again.
+            _ = caller.send(answer);
+        }
+    }
+
+    async fn persist(&self, records: &[StoredRecord]) -> Result<(), StepError> {
+        if records.is_empty() {
+            return Ok(());
+        }
+        (self.parts.append)(JOBS_RECORD_KIND, record::write(records)?).await?;
+        Ok(())
+    }
+
+    /// Stops deciding; running gangs end with their leases.
+    fn halt(&mut self, reason: String) {
+        error!(%reason, "jobs are unavailable until a restart");
+        self.halted.get_or_insert(reason);
+    }
+
+    fn apply(&mut self, input: Input, now_ms: u64, batch: &mut Batch) {
+        let event = match input {
+            Input::Call(call, caller) => {
+                let answer = self.call(call, now_ms, batch);
+                return batch.answers.push((caller, answer));
+            }
+            Input::Announced(announcement, address) => {
+                self.peers.announced(&announcement.name, announcement.incarnation, address);
+                Event::UpstreamAnnounced(announcement)
+            }
+            Input::Lost(upstream) => Event::UpstreamLost { upstream },
+            Input::Leaving(upstream, incarnation) => {
+                Event::UpstreamLeaving { upstream, incarnation }
+            }
+            Input::Answered { upstream, request, reply } => {
+                self.peers.answered(&upstream, reply.incarnation, reply.clock_ms);
+                self.check_epoch(&reply);
+                let Some(event) = messages::event(upstream, request, reply) else { return };
+                event
+            }
+        };
+        self.step(event, None, now_ms, batch);
+    }
+
+    /// Halts if an upstream has heard from a control process with a newer epoch.
+    fn check_epoch(&mut self, reply: &GangReply) {
+        if let GangAnswer::Refused { code: RefusalCode::OlderEpoch, epoch } = reply.answer
+            && epoch > self.parts.epoch
+        {
+            self.halt(format!("a control process with the newer epoch {epoch} is in charge"));
+        }
+    }
+
+    /// Makes one step of the core, unless it is halted, and collects what it leads to.
+    fn step(
+        &mut self,
+        event: Event,
+        submission: Option<&Submission>,
+        now_ms: u64,
+        batch: &mut Batch,
+    ) -> Option<String> {
+        if self.halted.is_some() {
+            return None;
+        }
+        let mut refusal = None;
+        for decision in self.scheduler.step(event, now_ms) {
+            match decision {
+                Decision::Persist(record) => self.note(record, submission, now_ms, batch),
+                Decision::JobRefused { reason, .. } => refusal = Some(reason),
+                Decision::GuaranteeAtRisk { organisation, accelerators, reason } => {
+                    warn!(%organisation, accelerators, %reason, "a guarantee is at risk");
+                }
+                other => {
+                    let message = messages::message(other, &self.book);
+                    batch.messages.extend(message.and_then(|(to, m)| self.peers.address(to, m)));
+                }
+            }
+        }
+        refusal
+    }
+
+    fn note(
+        &mut self,
+        record: JobRecord,
+        submission: Option<&Submission>,
+        now_ms: u64,
+        batch: &mut Batch,
+    ) {
+        let accepted = matches!(record, JobRecord::Accepted { .. });
+        let submission = submission.filter(|_| accepted).cloned();
+        let stored = StoredRecord { record, submission };
+        self.book.apply(&stored, now_ms);
+        self.book.count(&stored.record, &self.parts.metrics, now_ms);
+        batch.records.push(stored);
+    }
+
+    fn call(&mut self, call: Call, now_ms: u64, batch: &mut Batch) -> CallResult {
+        if let Some(reason) = &self.halted {
+            return Err(unavailable(reason.as_str()));
+        }
+        match call {
+            Call::Submit(submission) => self.submit(&submission, now_ms, batch).map(Some),
+            Call::Status(job) => Ok(self.describe(&job, now_ms, status::status)),
+            Call::Explain(job) => Ok(self.describe(&job, now_ms, status::explanation)),
+            Call::Cancel(job) => {
+                self.step(Event::JobCancelled { job: job.clone() }, None, now_ms, batch);
+                Ok(self.describe(&job, now_ms, status::status))
+            }
+        }
+    }
+
+    /// Submits a job. Resends are recognised here, because the content includes parts that the
+    /// core does not know, and a shape may have changed since.
+    fn submit(
+        &mut self,
+        submission: &Submission,
+        now_ms: u64,
+        batch: &mut Batch,
+    ) -> Result<String, NotRun> {
+        let name = &submission.name;
+        if self.scheduler.job(name).is_some()
+            && let Some(entry) = self.book.get(name)
+        {
+            if entry.submission.as_ref() == Some(submission) {
+                return Ok(status::accepted(entry));
+            }
+            let detail = format!("job {name} exists with other content; this one was not run");
+            return Err(NotRun::new(NotRunCause::Conflict, detail));
+        }
+        let spec = submission.resolve(&self.parts.find_shape)?;
+        if let Some(reason) = self.step(Event::JobSubmitted(spec), Some(submission), now_ms, batch)
+        {
+            return Err(NotRun::new(NotRunCause::BadRequest, reason));
+        }
+        let entry = self.book.get(name).ok_or_else(|| unavailable("the job was not accepted"))?;
+        Ok(status::accepted(entry))
+    }
+
+    fn describe(
+        &self,
+        job: &JobName,
+        now_ms: u64,
+        write: fn(&super::book::Entry, &crate::scheduler::Explanation) -> String,
+    ) -> Option<String> {
+        let explanation = self.scheduler.explain(job, now_ms)?;
+        Some(write(self.book.get(job)?, &explanation))
+    }
+
+    /// Sends a message in a task of its own; its answer comes back as an input.
+    fn send(&self, message: Outgoing) {
+        let Some(inbox) = self.inbox.upgrade() else { return };
+        let deliver = Arc::clone(&self.parts.deliver);
+        let metrics = Arc::clone(&self.parts.metrics);
+        tokio::spawn(async move {
+            let Outgoing { upstream, address, request } = message;
+            let answer = timeout(MESSAGE_TIMEOUT, deliver(address, request.clone())).await;
+            let Ok(Ok(reply)) = answer else { return metrics.message_ended("unanswered") };
+            metrics.message_ended("answered");
+            _ = inbox.send(Input::Answered { upstream, request, reply }).await;
+        });
+    }
+}
+
+fn accepted_ms(stored: &StoredRecord) -> Option<u64> {
+    match &stored.record {
+        JobRecord::Accepted { at_ms, .. } => Some(*at_ms),
+        _ => None,
+    }
+}
+
+async fn sleep_until_some(due: Option<Instant>) {
+    match due {
+        Some(due) => sleep_until(due).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/src/control/jobs/tests/calls.rs
@@ -0,0 +1,117 @@
+//! Submissions, refusals and cancellations.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::time::sleep;
+
+use super::super::cancel_job;
+use super::site::{Fate, Fault, Sent, World, status, submit, wait_for_end};
+use crate::rpc::JobNameRequest;
+
+const GANG_OF_16: &str = r#""accelerators":16,"run_ms":20000"#;
+
+fn none(_: Sent) -> Fate {
+    Fate::Arrives
+}
+
+fn commit_late(sent: Sent) -> Fate {
+    let hit = sent.upstream == 1 && sent.kind == "commit" && sent.earlier == 0;
+    if hit { Fate::RequestLate(500) } else { Fate::Arrives }
+}
+
+fn silent(sent: Sent) -> Fate {
+    if sent.upstream == 1 && sent.at_ms > 1_000 { Fate::RequestLost } else { Fate::Arrives }
+}
+
+/// Guards against jobs that are accepted although they cannot run or cannot be understood.
+#[rstest]
+#[case::above_any_rack(r#""accelerators":65"#, "65 accelerators exceed the limit of 64")]
+#[case::above_this_pool(r#""accelerators":24"#, "no rack has 24 adjacent accelerators")]
+#[case::unknown_key(r#""accelerators":8,"gpus":8"#, "unknown field `gpus`")]
+#[case::no_size(r#""run_ms":1"#, "either accelerators or a shape")]
+#[case::two_sizes(r#""accelerators":8,"shape":"pair""#, "both accelerators and a shape")]
+#[case::unknown_shape(r#""shape":"cube""#, "service plan has no job shape cube")]
+#[case::other_content(r#""accelerators":8,"run_ms":7"#, "conflict: job a exists")]
+#[tokio::test(start_paused = true)]
+async fn a_job_is_refused_with_the_reason(#[case] keys: &str, #[case] reason: &str) {
+    let world = World::new(none);
+    let jobs = world.start(1).await;
+    sleep(Duration::from_millis(10_001)).await;
+    let name = if reason.starts_with("conflict") { "a" } else { "b" };
+    assert!(submit(&jobs, "a", r#""shape":"pair","run_ms":10"#).await.found);
+    let reply = submit(&jobs, name, keys).await;
+    assert!(reply.refused && reply.reason.contains(reason), "{reply:?}");
+    assert_eq!(wait_for_end(&jobs, "a").await, "completed");
+    assert_eq!(world.gangs_that_worked(), 1);
+}
+
+/// Guards against a cancellation whose answer does not agree with what the stand-ins did.
+#[rstest]
+#[case::staging(none, 1, "cancelled", "no", 0, 0)]
+#[case::committing(none, 3, "cancelled", "yes", 2, 5)]
+#[case::stop_overtakes_commit(commit_late, 10, "cancelled", "yes", 1, 2_000)]
+#[case::running(none, 7_000, "cancelled", "yes", 2, 5)]
+#[case::running_with_a_silent_member(silent, 7_000, "cancelled", "yes", 2, 30_000)]
+#[case::ended(none, 30_000, "completed", "yes", 2, 5)]
+#[tokio::test(start_paused = true)]
+async fn a_cancelled_job_ends_once_and_accurately(
+    #[case] fault: Fault,
+    #[case] at_ms: u64,
+    #[case] result: &str,
+    #[case] ran: &str,
+    #[case] runs: usize,
+    #[case] bound_ms: u128,
+) {
+    let world = World::new(fault);
+    let jobs = world.start(1).await;
+    submit(&jobs, "a", GANG_OF_16).await;
+    sleep(Duration::from_millis(at_ms)).await;
+    let request = JobNameRequest { name: "a".to_owned() };
+    let reply = cancel_job(&jobs, &request).await;
+    assert!(reply.status_json.contains(r#""cancel_requested":"#), "{reply:?}");
+    assert_eq!(wait_for_end(&jobs, "a").await, result);
+    assert_eq!(status(&jobs, "a").await["end"]["ran"], ran);
+    sleep(Duration::from_mins(1)).await;
+    assert_eq!(world.runs().len(), runs, "{:#?}", world.runs());
+    world.assert_bound(bound_ms);
+}
+
+/// Guards against a cancelled job that starts when the capacity becomes free.
+#[tokio::test(start_paused = true)]
+async fn a_waiting_job_is_cancelled_at_once() {
+    let world = World::new(none);
+    let jobs = world.start(1).await;
+    submit(&jobs, "a", GANG_OF_16).await;
+    submit(&jobs, "b", GANG_OF_16).await;
+    cancel_job(&jobs, &JobNameRequest { name: "b".to_owned() }).await;
+    assert_eq!(status(&jobs, "b").await["end"]["ran"], "no");
+    assert!(!cancel_job(&jobs, &JobNameRequest { name: "c".to_owned() }).await.found);
+    sleep(Duration::from_mins(1)).await;
+    assert_eq!(world.gangs_that_worked(), 1);
+}
+
+/// Guards against a failing job that is started for ever.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_fails_everywhere_ends_failed() {
+    let world = World::new(none);
+    let jobs = world.start(1).await;
+    submit(&jobs, "a", r#""accelerators":8,"run_ms":1000,"fails":true"#).await;
+    sleep(Duration::from_mins(1)).await;
+    let worked = world.gangs_that_worked();
+    assert!((2..=3).contains(&worked), "{worked} gangs failed: {}", status(&jobs, "a").await);
+}
+
+/// Guards against messages whose records are not durable.
+#[tokio::test(start_paused = true)]
+async fn nothing_is_sent_when_the_journal_fails() {
+    let world = World::new(none);
+    let jobs = world.start(1).await;
+    *world.disk_failed.lock().expect("no panic") = true;
+    for _ in 0..2 {
+        let reply = submit(&jobs, "a", GANG_OF_16).await;
+        assert!(reply.refused && reply.reason.starts_with("unavailable: "), "{reply:?}");
+        sleep(Duration::from_secs(5)).await;
+    }
+    assert_eq!(world.messages_sent(), 0);
+}
--- /dev/null
+++ b/src/control/jobs/tests/faults.rs
@@ -0,0 +1,198 @@
+//! Jobs under lost messages, silent upstreams and restarts, in simulated time.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::time::sleep;
+
+use super::site::{Fate, Fault, Sent, World, explain, status, submit, wait_for_end};
+
+const GANG_OF_16: &str = r#""accelerators":16,"run_ms":20000"#;
+const START_BOUND_MS: u128 = 2_000;
+const LEASE_BOUND_MS: u128 = 30_000;
+/// Difference between the arrival times of two messages sent together.
+const HOPS_MS: u128 = 5;
+
+fn first(sent: Sent, kind: &str, fate: Fate) -> Fate {
+    let hit = sent.upstream == 1 && sent.kind == kind && sent.earlier == 0;
+    if hit { fate } else { Fate::Arrives }
+}
+
+fn none(_: Sent) -> Fate {
+    Fate::Arrives
+}
+
+fn stage_lost(sent: Sent) -> Fate {
+    first(sent, "stage", Fate::RequestLost)
+}
+
+fn stage_answer_lost(sent: Sent) -> Fate {
+    first(sent, "stage", Fate::AnswerLost)
+}
+
+fn commit_lost(sent: Sent) -> Fate {
+    first(sent, "commit", Fate::RequestLost)
+}
+
+fn commit_answer_lost(sent: Sent) -> Fate {
+    first(sent, "commit", Fate::AnswerLost)
+}
+
+fn commit_late(sent: Sent) -> Fate {
+    first(sent, "commit", Fate::RequestLate(1_500))
+}
+
+fn frozen(sent: Sent) -> Fate {
+    let hit = sent.upstream == 1 && (8_000..60_000).contains(&sent.at_ms);
+    if hit { Fate::RequestLost } else { Fate::Arrives }
+}
+
+fn answers_lost(sent: Sent) -> Fate {
+    if frozen(sent) == Fate::RequestLost { Fate::AnswerLost } else { Fate::Arrives }
+}
+
+/// Renewals arrive 20 s late, when the member still runs; everything else is lost.
+fn renewals_late(sent: Sent) -> Fate {
+    match frozen(sent) {
+        Fate::RequestLost if sent.kind == "renew" => Fate::RequestLate(20_000),
+        fate => fate,
+    }
+}
+
+/// Renewals arrive after the end of the lease.
+fn renewals_too_late(sent: Sent) -> Fate {
+    match frozen(sent) {
+        Fate::RequestLost if sent.kind == "renew" => Fate::RequestLate(45_000),
+        fate => fate,
+    }
+}
+
+/// Guards against work by a part of a gang for longer than the bound of its messages, against two
+/// gangs of a job at once, and against jobs that do not come to their end after a fault.
+#[rstest]
+#[case::healthy(none, HOPS_MS, 1)]
+#[case::stage_lost(stage_lost, HOPS_MS, 1)]
+#[case::stage_answer_lost(stage_answer_lost, HOPS_MS, 1)]
+#[case::commit_lost(commit_lost, START_BOUND_MS, 2)]
+#[case::commit_answer_lost(commit_answer_lost, START_BOUND_MS, 2)]
+#[case::commit_late(commit_late, START_BOUND_MS, 1)]
+#[case::frozen(frozen, LEASE_BOUND_MS, 2)]
+#[case::answers_lost(answers_lost, LEASE_BOUND_MS, 2)]
+#[case::renewals_late(renewals_late, LEASE_BOUND_MS, 2)]
+#[case::renewals_too_late(renewals_too_late, LEASE_BOUND_MS, 2)]
+#[tokio::test(start_paused = true)]
+async fn a_gang_runs_whole_within_the_bound(
+    #[case] fault: Fault,
+    #[case] bound_ms: u128,
+    #[case] gangs: usize,
+) {
+    let world = World::new(fault);
+    let jobs = world.start(1).await;
+    assert!(submit(&jobs, "a", r#""accelerators":16,"run_ms":50000"#).await.found);
+    assert_eq!(wait_for_end(&jobs, "a").await, "completed");
+    world.assert_bound(bound_ms);
+    assert_eq!(world.gangs_that_worked(), gangs, "{:#?}", world.runs());
+}
+
+/// Guards against a delayed renewal that extends a lease beyond the time that control counts on.
+#[rstest]
+#[case::while_it_runs(renewals_late)]
+#[case::after_its_end(renewals_too_late)]
+#[tokio::test(start_paused = true)]
+async fn a_late_renewal_does_not_extend_the_lease(#[case] fault: Fault) {
+    let world = World::new(fault);
+    let jobs = world.start(1).await;
+    submit(&jobs, "a", r#""accelerators":16,"run_ms":500000"#).await;
+    sleep(Duration::from_secs(59)).await;
+    // The last renewal that arrived in time was sent at about 5 s.
+    let ends = world.ends_ms();
+    assert_eq!(ends.len(), 2, "{:#?}", world.runs());
+    assert!(ends.iter().all(|end_ms| *end_ms <= 40_200), "members ended at {ends:?} ms");
+}
+
+/// Guards against gangs that run in part, or twice, when control dies at any moment and its
+/// successor replays the records.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_successor_goes_on_from_the_records(
+    #[values(0, 1, 2, 3, 4, 5, 12_000)] dies_ms: u64,
+    #[values(100, 10_000, 40_000)] down_ms: u64,
+) {
+    let world = World::new(none);
+    let jobs = world.start(1).await;
+    let reply = submit(&jobs, "a", GANG_OF_16).await;
+    sleep(Duration::from_millis(dies_ms)).await;
+    drop(jobs);
+    sleep(Duration::from_millis(down_ms)).await;
+    let jobs = world.start(2).await;
+    assert_eq!(submit(&jobs, "a", GANG_OF_16).await, reply, "a resend gets the first answer");
+    assert_eq!(wait_for_end(&jobs, "a").await, "completed");
+    world.assert_bound(START_BOUND_MS);
+    if dies_ms == 12_000 && down_ms < 30_000 {
+        assert_eq!(world.gangs_that_worked(), 1, "a confirmed gang goes on");
+    }
+}
+
+/// Guards against a gang that goes on without the members of an upstream that started again.
+#[rstest]
+#[case::announced_at_once(0, HOPS_MS)]
+#[case::announced_late(4_000, 4_000 + HOPS_MS)]
+#[tokio::test(start_paused = true)]
+async fn a_restarted_upstream_ends_the_gang(#[case] announced_ms: u64, #[case] bound_ms: u128) {
+    let world = World::new(none);
+    let jobs = world.start(1).await;
+    submit(&jobs, "a", GANG_OF_16).await;
+    sleep(Duration::from_secs(12)).await;
+    world.restart(1);
+    sleep(Duration::from_millis(announced_ms)).await;
+    world.announce(&jobs, 1).await;
+    assert_eq!(wait_for_end(&jobs, "a").await, "completed");
+    world.assert_bound(bound_ms);
+    assert_eq!(world.gangs_that_worked(), 2);
+}
+
+/// Guards against members that go on after the registry has lost the upstream of another one.
+#[tokio::test(start_paused = true)]
+async fn a_lost_upstream_ends_the_gang_within_the_lease() {
+    let world = World::new(frozen);
+    let jobs = world.start(1).await;
+    submit(&jobs, "a", GANG_OF_16).await;
+    sleep(Duration::from_secs(11)).await;
+    jobs.lost("u1".parse().expect("valid name")).await;
+    sleep(Duration::from_millis(10)).await;
+    assert!(world.ends_ms()[0] <= 11_010, "{:#?}", world.runs());
+    sleep(Duration::from_mins(1)).await;
+    world.announce(&jobs, 1).await;
+    assert_eq!(wait_for_end(&jobs, "a").await, "completed");
+    world.assert_bound(LEASE_BOUND_MS);
+}
+
+/// Guards against new work on an upstream that is leaving.
+#[tokio::test(start_paused = true)]
+async fn a_leaving_upstream_gets_no_gang() {
+    let world = World::new(none);
+    let jobs = world.start(1).await;
+    jobs.leaving("u1".parse().expect("valid name"), 1).await;
+    submit(&jobs, "a", GANG_OF_16).await;
+    sleep(Duration::from_secs(30)).await;
+    assert_eq!(status(&jobs, "a").await["state"], "waiting");
+    let reason = explain(&jobs, "a").await["waits_because"].to_string();
+    assert!(reason.contains("no 16 adjacent accelerators are free"), "{reason}");
+    assert_eq!(world.gangs_that_worked(), 0);
+}
+
+/// Guards against a zombie control process that starts work after its successor is in charge.
+#[tokio::test(start_paused = true)]
+async fn an_older_epoch_is_refused_and_halts() {
+    let world = World::new(none);
+    let successor = world.start(2).await;
+    submit(&successor, "a", r#""accelerators":16,"run_ms":1000"#).await;
+    assert_eq!(wait_for_end(&successor, "a").await, "completed");
+    world.forget_journal();
+    let zombie = world.start(1).await;
+    assert!(submit(&zombie, "b", GANG_OF_16).await.found);
+    sleep(Duration::from_secs(5)).await;
+    let reply = submit(&zombie, "c", GANG_OF_16).await;
+    assert!(reply.reason.contains("newer epoch 2"), "{reply:?}");
+    assert_eq!(world.gangs_that_worked(), 1, "{:#?}", world.runs());
+}
--- /dev/null
+++ b/src/control/jobs/tests/site.rs
@@ -0,0 +1,321 @@
+//! A control process with two stand-ins, a simulated network and an in-memory journal.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+
+use super::super::task::Jobs;
+use super::super::{
+    Append, Deliver, JOBS_RECORD_KIND, JobsHandle, JobsMetrics, JobsParts, submit_job,
+};
+use crate::StepError;
+use crate::config::JobShape;
+use crate::names::ShapeName;
+use crate::rpc::{JobReply, SubmitJobRequest};
+use crate::scheduler::{Announcement, GangId};
+use crate::standin::{Gangs, MemberRun, Room, RunEnd};
+use crate::upstream_http::{GangMessage, GangReply, GangRequest};
+
+/// Time for a message or an answer to arrive.
+const HOP: Duration = Duration::from_millis(1);
+
+/// What the network does with a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    Arrives,
+    RequestLost,
+    AnswerLost,
+    RequestLate(u64),
+}
+
+/// A message, as the fault of a test sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Sent {
+    pub upstream: u32,
+    pub kind: &'static str,
+    /// Number of earlier messages of this kind to this upstream.
+    pub earlier: u32,
+    pub at_ms: u64,
+}
+
+pub type Fault = fn(Sent) -> Fate;
+
+/// Upstreams, network and journal, which outlive a control process.
+#[derive(Debug)]
+pub struct World {
+    gangs: Vec<Mutex<Gangs>>,
+    incarnations: Mutex<Vec<u64>>,
+    past: Mutex<Vec<MemberRun>>,
+    sent: Mutex<BTreeMap<(u32, &'static str), u32>>,
+    fault: Fault,
+    started: Instant,
+    pub journal: Arc<Mutex<Vec<Vec<u8>>>>,
+    pub disk_failed: Arc<Mutex<bool>>,
+    pub metrics: Arc<JobsMetrics>,
+}
+
+impl World {
+    pub fn new(fault: Fault) -> Arc<Self> {
+        Arc::new(Self {
+            gangs: (0..2).map(|_| Mutex::new(Gangs::new(1, 8))).collect(),
+            incarnations: Mutex::new(vec![1; 2]),
+            past: Mutex::default(),
+            sent: Mutex::default(),
+            fault,
+            started: Instant::now(),
+            journal: Arc::default(),
+            disk_failed: Arc::default(),
+            metrics: Arc::new(JobsMetrics::new()),
+        })
+    }
+
+    /// Starts a control process from the journal and lets the upstreams announce themselves.
+    pub async fn start(self: &Arc<Self>, epoch: u64) -> JobsHandle {
+        let payloads = self.journal.lock().expect("no panic").clone();
+        let handle = Jobs::start(payloads, self.parts(epoch)).expect("readable journal");
+        for upstream in 0..2 {
+            self.announce(&handle, upstream).await;
+        }
+        handle
+    }
+
+    pub async fn announce(&self, jobs: &JobsHandle, upstream: u32) {
+        let incarnation = self.incarnations.lock().expect("no panic")[upstream as usize];
+        let announcement = Announcement {
+            name: format!("u{upstream}").parse().expect("valid name"),
+            incarnation,
+            rack: "rack-0".parse().expect("valid name"),
+            position: upstream,
+            accelerators: 8,
+        };
+        jobs.announced(announcement, address(upstream)).await;
+    }
+
+    /// Replaces an upstream by a new incarnation; the work of the old one ends now.
+    pub fn restart(&self, upstream: u32) {
+        self.incarnations.lock().expect("no panic")[upstream as usize] += 1;
+        let mut gangs = self.gangs[upstream as usize].lock().expect("no panic");
+        let ended = gangs.runs().into_iter().map(|run| MemberRun {
+            to: run.to.or(Some(Instant::now())),
+            end: run.end.or(Some(RunEnd::Stopped)),
+            ..run
+        });
+        self.past.lock().expect("no panic").extend(ended);
+        *gangs = Gangs::new(2, 8);
+    }
+
+    /// Removes the journal, as a process with another data folder would see it.
+    pub fn forget_journal(&self) {
+        self.journal.lock().expect("no panic").clear();
+    }
+
+    fn parts(self: &Arc<Self>, epoch: u64) -> JobsParts {
+        let world = Arc::clone(self);
+        let deliver: Deliver = Arc::new(move |address, request| {
+            let world = Arc::clone(&world);
+            Box::pin(async move { world.carry(address, request).await })
+        });
+        JobsParts {
+            epoch,
+            now_ms: 1_000_000 + self.elapsed_ms(),
+            append: memory_journal(&self.journal, &self.disk_failed),
+            deliver,
+            find_shape: Box::new(|_, name| (name.as_str() == "pair").then(|| pair(name))),
+            metrics: Arc::clone(&self.metrics),
+        }
+    }
+
+    async fn carry(
+        self: Arc<Self>,
+        to: SocketAddr,
+        request: GangRequest,
+    ) -> Result<GangReply, StepError> {
+        let upstream = u32::from(to.port());
+        let fate = self.fate(upstream, &request.message);
+        if fate == Fate::RequestLost {
+            return std::future::pending().await;
+        }
+        // A message that has been sent arrives even if its sender no longer waits for the answer.
+        let reply = tokio::spawn(async move { self.arrive(upstream, request, fate).await });
+        let reply = reply.await.expect("no panic");
+        if fate == Fate::AnswerLost { std::future::pending().await } else { Ok(reply) }
+    }
+
+    async fn arrive(&self, upstream: u32, request: GangRequest, fate: Fate) -> GangReply {
+        let late_ms = if let Fate::RequestLate(late_ms) = fate { late_ms } else { 0 };
+        sleep(HOP + Duration::from_millis(late_ms)).await;
+        let room = Room { slots: 8, open: true };
+        let reply = self.gangs[upstream as usize].lock().expect("no panic").answer(&request, room);
+        sleep(HOP).await;
+        reply
+    }
+
+    fn fate(&self, upstream: u32, message: &GangMessage) -> Fate {
+        let kind = kind(message);
+        let mut sent = self.sent.lock().expect("no panic");
+        let count = sent.entry((upstream, kind)).or_default();
+        let earlier = *count;
+        *count += 1;
+        (self.fault)(Sent { upstream, kind, earlier, at_ms: self.elapsed_ms() })
+    }
+
+    pub fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).expect("short test")
+    }
+
+    pub fn runs(&self) -> Vec<MemberRun> {
+        let mut runs = self.past.lock().expect("no panic").clone();
+        for gangs in &self.gangs {
+            runs.extend(gangs.lock().expect("no panic").runs());
+        }
+        runs
+    }
+
+    /// Returns when the members that have ended did so, in order.
+    pub fn ends_ms(&self) -> Vec<u128> {
+        let ends = self.runs().into_iter().filter_map(|run| run.to);
+        let mut ends: Vec<_> = ends.map(|to| (to - self.started).as_millis()).collect();
+        ends.sort_unstable();
+        ends
+    }
+
+    pub fn gangs_that_worked(&self) -> usize {
+        let runs = self.runs();
+        runs.iter().map(|run| run.gang).collect::<BTreeSet<_>>().len()
+    }
+
+    pub fn messages_sent(&self) -> u32 {
+        self.sent.lock().expect("no panic").values().sum()
+    }
+
+    /// Checks the log of the stand-ins: how long a part of a gang worked alone, and that no two
+    /// gangs worked at once.
+    pub fn assert_bound(&self, bound_ms: u128) {
+        let partial_ms = self.longest_partial_ms();
+        assert!(partial_ms <= bound_ms, "alone for {partial_ms} ms: {:#?}", self.runs());
+        self.assert_one_gang_at_a_time();
+    }
+
+    /// Checks that no two gangs worked at the same time, because each world runs one job.
+    fn assert_one_gang_at_a_time(&self) {
+        let runs = self.runs();
+        for (i, a) in runs.iter().enumerate() {
+            for b in runs[i + 1..].iter().filter(|b| b.gang != a.gang) {
+                let (a_end, b_end) = (end(a), end(b));
+                assert!(a_end <= b.from || b_end <= a.from, "{a:?} overlaps {b:?}");
+            }
+        }
+    }
+
+    /// Returns the longest time for which any gang worked while one of its two members was
+    /// missing; a member that has completed is not missing.
+    fn longest_partial_ms(&self) -> u128 {
+        let runs = self.runs();
+        let gangs: BTreeSet<GangId> = runs.iter().map(|run| run.gang).collect();
+        let partial = gangs.into_iter().map(|gang| {
+            let runs: Vec<_> = runs.iter().filter(|run| run.gang == gang).collect();
+            partial_ms(&runs)
+        });
+        partial.max().unwrap_or(0)
+    }
+}
+
+fn end(run: &MemberRun) -> Instant {
+    run.to.unwrap_or_else(Instant::now)
+}
+
+/// Returns the longest contiguous time in which some member works and another is missing.
+fn partial_ms(runs: &[&MemberRun]) -> u128 {
+    let mut times: Vec<_> = runs.iter().flat_map(|run| [run.from, end(run)]).collect();
+    times.sort_unstable();
+    let (mut longest, mut current) = (Duration::ZERO, Duration::ZERO);
+    for pair in times.windows(2) {
+        let works = |run: &MemberRun| run.from <= pair[0] && end(run) >= pair[1];
+        let done = |run: &MemberRun| run.end == Some(RunEnd::Completed) && end(run) <= pair[0];
+        let present = runs.iter().filter(|run| works(run) || done(run)).count();
+        let working = runs.iter().any(|run| works(run));
+        let partial = working && present < 2;
+        current = if partial { current + (pair[1] - pair[0]) } else { Duration::ZERO };
+        longest = longest.max(current);
+    }
+    longest.as_millis()
+}
+
+/// Returns a journal that keeps its payloads in memory and fails on demand.
+pub fn memory_journal(payloads: &Arc<Mutex<Vec<Vec<u8>>>>, failed: &Arc<Mutex<bool>>) -> Append {
+    let (payloads, failed) = (Arc::clone(payloads), Arc::clone(failed));
+    Box::new(move |kind, payload| {
+        assert_eq!(kind, JOBS_RECORD_KIND);
+        let (payloads, failed) = (Arc::clone(&payloads), Arc::clone(&failed));
+        Box::pin(async move {
+            if *failed.lock().expect("no panic") {
+                return Err(StepError::new("append", "journal", "the disk is full"));
+            }
+            let mut payloads = payloads.lock().expect("no panic");
+            payloads.push(payload);
+            Ok(payloads.len() as u64)
+        })
+    })
+}
+
+fn pair(name: &ShapeName) -> JobShape {
+    let name = name.clone();
+    JobShape { name, accelerators: 16, may_wait: true, can_checkpoint: true, can_stop: false }
+}
+
+/// The port of the address is the number of the upstream.
+fn address(upstream: u32) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], u16::try_from(upstream).expect("small number")))
+}
+
+fn kind(message: &GangMessage) -> &'static str {
+    match message {
+        GangMessage::Stage(_) => "stage",
+        GangMessage::Commit(_) => "commit",
+        GangMessage::Renew(_) => "renew",
+        GangMessage::Checkpoint(_) => "checkpoint",
+        GangMessage::Stop(_) => "stop",
+    }
+}
+
+/// Submits a job of the organisation `north` with further keys.
+pub async fn submit(jobs: &JobsHandle, name: &str, keys: &str) -> JobReply {
+    let job_json = format!(r#"{{"name":"{name}","organisation":"north","service":"plan",{keys}}}"#);
+    let request = SubmitJobRequest {
+        name: name.to_owned(),
+        organisation: "north".to_owned(),
+        service: "plan".to_owned(),
+        job_json,
+    };
+    submit_job(jobs, &request).await
+}
+
+/// Returns the status of a job as JSON.
+pub async fn status(jobs: &JobsHandle, name: &str) -> Value {
+    let request = crate::rpc::JobNameRequest { name: name.to_owned() };
+    let reply = super::super::get_job(jobs, &request).await;
+    serde_json::from_str(&reply.status_json).unwrap_or_else(|_| panic!("no status: {reply:?}"))
+}
+
+/// Returns the explanation of a job as JSON.
+pub async fn explain(jobs: &JobsHandle, name: &str) -> Value {
+    let request = crate::rpc::JobNameRequest { name: name.to_owned() };
+    let reply = super::super::explain_job(jobs, &request).await;
+    serde_json::from_str(&reply.status_json).unwrap_or_else(|_| panic!("no status: {reply:?}"))
+}
+
+/// Waits until the job has ended and returns the result.
+pub async fn wait_for_end(jobs: &JobsHandle, name: &str) -> String {
+    for _ in 0..6_000 {
+        let status = status(jobs, name).await;
+        if let Some(result) = status["end"]["result"].as_str() {
+            return result.to_owned();
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    panic!("job {name} has not ended after 600 s: {:?}", status(jobs, name).await);
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -9,5 +9,7 @@
 mod gangs;
 mod server;
 
+#[cfg(test)]
+pub(crate) use gangs::{Gangs, Room};
 pub use gangs::{MemberRun, RunEnd};
 pub use server::{RunningStandin, StandinSettings, start};
--- a/src/upstream_http/gangs.rs
+++ b/src/upstream_http/gangs.rs
@@ -164,7 +164,7 @@
 }
 
 /// Body of a gang message.
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 struct Body<T> {
     #[serde(flatten)]
     sender: Sender,
@@ -173,6 +173,32 @@
 }
 
 impl GangRequest {
+    /// Returns the path of the message.
+    pub(crate) const fn path(&self) -> &'static str {
+        match self.message {
+            GangMessage::Stage(_) => "/v1/gangs/stage",
+            GangMessage::Commit(_) => "/v1/gangs/commit",
+            GangMessage::Renew(_) => "/v1/gangs/renew",
+            GangMessage::Checkpoint(_) => "/v1/gangs/checkpoint",
+            GangMessage::Stop(_) => "/v1/gangs/stop",
+        }
+    }
+
+    /// Writes the body of the message.
+    ///
+    /// # Errors
+    /// Returns an error if the message cannot be written as JSON.
+    pub(crate) fn to_body(&self) -> serde_json::Result<Vec<u8>> {
+        let sender = self.sender;
+        match &self.message {
+            GangMessage::Stage(content) => write(sender, content),
+            GangMessage::Commit(content) => write(sender, content),
+            GangMessage::Renew(content) => write(sender, content),
+            GangMessage::Checkpoint(content) => write(sender, content),
+            GangMessage::Stop(content) => write(sender, content),
+        }
+    }
+
     /// Reads a message; `None` if no message has this path.
     pub(crate) fn read(path: &str, body: &[u8]) -> Option<serde_json::Result<Self>> {
         let name = path.strip_prefix(GANG_PATH_PREFIX)?;
@@ -187,6 +213,10 @@
     }
 }
 
+fn write(sender: Sender, content: &impl Serialize) -> serde_json::Result<Vec<u8>> {
+    serde_json::to_vec(&Body { sender, content })
+}
+
 fn parse<T: DeserializeOwned>(
     body: &[u8],
     message: fn(T) -> GangMessage,
