--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod epoch;
 mod event;
 mod fence;
+mod jobs;
 mod metrics;
 mod put_document;
 mod records;
