--- a/src/control/shares/tests.rs
+++ b/src/control/shares/tests.rs
@@ -1,1 +1,165 @@
-//! Tests.
+//! Shares by demand, and a randomised run with partitions, lost and reordered messages.
+
+mod run;
+
+use rstest::rstest;
+
+use super::{Demand, Shares, UpstreamLimits};
+use crate::names::{HostName, UpstreamName};
+use run::Run;
+
+const SILENCE_MS: u64 = 3160;
+
+fn host(number: usize) -> HostName {
+    format!("entry-{number}").parse().expect("a name")
+}
+
+fn upstream() -> UpstreamName {
+    "worker-1".parse().expect("a name")
+}
+
+fn limits(slots: u32, connections: u32) -> UpstreamLimits {
+    UpstreamLimits { incarnation: 1, slots, connections }
+}
+
+/// Shares of one upstream over three hosts, with loans allowed from the start.
+fn shares(slots: u32, connections: u32) -> Shares {
+    let hosts: Vec<_> = (0..3).map(host).collect();
+    let mut shares = Shares::new(&hosts, 1, SILENCE_MS, 0);
+    shares.add(&upstream(), limits(slots, connections), SILENCE_MS);
+    shares
+}
+
+/// Sends a host's demand and the acknowledgement of everything sent to it.
+fn want(shares: &mut Shares, number: usize, slots: u32, now_ms: u64) {
+    let acknowledged = shares.revision(&host(number));
+    want_without_acknowledging(shares, number, acknowledged, slots, now_ms);
+}
+
+fn want_without_acknowledging(
+    shares: &mut Shares,
+    number: usize,
+    acknowledged: u64,
+    slots: u32,
+    now_ms: u64,
+) {
+    let demand = Demand { upstream: upstream(), slots_in_use: 0, slots_wanted: slots };
+    shares.heard(&host(number), acknowledged, &[demand], now_ms);
+}
+
+fn slots(shares: &Shares) -> Vec<u32> {
+    (0..3).map(|number| shares.list(&host(number)).first().map_or(0, |s| s.slots)).collect()
+}
+
+/// Guards against unfair or unused shares once every host has acknowledged.
+#[rstest]
+#[case::nobody_wants([0, 0, 0], [1, 1, 1])]
+#[case::one_wants_all([20, 0, 0], [6, 1, 1])]
+#[case::one_wants_little([3, 0, 0], [3, 1, 1])]
+#[case::two_want_all([20, 20, 0], [4, 3, 1])]
+#[case::all_want_all([20, 20, 20], [3, 3, 2])]
+#[case::the_rest_of_one_goes_to_another([2, 20, 0], [2, 5, 1])]
+fn loans_follow_demand(#[case] wanted: [u32; 3], #[case] expected: [u32; 3]) {
+    let mut shares = shares(8, 64);
+    for round in 0..6 {
+        for (number, slots) in wanted.into_iter().enumerate() {
+            want(&mut shares, number, slots, SILENCE_MS + round * 100);
+        }
+    }
+    assert_eq!(slots(&shares), expected);
+    let connections = (0..3).map(|number| shares.list(&host(number))[0].connections);
+    let expected = expected.into_iter().map(|slots| 10 + (slots - 1) * 6);
+    assert!(connections.eq(expected));
+}
+
+/// Guards against lending what another host may still use.
+#[test]
+fn a_slot_moves_only_after_its_holder_has_acknowledged() {
+    let mut shares = shares(8, 64);
+    let now_ms = SILENCE_MS + 10;
+    want(&mut shares, 0, 20, now_ms);
+    assert_eq!(slots(&shares), [6, 1, 1]);
+    let held = shares.revision(&host(0));
+    want_without_acknowledging(&mut shares, 0, held, 0, now_ms + 1001);
+    want(&mut shares, 1, 20, now_ms + 1002);
+    assert_eq!(slots(&shares), [1, 1, 1], "the loan is called back and not yet lent again");
+    want_without_acknowledging(&mut shares, 0, held, 0, now_ms + 1003);
+    assert_eq!(slots(&shares), [1, 1, 1]);
+    want(&mut shares, 0, 0, now_ms + 1004);
+    assert_eq!(slots(&shares), [1, 6, 1]);
+}
+
+/// Guards against lending a silent host's slots before its lease has certainly ended.
+#[test]
+fn a_silent_host_keeps_its_loan_until_its_lease_has_certainly_ended() {
+    let mut shares = shares(8, 64);
+    let now_ms = SILENCE_MS + 10;
+    want(&mut shares, 0, 20, now_ms);
+    want(&mut shares, 1, 20, now_ms + SILENCE_MS);
+    shares.tick(now_ms + SILENCE_MS);
+    assert_eq!(slots(&shares)[1], 1);
+    shares.tick(now_ms + SILENCE_MS + 1);
+    assert_eq!(slots(&shares), [1, 6, 1]);
+}
+
+/// Guards against lending what control had lent before it was restarted.
+#[test]
+fn nothing_is_lent_before_earlier_loans_have_ended() {
+    let hosts: Vec<_> = (0..3).map(host).collect();
+    let mut shares = Shares::new(&hosts, 1, SILENCE_MS, 0);
+    shares.add(&upstream(), limits(8, 64), 0);
+    want(&mut shares, 0, 20, SILENCE_MS - 1);
+    assert_eq!(slots(&shares), [1, 1, 1]);
+    shares.tick(SILENCE_MS);
+    assert_eq!(slots(&shares), [6, 1, 1]);
+}
+
+/// Guards against slots that wander between hosts whose demand comes and goes.
+#[test]
+fn loans_do_not_oscillate_with_short_peaks() {
+    let mut shares = shares(8, 64);
+    let mut revisions = Vec::new();
+    for round in 0..200_u64 {
+        let now_ms = SILENCE_MS + round * 50;
+        let busy = usize::try_from(round / 3 % 2).expect("0 or 1");
+        want(&mut shares, busy, 9, now_ms);
+        want(&mut shares, 1 - busy, 0, now_ms);
+        revisions.push(shares.total_revision());
+    }
+    assert_eq!(slots(&shares), [4, 3, 1]);
+    assert_eq!(revisions[40], revisions[199], "the shares settle within 2 s");
+}
+
+/// Guards against shares that keep a limit only on paper: connections below slots, odd numbers.
+#[rstest]
+#[case(3, 6, [1, 1, 1])]
+#[case(4, 6, [2, 1, 1])]
+#[case(9, 7, [5, 1, 1])]
+#[case(200, 4096, [198, 1, 1])]
+fn small_and_odd_limits_are_kept(
+    #[case] most_slots: u32,
+    #[case] connections: u32,
+    #[case] expected: [u32; 3],
+) {
+    let mut shares = shares(most_slots, connections);
+    want(&mut shares, 0, 1000, SILENCE_MS);
+    assert_eq!(slots(&shares), expected);
+}
+
+/// Guards against hosts that together use more than an upstream's limit during partitions.
+#[rstest]
+fn a_randomised_run_keeps_the_limits(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut run = Run::new(seed, SILENCE_MS);
+    run.steps(20_000);
+    assert_eq!(run.violations, 0);
+    assert!(run.most_lent >= 5, "the run lends: {}", run.most_lent);
+    run.heal();
+}
+
+/// Guards against a run that could not notice a lease counted too short.
+#[test]
+fn the_run_notices_a_lease_that_is_counted_too_short() {
+    let mut run = Run::new(1, 1500);
+    run.steps(20_000);
+    assert!(run.violations > 0);
+}
--- /dev/null
+++ b/src/control/shares/tests/run.rs
@@ -0,0 +1,278 @@
+//! A model of entry hosts and their links, against which the shares are run.
+
+use std::collections::BTreeMap;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::super::{Demand, Shares, UpstreamLimits};
+use super::host;
+use crate::names::UpstreamName;
+use crate::rpc;
+
+const LEASE_MS: u64 = 3000;
+const HOSTS: usize = 3;
+const UPSTREAMS: usize = 2;
+const LIMITS: UpstreamLimits = UpstreamLimits { incarnation: 1, slots: 8, connections: 64 };
+
+/// A message of a host.
+struct Request {
+    arrives_ms: u64,
+    from: usize,
+    life: u64,
+    sequence: u64,
+    acknowledged: u64,
+    demands: Vec<Demand>,
+}
+
+/// A message of control.
+struct Reply {
+    arrives_ms: u64,
+    to: usize,
+    life: u64,
+    sequence: u64,
+    revision: u64,
+    shares: Vec<rpc::Share>,
+}
+
+/// A host that follows the rules of the watch stream.
+#[derive(Default, Clone)]
+struct Host {
+    life: u64,
+    sequence: u64,
+    sent_ms: Vec<u64>,
+    revision: u64,
+    shares: Vec<rpc::Share>,
+    lease_until_ms: u64,
+    /// Real time for 1,000 ms of its clock.
+    rate: u64,
+    cut_until_ms: u64,
+}
+
+pub(super) struct Run {
+    rng: StdRng,
+    now_ms: u64,
+    shares: Shares,
+    /// Incarnation of each upstream.
+    incarnations: Vec<u64>,
+    hosts: Vec<Host>,
+    requests: Vec<Request>,
+    replies: Vec<Reply>,
+    /// Newest life and sequence heard of each host.
+    heard: BTreeMap<usize, (u64, u64)>,
+    pub(super) violations: u64,
+    pub(super) most_lent: u32,
+}
+
+fn upstream(number: usize) -> UpstreamName {
+    format!("worker-{number}").parse().expect("a name")
+}
+
+impl Run {
+    /// Starts a run in which control takes loans back after a silence of this length.
+    pub(super) fn new(seed: u64, silence_ms: u64) -> Self {
+        let names: Vec<_> = (0..HOSTS).map(host).collect();
+        let mut shares = Shares::new(&names, 1, silence_ms, 0);
+        for number in 0..UPSTREAMS {
+            shares.add(&upstream(number), LIMITS, 0);
+        }
+        let mut rng = StdRng::seed_from_u64(seed);
+        // Clocks differ from control's by up to 2 %.
+        let new = |rng: &mut StdRng| Host { rate: rng.random_range(980..=1020), ..Host::default() };
+        let hosts = (0..HOSTS).map(|_| new(&mut rng)).collect();
+        Self {
+            rng,
+            now_ms: 0,
+            shares,
+            incarnations: vec![1; UPSTREAMS],
+            hosts,
+            requests: Vec::new(),
+            replies: Vec::new(),
+            heard: BTreeMap::new(),
+            violations: 0,
+            most_lent: 0,
+        }
+    }
+
+    pub(super) fn steps(&mut self, count: u32) {
+        for _ in 0..count {
+            self.now_ms += self.rng.random_range(1..40);
+            self.step();
+            self.deliver();
+            self.check();
+        }
+    }
+
+    fn step(&mut self) {
+        let number = self.rng.random_range(0..HOSTS);
+        match self.rng.random_range(0..1000) {
+            0..400 => {
+                let slots = self.rng.random_range(0..12);
+                self.send(number, slots);
+            }
+            400..600 => self.shares.tick(self.now_ms),
+            600..605 => {
+                let cut_ms = self.rng.random_range(100..10_000);
+                self.hosts[number].cut_until_ms = self.now_ms + cut_ms;
+            }
+            605..607 => self.restart(number),
+            607..610 => self.change_upstream(),
+            _ => {}
+        }
+    }
+
+    fn restart(&mut self, number: usize) {
+        let old = &self.hosts[number];
+        let host = Host { life: old.life + 1, rate: old.rate, ..Host::default() };
+        self.hosts[number] = host;
+    }
+
+    fn change_upstream(&mut self) {
+        let number = self.rng.random_range(0..UPSTREAMS);
+        let name = upstream(number);
+        match self.rng.random_range(0..3) {
+            0 => self.shares.suspend(&name, self.now_ms),
+            1 => self.shares.remove(&name),
+            _ => self.incarnations[number] += 1,
+        }
+        let incarnation = self.incarnations[number];
+        if self.rng.random_bool(0.7) {
+            // An incarnation that has left never returns.
+            self.incarnations[number] += 1;
+        }
+        let limits = UpstreamLimits { incarnation: self.incarnations[number], ..LIMITS };
+        if self.incarnations[number] > incarnation {
+            self.shares.add(&name, limits, self.now_ms);
+        }
+    }
+
+    /// Sends a host's demand; the message may be lost or delayed, and so overtaken.
+    fn send(&mut self, number: usize, slots: u32) {
+        let now_ms = self.now_ms;
+        let delay_ms = self.delay_ms();
+        let host = &mut self.hosts[number];
+        host.sequence += 1;
+        host.sent_ms.push(now_ms);
+        let demand = |at| Demand { upstream: upstream(at), slots_in_use: 0, slots_wanted: slots };
+        let request = Request {
+            arrives_ms: now_ms + delay_ms,
+            from: number,
+            life: host.life,
+            sequence: host.sequence,
+            acknowledged: host.revision,
+            demands: (0..UPSTREAMS).map(demand).collect(),
+        };
+        if !self.is_lost(number) {
+            self.requests.push(request);
+        }
+    }
+
+    fn delay_ms(&mut self) -> u64 {
+        if self.rng.random_bool(0.05) {
+            self.rng.random_range(0..8000)
+        } else {
+            self.rng.random_range(0..20)
+        }
+    }
+
+    fn is_lost(&mut self, number: usize) -> bool {
+        self.hosts[number].cut_until_ms > self.now_ms || self.rng.random_bool(0.1)
+    }
+
+    fn deliver(&mut self) {
+        let now_ms = self.now_ms;
+        while let Some(at) = self.requests.iter().position(|r| r.arrives_ms <= now_ms) {
+            let request = self.requests.swap_remove(at);
+            self.receive(&request);
+        }
+        while let Some(at) = self.replies.iter().position(|r| r.arrives_ms <= now_ms) {
+            let reply = self.replies.swap_remove(at);
+            self.apply(reply);
+        }
+    }
+
+    /// Control takes in a message, as the watch stream does, and answers it.
+    fn receive(&mut self, request: &Request) {
+        let heard = self.heard.entry(request.from).or_default();
+        if request.life < heard.0 {
+            return;
+        }
+        *heard =
+            (request.life, request.sequence.max(if heard.0 == request.life { heard.1 } else { 0 }));
+        let sequence = heard.1;
+        let name = host(request.from);
+        self.shares.heard(&name, request.acknowledged, &request.demands, self.now_ms);
+        let reply = Reply {
+            arrives_ms: self.now_ms + self.delay_ms(),
+            to: request.from,
+            life: request.life,
+            sequence,
+            revision: self.shares.revision(&name),
+            shares: self.shares.list(&name),
+        };
+        if !self.is_lost(request.from) {
+            self.replies.push(reply);
+        }
+    }
+
+    fn apply(&mut self, reply: Reply) {
+        let host = &mut self.hosts[reply.to];
+        if reply.life != host.life || reply.revision < host.revision {
+            return;
+        }
+        let at = usize::try_from(reply.sequence).expect("a small number") - 1;
+        let lease_ms = LEASE_MS * 1000 / host.rate;
+        host.revision = reply.revision;
+        host.shares = reply.shares;
+        host.lease_until_ms = host.lease_until_ms.max(host.sent_ms[at] + lease_ms);
+    }
+
+    /// Slots of an upstream that a host may use now.
+    fn usable(&self, number: usize, at: usize) -> u32 {
+        let host = &self.hosts[number];
+        let incarnation = self.incarnations[at];
+        let name = upstream(at);
+        let share = host
+            .shares
+            .iter()
+            .find(|share| share.upstream == name.as_str() && share.incarnation == incarnation);
+        let is_valid = host.lease_until_ms >= self.now_ms;
+        share.filter(|_| is_valid).map_or(1, |share| share.slots)
+    }
+
+    fn check(&mut self) {
+        for at in 0..UPSTREAMS {
+            let sum: u32 = (0..HOSTS).map(|number| self.usable(number, at)).sum();
+            self.violations += u64::from(sum > LIMITS.slots);
+            self.most_lent = self.most_lent.max(sum.saturating_sub(3));
+        }
+    }
+
+    /// Ends all faults and expects the loans to follow a constant demand and to stay.
+    pub(super) fn heal(&mut self) {
+        self.requests.clear();
+        self.replies.clear();
+        let mut revision = 0;
+        for round in 0..200 {
+            self.now_ms += 100;
+            self.shares.tick(self.now_ms);
+            for number in 0..HOSTS {
+                let name = host(number);
+                let acknowledged = self.shares.revision(&name);
+                let demand =
+                    |at| Demand { upstream: upstream(at), slots_in_use: 4, slots_wanted: 4 };
+                let demands: Vec<_> = (0..UPSTREAMS).map(demand).collect();
+                self.shares.heard(&name, acknowledged, &demands, self.now_ms);
+            }
+            if round == 100 {
+                revision = self.shares.total_revision();
+            }
+        }
+        assert_eq!(self.shares.total_revision(), revision, "the shares stay");
+        for number in 0..HOSTS {
+            for share in self.shares.list(&host(number)) {
+                assert!((2..=3).contains(&share.slots), "{share:?}");
+            }
+        }
+    }
+}
