--- a/src/control/jobs/tests/loopback.rs
+++ b/src/control/jobs/tests/loopback.rs
@@ -59,6 +59,7 @@
         name: format!("u{position}").parse().expect("valid name"),
         incarnation: 1,
         address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        advertised: None,
         services: vec!["plan".parse().expect("valid name")],
         rack: "rack-0".parse().expect("valid name"),
         rack_position: position,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,10 @@
 mod epoch;
 mod event;
 mod fence;
+#[cfg_attr(
+    not(test),
+    expect(dead_code, unused_imports, reason = "the next commit joins it with the RPCs")
+)]
 mod jobs;
 mod metrics;
 mod put_document;
--- a/src/control/records/tests.rs
+++ b/src/control/records/tests.rs
@@ -29,6 +29,7 @@
             body_digest: Blob(Bytes::from_static(&[7, 255])),
         },
         intent: Intent {
+            submission: String::new(),
             host: "entry-1".parse().expect("a name"),
             upstream: "worker-1".parse().expect("a name"),
             upstream_address: "127.0.0.1:9".into(),
@@ -41,7 +42,7 @@
 }
 
 fn done(attempt: u32) -> Outcome {
-    Outcome::Done { answer: Bytes::from_static(b"posted"), attempt }
+    Outcome::Done { answer: Bytes::from_static(b"posted"), attempt, upstream_status: 200 }
 }
 
 fn not_run() -> Outcome {
@@ -111,7 +112,10 @@
 
 /// Guards against running twice, or answering a caller with another caller's answer.
 #[rstest]
-#[case::same_request(begin(ID), "Ended(Done { answer: b\"posted\", attempt: 1 })")]
+#[case::same_request(
+    begin(ID),
+    "Ended(Done { answer: b\"posted\", attempt: 1, upstream_status: 200 })"
+)]
 #[case::other_body(
     Begin { identity: Identity { body_digest: Blob(Bytes::new()), ..begin(ID).identity }, ..begin(ID) },
     "Refused(NotRun { cause: Conflict, detail: \"the key was used for another request; this one was not run\" })"
@@ -137,7 +141,7 @@
 #[case::open_done(None, 1, done(1), true)]
 #[case::open_unknown(None, 1, unknown(), true)]
 #[case::open_other_attempt(None, 2, done(2), false)]
-#[case::done_other_answer(Some(done(1)), 1, Outcome::Done { answer: Bytes::new(), attempt: 1 }, false)]
+#[case::done_other_answer(Some(done(1)), 1, Outcome::Done { answer: Bytes::new(), attempt: 1, upstream_status: 200 }, false)]
 #[case::done_unknown(Some(done(1)), 1, unknown(), false)]
 #[case::done_not_run(Some(done(1)), 1, not_run(), false)]
 #[case::unknown_done(Some(unknown()), 1, done(1), true)]
