Add guarantees, loans with reclaim, and refusal of documents that do not fit

Cause: the core had no organisations, so that guaranteed work waited like any other. Change: each guaranteed block has accelerators set aside in the pool. Work that can be stopped may borrow them; work that cannot is refused there by an assertion and, if it fits nowhere else, refused with that constraint. Guaranteed work claims its block: checkpoint request, stop after 1.0 s, start when the borrowers have ended. Blocks move when an upstream is lost, are reported and no longer lent while at risk, and are moved to make room before a document is refused. Conclusion: the 1.7 s bound leaves 0.7 s for stop, stage and commit answers. A borrower whose member does not answer the stop holds its block until its lease has certainly ended.

--- a/src/scheduler/cancel.rs
+++ b/src/scheduler/cancel.rs
@@ -41,8 +41,19 @@
             return None;
         }
         let (n, largest) = (class.accelerators, self.pool.largest(View::Layout));
-        (n > largest).then(|| {
-            format!("no rack has {n} adjacent accelerators; the largest block has {largest}")
+        if n > largest {
+            return Some(format!(
+                "no rack has {n} adjacent accelerators; the largest block has {largest}"
+            ));
+        }
+        let holder = class.guaranteed.as_ref();
+        let own = holder.is_some_and(|holder| self.organisations.has_cell_for(holder, n));
+        let unreserved = self.pool.largest(View::Unreserved);
+        (!own && !class.reclaimable && n > unreserved).then(|| {
+            format!(
+                "a job that can be neither checkpointed nor stopped cannot run on a loan, and at \
+                 most {unreserved} adjacent accelerators lie outside guaranteed blocks"
+            )
         })
     }
 
@@ -67,8 +78,8 @@
     /// Ends a job that waits.
     fn end_waiting(&mut self, name: &JobName, end: impl FnOnce(Ran) -> JobEnd) {
         let Some(job) = self.jobs.get(name) else { return };
-        if self.queue.remove(&job.spec, job.accepted_ms) {
-            let end = end(job.ran);
+        let end = end(job.ran);
+        if self.queue.remove(&job.spec, job.accepted_ms) || self.drop_claim(name) {
             self.end_job(name, end);
         }
     }
--- a/src/scheduler/decision.rs
+++ b/src/scheduler/decision.rs
@@ -7,6 +7,7 @@
 use super::document::Guarantees;
 use super::event::GangId;
 use super::job::{JobEnd, JobSpec};
+use super::organisation::CellId;
 use crate::names::{JobName, OrganisationName, RackName, ServiceName, UpstreamName};
 
 /// One gang's part of a renewal message.
@@ -18,7 +19,7 @@
     pub lease_ms: u64,
 }
 
-/// Part of a gang on one upstream.
+/// Part of a gang or of a guaranteed block on one upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
     /// Upstream of the member.
@@ -76,6 +77,13 @@
         /// How it ended.
         end: JobEnd,
     },
+    /// Accelerators were set aside for a guaranteed block.
+    Home {
+        /// Guaranteed block.
+        cell: CellId,
+        /// Accelerators of the block; empty if none are left.
+        members: SmallVec<[MemberRecord; 1]>,
+    },
     /// The guarantees of a service document took effect.
     Guarantees(Guarantees),
 }
--- a/src/scheduler/explain.rs
+++ b/src/scheduler/explain.rs
@@ -58,6 +58,16 @@
 
     fn explain_wait(&self, job: &Job, now_ms: u64, explanation: &mut Explanation) {
         let n = job.spec.accelerators;
+        if let Some(claim) = self.claims.get(&job.spec.name) {
+            let borrowers = self.gangs_in(&claim.block);
+            let jobs = borrowers.iter().filter_map(|id| Some(self.gangs.get(id)?.job.to_string()));
+            let jobs = jobs.collect::<Vec<_>>().join(", ");
+            explanation.waiting_ms = now_ms.saturating_sub(job.waiting_since_ms);
+            explanation.waits_because =
+                Some(format!("its guaranteed block is reclaimed from {jobs}"));
+            explanation.would_start_if = Some(format!("{jobs} stopped"));
+            return;
+        }
         let ahead = self.queue.ahead_of(&job.spec, job.accepted_ms);
         let largest = self.pool.largest(View::Open);
         explanation.waiting_ms = now_ms.saturating_sub(job.waiting_since_ms);
@@ -89,6 +99,7 @@
         });
         let upstreams = gang.members.iter().map(|m| self.pool.upstream(m.upstream).name.clone());
         explanation.upstreams = upstreams.collect();
+        explanation.borrowed_from = self.lenders(id);
         if let Some(reason) = &gang.stop {
             explanation.stopped_because = Some(reason.to_string());
         }
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -10,6 +10,7 @@
     CONFIRM_REPEAT_MS, GANG_LEASE_MS, STAGE_HOLD_MS, STAGE_TIMEOUT_MS, START_LEASE_MS,
     STOP_REPEAT_MS, certain_end_ms,
 };
+use super::organisation::CellId;
 use super::pool::UpstreamIx;
 use crate::names::{JobName, OrganisationName, UpstreamName};
 
@@ -107,8 +108,8 @@
     pub started_ms: Option<u64>,
     /// Time at which the commit was sent, once it was.
     pub committed_ms: Option<u64>,
-    /// Whether the gang runs on capacity that a guarantee can reclaim.
-    pub on_loan: bool,
+    /// Guaranteed block of its own organisation in which the gang runs.
+    pub own_cell: Option<CellId>,
     /// Time at which a reclaimed gang is stopped after its checkpoint request.
     pub reclaim: Option<Reclaim>,
     /// Number of the last usage report acted on.
@@ -141,7 +142,7 @@
             stop: None,
             started_ms: None,
             committed_ms: None,
-            on_loan: false,
+            own_cell: None,
             reclaim: None,
             usage_sequence: 0,
             used_ms: 0,
--- a/src/scheduler/invariants.rs
+++ b/src/scheduler/invariants.rs
@@ -22,6 +22,39 @@
     pub fn check_all(&self) {
         self.check_accelerators();
         self.check_jobs();
+        self.check_guarantees();
+    }
+
+    /// Guaranteed blocks are disjoint, and stopping borrowers makes room for each that is not
+    /// reported as at risk.
+    fn check_guarantees(&self) {
+        for (id, cell) in &self.organisations.cells {
+            for (ix, mask) in &cell.home {
+                let upstream = self.pool.upstream(*ix);
+                assert!(upstream.cells.contains(&(*id, *mask)), "a block lost its accelerators");
+                assert!(
+                    cell.risk.is_some() || upstream.is_sound(),
+                    "the loss of {} puts a guarantee at risk without a report",
+                    upstream.name
+                );
+            }
+            assert!(cell.risk.is_some() || !cell.home.is_empty(), "a guarantee has no place");
+            for gang in self.gangs_in(&cell.home) {
+                let gang = &self.gangs[&gang];
+                assert!(
+                    cell.risk.is_some() || gang.own_cell == Some(*id) || self.is_reclaimable(gang),
+                    "gang {} cannot be stopped and is in the way of a guarantee",
+                    gang.id
+                );
+            }
+        }
+        for upstream in &self.pool.upstreams {
+            let cells = upstream.cells.iter().fold(0, |reserved, (_, mask)| {
+                assert!(reserved & mask == 0, "two blocks share accelerators of {}", upstream.name);
+                reserved | mask
+            });
+            assert!(cells == upstream.reserved, "reserved accelerators of {} leak", upstream.name);
+        }
     }
 
     /// Every accelerator in use belongs to exactly one gang, and the reverse.
@@ -48,7 +81,8 @@
     /// A job waits in the queue, has one live gang, or has ended.
     fn check_jobs(&self) {
         let waiting = self.jobs.values().filter(|job| job.state == JobState::Waiting).count();
-        assert!(waiting == self.queue.len(), "{waiting} jobs wait, {} queued", self.queue.len());
+        let queued = self.queue.len() + self.claims.len();
+        assert!(waiting == queued, "{waiting} jobs wait, {queued} are queued or claim a block");
         for job in self.jobs.values() {
             if let JobState::Placed(id) = job.state {
                 assert!(self.gangs.contains_key(&id), "job {} lost its gang", job.spec.name);
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -6,6 +6,7 @@
 use super::event::GangId;
 use super::gang::StopReason;
 use super::limits::{ACCELERATORS_LIMIT, JOB_FAILURE_LIMIT};
+use super::organisation::Holder;
 use crate::names::{JobName, OrganisationName, ServiceName, UpstreamName};
 
 /// A job as submitted by a caller.
@@ -43,6 +44,14 @@
         self.can_checkpoint || self.can_stop
     }
 
+    /// Returns whose guaranteed blocks the job may use.
+    #[must_use]
+    pub fn holder(&self) -> Option<Holder> {
+        let (service, organisation) = (&self.service, &self.organisation);
+        self.guaranteed
+            .then(|| Holder { service: service.clone(), organisation: organisation.clone() })
+    }
+
     /// Returns the constraint that no pool could meet, if there is one.
     #[must_use]
     pub fn contradiction(&self) -> Option<String> {
--- a/src/scheduler/leases.rs
+++ b/src/scheduler/leases.rs
@@ -21,6 +21,8 @@
                 Timer::Rack(rack) => self.renew_rack(rack, now_ms),
                 Timer::Resume(ix) => self.resume_upstream(ix),
                 Timer::Forget(ix) => self.forget_upstream(ix, now_ms),
+                Timer::Reclaim(id) => self.on_reclaim_due(id, now_ms),
+                Timer::Cells => self.review_risks(now_ms),
                 Timer::Discovered => self.refuse_unrunnable(now_ms),
             }
         }
--- a/src/scheduler/limits.rs
+++ b/src/scheduler/limits.rs
@@ -48,6 +48,13 @@
 /// Failures on different upstreams after which a job is considered faulty itself.
 pub const JOB_FAILURE_LIMIT: usize = 3;
 
+/// Time between a checkpoint request and the stop of a borrower. The page allows 1.7 s until the
+/// guaranteed work starts; stop, stage and commit answers share the remaining 0.7 s.
+pub const CHECKPOINT_WAIT_MS: u64 = 1_000;
+
+/// Interval between attempts to find a place for guaranteed blocks at risk.
+pub const CELL_REVIEW_INTERVAL_MS: u64 = 1_000;
+
 /// Most gangs placed in one step, so that a burst does not delay the messages of running gangs.
 pub const PLACEMENTS_PER_STEP: usize = 8;
 
--- /dev/null
+++ b/src/scheduler/loans.rs
@@ -0,0 +1,240 @@
+//! Guaranteed work in its own blocks, and the reclaim of what was lent.
+
+use std::collections::BTreeSet;
+
+use super::event::GangId;
+use super::gang::{Phase, Reclaim, StopReason};
+use super::job::JobState;
+use super::limits::{CHECKPOINT_WAIT_MS, UPSTREAM_SHAPE_LIMIT};
+use super::organisation::{Cell, CellId, Holder};
+use super::pool::UpstreamIx;
+use super::rack::{Block, aligned_masks};
+use super::timers::Timer;
+use super::{Decision, Mask, Scheduler};
+use crate::names::{JobName, OrganisationName};
+
+/// A block of its own guarantee that a job waits for while borrowers are stopped.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Claim {
+    /// Guaranteed block that contains the accelerators.
+    pub cell: CellId,
+    /// Accelerators that the job gets.
+    pub block: Block,
+}
+
+impl Scheduler {
+    /// Returns the places for a shape within a guaranteed block, under a choice of accelerators.
+    fn places_in(
+        &self,
+        cell: &Cell,
+        count: u32,
+        avoid: &[UpstreamIx],
+        available: impl Fn(UpstreamIx, Mask) -> Mask,
+    ) -> Vec<Block> {
+        let usable = cell.home.iter().map(|&(ix, mask)| {
+            let upstream = self.pool.upstream(ix);
+            let usable = upstream.is_usable() && !avoid.contains(&ix);
+            (ix, if usable { available(ix, mask) & !upstream.claimed } else { 0 })
+        });
+        if count <= UPSTREAM_SHAPE_LIMIT {
+            let places = usable.flat_map(|(ix, mask)| {
+                aligned_masks(mask, count).map(move |place| Block::from_iter([(ix, place)]))
+            });
+            return places.collect();
+        }
+        let whole: Vec<_> = usable
+            .map(|(ix, mask)| (ix, mask, mask == self.pool.upstream(ix).whole_mask()))
+            .collect();
+        (0..whole.len()).filter_map(|start| window_from(&whole[start..], count)).collect()
+    }
+
+    /// Finds free accelerators within the holder's own blocks.
+    pub(super) fn find_own(
+        &self,
+        holder: &Holder,
+        count: u32,
+        avoid: &[UpstreamIx],
+    ) -> Option<(Block, CellId)> {
+        let free = |ix: UpstreamIx, mask| mask & !self.pool.upstream(ix).used;
+        let cells = self.organisations.cells_of(holder);
+        let mut cells: Vec<_> = cells.filter(|(_, cell)| cell.accelerators >= count).collect();
+        // The smallest block that fits leaves larger ones for larger shapes.
+        cells.sort_by_key(|(id, cell)| (cell.accelerators, *id));
+        let mut places = cells.into_iter().filter_map(|(id, cell)| {
+            let place = self.places_in(cell, count, avoid, free).into_iter().next()?;
+            Some((place, id))
+        });
+        places.next()
+    }
+
+    /// Claims accelerators of the holder's own blocks from the fewest borrowers.
+    pub(super) fn claim_own(
+        &mut self,
+        job: &JobName,
+        holder: &Holder,
+        count: u32,
+        avoid: &[UpstreamIx],
+        now_ms: u64,
+    ) -> bool {
+        let Some((cell, block)) = self.find_claim(holder, count, avoid) else { return false };
+        let Some(known) = self.jobs.get(job) else { return false };
+        self.queue.remove(&known.spec, known.accepted_ms);
+        for &(ix, mask) in &block {
+            self.pool.change(ix, |u| u.claimed |= mask);
+        }
+        let borrowers = self.gangs_in(&block);
+        self.claims.insert(job.clone(), Claim { cell, block });
+        for gang in borrowers {
+            let reason = StopReason::Reclaimed(holder.organisation.clone());
+            self.reclaim(gang, reason, now_ms);
+        }
+        true
+    }
+
+    fn find_claim(
+        &self,
+        holder: &Holder,
+        count: u32,
+        avoid: &[UpstreamIx],
+    ) -> Option<(CellId, Block)> {
+        let cells = self.organisations.cells_of(holder);
+        let cells = cells.filter(|(_, cell)| cell.accelerators >= count);
+        let places = cells.flat_map(|(id, cell)| {
+            let lent = |ix, mask| self.reclaimable_mask(ix, mask, id);
+            self.places_in(cell, count, avoid, lent).into_iter().map(move |place| (id, place))
+        });
+        places.min_by_key(|(_, place)| self.reclaim_cost(place))
+    }
+
+    /// Prefers blocks without gangs whose end has to be waited for, then the fewest borrowers.
+    fn reclaim_cost(&self, place: &Block) -> (usize, usize) {
+        let gangs = self.gangs_in(place);
+        let stopping =
+            |id: &&GangId| self.gangs.get(id).is_some_and(|g| g.phase == Phase::Stopping);
+        (gangs.iter().filter(stopping).count(), gangs.len())
+    }
+
+    /// Returns the accelerators of `mask` that are free or can be freed by stopping borrowers.
+    fn reclaimable_mask(&self, ix: UpstreamIx, mask: Mask, cell: CellId) -> Mask {
+        let gangs = self.pool.upstream(ix).gangs.iter();
+        let kept = gangs.filter(|(id, _)| {
+            let gang = self.gangs.get(id);
+            gang.is_some_and(|g| g.own_cell == Some(cell) || !self.is_reclaimable(g))
+        });
+        kept.fold(mask, |mask, (_, held)| mask & !held)
+    }
+
+    /// Asks a gang for a checkpoint and stops it after a fixed time; work that cannot write one
+    /// is stopped at once.
+    pub(super) fn reclaim(&mut self, id: GangId, reason: StopReason, now_ms: u64) {
+        let Some(gang) = self.gangs.get_mut(&id) else { return };
+        if gang.phase == Phase::Stopping || gang.reclaim.is_some() {
+            return;
+        }
+        let can_checkpoint = self.jobs.get(&gang.job).is_some_and(|job| job.spec.can_checkpoint);
+        if !can_checkpoint || gang.started_ms.is_none() {
+            return self.stop_gang(id, reason, now_ms);
+        }
+        let stop_at_ms = now_ms + CHECKPOINT_WAIT_MS;
+        gang.reclaim = Some(Reclaim { stop_at_ms, reason });
+        self.timers.set(Timer::Reclaim(id), stop_at_ms);
+        let members: Vec<_> =
+            gang.members.iter().filter(|m| !m.ended).map(|m| m.upstream).collect();
+        for ix in members {
+            let upstream = self.pool.upstream(ix).name.clone();
+            self.emit(Decision::Checkpoint { gang: id, upstream });
+        }
+    }
+
+    pub(super) fn on_reclaim_due(&mut self, id: GangId, now_ms: u64) {
+        let Some(gang) = self.gangs.get(&id) else { return };
+        if let Some(reclaim) = gang.reclaim.clone() {
+            self.stop_gang(id, reclaim.reason, now_ms);
+        }
+    }
+
+    /// Starts the jobs whose claimed accelerators are all free.
+    pub(super) fn start_claims(&mut self, now_ms: u64) {
+        let is_free = |(ix, mask): &(UpstreamIx, Mask)| self.pool.upstream(*ix).used & mask == 0;
+        let ready = self.claims.iter().filter(|(_, claim)| claim.block.iter().all(is_free));
+        let ready: Vec<JobName> = ready.map(|(job, _)| job.clone()).collect();
+        for job in ready {
+            let Some(claim) = self.take_claim(&job) else { continue };
+            self.start_gang(&job, &claim.block, Some(claim.cell), now_ms);
+        }
+    }
+
+    fn take_claim(&mut self, job: &JobName) -> Option<Claim> {
+        let claim = self.claims.remove(job)?;
+        for &(ix, mask) in &claim.block {
+            self.pool.change(ix, |u| u.claimed &= !mask);
+        }
+        Some(claim)
+    }
+
+    /// Gives up a claim; borrowers that have not been stopped yet go on.
+    pub(super) fn drop_claim(&mut self, job: &JobName) -> bool {
+        let Some(claim) = self.take_claim(job) else { return false };
+        let wanted: BTreeSet<GangId> =
+            self.claims.values().flat_map(|other| self.gangs_in(&other.block)).collect();
+        let gangs = self.gangs_in(&claim.block);
+        for gang in gangs.into_iter().filter(|gang| !wanted.contains(gang)) {
+            if let Some(gang) = self.gangs.get_mut(&gang) {
+                gang.reclaim = None;
+            }
+            self.timers.clear(Timer::Reclaim(gang));
+        }
+        self.queue.retry_all();
+        true
+    }
+
+    /// Gives up the claims that can no longer be met and queues their jobs again.
+    pub(super) fn drop_broken_claims(&mut self) {
+        let broken = self.claims.iter().filter(|(_, claim)| !self.is_claim_sound(claim));
+        for name in broken.map(|(job, _)| job.clone()).collect::<Vec<_>>() {
+            self.drop_claim(&name);
+            let Some(job) = self.jobs.get(&name) else { continue };
+            debug_assert_eq!(job.state, JobState::Waiting, "a claim belongs to a waiting job");
+            self.queue.push(&job.spec, job.accepted_ms);
+        }
+    }
+
+    fn is_claim_sound(&self, claim: &Claim) -> bool {
+        let Some(cell) = self.organisations.cells.get(&claim.cell) else { return false };
+        let in_home = |(ix, mask): &(UpstreamIx, Mask)| {
+            cell.home.iter().any(|(home, home_mask)| home == ix && home_mask & mask == *mask)
+        };
+        let sound = |(ix, _): &(UpstreamIx, Mask)| self.pool.upstream(*ix).is_sound();
+        claim.block.iter().all(in_home) && claim.block.iter().all(sound)
+    }
+
+    /// Returns the organisations from which a gang has borrowed.
+    pub(super) fn lenders(&self, id: GangId) -> Vec<OrganisationName> {
+        let Some(gang) = self.gangs.get(&id) else { return Vec::new() };
+        let cells = gang.members.iter().flat_map(|member| {
+            let cells = self.pool.upstream(member.upstream).cells.iter();
+            cells.filter(|(_, mask)| mask & member.mask != 0).map(|(cell, _)| *cell)
+        });
+        let lent = cells.filter(|cell| gang.own_cell != Some(*cell));
+        let mut lenders: Vec<_> = lent
+            .filter_map(|id| Some(self.organisations.cells.get(&id)?.holder.organisation.clone()))
+            .collect();
+        lenders.sort();
+        lenders.dedup();
+        lenders
+    }
+}
+
+/// Takes whole upstreams from the start of `run` until they have `count` accelerators.
+fn window_from(run: &[(UpstreamIx, Mask, bool)], count: u32) -> Option<Block> {
+    let mut block = Block::new();
+    let mut size = 0;
+    for (ix, mask, _) in run.iter().take_while(|(.., whole)| *whole) {
+        block.push((*ix, *mask));
+        size += mask.count_ones();
+        if size >= count {
+            return Some(block);
+        }
+    }
+    None
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -6,14 +6,18 @@
 mod cancel;
 mod decision;
 mod document;
+mod documents;
 mod event;
 mod explain;
 mod gang;
+mod homes;
 mod invariants;
 mod job;
 mod leases;
 pub mod limits;
+mod loans;
 mod members;
+mod organisation;
 mod placing;
 mod pool;
 mod queue;
@@ -34,10 +38,13 @@
 pub use explain::Explanation;
 pub use gang::StopReason;
 pub use job::{JobEnd, JobSpec, JobState, Ran};
+pub use organisation::{CellId, Holder};
 
 use crate::names::JobName;
 use gang::Gang;
 use job::Job;
+use loans::Claim;
+use organisation::Organisations;
 use pool::Pool;
 use queue::Queue;
 use timers::{Timer, Timers};
@@ -52,6 +59,8 @@
     jobs: BTreeMap<JobName, Job>,
     gangs: BTreeMap<GangId, Gang>,
     queue: Queue,
+    organisations: Organisations,
+    claims: BTreeMap<JobName, Claim>,
     timers: Timers,
     ended: VecDeque<JobName>,
     started_ms: u64,
@@ -72,6 +81,8 @@
             jobs: BTreeMap::new(),
             gangs: BTreeMap::new(),
             queue: Queue::default(),
+            organisations: Organisations::default(),
+            claims: BTreeMap::new(),
             timers,
             ended: VecDeque::new(),
             started_ms: now_ms,
@@ -89,6 +100,9 @@
     pub fn step(&mut self, event: Event, now_ms: u64) -> Vec<Decision> {
         self.fire_timers(now_ms);
         self.apply(event, now_ms);
+        self.review_moved(now_ms);
+        self.drop_broken_claims();
+        self.start_claims(now_ms);
         self.place_waiting(now_ms);
         self.check_cheap();
         let mut decisions = std::mem::take(&mut self.persist);
@@ -101,7 +115,7 @@
             Event::UpstreamAnnounced(announcement) => self.on_announced(&announcement, now_ms),
             Event::UpstreamLost { upstream } => self.on_lost(&upstream, now_ms),
             Event::UpstreamLeaving { upstream, incarnation } => {
-                self.on_leaving(&upstream, incarnation);
+                self.on_leaving(&upstream, incarnation, now_ms);
             }
             Event::JobSubmitted(spec) => self.on_submitted(spec, now_ms),
             Event::JobCancelled { job } => self.on_cancelled(&job, now_ms),
@@ -123,7 +137,8 @@
             Event::UsageReported { gang, sequence, used_ms } => {
                 self.on_usage(gang, sequence, used_ms);
             }
-            Event::DocumentApplied(_) | Event::Tick => {}
+            Event::DocumentApplied(document) => self.on_document(document, now_ms),
+            Event::Tick => {}
         }
     }
 
--- a/src/scheduler/placing.rs
+++ b/src/scheduler/placing.rs
@@ -6,6 +6,7 @@
 use super::gang::{Gang, Member};
 use super::job::JobState;
 use super::limits::{PLACEMENTS_PER_STEP, STAGE_HOLD_MS};
+use super::organisation::CellId;
 use super::pool::UpstreamIx;
 use super::queue::Class;
 use super::rack::{Block, View};
@@ -31,8 +32,11 @@
     fn place_first_of(&mut self, class: &Class, now_ms: u64) -> bool {
         for job in self.queue.first_of(class, HEADS_PER_CLASS) {
             let avoid = self.failed_upstreams(&job);
-            if let Some((block, on_loan)) = self.find_place(class, &avoid) {
-                self.start_gang(&job, &block, on_loan, now_ms);
+            if let Some((block, cell)) = self.find_place(class, &avoid) {
+                self.start_gang(&job, &block, cell, now_ms);
+                return true;
+            }
+            if self.claim_or_borrow(&job, class, &avoid, now_ms) {
                 return true;
             }
             if avoid.is_empty() {
@@ -47,24 +51,69 @@
         failed.into_iter().flatten().filter_map(|name| self.pool.find(name)).collect()
     }
 
-    /// Finds accelerators for a class of jobs and tells whether they are a loan.
-    fn find_place(&self, class: &Class, avoid: &[UpstreamIx]) -> Option<(Block, bool)> {
-        let block = self.pool.find_block(class.accelerators, View::Open, avoid)?;
-        Some((block, false))
+    /// Finds free accelerators for a class of jobs, in its own guaranteed block or outside all.
+    fn find_place(&self, class: &Class, avoid: &[UpstreamIx]) -> Option<(Block, Option<CellId>)> {
+        let count = class.accelerators;
+        if let Some(holder) = &class.guaranteed
+            && let Some((block, cell)) = self.find_own(holder, count, avoid)
+        {
+            return Some((block, Some(cell)));
+        }
+        Some((self.pool.find_block(count, View::Open, avoid)?, None))
     }
 
-    fn start_gang(&mut self, name: &JobName, block: &Block, on_loan: bool, now_ms: u64) {
+    /// Reclaims the job's own guaranteed block, or borrows from other guarantees.
+    fn claim_or_borrow(
+        &mut self,
+        job: &JobName,
+        class: &Class,
+        avoid: &[UpstreamIx],
+        now_ms: u64,
+    ) -> bool {
+        let count = class.accelerators;
+        if let Some(holder) = &class.guaranteed
+            && self.claim_own(job, holder, count, avoid, now_ms)
+        {
+            return true;
+        }
+        if !class.reclaimable {
+            return false;
+        }
+        let Some(block) = self.pool.find_block(count, View::Lendable, avoid) else { return false };
+        self.start_gang(job, &block, None, now_ms);
+        true
+    }
+
+    /// Places a waiting job.
+    ///
+    /// # Panics
+    /// Panics if work that cannot be stopped would run on another guarantee's accelerators.
+    pub(super) fn start_gang(
+        &mut self,
+        name: &JobName,
+        block: &Block,
+        own_cell: Option<CellId>,
+        now_ms: u64,
+    ) {
         let Some(job) = self.jobs.get_mut(name) else { return };
         let id = GangId(self.next_gang);
         self.next_gang += 1;
         self.queue.remove(&job.spec, job.accepted_ms);
         job.state = JobState::Placed(id);
+        let lent = block.iter().any(|(ix, mask)| self.pool.upstream(*ix).reserved & mask != 0);
+        assert!(
+            !lent || own_cell.is_some() || job.spec.is_reclaimable(),
+            "job {name} cannot be stopped and would run on a loan"
+        );
         self.pool.take(id, block);
         let members = block.iter().map(|&(ix, mask)| self.member(ix, mask)).collect();
         let mut gang = Gang::stage(id, name.clone(), members, now_ms);
-        gang.on_loan = on_loan;
+        gang.own_cell = own_cell;
+        if let Some(cell) = own_cell.and_then(|id| self.organisations.cells.get_mut(&id)) {
+            cell.gangs.insert(id);
+        }
         self.timers.set(Timer::Gang(id), gang.deadline_ms);
-        let members = gang.members.iter().map(|m| self.member_record(m)).collect();
+        let members = gang.members.iter().map(|m| self.place_record(m.upstream, m.mask)).collect();
         self.persist(JobRecord::Placed { job: name.clone(), gang: id, members });
         for &(ix, mask) in block {
             let upstream = self.pool.upstream(ix).name.clone();
@@ -86,15 +135,16 @@
         }
     }
 
-    fn member_record(&self, member: &Member) -> MemberRecord {
-        let upstream = self.pool.upstream(member.upstream);
+    /// Describes accelerators for the journal.
+    pub(super) fn place_record(&self, ix: UpstreamIx, mask: super::Mask) -> MemberRecord {
+        let upstream = self.pool.upstream(ix);
         MemberRecord {
             upstream: upstream.name.clone(),
-            incarnation: member.incarnation,
+            incarnation: upstream.incarnation,
             rack: self.pool.racks[upstream.rack.get()].name.clone(),
             position: upstream.position,
             accelerators: upstream.accelerators,
-            mask: member.mask,
+            mask,
         }
     }
 }
--- a/src/scheduler/pool.rs
+++ b/src/scheduler/pool.rs
@@ -7,6 +7,7 @@
 use super::Mask;
 use super::event::{Announcement, GangId};
 use super::limits::{RACK_POSITIONS_LIMIT, UPSTREAM_ACCELERATORS_LIMIT, UPSTREAM_SHAPE_LIMIT};
+use super::organisation::CellId;
 use super::rack::{Block, Rack, View, find_aligned, mask_at, room};
 use crate::names::{RackName, UpstreamName};
 
@@ -57,6 +58,12 @@
     pub used: Mask,
     /// Accelerators that belong to guaranteed blocks.
     pub reserved: Mask,
+    /// Accelerators of guaranteed blocks at risk, which are not lent.
+    pub withheld: Mask,
+    /// Accelerators that waiting guaranteed work has claimed from borrowers.
+    pub claimed: Mask,
+    /// Guaranteed blocks with accelerators here.
+    pub cells: SmallVec<[(CellId, Mask); 2]>,
     /// Gangs with a member here.
     pub gangs: SmallVec<[(GangId, Mask); 4]>,
     /// Announcement that takes effect once no gang holds accelerators here.
@@ -76,15 +83,46 @@
 
     /// Returns whether new work may be placed here.
     pub fn is_usable(&self) -> bool {
-        self.mounted && self.live && !self.suspended && !self.is_leaving() && self.pending.is_none()
+        self.is_sound() && !self.suspended
+    }
+
+    /// Returns whether the upstream is there to stay; a short pause after a refusal is no reason
+    /// to move guaranteed blocks.
+    pub fn is_sound(&self) -> bool {
+        self.mounted && self.live && !self.is_leaving() && self.pending.is_none()
+    }
+
+    /// Sets accelerators aside for a guaranteed block.
+    ///
+    /// # Panics
+    /// Panics if another block has one of them, because both could not be provided together.
+    pub fn reserve(&mut self, cell: CellId, mask: Mask) {
+        assert!(self.reserved & mask == 0, "two guaranteed blocks share {}", self.name);
+        self.reserved |= mask;
+        self.cells.push((cell, mask));
+    }
+
+    /// Gives accelerators of a guaranteed block back.
+    pub fn unreserve(&mut self, cell: CellId, mask: Mask) {
+        self.reserved &= !mask;
+        self.withheld &= !mask;
+        self.cells.retain(|(id, _)| *id != cell);
+    }
+
+    /// Stops or allows lending.
+    pub fn withhold(&mut self, mask: Mask, withheld: bool) {
+        self.withheld = if withheld { self.withheld | mask } else { self.withheld & !mask };
     }
 
     /// Returns the accelerators that `view` may take.
     pub fn available(&self, view: View) -> Mask {
         match view {
             View::Layout if self.mounted => self.whole_mask(),
+            View::Unreserved if self.mounted => self.whole_mask() & !self.reserved,
             View::Open if self.is_usable() => self.whole_mask() & !self.used & !self.reserved,
-            View::Lendable if self.is_usable() => self.whole_mask() & !self.used,
+            View::Lendable if self.is_usable() => {
+                self.whole_mask() & !self.used & !self.withheld & !self.claimed
+            }
             _ => 0,
         }
     }
@@ -145,7 +183,7 @@
     }
 }
 
-const VIEWS: [View; 3] = [View::Open, View::Lendable, View::Layout];
+const VIEWS: [View; 4] = [View::Open, View::Lendable, View::Unreserved, View::Layout];
 
 /// All upstreams and racks of the data centre.
 #[derive(Debug, Default)]
@@ -158,6 +196,8 @@
     rack_names: BTreeMap<RackName, RackIx>,
     free: [FreeIndex; VIEWS.len()],
     unmounted: BTreeSet<UpstreamIx>,
+    /// Upstreams whose place changed, for a review of the guaranteed blocks on them.
+    pub moved: Vec<UpstreamIx>,
 }
 
 impl Pool {
@@ -233,6 +273,9 @@
             suspended: false,
             used: 0,
             reserved: 0,
+            withheld: 0,
+            claimed: 0,
+            cells: SmallVec::new(),
             gangs: SmallVec::new(),
             pending: None,
         });
@@ -286,6 +329,7 @@
             && let Some(a) = self.upstreams[ix.get()].pending.take()
         {
             self.unmount(ix);
+            self.moved.push(ix);
             let rack = self.rack(&a.rack);
             self.change(ix, |u| {
                 u.rack = rack;
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -3,13 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::job::JobSpec;
-use crate::names::{JobName, OrganisationName};
+use super::organisation::Holder;
+use crate::names::JobName;
 
 /// What decides whether a job can be placed; jobs of one class are interchangeable for a search.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Class {
     /// Organisation whose guaranteed blocks the job may use.
-    pub guaranteed: Option<OrganisationName>,
+    pub guaranteed: Option<Holder>,
     /// Number of adjacent accelerators.
     pub accelerators: u32,
     /// Whether the job may run on a loan.
@@ -20,7 +21,7 @@
     /// Returns the class of a job.
     pub fn of(spec: &JobSpec) -> Self {
         Self {
-            guaranteed: spec.guaranteed.then(|| spec.organisation.clone()),
+            guaranteed: spec.holder(),
             accelerators: spec.accelerators,
             reclaimable: spec.is_reclaimable(),
         }
--- a/src/scheduler/rack.rs
+++ b/src/scheduler/rack.rs
@@ -17,6 +17,8 @@
     Open,
     /// Free accelerators, with those of guaranteed blocks.
     Lendable,
+    /// Every accelerator of the layout outside guaranteed blocks, whether free or not.
+    Unreserved,
     /// Every accelerator of the layout, whether free or not.
     Layout,
 }
@@ -67,6 +69,18 @@
         sizes.max().unwrap_or(0)
     }
 
+    /// Returns every choice of whole adjacent upstreams for `count` accelerators, with the size of
+    /// the run that it is taken from.
+    pub fn windows(&self, upstreams: &[Upstream], count: u32, view: View) -> Vec<(u32, Block)> {
+        let runs = self.runs(upstreams, view);
+        let windows = runs.flat_map(|run| {
+            let size = accelerators(run, upstreams);
+            let starts = (0..run.len()).filter_map(|i| window(&run[i..], upstreams, count, &[]));
+            starts.map(move |block| (size, block)).collect::<Vec<_>>()
+        });
+        windows.collect()
+    }
+
     /// Finds whole adjacent upstreams for `count` accelerators in the smallest run that fits.
     pub fn find_run(
         &self,
@@ -119,14 +133,18 @@
     ones << offset
 }
 
+/// Returns every aligned range of `count` ≤ 8 accelerators in `free`.
+pub fn aligned_masks(free: Mask, count: u32) -> impl Iterator<Item = Mask> {
+    let offsets = (0..Mask::BITS).step_by(count.next_power_of_two() as usize);
+    let masks = offsets.map(move |offset| mask_at(offset, count));
+    masks.filter(move |mask| free & mask == *mask)
+}
+
 /// Finds an aligned range of `count` ≤ 8 accelerators in `free`, where it breaks up the fewest
 /// larger free blocks.
 pub fn find_aligned(free: Mask, count: u32) -> Option<Mask> {
     let step = count.next_power_of_two();
-    let offsets = (0..Mask::BITS).step_by(step as usize);
-    let fits = offsets.map(|offset| (offset, mask_at(offset, count)));
-    let fits = fits.filter(|(_, mask)| free & mask == *mask);
-    fits.min_by_key(|(offset, _)| broken_blocks(free, *offset, step)).map(|(_, mask)| mask)
+    aligned_masks(free, count).min_by_key(|mask| broken_blocks(free, mask.trailing_zeros(), step))
 }
 
 /// Counts the wholly free larger aligned blocks that contain `offset`.
@@ -143,5 +161,5 @@
 
 /// Returns the largest count ≤ 8 for which `free` has an aligned range.
 pub fn room(free: Mask) -> u32 {
-    (1..=UPSTREAM_SHAPE_LIMIT).rev().find(|n| find_aligned(free, *n).is_some()).unwrap_or(0)
+    (1..=UPSTREAM_SHAPE_LIMIT).rev().find(|n| aligned_masks(free, *n).next().is_some()).unwrap_or(0)
 }
--- a/src/scheduler/recovery.rs
+++ b/src/scheduler/recovery.rs
@@ -4,6 +4,7 @@
 
 use smallvec::SmallVec;
 
+use super::document::Guarantees;
 use super::event::{Announcement, GangId};
 use super::gang::{Gang, Member, StopReason};
 use super::job::{Job, JobState, Ran};
@@ -34,6 +35,9 @@
         for (id, gang) in open {
             scheduler.confirm_gang(id, &gang, now_ms);
         }
+        // The records of the places are in the journal already.
+        scheduler.persist.clear();
+        scheduler.adopt_recovered(now_ms);
         scheduler.queue_waiting(now_ms);
         scheduler
     }
@@ -62,7 +66,17 @@
                     self.remember_ended(job);
                 }
             }
-            JobRecord::Guarantees(_) => {}
+            JobRecord::Guarantees(document) => self.replay_document(&document),
+            JobRecord::Home { cell, members } => {
+                let home = members.iter().map(|m| (self.recovered_upstream(m), m.mask)).collect();
+                self.set_home(cell, &home);
+            }
+        }
+    }
+
+    fn replay_document(&mut self, document: &Guarantees) {
+        for (id, cell) in self.organisations.apply(document).removed {
+            self.clear_home(id, &cell.home);
         }
     }
 
@@ -129,6 +143,13 @@
         })
     }
 
+    fn adopt_recovered(&mut self, now_ms: u64) {
+        for id in self.organisations.cells.keys().copied().collect::<Vec<_>>() {
+            self.adopt_gangs(id);
+        }
+        self.timers.set(Timer::Cells, now_ms);
+    }
+
     fn queue_waiting(&mut self, now_ms: u64) {
         let waiting = self.jobs.values_mut().filter(|job| job.state == JobState::Waiting);
         let mut cancelled = Vec::new();
--- a/src/scheduler/stopping.rs
+++ b/src/scheduler/stopping.rs
@@ -78,6 +78,10 @@
             "gang {id} would be released while a member may work"
         );
         self.timers.clear(Timer::Gang(id));
+        self.timers.clear(Timer::Reclaim(id));
+        if let Some(cell) = gang.own_cell.and_then(|id| self.organisations.cells.get_mut(&id)) {
+            cell.gangs.remove(&id);
+        }
         for member in &gang.members {
             self.pool.release(id, member.upstream, member.mask);
         }
--- /dev/null
+++ b/src/scheduler/tests/guarantees.rs
@@ -0,0 +1,200 @@
+//! Guarantees, loans and their reclaim.
+
+use rstest::rstest;
+
+use super::harness::{Core, job, upstream};
+use crate::scheduler::{
+    Decision, Event, Guarantees, JobEnd, JobSpec, JobState, MemberEnd, Ran, Scheduler,
+};
+
+fn document(service: &str, version: u64, blocks: &[(&str, &[u32])]) -> Event {
+    let organisations = blocks.iter().map(|(organisation, sizes)| {
+        (organisation.parse().expect("valid name"), sizes.iter().copied().collect())
+    });
+    let service = service.parse().expect("valid name");
+    Event::DocumentApplied(Guarantees { service, version, organisations: organisations.collect() })
+}
+
+fn borrower(name: &str, accelerators: u32) -> JobSpec {
+    let organisation = "south".parse().expect("valid name");
+    JobSpec { organisation, can_checkpoint: true, can_stop: true, ..job(name, accelerators) }
+}
+
+fn guaranteed(name: &str, accelerators: u32) -> JobSpec {
+    JobSpec { guaranteed: true, ..job(name, accelerators) }
+}
+
+/// Builds a pool that is known for long enough to judge documents.
+fn known_pool(racks: u32, upstreams: u32) -> Core {
+    let mut core = Core::with_racks(racks, upstreams);
+    core.wait_ms(10_000);
+    core
+}
+
+/// Guards against a document that promises more than the pool can hold, adjacency included.
+#[rstest]
+#[case(&[16, 16], None)]
+#[case(&[16, 8, 4, 3], None)]
+#[case(&[24], Some("block of 24 accelerators of north does not fit"))]
+#[case(&[16, 16, 1], Some("block of 1 accelerators of north does not fit"))]
+#[case(&[8, 5, 5, 5, 1], None)]
+#[case(&[8, 5, 5, 5, 4], Some("block of 4 accelerators of north does not fit"))]
+#[case(&[65], Some("exceeds the limit of 64 adjacent ones"))]
+fn a_document_must_fit_the_pool(#[case] blocks: &[u32], #[case] reason: Option<&str>) {
+    let mut core = known_pool(2, 2);
+    core.step(document("plan", 1, &[("north", blocks)]));
+    match reason {
+        None => assert!(core.refusals.is_empty(), "{:?}", core.refusals),
+        Some(reason) => assert!(core.refusals[0].contains(reason), "{:?}", core.refusals),
+    }
+}
+
+/// Guards against a refused document that changes what was guaranteed before.
+#[test]
+fn a_refused_document_changes_nothing() {
+    let mut core = known_pool(1, 2);
+    core.step(document("plan", 1, &[("north", &[8])]));
+    let records = core.records.len();
+    core.step(document("plan", 2, &[("north", &[16, 16])]));
+    assert_eq!((core.refusals.len(), core.records.len()), (1, records));
+    core.start(borrower("b1", 8));
+    core.start(borrower("b2", 8));
+    core.submit(guaranteed("g", 8));
+    core.run_ms(1_700);
+    assert_eq!(core.stage("g"), Some("running"));
+}
+
+/// Guards against a refusal only because earlier blocks lie in the way and could be moved.
+#[test]
+fn blocks_move_to_make_room_for_a_larger_one() {
+    let mut core = known_pool(1, 3);
+    core.step(document("a", 1, &[("north", &[8])]));
+    core.step(document("b", 1, &[("north", &[8])]));
+    core.step(document("a", 2, &[]));
+    core.step(document("c", 1, &[("south", &[16])]));
+    assert!(core.refusals.is_empty(), "{:?}", core.refusals);
+}
+
+/// Guards against guaranteed work that starts later than 1.7 s after its submission, a borrower
+/// that gets no time for a checkpoint, and one that is not told why it was stopped.
+#[test]
+fn reclaim_from_a_borrower() {
+    let mut core = known_pool(1, 2);
+    core.step(document("plan", 1, &[("north", &[16])]));
+    core.start(borrower("b", 16));
+    core.wait_ms(1_000);
+    core.answer_all();
+    let explain =
+        |core: &Core, name: &str| core.scheduler.explain(&name.parse().expect("name"), core.now_ms);
+    let lent = explain(&core, "b");
+    core.take_log();
+    core.submit(guaranteed("g", 16));
+    let claimed = explain(&core, "g");
+    core.run_ms(1_600);
+    assert_eq!(core.stage("g"), Some("running"));
+    insta::assert_snapshot!(core.take_log());
+    insta::assert_json_snapshot!([lent, claimed, explain(&core, "b")]);
+}
+
+/// Guards against work on a loan that cannot be stopped.
+#[test]
+fn work_that_cannot_be_stopped_never_borrows() {
+    let mut core = known_pool(1, 2);
+    core.step(document("plan", 1, &[("south", &[8])]));
+    core.start(job("first", 8));
+    core.submit(job("second", 8));
+    assert_eq!(core.state("second"), JobState::Waiting);
+    core.submit(job("third", 16));
+    insta::assert_snapshot!(core.refusals.join("\n"));
+}
+
+/// Guards against guaranteed work that is stopped for other guaranteed work of its organisation,
+/// and against a reclaim where free accelerators would do.
+#[test]
+fn only_borrowers_are_stopped_and_only_if_needed() {
+    let mut core = known_pool(1, 3);
+    core.step(document("plan", 1, &[("north", &[8, 8])]));
+    core.start(guaranteed("g1", 8));
+    core.start(borrower("b", 8));
+    core.start(guaranteed("g2", 8));
+    core.submit(guaranteed("g3", 8));
+    core.run_ms(2_000);
+    let stages = ["g1", "g2", "b"].map(|name| core.stage(name));
+    assert_eq!(stages, [Some("running"); 3]);
+    assert_eq!(core.state("g3"), JobState::Waiting);
+}
+
+/// Guards against a cancelled reclaim that stops its borrower all the same.
+#[test]
+fn a_cancelled_claim_spares_the_borrower() {
+    let mut core = known_pool(1, 1);
+    core.step(document("plan", 1, &[("north", &[8])]));
+    let gang = core.start(borrower("b", 8));
+    core.submit(guaranteed("g", 8));
+    core.run_ms(500);
+    core.step(Event::JobCancelled { job: "g".parse().expect("name") });
+    core.run_ms(10_000);
+    assert_eq!((core.gang("b"), core.stage("b")), (gang, Some("running")));
+    assert_eq!(core.ends, [("g".to_owned(), JobEnd::Cancelled { ran: Ran::No })]);
+}
+
+/// Guards against a lost guarantee that nobody hears of, and loans that make it worse.
+#[test]
+fn a_guarantee_at_risk_is_reported_and_not_lent() {
+    let mut core = known_pool(1, 2);
+    core.step(document("plan", 1, &[("north", &[16])]));
+    core.step(Event::UpstreamLost { upstream: upstream(0, 1) });
+    assert_eq!(core.refusals, ["upstream u0-1 of the block is gone"]);
+    core.submit(borrower("b", 8));
+    core.run_ms(3_000);
+    assert_eq!(core.state("b"), JobState::Waiting);
+    core.announce(0, 1, 2);
+    core.run_ms(3_000);
+    assert_eq!(core.stage("b"), Some("running"));
+    assert_eq!(core.refusals.len(), 1);
+}
+
+/// Guards against a guarantee that stays on a lost upstream although another has room.
+#[test]
+fn a_guarantee_moves_away_from_a_lost_upstream() {
+    let mut core = known_pool(2, 1);
+    core.step(document("plan", 1, &[("north", &[8])]));
+    core.step(Event::UpstreamLost { upstream: upstream(0, 0) });
+    assert!(core.refusals.is_empty());
+    core.submit(guaranteed("g", 8));
+    assert_eq!(core.upstreams("g"), ["u1-0"]);
+}
+
+/// Guards against a guarantee that counts on accelerators of a job that cannot be stopped.
+#[test]
+fn a_job_in_the_way_is_reported_until_it_ends() {
+    let mut core = known_pool(1, 1);
+    let gang = core.start(job("old", 8));
+    core.step(document("plan", 1, &[("south", &[8])]));
+    assert_eq!(core.refusals, ["job old in the block can be neither checkpointed nor stopped"]);
+    let upstream = upstream(0, 0);
+    core.step(Event::MemberEnded { gang, upstream, end: MemberEnd::Completed });
+    core.run_ms(2_000);
+    core.submit(borrower("b", 8));
+    core.run_ms(1_000);
+    assert_eq!(core.stage("b"), Some("running"));
+}
+
+/// Guards against a restart that forgets where guaranteed blocks are and who runs in them.
+#[test]
+fn a_restart_keeps_guarantees() {
+    let mut core = known_pool(1, 2);
+    core.step(document("plan", 1, &[("north", &[8])]));
+    let gang = core.start(guaranteed("g", 8));
+    core.start(borrower("b", 8));
+    let now_ms = core.now_ms;
+    let mut next = Core::new(Scheduler::recover(core.records.iter().cloned(), now_ms));
+    next.now_ms = now_ms;
+    next.announce(0, 0, 1);
+    next.announce(0, 1, 1);
+    next.run_ms(15_000);
+    assert_eq!((next.gang("g"), next.stage("b")), (gang, Some("running")));
+    next.submit(guaranteed("g2", 8));
+    assert!(!next.inbox.iter().any(|d| matches!(d, Decision::Checkpoint { .. })));
+    assert!(next.refusals.is_empty(), "{:?}", next.refusals);
+}
--- a/src/scheduler/timers.rs
+++ b/src/scheduler/timers.rs
@@ -16,6 +16,10 @@
     Resume(UpstreamIx),
     /// A lost upstream leaves the layout.
     Forget(UpstreamIx),
+    /// A gang that was asked for a checkpoint is stopped.
+    Reclaim(GangId),
+    /// Guaranteed blocks at risk are reviewed.
+    Cells,
     /// The pool is known well enough to refuse jobs that cannot run.
     Discovered,
 }
@@ -36,6 +40,13 @@
         self.due.insert((due_ms, timer));
     }
 
+    /// Sets the due time unless the timer is due earlier.
+    pub fn set_earlier(&mut self, timer: Timer, due_ms: u64) {
+        if self.at.get(&timer).is_none_or(|at| *at > due_ms) {
+            self.set(timer, due_ms);
+        }
+    }
+
     /// Removes the timer.
     pub fn clear(&mut self, timer: Timer) {
         if let Some(old) = self.at.remove(&timer) {
--- a/src/scheduler/upstreams.rs
+++ b/src/scheduler/upstreams.rs
@@ -25,9 +25,18 @@
         for gang in self.gangs_on(ix) {
             self.resend_to(gang, ix, now_ms);
         }
+        self.review_upstream(ix, now_ms);
+        self.timers.set_earlier(Timer::Cells, now_ms);
         self.queue.retry_all();
     }
 
+    /// Reviews the guaranteed blocks of upstreams that moved to another place.
+    pub(super) fn review_moved(&mut self, now_ms: u64) {
+        for ix in std::mem::take(&mut self.pool.moved) {
+            self.review_upstream(ix, now_ms);
+        }
+    }
+
     /// Repeats the current message of a gang to a member that can be reached again.
     fn resend_to(&mut self, id: GangId, ix: UpstreamIx, now_ms: u64) {
         let Some(gang) = self.gangs.get_mut(&id) else { return };
@@ -71,13 +80,15 @@
                 self.stop_gang(id, StopReason::MemberLost(upstream.clone()), now_ms);
             }
         }
+        self.review_upstream(ix, now_ms);
         // Another upstream may have been waiting for the position.
         self.queue.retry_all();
     }
 
-    pub(super) fn on_leaving(&mut self, upstream: &UpstreamName, incarnation: u64) {
+    pub(super) fn on_leaving(&mut self, upstream: &UpstreamName, incarnation: u64, now_ms: u64) {
         let Some(ix) = self.pool.find(upstream) else { return };
         self.pool.change(ix, |u| u.leaving = u.leaving.max(Some(incarnation)));
+        self.review_upstream(ix, now_ms);
     }
 
     /// Takes an upstream that has been away for long out of the layout.
@@ -86,6 +97,7 @@
             return;
         }
         self.pool.unmount(ix);
+        self.review_upstream(ix, now_ms);
         self.refuse_unrunnable(now_ms);
     }
 
