--- a/src/scheduler/cancel.rs
+++ b/src/scheduler/cancel.rs
@@ -27,7 +27,7 @@
 
     /// Returns why a submission is refused. A repeated submission is not judged again, because
     /// its first answer stands.
-    fn refusal(&self, spec: &JobSpec, now_ms: u64) -> Option<String> {
+    fn refusal(&mut self, spec: &JobSpec, now_ms: u64) -> Option<String> {
         match self.jobs.get(&spec.name) {
             Some(job) if job.spec == *spec => None,
             Some(_) => Some("another job has this name".to_owned()),
@@ -36,7 +36,7 @@
     }
 
     /// Returns why no change of load could let a class of jobs run, if that is so.
-    pub(super) fn unrunnable(&self, class: &Class, now_ms: u64) -> Option<String> {
+    pub(super) fn unrunnable(&mut self, class: &Class, now_ms: u64) -> Option<String> {
         if now_ms < self.started_ms + POOL_DISCOVERY_MS {
             return None;
         }
@@ -49,10 +49,13 @@
         let holder = class.guaranteed.as_ref();
         let own = holder.is_some_and(|holder| self.organisations.has_cell_for(holder, n));
         let unreserved = self.pool.largest(View::Unreserved);
-        (!own && !class.reclaimable && n > unreserved).then(|| {
+        if own || class.reclaimable || n <= unreserved || !self.pool.is_complete() {
+            return None;
+        }
+        (!self.fits_beside_guarantees(n)).then(|| {
             format!(
-                "a job that can be neither checkpointed nor stopped cannot run on a loan, and at \
-                 most {unreserved} adjacent accelerators lie outside guaranteed blocks"
+                "a job that can be neither checkpointed nor stopped cannot run on a loan, and \
+                 {n} adjacent accelerators do not fit beside the guaranteed blocks"
             )
         })
     }
@@ -70,7 +73,8 @@
 
     pub(super) fn refuse_if_unrunnable(&mut self, name: &JobName, now_ms: u64) {
         let Some(job) = self.jobs.get(name) else { return };
-        if let Some(reason) = self.unrunnable(&Class::of(&job.spec), now_ms) {
+        let class = Class::of(&job.spec);
+        if let Some(reason) = self.unrunnable(&class, now_ms) {
             self.end_waiting(name, |ran| JobEnd::Unrunnable { reason, ran });
         }
     }
@@ -80,6 +84,7 @@
         let Some(job) = self.jobs.get(name) else { return };
         let end = end(job.ran);
         if self.queue.remove(&job.spec, job.accepted_ms) || self.drop_claim(name) {
+            self.end_drain(name);
             self.end_job(name, end);
         }
     }
--- a/src/scheduler/decision.rs
+++ b/src/scheduler/decision.rs
@@ -6,8 +6,8 @@
 use super::Mask;
 use super::document::Guarantees;
 use super::event::GangId;
-use super::job::{JobEnd, JobSpec};
-use super::organisation::CellId;
+use super::job::{JobEnd, JobSpec, Ran};
+use super::organisation::{CellId, OrganisationsRecord};
 use crate::names::{JobName, OrganisationName, RackName, ServiceName, UpstreamName};
 
 /// One gang's part of a renewal message.
@@ -84,6 +84,17 @@
         /// Accelerators of the block; empty if none are left.
         members: SmallVec<[MemberRecord; 1]>,
     },
+    /// State of all guarantees, instead of the documents before it; part of a snapshot.
+    Organisations(OrganisationsRecord),
+    /// What is known about earlier gangs of a job; part of a snapshot.
+    History {
+        /// Job with earlier gangs.
+        job: JobName,
+        /// Whether they have worked.
+        ran: Ran,
+    },
+    /// Lowest identity of a later gang; part of a snapshot.
+    NextGang(GangId),
     /// The guarantees of a service document took effect.
     Guarantees(Guarantees),
 }
@@ -142,6 +153,11 @@
         /// Upstream of the member.
         upstream: UpstreamName,
     },
+    /// Ask an upstream in quarantine whether it can work.
+    Probe {
+        /// Upstream to ask.
+        upstream: UpstreamName,
+    },
     /// The job was accepted, or was accepted before with the same content.
     JobAccepted {
         /// Job that was accepted.
--- a/src/scheduler/documents.rs
+++ b/src/scheduler/documents.rs
@@ -1,14 +1,13 @@
 //! Service documents: guarantees that take effect, or are refused because they do not fit.
 
-use std::cmp::Reverse;
-
 use super::document::Guarantees;
 use super::limits::{ACCELERATORS_LIMIT, POOL_DISCOVERY_MS};
-use super::organisation::{CellId, Organisations};
-use super::rack::Block;
+use super::organisation::CellId;
+use super::packing::Moves;
 use super::{Decision, JobRecord, Scheduler};
 
 impl Scheduler {
+    /// Applies a document, or keeps it until the pool is known well enough to judge it.
     pub(super) fn on_document(&mut self, document: Guarantees, now_ms: u64) {
         if !self.organisations.is_newer(&document) {
             return;
@@ -16,19 +15,38 @@
         if let Some(reason) = oversized(&document) {
             return self.refuse_document(document, reason);
         }
+        if now_ms < self.started_ms + POOL_DISCOVERY_MS {
+            self.pending_documents.push(document);
+            return;
+        }
+        self.apply_document(document, now_ms);
+    }
+
+    /// Judges what had to wait until the pool was known.
+    pub(super) fn on_discovered(&mut self, now_ms: u64) {
+        for document in std::mem::take(&mut self.pending_documents) {
+            self.on_document(document, now_ms);
+        }
+        self.refuse_unrunnable(now_ms);
+        self.queue.retry_all();
+    }
+
+    /// Applies a document. If a new block does not fit, all blocks without running guaranteed
+    /// work are placed anew, because an earlier choice may be in the way.
+    fn apply_document(&mut self, document: Guarantees, now_ms: u64) {
         let before = self.organisations.clone();
         let change = self.organisations.apply(&document);
-        let discovered = now_ms >= self.started_ms + POOL_DISCOVERY_MS;
         let records = self.persist.len();
         self.persist(JobRecord::Guarantees(document.clone()));
         for (id, cell) in &change.removed {
             self.clear_home(*id, &cell.home);
             self.disown(&cell.gangs);
         }
-        let placed = self.place_cells(change.added, discovered);
-        if let Err(reason) = placed
-            && discovered
-        {
+        let mut placed = self.place_cells(change.added, Moves::Unused);
+        if placed.is_err() {
+            placed = self.repack(Moves::Unused, None).map(|_| ());
+        }
+        if let Err(reason) = placed {
             self.restore(before);
             self.persist.truncate(records);
             return self.refuse_document(document, reason);
@@ -45,70 +63,15 @@
         self.emit(Decision::DocumentRefused { service, version, reason });
     }
 
-    fn cell_ids(&self) -> Vec<CellId> {
+    pub(super) fn cell_ids(&self) -> Vec<CellId> {
         self.organisations.cells.keys().copied().collect()
     }
 
-    fn disown<'a>(&mut self, gangs: impl IntoIterator<Item = &'a super::GangId>) {
+    pub(super) fn disown<'a>(&mut self, gangs: impl IntoIterator<Item = &'a super::GangId>) {
         for gang in gangs {
             self.gangs.get_mut(gang).map(|g| g.own_cell.take());
         }
     }
-
-    /// Sets accelerators aside for new blocks, largest first. If one does not fit, all blocks
-    /// without running guaranteed work are placed anew, because an earlier choice may be in the
-    /// way. While the pool is not known yet, blocks that fit already are left where they are.
-    ///
-    /// # Errors
-    /// Returns the block that does not fit.
-    fn place_cells(&mut self, mut cells: Vec<CellId>, discovered: bool) -> Result<(), String> {
-        let placed = self.try_place_cells(&mut cells);
-        if placed.is_ok() || !discovered {
-            return placed;
-        }
-        let movable = self.organisations.cells.iter().filter(|(_, cell)| cell.gangs.is_empty());
-        let mut movable: Vec<CellId> = movable.map(|(id, _)| *id).collect();
-        for id in &movable {
-            self.set_home(*id, &Block::new());
-        }
-        self.try_place_cells(&mut movable)
-    }
-
-    fn try_place_cells(&mut self, cells: &mut [CellId]) -> Result<(), String> {
-        cells.sort_by_key(|id| (Reverse(self.organisations.cells[id].accelerators), *id));
-        for id in cells {
-            let cell = &self.organisations.cells[id];
-            let Some((_, home)) = self.find_home(cell) else {
-                return Err(format!(
-                    "the guaranteed block of {} accelerators of {} does not fit the pool together \
-                     with the other guarantees",
-                    cell.accelerators, cell.holder.organisation
-                ));
-            };
-            self.set_home(*id, &home);
-        }
-        Ok(())
-    }
-
-    /// Returns to the blocks and places of an earlier state.
-    fn restore(&mut self, before: Organisations) {
-        for (id, cell) in std::mem::take(&mut self.organisations).cells {
-            self.clear_home(id, &cell.home);
-            self.disown(&cell.gangs);
-        }
-        self.organisations = before;
-        for id in self.cell_ids() {
-            let cell = &self.organisations.cells[&id];
-            let (home, at_risk) = (cell.home.clone(), cell.risk.is_some());
-            for &(ix, mask) in &home {
-                self.pool.change(ix, |u| {
-                    u.reserve(id, mask);
-                    u.withhold(mask, at_risk);
-                });
-            }
-            self.adopt_gangs(id);
-        }
-    }
 }
 
 fn oversized(document: &Guarantees) -> Option<String> {
--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -35,6 +35,9 @@
     pub position: u32,
     /// Number of accelerators.
     pub accelerators: u32,
+    /// Whether this incarnation is leaving and takes no new work.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// How one member of a gang ended by itself.
@@ -149,6 +152,13 @@
         /// Accelerator time used so far, in milliseconds.
         used_ms: u64,
     },
+    /// An upstream in quarantine answered a probe.
+    ProbeAnswered {
+        /// Upstream that answered.
+        upstream: UpstreamName,
+        /// Whether it can work.
+        healthy: bool,
+    },
     /// A service document is to take effect.
     DocumentApplied(Guarantees),
     /// Time has passed.
--- a/src/scheduler/explain.rs
+++ b/src/scheduler/explain.rs
@@ -4,13 +4,12 @@
 
 use super::gang::{Phase, StopReason};
 use super::job::{Job, JobState};
-use super::queue::Class;
 use super::rack::View;
 use super::{GangId, Scheduler};
 use crate::names::{JobName, OrganisationName, UpstreamName};
 
 /// Why a job is where it is.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Explanation {
     /// Job that is explained.
     pub job: JobName,
@@ -30,6 +29,10 @@
     pub borrowed_from: Vec<OrganisationName>,
     /// Why the job's latest gang was stopped.
     pub stopped_because: Option<String>,
+    /// Run time expected from the declaration and from earlier work of the same kind.
+    pub expected_run_ms: Option<u64>,
+    /// Share of its accelerators that earlier work of the same kind used.
+    pub expected_use: Option<f64>,
 }
 
 impl Scheduler {
@@ -47,6 +50,8 @@
             waiting_ms: 0,
             borrowed_from: Vec::new(),
             stopped_because: job.last_stop.as_ref().map(StopReason::to_string),
+            expected_run_ms: self.expected_run_ms(&job.spec),
+            expected_use: self.learned.size_ratio(&job.spec),
         };
         match job.state {
             JobState::Waiting => self.explain_wait(job, now_ms, &mut explanation),
@@ -73,21 +78,34 @@
         explanation.waiting_ms = now_ms.saturating_sub(job.waiting_since_ms);
         let reason = if largest >= n && !job.failed_on.is_empty() {
             format!("it failed on {} upstreams, and no other has room", job.failed_on.len())
+        } else if let Some(risk) = self.own_risk(&job.spec) {
+            format!("its guaranteed block is at risk: {risk}")
         } else if largest >= n {
             format!("{ahead} jobs are ahead of it")
         } else {
             format!("no {n} adjacent accelerators are free; the largest free block has {largest}")
         };
         explanation.waits_because = Some(reason);
-        let unrunnable = self.unrunnable(&Class::of(&job.spec), now_ms);
-        let start = unrunnable.unwrap_or_else(|| {
+        let start = if let Some(drain) = self.drains.get(&job.spec.name) {
+            let first = &self.pool.upstream(drain.block[0].0).name;
+            format!("the block drained for it at upstream {first} becomes free")
+        } else {
             format!(
                 "{n} adjacent accelerators of one rack become free after {ahead} jobs ahead of it"
             )
-        });
+        };
         explanation.would_start_if = Some(start);
     }
 
+    /// Returns why the guaranteed blocks that could hold a job cannot be provided, if so.
+    fn own_risk(&self, spec: &super::JobSpec) -> Option<String> {
+        let holder = spec.holder()?;
+        let cells = self.organisations.cells_of(&holder);
+        let cells: Vec<_> = cells.filter(|(_, c)| c.accelerators >= spec.accelerators).collect();
+        let all_at_risk = cells.iter().all(|(_, cell)| cell.risk.is_some());
+        if all_at_risk { cells.first()?.1.risk.clone() } else { None }
+    }
+
     fn explain_gang(&self, id: GangId, explanation: &mut Explanation) {
         let Some(gang) = self.gangs.get(&id) else { return };
         explanation.stage = Some(match gang.phase {
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -104,6 +104,8 @@
     pub round: u64,
     /// Why the gang is stopped, once it is.
     pub stop: Option<StopReason>,
+    /// Time at which the gang was placed.
+    pub staged_ms: u64,
     /// Time at which every member had started, once known.
     pub started_ms: Option<u64>,
     /// Time at which the commit was sent, once it was.
@@ -140,6 +142,7 @@
             lease_until_ms: now_ms,
             round: 0,
             stop: None,
+            staged_ms: now_ms,
             started_ms: None,
             committed_ms: None,
             own_cell: None,
--- a/src/scheduler/homes.rs
+++ b/src/scheduler/homes.rs
@@ -3,8 +3,11 @@
 use super::Scheduler;
 use super::event::GangId;
 use super::gang::{Gang, Phase};
-use super::limits::{CELL_REVIEW_INTERVAL_MS, POOL_DISCOVERY_MS, UPSTREAM_SHAPE_LIMIT};
+use super::limits::{
+    CELL_REVIEW_INTERVAL_MS, POOL_DISCOVERY_MS, REPACK_INTERVAL_MS, UPSTREAM_SHAPE_LIMIT,
+};
 use super::organisation::{Cell, CellId, Holder};
+use super::packing::Moves;
 use super::pool::{RackIx, UpstreamIx};
 use super::rack::{Block, View, aligned_masks, room};
 use super::timers::Timer;
@@ -37,27 +40,26 @@
     }
 
     /// Finds accelerators for a guaranteed block, with as few obstacles as possible.
-    pub(super) fn find_home(&self, cell: &Cell) -> Option<(Cost, Block)> {
-        let count = cell.accelerators;
+    pub(super) fn find_home(&self, count: u32) -> Option<(Cost, Block)> {
         if let Some(block) = self.pool.find_block(count, View::Open, &[]) {
             return Some(((0, 0, 0), block));
         }
         if count > UPSTREAM_SHAPE_LIMIT {
-            return self.find_home_run(cell);
+            return self.find_home_run(count);
         }
         let upstreams = 0..u32::try_from(self.pool.upstreams.len()).unwrap_or(u32::MAX);
-        let homes = upstreams.filter_map(|ix| self.find_home_on(UpstreamIx(ix), cell));
+        let homes = upstreams.filter_map(|ix| self.find_home_on(UpstreamIx(ix), count));
         homes.min_by_key(|(cost, _)| *cost)
     }
 
-    fn find_home_on(&self, ix: UpstreamIx, cell: &Cell) -> Option<(Cost, Block)> {
+    fn find_home_on(&self, ix: UpstreamIx, count: u32) -> Option<(Cost, Block)> {
         let upstream = self.pool.upstream(ix);
         let unreserved = upstream.available(View::Unreserved);
         if !upstream.is_sound() || unreserved == 0 {
             return None;
         }
         let blocked = self.blocked_mask(ix);
-        let masks = aligned_masks(unreserved, cell.accelerators);
+        let masks = aligned_masks(unreserved, count);
         let costs = masks.map(|mask| {
             let broken = room(unreserved) - room(unreserved & !mask).min(room(unreserved));
             (((blocked & mask).count_ones(), (upstream.used & mask).count_ones(), broken), mask)
@@ -65,15 +67,15 @@
         costs.min().map(|(cost, mask)| (cost, Block::from_iter([(ix, mask)])))
     }
 
-    fn find_home_run(&self, cell: &Cell) -> Option<(Cost, Block)> {
+    fn find_home_run(&self, count: u32) -> Option<(Cost, Block)> {
         let racks = 0..u32::try_from(self.pool.racks.len()).unwrap_or(u32::MAX);
-        let homes = racks.flat_map(|rack| self.home_runs(RackIx(rack), cell));
+        let homes = racks.flat_map(|rack| self.home_runs(RackIx(rack), count));
         homes.min_by_key(|(cost, _)| *cost)
     }
 
-    fn home_runs(&self, rack: RackIx, cell: &Cell) -> Vec<(Cost, Block)> {
+    fn home_runs(&self, rack: RackIx, count: u32) -> Vec<(Cost, Block)> {
         let rack = &self.pool.racks[rack.get()];
-        let windows = rack.windows(&self.pool.upstreams, cell.accelerators, View::Unreserved);
+        let windows = rack.windows(&self.pool.upstreams, count, View::Unreserved);
         let sound = windows.into_iter().filter(|(_, block)| self.is_block_sound(block));
         let costed = sound.map(|(run, block)| {
             let mut cost = (0, 0, run);
@@ -175,7 +177,7 @@
     }
 
     /// Updates the risk of a block, reports a new one and stops lending what the block needs.
-    fn update_risk(&mut self, id: CellId, now_ms: u64) {
+    pub(super) fn update_risk(&mut self, id: CellId, now_ms: u64) {
         let risk = self.risk_of(id);
         let Some(cell) = self.organisations.cells.get_mut(&id) else { return };
         let (was, is) = (cell.risk.is_some(), risk.is_some());
@@ -208,7 +210,7 @@
     fn find_other_home(&mut self, id: CellId) -> Option<(Cost, Block)> {
         let cell = self.organisations.cells.get(&id)?.clone();
         self.clear_home(id, &cell.home);
-        let found = self.find_home(&cell);
+        let found = self.find_home(cell.accelerators);
         for &(ix, mask) in &cell.home {
             self.pool.change(ix, |u| u.reserve(id, mask));
         }
@@ -237,6 +239,14 @@
 
     /// Reviews the blocks at risk, which more capacity or ended work may allow now.
     pub(super) fn review_risks(&mut self, now_ms: u64) {
+        let homeless = self.organisations.cells.values().any(|cell| cell.home.is_empty());
+        if homeless && now_ms >= self.repacked_ms + REPACK_INTERVAL_MS {
+            self.repacked_ms = now_ms;
+            // Without room for all, each block keeps what it has and stays reported.
+            if self.repack(Moves::UnusedWithoutRisk, None).is_ok() {
+                self.queue.retry_all();
+            }
+        }
         let cells = self.organisations.cells.iter().filter(|(_, cell)| cell.risk.is_some());
         for id in cells.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.review_cell(id, now_ms);
--- a/src/scheduler/leases.rs
+++ b/src/scheduler/leases.rs
@@ -19,11 +19,12 @@
             match timer {
                 Timer::Gang(id) => self.on_gang_deadline(id, now_ms),
                 Timer::Rack(rack) => self.renew_rack(rack, now_ms),
-                Timer::Resume(ix) => self.resume_upstream(ix),
+                Timer::Resume(ix) => self.on_resume_due(ix, now_ms),
+                Timer::Starvation => self.review_starvation(now_ms),
                 Timer::Forget(ix) => self.forget_upstream(ix, now_ms),
                 Timer::Reclaim(id) => self.on_reclaim_due(id, now_ms),
                 Timer::Cells => self.review_risks(now_ms),
-                Timer::Discovered => self.refuse_unrunnable(now_ms),
+                Timer::Discovered => self.on_discovered(now_ms),
             }
         }
     }
--- a/src/scheduler/limits.rs
+++ b/src/scheduler/limits.rs
@@ -37,9 +37,10 @@
 /// Allowance for the delivery of a message, part of every certain end of a lease.
 pub const DELIVERY_ALLOWANCE_MS: u64 = 100;
 
-/// Time after a start in which no job is refused for lack of matching racks: upstreams announce
-/// themselves every second, and a lease is 3 s, so the pool is known by then.
-pub const POOL_DISCOVERY_MS: u64 = 10_000;
+/// Time after a start in which no job is refused for lack of matching racks and no document is
+/// judged: upstreams announce themselves every second, and a lease is 3 s, so that the pool is
+/// known by then. Documents must be in force within 5 s.
+pub const POOL_DISCOVERY_MS: u64 = 4_000;
 
 /// Time for which a lost upstream still counts as part of its rack's layout. Most of the 400 daily
 /// restarts end sooner, and a waiting job should survive them.
@@ -55,6 +56,41 @@
 /// Interval between attempts to find a place for guaranteed blocks at risk.
 pub const CELL_REVIEW_INTERVAL_MS: u64 = 1_000;
 
+/// Least time between attempts to place all guaranteed blocks anew because one has no place.
+pub const REPACK_INTERVAL_MS: u64 = 10_000;
+
+/// Interval between reviews of the jobs that wait.
+pub const STARVATION_REVIEW_MS: u64 = 1_000;
+
+/// Wait after which a block is drained for a job.
+pub const DRAIN_AFTER_MS: u64 = 60_000;
+
+/// Run time after which a gang may be stopped by a drain. With a checkpoint and a new start within
+/// about 2 s, a drain costs the gang at most a few percent of its run.
+pub const DRAIN_MIN_RUN_MS: u64 = 60_000;
+
+/// Most blocks that are drained at once; bounds the capacity that waits for a drain's end.
+pub const DRAIN_LIMIT: usize = 2;
+
+/// Most waiting jobs for which a review looks for a block to drain.
+pub const DRAIN_CANDIDATES: usize = 4;
+
+/// Time for which an upstream that refused a stage message gets no new work, so that a full or
+/// misconfigured one is not asked in a tight loop.
+pub const REFUSAL_PAUSE_MS: u64 = 1_000;
+
+/// Different jobs that fail on one upstream in a row before the upstream is at fault.
+pub const QUARANTINE_JOBS: usize = 3;
+
+/// At most one in this many upstreams is in quarantine, which is 10% of the pool.
+pub const QUARANTINE_SHARE_DIVISOR: usize = 10;
+
+/// Time until the first probe of an upstream in quarantine; doubled after each.
+pub const PROBE_INTERVAL_MS: u64 = 10_000;
+
+/// Longest time between probes.
+pub const PROBE_INTERVAL_MAX_MS: u64 = 600_000;
+
 /// Most gangs placed in one step, so that a burst does not delay the messages of running gangs.
 pub const PLACEMENTS_PER_STEP: usize = 8;
 
--- a/src/scheduler/loans.rs
+++ b/src/scheduler/loans.rs
@@ -16,8 +16,8 @@
 /// A block of its own guarantee that a job waits for while borrowers are stopped.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Claim {
-    /// Guaranteed block that contains the accelerators.
-    pub cell: CellId,
+    /// Guaranteed block that contains the accelerators; none for a drained block.
+    pub cell: Option<CellId>,
     /// Accelerators that the job gets.
     pub block: Block,
 }
@@ -83,7 +83,7 @@
             self.pool.change(ix, |u| u.claimed |= mask);
         }
         let borrowers = self.gangs_in(&block);
-        self.claims.insert(job.clone(), Claim { cell, block });
+        self.claims.insert(job.clone(), Claim { cell: Some(cell), block });
         for gang in borrowers {
             let reason = StopReason::Reclaimed(holder.organisation.clone());
             self.reclaim(gang, reason, now_ms);
@@ -160,14 +160,21 @@
         let ready: Vec<JobName> = ready.map(|(job, _)| job.clone()).collect();
         for job in ready {
             let Some(claim) = self.take_claim(&job) else { continue };
-            self.start_gang(&job, &claim.block, Some(claim.cell), now_ms);
+            self.start_gang(&job, &claim.block, claim.cell, now_ms);
         }
     }
 
     fn take_claim(&mut self, job: &JobName) -> Option<Claim> {
         let claim = self.claims.remove(job)?;
         for &(ix, mask) in &claim.block {
-            self.pool.change(ix, |u| u.claimed &= !mask);
+            self.pool.change(ix, |u| {
+                if claim.cell.is_some() {
+                    u.claimed &= !mask;
+                } else {
+                    u.draining &= !mask;
+                    u.drained &= !mask;
+                }
+            });
         }
         Some(claim)
     }
@@ -190,7 +197,7 @@
 
     /// Gives up the claims that can no longer be met and queues their jobs again.
     pub(super) fn drop_broken_claims(&mut self) {
-        let broken = self.claims.iter().filter(|(_, claim)| !self.is_claim_sound(claim));
+        let broken = self.claims.iter().filter(|(job, claim)| !self.is_claim_sound(job, claim));
         for name in broken.map(|(job, _)| job.clone()).collect::<Vec<_>>() {
             self.drop_claim(&name);
             let Some(job) = self.jobs.get(&name) else { continue };
@@ -199,8 +206,9 @@
         }
     }
 
-    fn is_claim_sound(&self, claim: &Claim) -> bool {
-        let Some(cell) = self.organisations.cells.get(&claim.cell) else { return false };
+    fn is_claim_sound(&self, job: &JobName, claim: &Claim) -> bool {
+        let Some(cell) = claim.cell else { return self.is_drain_sound(job, claim) };
+        let Some(cell) = self.organisations.cells.get(&cell) else { return false };
         let in_home = |(ix, mask): &(UpstreamIx, Mask)| {
             cell.home.iter().any(|(home, home_mask)| home == ix && home_mask & mask == *mask)
         };
@@ -208,6 +216,19 @@
         claim.block.iter().all(in_home) && claim.block.iter().all(sound)
     }
 
+    /// A drained block goes to its job unless guaranteed work took it or an upstream is gone.
+    fn is_drain_sound(&self, job: &JobName, claim: &Claim) -> bool {
+        let reclaimable = self.jobs.get(job).is_some_and(|job| job.spec.is_reclaimable());
+        let sound = |(ix, mask): &(UpstreamIx, Mask)| {
+            let u = self.pool.upstream(*ix);
+            u.is_sound() && u.claimed & mask == 0 && (reclaimable || u.reserved & mask == 0)
+        };
+        let ends = |id: &GangId| {
+            self.gangs.get(id).is_some_and(|g| g.phase == Phase::Stopping || g.reclaim.is_some())
+        };
+        claim.block.iter().all(sound) && self.gangs_in(&claim.block).iter().all(ends)
+    }
+
     /// Returns the organisations from which a gang has borrowed.
     pub(super) fn lenders(&self, id: GangId) -> Vec<OrganisationName> {
         let Some(gang) = self.gangs.get(&id) else { return Vec::new() };
--- a/src/scheduler/members.rs
+++ b/src/scheduler/members.rs
@@ -40,7 +40,7 @@
         member.answered = staged;
         member.ended |= !staged;
         if !staged {
-            self.note_refusal(ix, now_ms);
+            self.pause_upstream(ix, now_ms);
             self.stop_gang(id, StopReason::StageRefused(upstream.clone()), now_ms);
         } else if gang.all_answered() {
             self.commit(id, now_ms);
@@ -96,6 +96,10 @@
         if gang.phase == Phase::Staging || !gang.end_member(ix, end) {
             return;
         }
+        if end == MemberEnd::Completed {
+            self.note_member_success(ix);
+        }
+        let Some(gang) = self.gangs.get(&id) else { return };
         let (phase, over, answered) = (gang.phase, gang.all_ended(), gang.all_answered());
         // A failure of a gang that is being stopped may follow from the stop.
         if end == MemberEnd::Failed && phase != Phase::Stopping {
@@ -123,10 +127,9 @@
                 self.on_member_ended(id, upstream, MemberEnd::Completed, now_ms);
             }
             MemberStatus::Failed => self.on_member_ended(id, upstream, MemberEnd::Failed, now_ms),
+            // The member has not certainly ended: a commit sent before a restart of this process may
+            // still arrive. Only the answer to a stop, or the end of the lease, is certain.
             MemberStatus::Absent => {
-                if let Some(member) = gang.member_mut(ix) {
-                    member.ended = true;
-                }
                 self.stop_gang(id, StopReason::MemberLost(upstream.clone()), now_ms);
             }
             MemberStatus::Running => {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -13,16 +13,20 @@
 mod homes;
 mod invariants;
 mod job;
+mod learning;
 mod leases;
 pub mod limits;
 mod loans;
 mod members;
 mod organisation;
+mod packing;
 mod placing;
 mod pool;
+mod quarantine;
 mod queue;
 mod rack;
 mod recovery;
+mod starvation;
 mod stopping;
 mod timers;
 mod upstreams;
@@ -43,15 +47,21 @@
 use crate::names::JobName;
 use gang::Gang;
 use job::Job;
+use learning::Learned;
 use loans::Claim;
 use organisation::Organisations;
 use pool::Pool;
+use quarantine::Quarantine;
 use queue::Queue;
+use starvation::Drain;
 use timers::{Timer, Timers};
 
 /// Accelerators of one upstream, one bit each.
 pub type Mask = u32;
 
+/// Rounds of one start that fit between the first rounds of starts 1 ms apart, as a power of two.
+const ROUND_BITS: u32 = 20;
+
 /// Scheduler of one data centre.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -61,6 +71,11 @@
     queue: Queue,
     organisations: Organisations,
     claims: BTreeMap<JobName, Claim>,
+    drains: BTreeMap<JobName, Drain>,
+    learned: Learned,
+    quarantine: Quarantine,
+    pending_documents: Vec<Guarantees>,
+    repacked_ms: u64,
     timers: Timers,
     ended: VecDeque<JobName>,
     started_ms: u64,
@@ -72,6 +87,8 @@
 
 impl Scheduler {
     /// Builds a scheduler without jobs and upstreams.
+    ///
+    /// `now_ms` must be later than every time that an earlier scheduler of the data centre saw.
     #[must_use]
     pub fn new(now_ms: u64) -> Self {
         let mut timers = Timers::default();
@@ -83,11 +100,18 @@
             queue: Queue::default(),
             organisations: Organisations::default(),
             claims: BTreeMap::new(),
+            drains: BTreeMap::new(),
+            learned: Learned::default(),
+            quarantine: Quarantine::default(),
+            pending_documents: Vec::new(),
+            repacked_ms: now_ms,
             timers,
             ended: VecDeque::new(),
             started_ms: now_ms,
             next_gang: 1,
-            next_round: 1,
+            // Rounds of different starts differ, so that a late answer from before a restart is
+            // not taken for the answer to a new message.
+            next_round: now_ms << ROUND_BITS,
             persist: Vec::new(),
             out: Vec::new(),
         }
@@ -104,6 +128,7 @@
         self.drop_broken_claims();
         self.start_claims(now_ms);
         self.place_waiting(now_ms);
+        self.schedule_starvation_review(now_ms);
         self.check_cheap();
         let mut decisions = std::mem::take(&mut self.persist);
         decisions.append(&mut self.out);
@@ -137,6 +162,9 @@
             Event::UsageReported { gang, sequence, used_ms } => {
                 self.on_usage(gang, sequence, used_ms);
             }
+            Event::ProbeAnswered { upstream, healthy } => {
+                self.on_probe_answered(&upstream, healthy);
+            }
             Event::DocumentApplied(document) => self.on_document(document, now_ms),
             Event::Tick => {}
         }
--- a/src/scheduler/organisation.rs
+++ b/src/scheduler/organisation.rs
@@ -50,6 +50,14 @@
     next_cell: u32,
 }
 
+/// All guarantees, as kept in a snapshot.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrganisationsRecord {
+    versions: Vec<(ServiceName, u64)>,
+    next_cell: u32,
+    cells: Vec<(CellId, Holder, u32)>,
+}
+
 /// Blocks that a document adds and removes.
 #[derive(Debug, Default)]
 pub struct CellChange {
@@ -100,6 +108,28 @@
         change
     }
 
+    /// Describes all guarantees for a snapshot.
+    pub fn record(&self) -> OrganisationsRecord {
+        let cells = self.cells.iter().map(|(id, c)| (*id, c.holder.clone(), c.accelerators));
+        OrganisationsRecord {
+            versions: self.versions.iter().map(|(s, v)| (s.clone(), *v)).collect(),
+            next_cell: self.next_cell,
+            cells: cells.collect(),
+        }
+    }
+
+    /// Rebuilds the guarantees of a snapshot, without the places of their blocks.
+    pub fn from_record(record: OrganisationsRecord) -> Self {
+        let mut organisations = Self::default();
+        organisations.versions.extend(record.versions);
+        for (id, holder, accelerators) in record.cells {
+            organisations.next_cell = id.0;
+            organisations.add(holder, accelerators);
+        }
+        organisations.next_cell = record.next_cell;
+        organisations
+    }
+
     fn cells_of_service(&self, service: &ServiceName) -> Vec<CellId> {
         let cells = self.cells.iter().filter(|(_, cell)| cell.holder.service == *service);
         cells.map(|(id, _)| *id).collect()
--- a/src/scheduler/placing.rs
+++ b/src/scheduler/placing.rs
@@ -21,6 +21,10 @@
 impl Scheduler {
     /// Places waiting jobs in the order of their turns, as far as capacity allows.
     pub(super) fn place_waiting(&mut self, now_ms: u64) {
+        if !self.pending_documents.is_empty() {
+            // A guarantee that is about to apply must not find its place taken.
+            return;
+        }
         for _ in 0..PLACEMENTS_PER_STEP {
             let Some(class) = self.queue.next_class() else { return };
             if !self.place_first_of(&class, now_ms) {
@@ -105,6 +109,7 @@
             !lent || own_cell.is_some() || job.spec.is_reclaimable(),
             "job {name} cannot be stopped and would run on a loan"
         );
+        self.end_drain(name);
         self.pool.take(id, block);
         let members = block.iter().map(|&(ix, mask)| self.member(ix, mask)).collect();
         let mut gang = Gang::stage(id, name.clone(), members, now_ms);
--- a/src/scheduler/pool.rs
+++ b/src/scheduler/pool.rs
@@ -62,6 +62,10 @@
     pub withheld: Mask,
     /// Accelerators that waiting guaranteed work has claimed from borrowers.
     pub claimed: Mask,
+    /// Accelerators that are drained for a waiting job; only work that can be stopped starts there.
+    pub draining: Mask,
+    /// Accelerators that a waiting job gets once they are free.
+    pub drained: Mask,
     /// Guaranteed blocks with accelerators here.
     pub cells: SmallVec<[(CellId, Mask); 2]>,
     /// Gangs with a member here.
@@ -109,6 +113,13 @@
         self.cells.retain(|(id, _)| *id != cell);
     }
 
+    /// Gives back accelerators of a block that may be held here.
+    pub fn unreserve_cell(&mut self, cell: CellId, within: Mask) {
+        let held = self.cells.iter().filter(|(id, _)| *id == cell);
+        let mask = held.fold(0, |mask, (_, held)| mask | held) & within;
+        self.unreserve(cell, mask);
+    }
+
     /// Stops or allows lending.
     pub fn withhold(&mut self, mask: Mask, withheld: bool) {
         self.withheld = if withheld { self.withheld | mask } else { self.withheld & !mask };
@@ -119,9 +130,11 @@
         match view {
             View::Layout if self.mounted => self.whole_mask(),
             View::Unreserved if self.mounted => self.whole_mask() & !self.reserved,
-            View::Open if self.is_usable() => self.whole_mask() & !self.used & !self.reserved,
+            View::Open if self.is_usable() => {
+                self.whole_mask() & !self.used & !self.reserved & !self.draining
+            }
             View::Lendable if self.is_usable() => {
-                self.whole_mask() & !self.used & !self.withheld & !self.claimed
+                self.whole_mask() & !self.used & !self.withheld & !self.claimed & !self.drained
             }
             _ => 0,
         }
@@ -196,6 +209,7 @@
     rack_names: BTreeMap<RackName, RackIx>,
     free: [FreeIndex; VIEWS.len()],
     unmounted: BTreeSet<UpstreamIx>,
+    live: usize,
     /// Upstreams whose place changed, for a review of the guaranteed blocks on them.
     pub moved: Vec<UpstreamIx>,
 }
@@ -206,6 +220,16 @@
         self.names.get(name).copied()
     }
 
+    /// Returns the number of upstreams that announce themselves.
+    pub fn live_count(&self) -> usize {
+        self.live
+    }
+
+    /// Returns whether every upstream of the layout is there, so that the layout can be judged.
+    pub fn is_complete(&self) -> bool {
+        self.upstreams.iter().all(|u| !u.mounted || u.is_sound())
+    }
+
     /// Returns the upstream with this index.
     pub fn upstream(&self, ix: UpstreamIx) -> &Upstream {
         &self.upstreams[ix.get()]
@@ -218,7 +242,13 @@
 
     /// Changes an upstream and refreshes the indices.
     pub fn change(&mut self, ix: UpstreamIx, change: impl FnOnce(&mut Upstream)) {
+        let was_live = self.upstream(ix).live;
         change(&mut self.upstreams[ix.get()]);
+        match (was_live, self.upstream(ix).live) {
+            (false, true) => self.live += 1,
+            (true, false) => self.live -= 1,
+            _ => {}
+        }
         self.refresh(ix);
     }
 
@@ -230,7 +260,11 @@
         }
         let Some(ix) = self.find(&a.name) else {
             let ix = self.insert(a);
-            self.change(ix, |u| u.live = true);
+            self.change(ix, |u| {
+                u.live = true;
+                u.leaving = a.leaving.then_some(a.incarnation);
+            });
+            self.settle(ix);
             return Announced::Changed(ix);
         };
         let known = &self.upstreams[ix.get()];
@@ -239,12 +273,14 @@
         }
         let restarted = a.incarnation > known.incarnation;
         let same_place = self.is_at(ix, a);
-        if !restarted && same_place && known.live && known.pending.is_none() {
+        let leaves = a.leaving && !known.is_leaving();
+        if !restarted && same_place && known.live && known.pending.is_none() && !leaves {
             return Announced::Unchanged;
         }
         self.change(ix, |u| {
             u.incarnation = a.incarnation;
             u.live = true;
+            u.leaving = u.leaving.max(a.leaving.then_some(a.incarnation));
             u.pending = (!same_place).then(|| a.clone());
         });
         self.settle(ix);
@@ -275,6 +311,8 @@
             reserved: 0,
             withheld: 0,
             claimed: 0,
+            draining: 0,
+            drained: 0,
             cells: SmallVec::new(),
             gangs: SmallVec::new(),
             pending: None,
--- a/src/scheduler/recovery.rs
+++ b/src/scheduler/recovery.rs
@@ -8,11 +8,27 @@
 use super::event::{Announcement, GangId};
 use super::gang::{Gang, Member, StopReason};
 use super::job::{Job, JobState, Ran};
+use super::organisation::Organisations;
 use super::pool::UpstreamIx;
 use super::timers::Timer;
 use super::{JobRecord, MemberRecord, Scheduler};
 use crate::names::JobName;
 
+fn job_records(job: &Job) -> Vec<JobRecord> {
+    let name = || job.spec.name.clone();
+    let mut records = vec![JobRecord::Accepted { spec: job.spec.clone(), at_ms: job.accepted_ms }];
+    if job.ran != Ran::No {
+        records.push(JobRecord::History { job: name(), ran: job.ran });
+    }
+    if job.cancelled {
+        records.push(JobRecord::Cancelled { job: name() });
+    }
+    if let JobState::Ended(end) = &job.state {
+        records.push(JobRecord::Ended { job: name(), end: end.clone() });
+    }
+    records
+}
+
 /// A gang that the journal does not show as released.
 struct OpenGang {
     job: JobName,
@@ -24,7 +40,8 @@
     /// Rebuilds a scheduler from the records that an earlier one persisted.
     ///
     /// Gangs go on if all members confirm within the lease; the others are placed again after
-    /// their lease has certainly ended. Upstreams are learned from their announcements.
+    /// their lease has certainly ended. Upstreams are learned from their announcements. `now_ms`
+    /// must be later than every time that the earlier scheduler saw.
     #[must_use]
     pub fn recover(records: impl IntoIterator<Item = JobRecord>, now_ms: u64) -> Self {
         let mut scheduler = Self::new(now_ms);
@@ -42,6 +59,41 @@
         scheduler
     }
 
+    /// Returns records from which the present state can be recovered, so that the journal can
+    /// drop all earlier ones.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<JobRecord> {
+        let mut records = vec![
+            JobRecord::NextGang(GangId(self.next_gang)),
+            JobRecord::Organisations(self.organisations.record()),
+        ];
+        for (id, cell) in &self.organisations.cells {
+            let members = cell.home.iter().map(|&(ix, mask)| self.place_record(ix, mask)).collect();
+            records.push(JobRecord::Home { cell: *id, members });
+        }
+        for name in &self.ended {
+            records.extend(self.jobs.get(name).into_iter().flat_map(job_records));
+        }
+        let open = self.jobs.values().filter(|job| !matches!(job.state, JobState::Ended(_)));
+        records.extend(open.flat_map(job_records));
+        for (id, gang) in &self.gangs {
+            self.gang_records(*id, gang, &mut records);
+        }
+        records
+    }
+
+    fn gang_records(&self, id: GangId, gang: &Gang, records: &mut Vec<JobRecord>) {
+        let member = |m: &Member| {
+            let place = self.place_record(m.upstream, m.mask);
+            MemberRecord { incarnation: m.incarnation, ..place }
+        };
+        let members = gang.members.iter().map(member).collect();
+        records.push(JobRecord::Placed { job: gang.job.clone(), gang: id, members });
+        if gang.committed_ms.is_some() {
+            records.push(JobRecord::Committed { gang: id });
+        }
+    }
+
     fn replay(&mut self, record: JobRecord, open: &mut BTreeMap<GangId, OpenGang>) {
         match record {
             JobRecord::Accepted { spec, at_ms } => {
@@ -66,6 +118,15 @@
                     self.remember_ended(job);
                 }
             }
+            JobRecord::Organisations(record) => {
+                self.organisations = Organisations::from_record(record);
+            }
+            JobRecord::History { job, ran } => {
+                if let Some(job) = self.jobs.get_mut(&job) {
+                    job.ran = job.ran.max(ran);
+                }
+            }
+            JobRecord::NextGang(id) => self.next_gang = self.next_gang.max(id.0),
             JobRecord::Guarantees(document) => self.replay_document(&document),
             JobRecord::Home { cell, members } => {
                 let home = members.iter().map(|m| (self.recovered_upstream(m), m.mask)).collect();
@@ -140,14 +201,15 @@
             rack: record.rack.clone(),
             position: record.position,
             accelerators: record.accelerators,
+            leaving: false,
         })
     }
 
     fn adopt_recovered(&mut self, now_ms: u64) {
         for id in self.organisations.cells.keys().copied().collect::<Vec<_>>() {
             self.adopt_gangs(id);
+            self.update_risk(id, now_ms);
         }
-        self.timers.set(Timer::Cells, now_ms);
     }
 
     fn queue_waiting(&mut self, now_ms: u64) {
--- /dev/null
+++ b/src/scheduler/starvation.rs
@@ -0,0 +1,194 @@
+//! Jobs that have waited too long: a block is drained for them at a bounded cost.
+//!
+//! Placement goes by age, but a small job behind a large one may start first. A large job could
+//! therefore wait forever for adjacent accelerators. After a fixed wait, a block is chosen for it
+//! in which no more work starts that cannot be stopped. Work that can be stopped still fills the
+//! block meanwhile, whatever run time it declares, because it is stopped once nothing else is left.
+
+use super::Scheduler;
+use super::event::GangId;
+use super::gang::{Gang, Phase, StopReason};
+use super::limits::{
+    DRAIN_AFTER_MS, DRAIN_CANDIDATES, DRAIN_LIMIT, DRAIN_MIN_RUN_MS, STARVATION_REVIEW_MS,
+    UPSTREAM_SHAPE_LIMIT,
+};
+use super::loans::Claim;
+use super::packing::Moves;
+use super::pool::UpstreamIx;
+use super::queue::Class;
+use super::rack::{Block, View, aligned_masks};
+use super::timers::Timer;
+use crate::names::JobName;
+
+/// Remaining run time assumed for work about which nothing is known.
+const UNKNOWN_RUN_MS: u64 = 3_600_000;
+
+/// A block that is drained for a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Drain {
+    /// Accelerators that the job gets.
+    pub block: Block,
+    /// Time at which the drain began.
+    pub since_ms: u64,
+}
+
+impl Scheduler {
+    /// Makes sure that waiting jobs are reviewed.
+    pub(super) fn schedule_starvation_review(&mut self, now_ms: u64) {
+        if self.queue.len() > 0 && !self.timers.is_set(Timer::Starvation) {
+            self.timers.set(Timer::Starvation, now_ms + STARVATION_REVIEW_MS);
+        }
+    }
+
+    pub(super) fn review_starvation(&mut self, now_ms: u64) {
+        for job in self.drains.keys().cloned().collect::<Vec<_>>() {
+            self.review_drain(&job, now_ms);
+        }
+        for (job, class) in self.starving(now_ms) {
+            if self.drains.len() >= DRAIN_LIMIT {
+                return;
+            }
+            self.start_drain(&job, &class, now_ms);
+        }
+    }
+
+    /// Returns the jobs that have waited too long, oldest first.
+    fn starving(&self, now_ms: u64) -> Vec<(JobName, Class)> {
+        let heads = self.queue.classes().flat_map(|(class, turns)| {
+            turns.iter().take(DRAIN_LIMIT).map(move |turn| (turn, class))
+        });
+        let waited = |job: &JobName| {
+            let since_ms = self.jobs.get(job).map_or(now_ms, |job| job.waiting_since_ms);
+            now_ms >= since_ms + DRAIN_AFTER_MS
+        };
+        let mut heads: Vec<_> = heads
+            .filter(|(turn, _)| waited(&turn.job) && !self.drains.contains_key(&turn.job))
+            .collect();
+        heads.sort();
+        let first = heads.into_iter().take(DRAIN_CANDIDATES);
+        first.map(|(turn, class)| (turn.job.clone(), class.clone())).collect()
+    }
+
+    fn start_drain(&mut self, job: &JobName, class: &Class, now_ms: u64) {
+        let mut block = self.find_drain(class, now_ms);
+        if block.is_none() && !class.reclaimable {
+            let moved = self.repack(Moves::UnusedWithoutRisk, Some(class.accelerators));
+            if moved.is_ok() {
+                block = self.find_drain(class, now_ms);
+            }
+            for id in self.cell_ids() {
+                self.update_risk(id, now_ms);
+            }
+        }
+        let Some(block) = block else { return self.refuse_if_unrunnable(job, now_ms) };
+        for &(ix, mask) in &block {
+            self.pool.change(ix, |u| u.draining |= mask);
+        }
+        self.drains.insert(job.clone(), Drain { block, since_ms: now_ms });
+        self.review_drain(job, now_ms);
+    }
+
+    /// Finds the block with the least expected wait and the fewest accelerators in use.
+    fn find_drain(&self, class: &Class, now_ms: u64) -> Option<Block> {
+        let view = if class.reclaimable { View::Layout } else { View::Unreserved };
+        let blocks = self.drain_blocks(class.accelerators, view);
+        blocks.into_iter().min_by_key(|block| self.drain_cost(block, now_ms))
+    }
+
+    fn drain_blocks(&self, count: u32, view: View) -> Vec<Block> {
+        let free = |ix: UpstreamIx| {
+            let u = self.pool.upstream(ix);
+            if u.is_usable() { u.available(view) & !u.draining & !u.claimed } else { 0 }
+        };
+        if count > UPSTREAM_SHAPE_LIMIT {
+            let racks = self.pool.racks.iter();
+            let windows = racks.flat_map(|rack| rack.windows(&self.pool.upstreams, count, view));
+            let whole = |block: &Block| block.iter().all(|(ix, mask)| free(*ix) == *mask);
+            return windows.map(|(_, block)| block).filter(whole).collect();
+        }
+        let upstreams = 0..u32::try_from(self.pool.upstreams.len()).unwrap_or(u32::MAX);
+        let blocks = upstreams.map(UpstreamIx).flat_map(|ix| {
+            aligned_masks(free(ix), count).map(move |mask| Block::from_iter([(ix, mask)]))
+        });
+        blocks.collect()
+    }
+
+    fn drain_cost(&self, block: &Block, now_ms: u64) -> (u64, u32) {
+        let gangs = self.gangs_in(block).into_iter().filter_map(|id| self.gangs.get(&id));
+        let wait_ms = gangs.map(|gang| self.drain_wait_ms(gang, now_ms, now_ms)).max().unwrap_or(0);
+        let used =
+            block.iter().map(|(ix, mask)| (self.pool.upstream(*ix).used & mask).count_ones());
+        (wait_ms, used.sum())
+    }
+
+    /// Returns for how long a drain that began at `since_ms` is expected to wait for a gang; 0 if
+    /// it can be stopped now. A gang that was there before is stopped only if its work is not lost
+    /// and it has run for long enough that the stop costs a small share of it.
+    fn drain_wait_ms(&self, gang: &Gang, since_ms: u64, now_ms: u64) -> u64 {
+        let Some(job) = self.jobs.get(&gang.job) else { return 0 };
+        let started_ms = gang.started_ms.unwrap_or(now_ms);
+        let ran_ms = now_ms.saturating_sub(started_ms);
+        if gang.phase == Phase::Stopping {
+            return 0;
+        }
+        let expected_ms = self.expected_run_ms(&job.spec).unwrap_or(UNKNOWN_RUN_MS);
+        let left_ms = expected_ms.saturating_sub(ran_ms).max(1);
+        if gang.own_cell.is_some() || !job.spec.is_reclaimable() {
+            return left_ms;
+        }
+        if gang.staged_ms >= since_ms && since_ms < now_ms {
+            return 0;
+        }
+        if !job.spec.can_checkpoint {
+            return left_ms;
+        }
+        DRAIN_MIN_RUN_MS.saturating_sub(ran_ms).min(left_ms)
+    }
+
+    fn review_drain(&mut self, job: &JobName, now_ms: u64) {
+        let Some(drain) = self.drains.get(job) else { return };
+        let usable = drain.block.iter().all(|(ix, _)| self.pool.upstream(*ix).is_sound());
+        let reclaimable = self.jobs.get(job).is_some_and(|job| job.spec.is_reclaimable());
+        let reserved =
+            |(ix, mask): &(UpstreamIx, super::Mask)| self.pool.upstream(*ix).reserved & mask != 0;
+        let lost_room = !reclaimable && drain.block.iter().any(reserved);
+        if !usable || lost_room {
+            self.end_drain(job);
+            return;
+        }
+        let gangs = self.gangs_in(&drain.block);
+        let waits = |id: &GangId| {
+            self.gangs.get(id).is_some_and(|g| self.drain_wait_ms(g, drain.since_ms, now_ms) > 0)
+        };
+        if !gangs.iter().any(waits) {
+            self.claim_drained(job, &gangs, now_ms);
+        }
+    }
+
+    /// Stops what is left in a drained block and keeps it for the job.
+    fn claim_drained(&mut self, name: &JobName, gangs: &[GangId], now_ms: u64) {
+        let Some(drain) = self.end_drain(name) else { return };
+        let Some(job) = self.jobs.get(name) else { return };
+        self.queue.remove(&job.spec, job.accepted_ms);
+        for &(ix, mask) in &drain.block {
+            self.pool.change(ix, |u| {
+                u.draining |= mask;
+                u.drained |= mask;
+            });
+        }
+        self.claims.insert(name.clone(), Claim { cell: None, block: drain.block });
+        for gang in gangs {
+            self.reclaim(*gang, StopReason::Drained(name.clone()), now_ms);
+        }
+    }
+
+    /// Ends a drain without a claim.
+    pub(super) fn end_drain(&mut self, job: &JobName) -> Option<Drain> {
+        let drain = self.drains.remove(job)?;
+        for &(ix, mask) in &drain.block {
+            self.pool.change(ix, |u| u.draining &= !mask);
+        }
+        self.queue.retry_all();
+        Some(drain)
+    }
+}
--- a/src/scheduler/stopping.rs
+++ b/src/scheduler/stopping.rs
@@ -4,15 +4,10 @@
 use super::gang::{Gang, Phase, StopReason};
 use super::job::{JobEnd, JobState, Ran};
 use super::limits::ENDED_JOBS_LIMIT;
-use super::pool::UpstreamIx;
 use super::timers::Timer;
 use super::{Decision, JobRecord, Scheduler};
 use crate::names::{JobName, UpstreamName};
 
-/// Time for which an upstream that refused a stage message gets no new work, so that a full or
-/// misconfigured one is not asked in a tight loop.
-const REFUSAL_PAUSE_MS: u64 = 1_000;
-
 impl Scheduler {
     /// Stops a gang; its accelerators are free once every member has certainly ended.
     pub(super) fn stop_gang(&mut self, id: GangId, reason: StopReason, now_ms: u64) {
@@ -85,6 +80,9 @@
         for member in &gang.members {
             self.pool.release(id, member.upstream, member.mask);
         }
+        if gang.all_completed() {
+            self.learn(&gang, now_ms);
+        }
         self.persist(JobRecord::Released { gang: id });
         self.queue.retry_all();
         self.settle_job(&gang, now_ms);
@@ -136,25 +134,4 @@
             self.jobs.remove(&oldest);
         }
     }
-
-    /// Keeps new work away from an upstream that refused a stage message.
-    pub(super) fn note_refusal(&mut self, ix: UpstreamIx, now_ms: u64) {
-        self.pool.change(ix, |u| u.suspended = true);
-        self.timers.set(Timer::Resume(ix), now_ms + REFUSAL_PAUSE_MS);
-    }
-
-    pub(super) fn resume_upstream(&mut self, ix: UpstreamIx) {
-        self.pool.change(ix, |u| u.suspended = false);
-        self.queue.retry_all();
-    }
-
-    /// Notes that a member failed, against its job and its upstream.
-    pub(super) fn note_member_failure(&mut self, id: GangId, ix: UpstreamIx, now_ms: u64) {
-        let Some(gang) = self.gangs.get(&id) else { return };
-        let upstream = self.pool.upstream(ix).name.clone();
-        if let Some(job) = self.jobs.get_mut(&gang.job) {
-            job.note_failure(&upstream);
-        }
-        self.note_refusal(ix, now_ms);
-    }
 }
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -4,3 +4,4 @@
 mod guarantees;
 mod harness;
 mod recovery;
+mod starvation;
--- a/src/scheduler/tests/harness.rs
+++ b/src/scheduler/tests/harness.rs
@@ -144,6 +144,7 @@
         rack: format!("rack-{rack}").parse().expect("valid name"),
         position,
         accelerators: 8,
+        leaving: false,
     }
 }
 
--- a/src/scheduler/timers.rs
+++ b/src/scheduler/timers.rs
@@ -12,12 +12,14 @@
     Gang(GangId),
     /// The gangs of a rack are renewed.
     Rack(RackIx),
-    /// A suspended upstream is trusted again.
+    /// A pause of an upstream ends, or a probe is due.
     Resume(UpstreamIx),
     /// A lost upstream leaves the layout.
     Forget(UpstreamIx),
     /// A gang that was asked for a checkpoint is stopped.
     Reclaim(GangId),
+    /// Waiting jobs are reviewed.
+    Starvation,
     /// Guaranteed blocks at risk are reviewed.
     Cells,
     /// The pool is known well enough to refuse jobs that cannot run.
--- a/src/scheduler/upstreams.rs
+++ b/src/scheduler/upstreams.rs
@@ -15,6 +15,7 @@
             Announced::Changed(ix) => self.on_upstream_back(ix, now_ms),
             Announced::Restarted(ix) => {
                 self.end_old_members(ix, now_ms);
+                self.forget_failures(ix);
                 self.on_upstream_back(ix, now_ms);
             }
         }
@@ -97,6 +98,7 @@
             return;
         }
         self.pool.unmount(ix);
+        self.forget_failures(ix);
         self.review_upstream(ix, now_ms);
         self.refuse_unrunnable(now_ms);
     }
