--- a/src/scheduler/decision.rs
+++ b/src/scheduler/decision.rs
@@ -6,7 +6,8 @@
 use super::Mask;
 use super::document::Guarantees;
 use super::event::GangId;
-use super::job::{JobEnd, JobSpec};
+use super::job::{JobEnd, JobSpec, Ran};
+use super::organisation::{CellId, OrganisationsRecord};
 use crate::names::{JobName, OrganisationName, RackName, ServiceName, UpstreamName};
 
 /// One gang's part of a renewal message.
@@ -18,7 +19,7 @@
     pub lease_ms: u64,
 }
 
-/// Part of a gang on one upstream.
+/// Part of a gang or of a guaranteed block on one upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
     /// Upstream of the member.
@@ -76,6 +77,24 @@
         /// How it ended.
         end: JobEnd,
     },
+    /// Accelerators were set aside for a guaranteed block.
+    Home {
+        /// Guaranteed block.
+        cell: CellId,
+        /// Accelerators of the block; empty if none are left.
+        members: SmallVec<[MemberRecord; 1]>,
+    },
+    /// State of all guarantees, instead of the documents before it; part of a snapshot.
+    Organisations(OrganisationsRecord),
+    /// What is known about earlier gangs of a job; part of a snapshot.
+    History {
+        /// Job with earlier gangs.
+        job: JobName,
+        /// Whether they have worked.
+        ran: Ran,
+    },
+    /// Lowest identity of a later gang; part of a snapshot.
+    NextGang(GangId),
     /// The guarantees of a service document took effect.
     Guarantees(Guarantees),
 }
@@ -134,6 +153,11 @@
         /// Upstream of the member.
         upstream: UpstreamName,
     },
+    /// Ask an upstream in quarantine whether it can work.
+    Probe {
+        /// Upstream to ask.
+        upstream: UpstreamName,
+    },
     /// The job was accepted, or was accepted before with the same content.
     JobAccepted {
         /// Job that was accepted.
--- /dev/null
+++ b/src/scheduler/documents.rs
@@ -0,0 +1,87 @@
+//! Service documents: guarantees that take effect, or are refused because they do not fit.
+
+use super::document::Guarantees;
+use super::limits::{ACCELERATORS_LIMIT, POOL_DISCOVERY_MS};
+use super::organisation::CellId;
+use super::packing::Moves;
+use super::{Decision, JobRecord, Scheduler};
+
+impl Scheduler {
+    /// Applies a document, or keeps it until the pool is known well enough to judge it.
+    pub(super) fn on_document(&mut self, document: Guarantees, now_ms: u64) {
+        if !self.organisations.is_newer(&document) {
+            return;
+        }
+        if let Some(reason) = oversized(&document) {
+            return self.refuse_document(document, reason);
+        }
+        if now_ms < self.started_ms + POOL_DISCOVERY_MS {
+            self.pending_documents.push(document);
+            return;
+        }
+        self.apply_document(document, now_ms);
+    }
+
+    /// Judges what had to wait until the pool was known.
+    pub(super) fn on_discovered(&mut self, now_ms: u64) {
+        for document in std::mem::take(&mut self.pending_documents) {
+            self.on_document(document, now_ms);
+        }
+        self.refuse_unrunnable(now_ms);
+        self.queue.retry_all();
+    }
+
+    /// Applies a document. If a new block does not fit, all blocks without running guaranteed
+    /// work are placed anew, because an earlier choice may be in the way.
+    fn apply_document(&mut self, document: Guarantees, now_ms: u64) {
+        let before = self.organisations.clone();
+        let change = self.organisations.apply(&document);
+        let records = self.persist.len();
+        self.persist(JobRecord::Guarantees(document.clone()));
+        for (id, cell) in &change.removed {
+            self.clear_home(*id, &cell.home);
+            self.disown(&cell.gangs);
+        }
+        let mut placed = self.place_cells(change.added, Moves::Unused);
+        if placed.is_err() {
+            placed = self.repack(Moves::Unused, None).map(|_| ());
+        }
+        if let Err(reason) = placed {
+            self.restore(before);
+            self.persist.truncate(records);
+            return self.refuse_document(document, reason);
+        }
+        for id in self.cell_ids() {
+            self.review_cell(id, now_ms);
+        }
+        self.refuse_unrunnable(now_ms);
+        self.queue.retry_all();
+    }
+
+    fn refuse_document(&mut self, document: Guarantees, reason: String) {
+        let (service, version) = (document.service, document.version);
+        self.emit(Decision::DocumentRefused { service, version, reason });
+    }
+
+    pub(super) fn cell_ids(&self) -> Vec<CellId> {
+        self.organisations.cells.keys().copied().collect()
+    }
+
+    pub(super) fn disown<'a>(&mut self, gangs: impl IntoIterator<Item = &'a super::GangId>) {
+        for gang in gangs {
+            self.gangs.get_mut(gang).map(|g| g.own_cell.take());
+        }
+    }
+}
+
+fn oversized(document: &Guarantees) -> Option<String> {
+    let blocks = document
+        .organisations
+        .iter()
+        .flat_map(|(name, sizes)| sizes.iter().map(move |size| (name, *size)));
+    let (name, size) = blocks.into_iter().find(|(_, size)| *size > ACCELERATORS_LIMIT)?;
+    Some(format!(
+        "the guaranteed block of {size} accelerators of {name} exceeds the limit of \
+         {ACCELERATORS_LIMIT} adjacent ones"
+    ))
+}
--- a/src/scheduler/pool.rs
+++ b/src/scheduler/pool.rs
@@ -7,6 +7,7 @@
 use super::Mask;
 use super::event::{Announcement, GangId};
 use super::limits::{RACK_POSITIONS_LIMIT, UPSTREAM_ACCELERATORS_LIMIT, UPSTREAM_SHAPE_LIMIT};
+use super::organisation::CellId;
 use super::rack::{Block, Rack, View, find_aligned, mask_at, room};
 use crate::names::{RackName, UpstreamName};
 
@@ -57,6 +58,16 @@
     pub used: Mask,
     /// Accelerators that belong to guaranteed blocks.
     pub reserved: Mask,
+    /// Accelerators of guaranteed blocks at risk, which are not lent.
+    pub withheld: Mask,
+    /// Accelerators that waiting guaranteed work has claimed from borrowers.
+    pub claimed: Mask,
+    /// Accelerators that are drained for a waiting job; only work that can be stopped starts there.
+    pub draining: Mask,
+    /// Accelerators that a waiting job gets once they are free.
+    pub drained: Mask,
+    /// Guaranteed blocks with accelerators here.
+    pub cells: SmallVec<[(CellId, Mask); 2]>,
     /// Gangs with a member here.
     pub gangs: SmallVec<[(GangId, Mask); 4]>,
     /// Announcement that takes effect once no gang holds accelerators here.
@@ -76,15 +87,55 @@
 
     /// Returns whether new work may be placed here.
     pub fn is_usable(&self) -> bool {
-        self.mounted && self.live && !self.suspended && !self.is_leaving() && self.pending.is_none()
+        self.is_sound() && !self.suspended
+    }
+
+    /// Returns whether the upstream is there to stay; a short pause after a refusal is no reason
+    /// to move guaranteed blocks.
+    pub fn is_sound(&self) -> bool {
+        self.mounted && self.live && !self.is_leaving() && self.pending.is_none()
+    }
+
+    /// Sets accelerators aside for a guaranteed block.
+    ///
+    /// # Panics
+    /// Panics if another block has one of them, because both could not be provided together.
+    pub fn reserve(&mut self, cell: CellId, mask: Mask) {
+        assert!(self.reserved & mask == 0, "two guaranteed blocks share {}", self.name);
+        self.reserved |= mask;
+        self.cells.push((cell, mask));
+    }
+
+    /// Gives accelerators of a guaranteed block back.
+    pub fn unreserve(&mut self, cell: CellId, mask: Mask) {
+        self.reserved &= !mask;
+        self.withheld &= !mask;
+        self.cells.retain(|(id, _)| *id != cell);
+    }
+
+    /// Gives back accelerators of a block that may be held here.
+    pub fn unreserve_cell(&mut self, cell: CellId, within: Mask) {
+        let held = self.cells.iter().filter(|(id, _)| *id == cell);
+        let mask = held.fold(0, |mask, (_, held)| mask | held) & within;
+        self.unreserve(cell, mask);
+    }
+
+    /// Stops or allows lending.
+    pub fn withhold(&mut self, mask: Mask, withheld: bool) {
+        self.withheld = if withheld { self.withheld | mask } else { self.withheld & !mask };
     }
 
     /// Returns the accelerators that `view` may take.
     pub fn available(&self, view: View) -> Mask {
         match view {
             View::Layout if self.mounted => self.whole_mask(),
-            View::Open if self.is_usable() => self.whole_mask() & !self.used & !self.reserved,
-            View::Lendable if self.is_usable() => self.whole_mask() & !self.used,
+            View::Unreserved if self.mounted => self.whole_mask() & !self.reserved,
+            View::Open if self.is_usable() => {
+                self.whole_mask() & !self.used & !self.reserved & !self.draining
+            }
+            View::Lendable if self.is_usable() => {
+                self.whole_mask() & !self.used & !self.withheld & !self.claimed & !self.drained
+            }
             _ => 0,
         }
     }
@@ -145,7 +196,7 @@
     }
 }
 
-const VIEWS: [View; 3] = [View::Open, View::Lendable, View::Layout];
+const VIEWS: [View; 4] = [View::Open, View::Lendable, View::Unreserved, View::Layout];
 
 /// All upstreams and racks of the data centre.
 #[derive(Debug, Default)]
@@ -158,6 +209,9 @@
     rack_names: BTreeMap<RackName, RackIx>,
     free: [FreeIndex; VIEWS.len()],
     unmounted: BTreeSet<UpstreamIx>,
+    live: usize,
+    /// Upstreams whose place changed, for a review of the guaranteed blocks on them.
+    pub moved: Vec<UpstreamIx>,
 }
 
 impl Pool {
@@ -166,6 +220,16 @@
         self.names.get(name).copied()
     }
 
+    /// Returns the number of upstreams that announce themselves.
+    pub fn live_count(&self) -> usize {
+        self.live
+    }
+
+    /// Returns whether every upstream of the layout is there, so that the layout can be judged.
+    pub fn is_complete(&self) -> bool {
+        self.upstreams.iter().all(|u| !u.mounted || u.is_sound())
+    }
+
     /// Returns the upstream with this index.
     pub fn upstream(&self, ix: UpstreamIx) -> &Upstream {
         &self.upstreams[ix.get()]
@@ -178,7 +242,13 @@
 
     /// Changes an upstream and refreshes the indices.
     pub fn change(&mut self, ix: UpstreamIx, change: impl FnOnce(&mut Upstream)) {
+        let was_live = self.upstream(ix).live;
         change(&mut self.upstreams[ix.get()]);
+        match (was_live, self.upstream(ix).live) {
+            (false, true) => self.live += 1,
+            (true, false) => self.live -= 1,
+            _ => {}
+        }
         self.refresh(ix);
     }
 
@@ -190,7 +260,11 @@
         }
         let Some(ix) = self.find(&a.name) else {
             let ix = self.insert(a);
-            self.change(ix, |u| u.live = true);
+            self.change(ix, |u| {
+                u.live = true;
+                u.leaving = a.leaving.then_some(a.incarnation);
+            });
+            self.settle(ix);
             return Announced::Changed(ix);
         };
         let known = &self.upstreams[ix.get()];
@@ -199,12 +273,14 @@
         }
         let restarted = a.incarnation > known.incarnation;
         let same_place = self.is_at(ix, a);
-        if !restarted && same_place && known.live && known.pending.is_none() {
+        let leaves = a.leaving && !known.is_leaving();
+        if !restarted && same_place && known.live && known.pending.is_none() && !leaves {
             return Announced::Unchanged;
         }
         self.change(ix, |u| {
             u.incarnation = a.incarnation;
             u.live = true;
+            u.leaving = u.leaving.max(a.leaving.then_some(a.incarnation));
             u.pending = (!same_place).then(|| a.clone());
         });
         self.settle(ix);
@@ -233,6 +309,11 @@
             suspended: false,
             used: 0,
             reserved: 0,
+            withheld: 0,
+            claimed: 0,
+            draining: 0,
+            drained: 0,
+            cells: SmallVec::new(),
             gangs: SmallVec::new(),
             pending: None,
         });
@@ -286,6 +367,7 @@
             && let Some(a) = self.upstreams[ix.get()].pending.take()
         {
             self.unmount(ix);
+            self.moved.push(ix);
             let rack = self.rack(&a.rack);
             self.change(ix, |u| {
                 u.rack = rack;
