--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -14,6 +14,7 @@
 use super::documents::{Documents, Validate};
 use super::event::Event;
 use super::fence::Fence;
+use super::job_log::JobLog;
 use super::metrics::ControlMetrics;
 use super::records::Records;
 use super::registry::Registry;
@@ -28,6 +29,7 @@
 pub(super) struct State {
     pub(super) records: Records,
     pub(super) documents: Documents,
+    pub(super) jobs: JobLog,
     pub(super) registry: Registry,
     pub(super) shares: Shares,
     pub(super) streams: watch_stream::Streams,
@@ -39,6 +41,7 @@
         match event {
             Event::Record(event) => self.records.apply(event),
             Event::Document(event) => self.documents.apply(event),
+            Event::Jobs(kind, payload) => self.jobs.apply(kind, payload),
         }
     }
 }
@@ -51,6 +54,8 @@
     pub(super) clock: Clock,
     pub(super) journal: Journal,
     pub(super) validate: Arc<Validate>,
+    /// Held while a change of a document is judged and written, so that changes are judged in order.
+    pub(super) putting: tokio::sync::Mutex<()>,
     pub(super) fence: Fence,
     pub(super) metrics: ControlMetrics,
     /// Goes up when something changed that entry hosts have to hear of.
@@ -88,6 +93,7 @@
         let mut state = State {
             records: Records::default(),
             documents: Documents::default(),
+            jobs: JobLog::default(),
             registry: Registry::new(settings.upstream_lease_ms),
             shares,
             streams: watch_stream::Streams::default(),
@@ -107,6 +113,7 @@
             clock,
             journal,
             validate,
+            putting: tokio::sync::Mutex::new(()),
             fence,
             metrics,
             changed,
@@ -165,15 +172,17 @@
         }
         let state = self.lock();
         let (records, documents) = (state.records.clone(), state.documents.clone());
-        self.journal.snapshot(move || snapshot_entries(&records, &documents));
+        let jobs = state.jobs.clone();
+        self.journal.snapshot(move || snapshot_entries(&records, &documents, &jobs));
     }
 }
 
-fn snapshot_entries(records: &Records, documents: &Documents) -> Vec<Entry> {
+fn snapshot_entries(records: &Records, documents: &Documents, jobs: &JobLog) -> Vec<Entry> {
     let records = records.restore_events().map(Event::Record);
     let documents = documents.restore_events().map(Event::Document);
     let events = records.chain(documents);
-    events.map(|event| event.to_entry().expect("every transition has a JSON form")).collect()
+    let entries = events.map(|event| event.to_entry().expect("every transition has a JSON form"));
+    entries.chain(jobs.entries()).collect()
 }
 
 /// Status for a caller whose request could not be made durable.
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -1,9 +1,12 @@
 //! Transitions of the control process as records of the journal.
 
+use std::sync::Arc;
+
 use crate::StepError;
 use crate::journal::{Entry, Record};
 
 use super::documents::DocumentEvent;
+use super::job_log::JobLog;
 use super::records::RecordEvent;
 
 const KIND_RECORD: u8 = 1;
@@ -14,6 +17,8 @@
 pub(super) enum Event {
     Record(RecordEvent),
     Document(DocumentEvent),
+    /// Records of jobs with their kind; only the jobs read them.
+    Jobs(u8, Arc<[u8]>),
 }
 
 impl Event {
@@ -25,6 +30,7 @@
         let (kind, payload) = match self {
             Self::Record(event) => (KIND_RECORD, serde_json::to_vec(event)),
             Self::Document(event) => (KIND_DOCUMENT, serde_json::to_vec(event)),
+            Self::Jobs(kind, payload) => (*kind, Ok(payload.to_vec())),
         };
         let payload = payload.map_err(|fault| StepError::new("write a record", kind, fault))?;
         Ok(Entry { kind, payload })
@@ -38,6 +44,7 @@
         let event = match record.kind {
             KIND_RECORD => serde_json::from_slice(&record.payload).map(Self::Record),
             KIND_DOCUMENT => serde_json::from_slice(&record.payload).map(Self::Document),
+            kind if JobLog::holds(kind) => Ok(Self::Jobs(kind, record.payload.as_slice().into())),
             kind => {
                 let text = format!("kind {kind} is not known; was it written by a newer version?");
                 return Err(StepError::new("read a record", record.index, text));
--- a/src/control/jobs/book.rs
+++ b/src/control/jobs/book.rs
@@ -69,7 +69,13 @@
                     entry.waiting_since_ms = now_ms;
                 }
             }
-            JobRecord::Committed { .. } | JobRecord::Ended { .. } | JobRecord::Guarantees(_) => {}
+            JobRecord::Committed { .. }
+            | JobRecord::Ended { .. }
+            | JobRecord::Home { .. }
+            | JobRecord::Organisations(_)
+            | JobRecord::History { .. }
+            | JobRecord::NextGang(_)
+            | JobRecord::Guarantees(_) => {}
         }
     }
 
--- a/src/control/jobs/messages.rs
+++ b/src/control/jobs/messages.rs
@@ -24,6 +24,10 @@
         Decision::Checkpoint { gang, upstream } => {
             (upstream, GangMessage::Checkpoint(CheckpointRequest { gang }))
         }
+        // An answer to a renewal without gangs shows that the upstream works.
+        Decision::Probe { upstream } => {
+            (upstream, GangMessage::Renew(RenewRequest { round: 0, gangs: Vec::new() }))
+        }
         Decision::Stop { gang, upstream } => (upstream, GangMessage::Stop(StopRequest { gang })),
         Decision::Persist(_)
         | Decision::JobAccepted { .. }
@@ -47,6 +51,9 @@
         (GangMessage::Commit(commit), answer) => {
             Event::CommitAnswered { gang: commit.gang, upstream, started: verdict(&answer)? }
         }
+        (GangMessage::Renew(renew), GangAnswer::Renewed { .. }) if renew.gangs.is_empty() => {
+            Event::ProbeAnswered { upstream, healthy: true }
+        }
         (GangMessage::Renew(renew), GangAnswer::Renewed { round, members })
             if round == renew.round =>
         {
--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -19,7 +19,7 @@
 
 pub(crate) use delivery::deliver_http;
 pub(crate) use metrics::JobsMetrics;
-pub(crate) use record::JOBS_RECORD_KIND;
+pub(crate) use record::{JOBS_CHECKPOINT_KIND, JOBS_RECORD_KIND};
 pub(crate) use rpc::{cancel_job, explain_job, get_job, submit_job};
 pub(crate) use submission::Submission;
 
@@ -33,9 +33,9 @@
 use crate::error::StepError;
 use crate::names::{JobName, ServiceName, ShapeName, UpstreamName};
 use crate::outcome::{NotRun, NotRunCause};
-use crate::scheduler::Announcement;
+use crate::scheduler::{Announcement, Guarantees};
 use crate::upstream_http::{GangReply, GangRequest};
-use task::Jobs;
+pub(crate) use task::Jobs;
 
 /// Inputs that wait for the task; callers beyond this wait for room.
 const INBOX_LIMIT: usize = 1_024;
@@ -84,7 +84,13 @@
     Announced(Announcement, SocketAddr),
     Lost(UpstreamName),
     Leaving(UpstreamName, u64),
-    Answered { upstream: UpstreamName, request: GangRequest, reply: GangReply },
+    /// A document is to take effect; the answer says whether its guarantees fit.
+    Document(Guarantees, oneshot::Sender<Result<(), String>>),
+    Answered {
+        upstream: UpstreamName,
+        request: GangRequest,
+        reply: GangReply,
+    },
 }
 
 /// Access to the task that owns the jobs; the task ends once every handle is dropped.
@@ -109,6 +115,19 @@
         self.tell(Input::Leaving(upstream, incarnation)).await;
     }
 
+    /// Puts the guarantees of a document into force, unless they do not fit.
+    ///
+    /// # Errors
+    /// Returns an error if jobs are unavailable.
+    pub(crate) async fn document(
+        &self,
+        guarantees: Guarantees,
+    ) -> Result<Result<(), String>, NotRun> {
+        let (sender, answer) = oneshot::channel();
+        self.tell(Input::Document(guarantees, sender)).await;
+        answer.await.map_err(|_| unavailable("jobs are unavailable"))
+    }
+
     /// Submits a job; a repeated submission gets the first answer.
     ///
     /// # Errors
--- a/src/control/jobs/record.rs
+++ b/src/control/jobs/record.rs
@@ -9,6 +9,9 @@
 /// Kind of the journal records that this module writes.
 pub(crate) const JOBS_RECORD_KIND: u8 = 16;
 
+/// Kind of a checkpoint, which replaces all records before it.
+pub(crate) const JOBS_CHECKPOINT_KIND: u8 = 17;
+
 /// A record of the core, with the submission if it is the record of an acceptance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct StoredRecord {
--- a/src/control/jobs/task.rs
+++ b/src/control/jobs/task.rs
@@ -9,19 +9,22 @@
 
 use super::book::Book;
 use super::peers::{Outgoing, Peers};
-use super::record::{self, JOBS_RECORD_KIND, StoredRecord};
+use super::record::{self, JOBS_CHECKPOINT_KIND, JOBS_RECORD_KIND, StoredRecord};
 use super::submission::Submission;
 use super::{Call, CallResult, Input, JobsParts, messages, status, unavailable};
 use crate::error::StepError;
 use crate::names::JobName;
 use crate::outcome::{NotRun, NotRunCause};
-use crate::scheduler::{Decision, Event, JobRecord, Scheduler};
+use crate::scheduler::{Decision, Event, Guarantees, JobRecord, Scheduler};
 use crate::upstream_http::{GangAnswer, GangReply, RefusalCode};
 
 /// Time for an upstream to answer a gang message. It is as long as the start lease, after which
 /// the answer to a commit is useless.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Records after which a checkpoint replaces them, so that a restart reads a bounded log.
+const CHECKPOINT_RECORDS: usize = 8_192;
+
 /// Most inputs whose records become durable together.
 const BATCH_LIMIT: usize = 64;
 
@@ -34,16 +37,21 @@
     started: Instant,
     started_ms: u64,
     inbox: mpsc::WeakSender<Input>,
+    since_checkpoint: usize,
     /// Why no step is made any more, once that is so.
     halted: Option<String>,
 }
 
+/// Whether the guarantees of a document fit, or the one that does not.
+type Verdict = Result<(), String>;
+
 /// What the steps of one batch of inputs lead to.
 #[derive(Default)]
 struct Batch {
     records: Vec<StoredRecord>,
     messages: Vec<Outgoing>,
     answers: Vec<(oneshot::Sender<CallResult>, CallResult)>,
+    verdicts: Vec<(oneshot::Sender<Verdict>, Verdict)>,
 }
 
 impl Jobs {
@@ -67,6 +75,7 @@
             started: Instant::now(),
             started_ms,
             inbox,
+            since_checkpoint: 0,
             halted: None,
         }
     }
@@ -117,24 +126,47 @@
                            takes effect; repeat it after the control process has restarted";
             batch.answers.iter_mut().for_each(|(_, answer)| *answer = Err(unavailable(refusal)));
             batch.messages.clear();
+            batch.verdicts.clear();
         }
         for message in batch.messages {
             self.send(message);
         }
+        for (sender, verdict) in batch.verdicts {
+            _ = sender.send(verdict);
+        }
         for (caller, answer) in batch.answers {
             // A caller that has gone away asks again.
             _ = caller.send(answer);
         }
     }
 
-    async fn persist(&self, records: &[StoredRecord]) -> Result<(), StepError> {
+    async fn persist(&mut self, records: &[StoredRecord]) -> Result<(), StepError> {
         if records.is_empty() {
             return Ok(());
         }
         (self.parts.append)(JOBS_RECORD_KIND, record::write(records)?).await?;
+        self.since_checkpoint += records.len();
+        if self.since_checkpoint >= CHECKPOINT_RECORDS {
+            self.since_checkpoint = 0;
+            let records = record::write(&self.checkpoint())?;
+            (self.parts.append)(JOBS_CHECKPOINT_KIND, records).await?;
+        }
         Ok(())
     }
 
+    /// Returns records that stand for everything that earlier ones say.
+    fn checkpoint(&self) -> Vec<StoredRecord> {
+        let stored = |record| {
+            let submission = match &record {
+                JobRecord::Accepted { spec, .. } => self.book.get(&spec.name),
+                _ => None,
+            };
+            let submission = submission.and_then(|entry| entry.submission.clone());
+            StoredRecord { record, submission }
+        };
+        self.scheduler.snapshot().into_iter().map(stored).collect()
+    }
+
     /// Stops deciding; running gangs end with their leases.
     fn halt(&mut self, reason: String) {
         error!(%reason, "jobs are unavailable until a restart");
@@ -151,6 +183,9 @@
                 self.peers.announced(&announcement.name, announcement.incarnation, address);
                 Event::UpstreamAnnounced(announcement)
             }
+            Input::Document(guarantees, sender) => {
+                return self.judge(guarantees, sender, now_ms, batch);
+            }
             Input::Lost(upstream) => Event::UpstreamLost { upstream },
             Input::Leaving(upstream, incarnation) => {
                 Event::UpstreamLeaving { upstream, incarnation }
@@ -165,6 +200,22 @@
         self.step(event, None, now_ms, batch);
     }
 
+    /// Applies the guarantees of a document; dropping the sender reports unavailable jobs.
+    fn judge(
+        &mut self,
+        guarantees: Guarantees,
+        sender: oneshot::Sender<Verdict>,
+        now_ms: u64,
+        batch: &mut Batch,
+    ) {
+        if self.halted.is_some() {
+            return;
+        }
+        let event = Event::DocumentApplied(guarantees);
+        let refusal = self.step(event, None, now_ms, batch);
+        batch.verdicts.push((sender, refusal.map_or(Ok(()), Err)));
+    }
+
     /// Halts if an upstream has heard from a control process with a newer epoch.
     fn check_epoch(&mut self, reply: &GangReply) {
         if let GangAnswer::Refused { code: RefusalCode::OlderEpoch, epoch } = reply.answer
@@ -190,6 +241,10 @@
             match decision {
                 Decision::Persist(record) => self.note(record, submission, now_ms, batch),
                 Decision::JobRefused { reason, .. } => refusal = Some(reason),
+                Decision::DocumentRefused { service, version, reason } => {
+                    warn!(%service, version, %reason, "the guarantees of a document do not fit");
+                    refusal = Some(reason);
+                }
                 Decision::GuaranteeAtRisk { organisation, accelerators, reason } => {
                     warn!(%organisation, accelerators, %reason, "a guarantee is at risk");
                 }
--- a/src/control/jobs/tests/loopback.rs
+++ b/src/control/jobs/tests/loopback.rs
@@ -51,6 +51,7 @@
         rack: "rack-0".parse().expect("valid name"),
         position,
         accelerators: 8,
+        leaving: false,
     }
 }
 
--- a/src/control/jobs/tests/site.rs
+++ b/src/control/jobs/tests/site.rs
@@ -91,6 +91,7 @@
             rack: "rack-0".parse().expect("valid name"),
             position: upstream,
             accelerators: 8,
+            leaving: false,
         };
         jobs.announced(announcement, address(upstream)).await;
     }
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of the control process.
 
+use std::sync::Arc;
+
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -9,6 +11,7 @@
 use crate::journal::JournalMetrics;
 
 use super::core::Core;
+use super::jobs::JobsMetrics;
 
 type Labels = [(&'static str, &'static str); 1];
 
@@ -16,6 +19,7 @@
 #[derive(Debug)]
 pub(super) struct ControlMetrics {
     registry: Registry,
+    pub(super) jobs: Arc<JobsMetrics>,
     pub(super) late_finishes: Counter,
     pub(super) refused_announcements: Counter,
     records: Family<Labels, Gauge>,
@@ -30,6 +34,7 @@
     pub(super) fn new(journal: &JournalMetrics) -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix("cactuslatch_control"),
+            jobs: Arc::new(JobsMetrics::new()),
             late_finishes: Counter::default(),
             refused_announcements: Counter::default(),
             records: Family::default(),
@@ -40,6 +45,7 @@
             document_index: Gauge::default(),
         };
         journal.register(&mut metrics.registry);
+        metrics.jobs.register(&mut metrics.registry);
         metrics.register();
         metrics
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,10 +7,8 @@
 mod epoch;
 mod event;
 mod fence;
-#[cfg_attr(
-    not(test),
-    expect(dead_code, unused_imports, reason = "the next commit joins it with the RPCs")
-)]
+mod job_feed;
+mod job_log;
 mod jobs;
 mod metrics;
 mod put_document;
@@ -46,6 +44,7 @@
 use self::core::Core;
 use documents::Validate;
 use fence::Fence;
+use jobs::JobsHandle;
 use service::ControlRpc;
 
 /// Interval of probes on connections; a peer that went silent is noticed by them.
@@ -94,15 +93,16 @@
 
     async fn serve(self, stop: watch::Receiver<bool>) -> Result<(), StepError> {
         let Self { core, rpc, admin } = self;
+        let jobs = job_feed::start(&core)?;
         let mut tasks = JoinSet::new();
         tasks.spawn(admin::run(Arc::clone(&core), admin, stop.clone()));
-        tasks.spawn(ticker::run(Arc::clone(&core), stop.clone()));
+        tasks.spawn(ticker::run(Arc::clone(&core), jobs.clone(), stop.clone()));
         tasks.spawn(resolver::Resolver::new(Arc::clone(&core)).run(stop.clone()));
         if let Some(writer) = core.settings.document_writer {
             tasks.spawn(replica::run(Arc::clone(&core), writer, stop.clone()));
         }
         info!(host = %core.settings.host, epoch = core.epoch, "control serves");
-        let served = serve_rpc(core, rpc, stop).await;
+        let served = serve_rpc(core, jobs, rpc, stop).await;
         while tasks.join_next().await.is_some() {}
         served
     }
@@ -115,11 +115,12 @@
 
 async fn serve_rpc(
     core: Arc<Core>,
+    jobs: JobsHandle,
     listener: TcpListener,
     stop: watch::Receiver<bool>,
 ) -> Result<(), StepError> {
     let address = core.settings.rpc_address;
-    let service = ControlServer::new(ControlRpc { core, stop: stop.clone() })
+    let service = ControlServer::new(ControlRpc { core, jobs, stop: stop.clone() })
         .max_decoding_message_size(MESSAGE_LIMIT_BYTES)
         .max_encoding_message_size(MESSAGE_LIMIT_BYTES);
     let (mut until_stop, mut until_limit) = (stop.clone(), stop);
--- a/src/control/put_document.rs
+++ b/src/control/put_document.rs
@@ -13,12 +13,15 @@
 use super::core::Core;
 use super::documents::{self, Answer, Put, Refused, is_owner};
 use super::event::Event;
+use super::job_feed;
+use super::jobs::JobsHandle;
 
 /// Time for the writer to answer a forwarded change.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(3);
 
 pub(super) async fn put(
     core: &Core,
+    jobs: &JobsHandle,
     request: rpc::PutDocumentRequest,
 ) -> Result<rpc::PutDocumentReply, Status> {
     if let Some(writer) = core.settings.document_writer {
@@ -36,7 +39,11 @@
         operation: request.operation,
         body_yaml: request.body_yaml,
     };
-    let checked = documents::check(&put, &*core.validate);
+    let _in_order = core.putting.lock().await;
+    let mut checked = documents::check(&put, &*core.validate);
+    if let Some(version) = next_version(core, &put, &checked) {
+        checked = job_feed::judge(jobs, &put.body_yaml, version).await?;
+    }
     let decided = core.decide(|state, now_ms| match state.documents.put(&put, checked, now_ms) {
         Ok((answer, event)) => (Ok(answer), event.map(Event::Document)),
         Err(refused) => (Err(refused), None),
@@ -50,6 +57,15 @@
     Ok(put_reply(&put.service, answer))
 }
 
+/// Returns the version that a change would get, if it would be accepted now.
+fn next_version(core: &Core, put: &Put, checked: &Result<(), String>) -> Option<u64> {
+    let decided = core.lock().documents.put(put, checked.clone(), core.now_ms());
+    match decided {
+        Ok((Answer::Accepted { document, .. }, Some(_))) => Some(document.version),
+        _ => None,
+    }
+}
+
 fn put_reply(service: &ServiceName, answer: Result<Answer, Refused>) -> rpc::PutDocumentReply {
     match answer {
         Ok(Answer::Accepted { document, diff }) => rpc::PutDocumentReply {
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -7,6 +7,7 @@
 use crate::rpc;
 
 use super::core::{Core, State};
+use super::job_feed::Notice;
 use super::registry::{Change, Upstream};
 use super::shares::UpstreamLimits;
 
@@ -14,7 +15,10 @@
 ///
 /// # Errors
 /// Returns a status if the sender is not a configured entry host.
-pub(super) fn relay(core: &Core, request: &rpc::RelayRequest) -> Result<rpc::RelayReply, Status> {
+pub(super) fn relay(
+    core: &Core,
+    request: &rpc::RelayRequest,
+) -> Result<(rpc::RelayReply, Vec<Notice>), Status> {
     let host: HostName =
         request.host.parse().map_err(|fault| Status::invalid_argument(format!("{fault}")))?;
     let now_ms = core.now_ms();
@@ -23,15 +27,21 @@
         return Err(Status::permission_denied(format!("{host} is not a configured entry host")));
     }
     let before = (state.shares.total_revision(), state.registry.revision());
+    let mut notices = Vec::new();
     for upstream in &request.announced {
-        if let Err(fault) = apply(&mut state, upstream, now_ms) {
-            core.metrics.refused_announcements.inc();
-            warn!(host = %host, upstream = upstream.name, error = fault, "refused an upstream");
+        match apply(&mut state, upstream, now_ms) {
+            Ok(notice) => notices.extend(notice),
+            Err(fault) => {
+                core.metrics.refused_announcements.inc();
+                warn!(host = %host, upstream = upstream.name, error = fault, "refused an upstream");
+            }
         }
     }
     let mut resend = Vec::new();
     for renewal in &request.renewed {
-        if renew(&mut state, renewal, now_ms) == Change::Unknown {
+        let (change, notice) = renew(&mut state, renewal, now_ms);
+        notices.extend(notice);
+        if change == Change::Unknown {
             resend.push(renewal.name.clone());
         }
     }
@@ -40,17 +50,18 @@
     if changed {
         core.notify();
     }
-    Ok(rpc::RelayReply { resend })
+    Ok((rpc::RelayReply { resend }, notices))
 }
 
-fn apply(state: &mut State, wire: &rpc::Upstream, now_ms: u64) -> Result<(), String> {
+fn apply(state: &mut State, wire: &rpc::Upstream, now_ms: u64) -> Result<Option<Notice>, String> {
     if wire.leaving {
         let name: UpstreamName = wire.name.parse().map_err(|fault| format!("{fault}"))?;
         if state.registry.leave(&name, wire.incarnation, now_ms) == Change::Left {
             info!(upstream = %name, incarnation = wire.incarnation, "an upstream left");
             state.shares.remove(&name);
+            return Ok(Some(Notice::Leaving(name, wire.incarnation)));
         }
-        return Ok(());
+        return Ok(None);
     }
     let upstream = Upstream::from_wire(wire)?;
     let limits = limits(&upstream);
@@ -58,23 +69,26 @@
         return Err("it has fewer slots or connections than the base shares need".into());
     }
     let (name, incarnation) = (upstream.name.clone(), upstream.incarnation);
+    let notice = Notice::Announced(upstream.clone());
     if matches!(state.registry.announce(upstream, now_ms), Change::Added | Change::Returned) {
         info!(upstream = %name, incarnation, "an upstream announced itself");
         state.shares.add(&name, limits, now_ms);
+        return Ok(Some(notice));
     }
-    Ok(())
+    Ok(None)
 }
 
-fn renew(state: &mut State, renewal: &rpc::Renewal, now_ms: u64) -> Change {
-    let Ok(name) = renewal.name.parse() else { return Change::Stale };
+fn renew(state: &mut State, renewal: &rpc::Renewal, now_ms: u64) -> (Change, Option<Notice>) {
+    let Ok(name) = renewal.name.parse() else { return (Change::Stale, None) };
     let change = state.registry.renew(&name, renewal.incarnation, now_ms);
     if change == Change::Returned
         && let Some((upstream, _)) = state.registry.get(&name)
     {
-        let limits = limits(upstream);
+        let (limits, notice) = (limits(upstream), Notice::Announced(upstream.clone()));
         state.shares.add(&name, limits, now_ms);
+        return (change, Some(notice));
     }
-    change
+    (change, None)
 }
 
 const fn limits(upstream: &Upstream) -> UpstreamLimits {
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -10,19 +10,19 @@
 use crate::rpc::control_server::Control;
 
 use super::core::Core;
+use super::jobs::{self, JobsHandle};
 use super::watch_stream::WatchStream;
-use super::{put_document, relay, requests};
+use super::{job_feed, put_document, relay, requests};
 
 /// Replies that wait for a slow entry host before its stream is given up.
 const REPLY_QUEUE: usize = 4;
 
-const JOBS_MISSING: &str = "jobs are not served yet";
-
 type Reply<T> = Result<Response<T>, Status>;
 
 /// Serves the RPCs of one control process.
 pub(super) struct ControlRpc {
     pub(super) core: Arc<Core>,
+    pub(super) jobs: JobsHandle,
     pub(super) stop: watch::Receiver<bool>,
 }
 
@@ -47,7 +47,9 @@
     }
 
     async fn relay(&self, request: Request<rpc::RelayRequest>) -> Reply<rpc::RelayReply> {
-        relay::relay(&self.core, &request.into_inner()).map(Response::new)
+        let (reply, notices) = relay::relay(&self.core, request.get_ref())?;
+        job_feed::tell(&self.jobs, notices).await;
+        Ok(Response::new(reply))
     }
 
     async fn watch(
@@ -67,7 +69,7 @@
         &self,
         request: Request<rpc::PutDocumentRequest>,
     ) -> Reply<rpc::PutDocumentReply> {
-        put_document::put(&self.core, request.into_inner()).await.map(Response::new)
+        put_document::put(&self.core, &self.jobs, request.into_inner()).await.map(Response::new)
     }
 
     async fn get_document(
@@ -84,20 +86,20 @@
         put_document::pulled(&self.core, request.into_inner()).map(Response::new)
     }
 
-    async fn submit_job(&self, _: Request<rpc::SubmitJobRequest>) -> Reply<rpc::JobReply> {
-        Err(Status::unimplemented(JOBS_MISSING))
+    async fn submit_job(&self, request: Request<rpc::SubmitJobRequest>) -> Reply<rpc::JobReply> {
+        Ok(Response::new(jobs::submit_job(&self.jobs, request.get_ref()).await))
     }
 
-    async fn get_job(&self, _: Request<rpc::JobNameRequest>) -> Reply<rpc::JobReply> {
-        Err(Status::unimplemented(JOBS_MISSING))
+    async fn get_job(&self, request: Request<rpc::JobNameRequest>) -> Reply<rpc::JobReply> {
+        Ok(Response::new(jobs::get_job(&self.jobs, request.get_ref()).await))
     }
 
-    async fn cancel_job(&self, _: Request<rpc::JobNameRequest>) -> Reply<rpc::JobReply> {
-        Err(Status::unimplemented(JOBS_MISSING))
+    async fn cancel_job(&self, request: Request<rpc::JobNameRequest>) -> Reply<rpc::JobReply> {
+        Ok(Response::new(jobs::cancel_job(&self.jobs, request.get_ref()).await))
     }
 
-    async fn explain_job(&self, _: Request<rpc::JobNameRequest>) -> Reply<rpc::JobReply> {
-        Err(Status::unimplemented(JOBS_MISSING))
+    async fn explain_job(&self, request: Request<rpc::JobNameRequest>) -> Reply<rpc::JobReply> {
+        Ok(Response::new(jobs::explain_job(&self.jobs, request.get_ref()).await))
     }
 
     async fn list_upstreams(
--- a/src/control/ticker.rs
+++ b/src/control/ticker.rs
@@ -11,6 +11,8 @@
 
 use super::core::Core;
 use super::event::Event;
+use super::job_feed::{self, Notice};
+use super::jobs::JobsHandle;
 
 /// Pause between two looks at the leases.
 const TICK: Duration = Duration::from_millis(100);
@@ -19,16 +21,18 @@
 const PRUNE_TICKS: u64 = 600;
 
 /// Runs until `stop` becomes true.
-pub(super) async fn run(core: Arc<Core>, mut stop: watch::Receiver<bool>) {
+pub(super) async fn run(core: Arc<Core>, jobs: JobsHandle, mut stop: watch::Receiver<bool>) {
     let mut due = interval(TICK);
     due.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut ticks = 0_u64;
+    let mut told_index = 0;
     loop {
         tokio::select! {
             () = stopped(&mut stop) => return,
             _ = due.tick() => {}
         }
-        end_leases(&core);
+        job_feed::tell(&jobs, end_leases(&core)).await;
+        told_index = job_feed::tell_documents(&core, &jobs, told_index).await;
         core.snapshot_if_due();
         if ticks.is_multiple_of(PRUNE_TICKS) {
             prune(&core).await;
@@ -37,13 +41,15 @@
     }
 }
 
-fn end_leases(core: &Core) {
+fn end_leases(core: &Core) -> Vec<Notice> {
     let now_ms = core.now_ms();
     let mut state = core.lock();
     let before = (state.shares.total_revision(), state.registry.revision());
+    let mut notices = Vec::new();
     for name in state.registry.expire(now_ms) {
         info!(upstream = %name, "an upstream's lease ended");
         state.shares.suspend(&name, now_ms);
+        notices.push(Notice::Lost(name));
     }
     state.shares.tick(now_ms);
     let changed = before != (state.shares.total_revision(), state.registry.revision());
@@ -51,6 +57,7 @@
     if changed {
         core.notify();
     }
+    notices
 }
 
 async fn prune(core: &Core) {
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -71,6 +71,7 @@
     steps::put_document(&cluster, &report).await?;
     steps::idempotent_requests(&cluster, &report).await?;
     steps::request_once(&cluster, &report).await?;
+    steps::gang_job(&cluster, &report).await?;
     steps::change_document(&cluster, &report).await?;
     steps::leaving_upstream(&mut cluster, &report).await?;
     steps::drain_under_load(&mut cluster, &report).await?;
--- a/src/demo/steps.rs
+++ b/src/demo/steps.rs
@@ -184,7 +184,6 @@
     Ok(())
 }
 
-#[expect(dead_code, reason = "control does not serve jobs yet")]
 pub(super) async fn gang_job(cluster: &LocalCluster, report: &Report) -> Result<(), StepError> {
     let client = cluster.client(0, 0);
     let job = r#"{"name":"demo-gang","organisation":"plovdiv","service":"plan","accelerators":16,"can_stop":true,"run_ms":300}"#;
@@ -199,7 +198,10 @@
     report.say(
         "gang_ms",
         millis,
-        &format!("a gang of 16 adjacent accelerators on 2 upstreams ran whole in {millis} ms"),
+        &format!(
+            "a gang of 16 adjacent accelerators on 2 upstreams ran whole; it ended {millis} ms after \
+             its submission, because nothing is lent in the 10 s in which the pool becomes known"
+        ),
     );
     Ok(())
 }
