--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -82,10 +82,15 @@
         validate: Arc<Validate>,
         fence: Fence,
     ) -> Result<Self, StepError> {
-        let rpc = listen(settings.rpc_address).await?;
-        let admin = listen(settings.admin_address).await?;
-        let core = Arc::new(Core::open(settings, validate, fence)?);
-        Ok(Self { core, rpc, admin })
+        // The folder comes first: without it nothing must be served.
+        let core = Core::open(settings, validate, fence)?;
+        Self::listen(core).await
+    }
+
+    async fn listen(core: Core) -> Result<Self, StepError> {
+        let rpc = listen(core.settings.rpc_address).await?;
+        let admin = listen(core.settings.admin_address).await?;
+        Ok(Self { core: Arc::new(core), rpc, admin })
     }
 
     async fn serve(self, stop: watch::Receiver<bool>) -> Result<(), StepError> {
--- a/src/control/tests/mod.rs
+++ b/src/control/tests/mod.rs
@@ -2,5 +2,9 @@
 
 mod work;
 
+mod documents;
+mod faults;
+mod leases;
+mod registry;
 mod requests;
 mod watch;
--- a/src/control/tests/requests.rs
+++ b/src/control/tests/requests.rs
@@ -1,12 +1,15 @@
 //! At-most-once records over RPC, across restarts.
 
 use bytes::Bytes;
+use insta::assert_snapshot;
+use tokio::task::JoinSet;
+use tonic::Code;
 
 use super::work::{Work, begin, today};
 use crate::Outcome;
 use crate::control::fence::FenceAnswer;
 use crate::rpc::begin_reply::Verdict;
-use crate::rpc::{PutDocumentRequest, SignOffRequest};
+use crate::rpc::{FinishRequest, SignOffRequest};
 
 fn done(attempt: u32) -> Outcome {
     Outcome::Done { answer: Bytes::from_static(b"posted\xff"), attempt }
@@ -70,31 +73,58 @@
     control.stop().await;
 }
 
-/// Guards against a document change that is answered but lost, or taken from another team.
+/// Guards against two hosts that are both told to run the same request.
+#[tokio::test(flavor = "multi_thread")]
+async fn of_many_submissions_at_once_one_proceeds() {
+    let work = Work::new();
+    let id = today("4");
+    let control = work.start().await;
+    let mut tasks = JoinSet::new();
+    for _ in 0..32 {
+        let (mut client, request) = (control.client.clone(), begin(&id));
+        tasks.spawn(async move { client.begin(request).await.expect("an answer").into_inner() });
+    }
+    let verdicts = tasks.join_all().await.into_iter().filter_map(|reply| reply.verdict);
+    let (proceed, others): (Vec<_>, Vec<_>) =
+        verdicts.partition(|verdict| *verdict == Verdict::ProceedAttempt(1));
+    assert_eq!(proceed.len(), 1);
+    assert!(others.iter().all(|verdict| *verdict == Verdict::InFlight(true)));
+    control.stop().await;
+}
+
+/// Guards against requests that are let through by their form: foreign keys, hosts or epochs.
 #[tokio::test]
-async fn a_document_is_accepted_once_and_survives_a_restart() {
+async fn requests_of_a_wrong_form_are_refused() {
     let work = Work::new();
+    let id = today("5");
     let mut control = work.start().await;
-    let body = r#"{"service":"plan","organisations":[],"batch_queue_max":4,
-        "completion_weight":2.0,"fragmentation_weight":1.0}"#;
-    let put = PutDocumentRequest {
-        service: "plan".into(),
-        base_version: 0,
-        operation: "operation-1".into(),
-        credential: "plan-secret".into(),
-        body_yaml: body.into(),
+    let mut foreign_host = begin(&id);
+    foreign_host.host = "entry-9".into();
+    let mut foreign_key = begin(&id);
+    foreign_key.identity.as_mut().expect("an identity").data_centre = "varna".into();
+    let mut no_identity = begin(&id);
+    no_identity.identity = None;
+    let mut expired = begin("20200101-1");
+    expired.replaces_attempt = 0;
+    let mut refusals = Vec::new();
+    for request in [foreign_host, foreign_key, no_identity, expired] {
+        let reply = control.client.begin(request).await.expect("an answer").into_inner();
+        refusals.push(format!("{:?}", reply.verdict.expect("a verdict")));
+    }
+    assert_snapshot!(refusals.join("\n"), @r#"
+    Refused("bad_request: entry-9 is not a configured entry host")
+    Refused("bad_request: data centre varna owns the key, not sofia")
+    Refused("bad_request: the identity is missing")
+    Refused("key_expired: the key's date is more than 7 days old or more than 1 day ahead")
+    "#);
+    let finish = FinishRequest {
+        data_centre: "sofia".into(),
+        id,
+        attempt: 1,
+        outcome: Some(done(1).into()),
+        epoch: 2,
     };
-    let foreign = PutDocumentRequest { credential: "other".into(), ..put.clone() };
-    let refused = control.client.put_document(foreign).await.expect("an answer").into_inner();
-    assert_eq!((refused.accepted, refused.code.as_str()), (false, "forbidden"));
-    let first = control.client.put_document(put.clone()).await.expect("an answer").into_inner();
-    assert!(first.accepted, "{}", first.reason);
-    control.stop().await;
-    let mut control = work.start().await;
-    let again = control.client.put_document(put.clone()).await.expect("an answer").into_inner();
-    assert_eq!(again, first);
-    let late = PutDocumentRequest { operation: "operation-2".into(), ..put };
-    let late = control.client.put_document(late).await.expect("an answer").into_inner();
-    assert_eq!((late.code.as_str(), late.current.map(|c| c.version)), ("conflict", Some(1)));
+    let status = control.client.finish(finish).await.expect_err("a later epoch");
+    assert_eq!(status.code(), Code::FailedPrecondition);
     control.stop().await;
 }
--- a/src/control/tests/watch.rs
+++ b/src/control/tests/watch.rs
@@ -2,17 +2,16 @@
 
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use insta::assert_snapshot;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::Streaming;
 
-use super::work::{Running, Work};
+use super::work::{Running, StoppedClock, Work};
 use crate::rpc::{RelayRequest, ShareUse, Upstream, WatchReply, WatchRequest};
 
-fn worker(slots: u32) -> Upstream {
+pub(super) fn worker(slots: u32) -> Upstream {
     Upstream {
         name: "worker-1".into(),
         incarnation: 7,
@@ -25,18 +24,18 @@
     }
 }
 
-fn relay(upstream: Upstream) -> RelayRequest {
+pub(super) fn relay(upstream: Upstream) -> RelayRequest {
     RelayRequest { host: "entry-1".into(), announced: vec![upstream], renewed: Vec::new() }
 }
 
-struct Host {
+pub(super) struct Host {
     out: mpsc::Sender<WatchRequest>,
     replies: Streaming<WatchReply>,
     request: WatchRequest,
 }
 
 impl Host {
-    async fn open(control: &mut Running, name: &str) -> Self {
+    pub(super) async fn open(control: &mut Running, name: &str) -> Self {
         let (out, requests) = mpsc::channel(16);
         let request = WatchRequest { host: name.into(), ..WatchRequest::default() };
         out.send(request.clone()).await.expect("the queue has room");
@@ -45,7 +44,7 @@
     }
 
     /// Sends demand and the acknowledgement of what the last reply granted.
-    async fn want(&mut self, reply: &WatchReply, slots: u32) {
+    pub(super) async fn want(&mut self, reply: &WatchReply, slots: u32) {
         self.request.epoch = reply.epoch;
         self.request.share_revision = reply.share_revision;
         self.request.document_index = reply.document_index;
@@ -56,22 +55,26 @@
         self.out.send(self.request.clone()).await.expect("the stream is open");
     }
 
-    async fn next(&mut self) -> WatchReply {
+    pub(super) async fn next(&mut self) -> WatchReply {
         let next = timeout(Duration::from_secs(3), self.replies.message()).await;
         next.expect("a reply at least each second").expect("a reply").expect("an open stream")
     }
 
-    /// Returns the first reply for which `wanted` holds.
-    async fn until(&mut self, slots: u32, wanted: impl Fn(&WatchReply) -> bool) -> WatchReply {
-        for _ in 0..100 {
-            let reply = self.next().await;
-            if wanted(&reply) {
-                return reply;
+    /// Sends demand and returns the replies that arrive within a short real time.
+    async fn exchange(&mut self, last: &mut WatchReply, slots: u32) -> Vec<WatchReply> {
+        self.want(last, slots).await;
+        let mut replies = Vec::new();
+        loop {
+            let pause = || std::thread::sleep(Duration::from_millis(20));
+            tokio::select! {
+                biased;
+                reply = self.replies.message() => {
+                    *last = reply.expect("a reply").expect("an open stream");
+                    replies.push(last.clone());
+                }
+                _ = tokio::task::spawn_blocking(pause) => return replies,
             }
-            self.want(&reply, slots).await;
-            tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        panic!("no such reply");
     }
 }
 
@@ -79,32 +82,35 @@
     reply.shares.iter().find(|share| share.upstream == "worker-1").map(|share| share.slots)
 }
 
-/// Guards against a host that is never told of an upstream, its loans or the upstream's loss.
+/// Guards against a host that is never told of an upstream, its loans or the upstream's loss, and
+/// against loans before those of an earlier epoch have ended.
 #[tokio::test]
 async fn a_host_hears_of_an_upstream_its_shares_and_its_loss() {
-    let work = Work::new();
+    let (work, clock) = (Work { lease_ms: 3000, ..Work::new() }, StoppedClock::new());
     let mut control = work.start().await;
     let mut host = Host::open(&mut control, "entry-1").await;
-    let first = host.next().await;
-    assert!(first.upstreams.is_empty() && first.shares.is_empty());
-    let mut relays = control.client.clone();
-    let keep = tokio::spawn(async move {
-        for _ in 0..15 {
-            relays.relay(relay(worker(8))).await.expect("an answer to Relay");
-            tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut last = host.next().await;
+    assert!(last.upstreams.is_empty() && last.shares.is_empty());
+    let mut log = Vec::new();
+    for step in 0..16 {
+        if step < 9 {
+            control.client.relay(relay(worker(8))).await.expect("an answer to Relay");
+        }
+        for reply in host.exchange(&mut last, 20).await {
+            let leaving = reply.upstreams.iter().map(|upstream| upstream.leaving);
+            let leaving: Vec<_> = leaving.collect();
+            if !leaving.is_empty() || slots(&reply).is_some() {
+                log.push(format!("step {step}: slots {:?} leaving {leaving:?}", slots(&reply)));
+            }
         }
-    });
-    let announced = host.next().await;
-    assert_eq!(announced.upstreams, [worker(8)]);
-    assert_eq!(slots(&announced), Some(1));
-    // Nothing is lent until shares lent before a restart have certainly ended.
-    host.want(&announced, 20).await;
-    let lent = host.until(20, |reply| slots(reply) == Some(7)).await;
-    assert_eq!(lent.sequence, host.request.sequence);
-    keep.await.expect("the relays end");
-    let lost = host.until(20, |reply| !reply.upstreams.is_empty()).await;
-    assert!(lost.upstreams[0].leaving);
-    drop(host);
+        assert_eq!(last.sequence, host.request.sequence);
+        clock.advance(500).await;
+    }
+    assert_snapshot!(log.join("\n"), @r"
+    step 0: slots Some(1) leaving [false]
+    step 7: slots Some(7) leaving []
+    step 15: slots None leaving [true]
+    ");
     control.stop().await;
 }
 
@@ -134,12 +140,7 @@
     let control = work.start().await;
     let mut answers = Vec::new();
     for path in ["/health", "/metrics"] {
-        let mut stream = TcpStream::connect(control.admin).await.expect("a connection");
-        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
-        stream.write_all(request.as_bytes()).await.expect("the request is sent");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).await.expect("an answer");
-        answers.push(answer);
+        answers.push(control.admin(path).await);
     }
     assert!(answers[0].starts_with("HTTP/1.1 200"), "{}", answers[0]);
     assert!(answers[0].ends_with(r#"{"epoch":1,"journal":null}"#), "{}", answers[0]);
--- a/src/control/tests/work.rs
+++ b/src/control/tests/work.rs
@@ -1,16 +1,20 @@
 //! A work directory with a control process that tests can stop and start again.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tonic::transport::Channel;
 
 use crate::config::{ControlSettings, TeamCredential};
 use crate::control::clock::{Clock, DAY_MS};
+use crate::control::core::Core;
 use crate::control::fence::{Fence, FenceAnswer};
 use crate::control::{Bound, read_document};
 use crate::rpc;
@@ -18,21 +22,22 @@
 use crate::rpc::control_client::ControlClient;
 use crate::{Outcome, StepError};
 
-pub(crate) const SHARE_LEASE_MS: u64 = 300;
-pub(crate) const UPSTREAM_LEASE_MS: u64 = 300;
-
 /// What the faked upstream says about every attempt; `None` for no answer.
-pub(crate) type Said = Arc<Mutex<Option<FenceAnswer>>>;
+type Said = Arc<Mutex<Option<FenceAnswer>>>;
 
 pub(crate) struct Work {
-    pub(crate) folder: TempDir,
-    pub(crate) said: Said,
+    pub(super) folder: TempDir,
+    pub(super) said: Said,
+    pub(super) asked: Arc<AtomicU32>,
+    /// Lease of shares and upstreams.
+    pub(crate) lease_ms: u64,
     pub(crate) writer: Option<SocketAddr>,
 }
 
 /// A running control process and a client of it.
 pub(crate) struct Running {
-    pub(crate) admin: SocketAddr,
+    pub(crate) address: SocketAddr,
+    admin: SocketAddr,
     pub(crate) client: ControlClient<Channel>,
     stop: watch::Sender<bool>,
     task: JoinHandle<Result<(), StepError>>,
@@ -41,7 +46,12 @@
 impl Work {
     pub(crate) fn new() -> Self {
         let folder = tempfile::tempdir().expect("a work directory");
-        Self { folder, said: Said::default(), writer: None }
+        Self { folder, said: Said::default(), asked: Arc::default(), lease_ms: 300, writer: None }
+    }
+
+    /// Returns how often the upstream was asked about an attempt.
+    pub(crate) fn asked(&self) -> u32 {
+        self.asked.load(Ordering::SeqCst)
     }
 
     pub(crate) fn say(&self, answer: Option<FenceAnswer>) {
@@ -58,8 +68,8 @@
             data_folder: self.folder.path().join("data"),
             entry_hosts: ["entry-1", "entry-2"].map(|n| n.parse().expect("a name")).to_vec(),
             document_writer: self.writer,
-            upstream_lease_ms: UPSTREAM_LEASE_MS,
-            share_lease_ms: SHARE_LEASE_MS,
+            upstream_lease_ms: self.lease_ms,
+            share_lease_ms: self.lease_ms,
             credentials: vec![TeamCredential {
                 service: "plan".parse().expect("a name"),
                 secret: "plan-secret".into(),
@@ -67,31 +77,54 @@
         }
     }
 
-    pub(crate) async fn start(&self) -> Running {
-        let said = Arc::clone(&self.said);
-        let fence: Fence = Arc::new(move |_| {
+    /// Asks the faked upstream.
+    pub(crate) fn fence(&self) -> Fence {
+        let (said, asked) = (Arc::clone(&self.said), Arc::clone(&self.asked));
+        Arc::new(move |_| {
+            asked.fetch_add(1, Ordering::SeqCst);
             let answer = said.lock().expect("the lock").clone();
             let missing = || StepError::new("fence an attempt", "upstream", "no answer");
             Box::pin(async move { answer.ok_or_else(missing) })
-        });
-        let bound = Bound::bind(self.settings(), Arc::new(read_document), fence).await;
-        let bound = bound.expect("the control process starts");
+        })
+    }
+
+    pub(crate) fn core(&self) -> Core {
+        let core = Core::open(self.settings(), Arc::new(read_document), self.fence());
+        core.expect("the data folder opens")
+    }
+
+    pub(crate) async fn start(&self) -> Running {
+        Running::start(self.core()).await
+    }
+}
+
+impl Running {
+    pub(crate) async fn start(core: Core) -> Self {
+        let bound = Bound::listen(core).await.expect("the addresses are free");
         let address = bound.rpc.local_addr().expect("an address");
         let admin = bound.admin.local_addr().expect("an address");
         let (stop, stopped) = watch::channel(false);
         let task = tokio::spawn(bound.serve(stopped));
         let client = ControlClient::connect(format!("http://{address}")).await.expect("a client");
-        Running { admin, client, stop, task }
+        Self { address, admin, client, stop, task }
     }
-}
 
-impl Running {
     pub(crate) async fn stop(self) {
         drop(self.client);
         self.stop.send_replace(true);
         self.task.await.expect("the task ends").expect("the process ends without an error");
     }
 
+    /// Returns the raw answer of the admin port.
+    pub(crate) async fn admin(&self, path: &str) -> String {
+        let mut stream = TcpStream::connect(self.admin).await.expect("a connection");
+        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.expect("the request is sent");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("an answer");
+        answer
+    }
+
     pub(crate) async fn begin(&mut self, id: &str) -> Verdict {
         let reply = self.client.begin(begin(id)).await.expect("an answer to Begin").into_inner();
         reply.verdict.expect("a verdict")
@@ -125,6 +158,47 @@
     }
 }
 
+/// Keeps a paused clock from running ahead while the journal's thread works.
+pub(crate) struct StoppedClock(Option<std::sync::mpsc::Sender<()>>);
+
+impl StoppedClock {
+    pub(crate) fn new() -> Self {
+        tokio::time::pause();
+        let (sender, receiver) = std::sync::mpsc::channel::<()>();
+        // Tokio moves a paused clock only when no blocking task runs.
+        tokio::task::spawn_blocking(move || _ = receiver.recv());
+        Self(Some(sender))
+    }
+
+    /// Advances in small steps, and lets messages arrive after each.
+    pub(crate) async fn advance(&self, millis: u64) {
+        assert!(self.0.is_some());
+        for step in 0..millis.div_ceil(50) {
+            let left = millis - step * 50;
+            tokio::time::advance(Duration::from_millis(left.min(50))).await;
+            let pause = || std::thread::sleep(Duration::from_millis(1));
+            tokio::task::spawn_blocking(pause).await.expect("the pause ends");
+        }
+    }
+}
+
+pub(crate) fn document(service: &str, batch_queue_max: u32) -> String {
+    format!(
+        r#"{{"service":"{service}","organisations":[],"batch_queue_max":{batch_queue_max},
+"completion_weight":2.0,"fragmentation_weight":1.0}}"#
+    )
+}
+
+pub(crate) fn put(base_version: u64, operation: &str, body: String) -> rpc::PutDocumentRequest {
+    rpc::PutDocumentRequest {
+        service: "plan".into(),
+        base_version,
+        operation: operation.into(),
+        credential: "plan-secret".into(),
+        body_yaml: body,
+    }
+}
+
 pub(crate) fn begin(id: &str) -> rpc::BeginRequest {
     rpc::BeginRequest {
         identity: Some(rpc::RequestIdentity {
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -8,7 +8,7 @@
 mod format;
 mod recovery;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 mod writer;
 
 use std::fs::{self, File};
--- a/src/journal/tests.rs
+++ b/src/journal/tests.rs
@@ -154,7 +154,8 @@
     }
 }
 
-fn failing_after(left: usize, fails_at_sync: bool) -> OpenSink {
+/// Opens files that fail after a number of writes or syncs.
+pub(crate) fn failing_after(left: usize, fails_at_sync: bool) -> OpenSink {
     let left = Arc::new(AtomicUsize::new(left));
     Box::new(move |path| {
         let file = fs::OpenOptions::new().append(true).create(true).open(path)?;
