Add randomised runs of the core against simulated upstreams

Cause: the core's claims were checked only against its own state and in chosen cases. The pause now ends, and the whole-state check covers it.

--- a/src/scheduler/invariants.rs
+++ b/src/scheduler/invariants.rs
@@ -3,7 +3,9 @@
 use super::Scheduler;
 use super::gang::Phase;
 use super::job::JobState;
+use super::pool::UpstreamIx;
 use super::rack::View;
+use super::timers::Timer;
 
 impl Scheduler {
     /// Checks after each step that cost the same however large the pool is.
@@ -23,6 +25,22 @@
         self.check_accelerators();
         self.check_jobs();
         self.check_guarantees();
+        self.check_suspensions();
+    }
+
+    /// Every upstream that gets no work because of failures will be asked or trusted again.
+    fn check_suspensions(&self) {
+        for (i, upstream) in self.pool.upstreams.iter().enumerate() {
+            let ix = UpstreamIx(u32::try_from(i).unwrap_or(u32::MAX));
+            assert!(
+                !upstream.suspended || self.timers.is_set(Timer::Resume(ix)),
+                "upstream {} is suspended for good",
+                upstream.name
+            );
+        }
+        let records = self.quarantine.records.values();
+        let count = records.filter(|record| record.probe_interval_ms.is_some()).count();
+        assert!(count == self.quarantine.count, "the number of upstreams in quarantine is wrong");
     }
 
     /// Guaranteed blocks are disjoint, and stopping borrowers makes room for each that is not
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod queue;
 mod rack;
 mod recovery;
+pub mod soak;
 mod starvation;
 mod stopping;
 mod timers;
--- a/src/scheduler/quarantine.rs
+++ b/src/scheduler/quarantine.rs
@@ -138,8 +138,7 @@
     /// Clears the failures of an upstream that started again or is gone for good.
     pub(super) fn forget_failures(&mut self, ix: UpstreamIx) {
         self.release_quarantine(ix);
-        if self.quarantine.records.remove(&ix).is_some() {
-            self.resume_upstream(ix);
-        }
+        self.quarantine.records.remove(&ix);
+        self.resume_upstream(ix);
     }
 }
--- /dev/null
+++ b/src/scheduler/soak/worker.rs
@@ -0,0 +1,205 @@
+//! A simulated upstream that keeps the promises of the design page and nothing more.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::scheduler::event::{GangId, MemberStatus, StopStatus};
+use crate::scheduler::{Announcement, Mask};
+
+/// Whether an upstream can be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Link {
+    /// Messages arrive.
+    Up,
+    /// No message arrives, while members work on until their leases end.
+    Frozen,
+    /// The process is gone, with all its members.
+    Down,
+}
+
+/// What a member does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Activity {
+    /// Accelerators are held and nothing runs.
+    Staged { until_ms: u64 },
+    /// The member works until its lease or its work ends.
+    Working { lease_until_ms: u64, done_ms: u64 },
+    /// The member ended its work.
+    Done,
+    /// The lease or the hold ended first.
+    Expired { worked: bool },
+}
+
+/// A member on the upstream.
+#[derive(Debug, Clone)]
+pub struct WorkerMember {
+    /// Accelerators of the member.
+    pub mask: Mask,
+    /// What it does.
+    pub activity: Activity,
+    /// Whether its work fails.
+    pub fails: bool,
+    /// Time at which the member ended, once it did.
+    pub end_ms: Option<u64>,
+}
+
+/// A simulated upstream.
+#[derive(Debug)]
+pub struct Worker {
+    /// What it announces.
+    pub announcement: Announcement,
+    /// Whether it can be reached.
+    pub link: Link,
+    /// Time since which the present incarnation is leaving.
+    pub leaving_since_ms: Option<u64>,
+    /// Whether everything that it starts fails.
+    pub fails_everything: bool,
+    /// Length of its clock's second, in thousandths; within 2%, as the page assumes.
+    pub clock_permille: u64,
+    /// Whether the scheduler was told that the upstream is lost.
+    pub reported_lost: bool,
+    /// Members by gang.
+    pub members: BTreeMap<GangId, WorkerMember>,
+    /// Gangs that were stopped here, whose late messages are refused.
+    pub stopped: BTreeSet<GangId>,
+}
+
+impl Worker {
+    /// Returns the real length of a lease on this upstream's clock.
+    pub const fn real_ms(&self, lease_ms: u64) -> u64 {
+        lease_ms * self.clock_permille / 1_000
+    }
+
+    /// Lets the members' leases and work end as time passes.
+    pub fn settle(&mut self, now_ms: u64) {
+        for member in self.members.values_mut() {
+            let (activity, end_ms) = match member.activity {
+                Activity::Staged { until_ms } if until_ms <= now_ms => {
+                    (Activity::Expired { worked: false }, until_ms)
+                }
+                Activity::Working { lease_until_ms, done_ms }
+                    if done_ms <= now_ms.min(lease_until_ms) =>
+                {
+                    (Activity::Done, done_ms)
+                }
+                Activity::Working { lease_until_ms, .. } if lease_until_ms <= now_ms => {
+                    (Activity::Expired { worked: true }, lease_until_ms)
+                }
+                _ => continue,
+            };
+            member.activity = activity;
+            member.end_ms = Some(end_ms);
+        }
+    }
+
+    /// Stages a member, unless the accelerators are in use or the gang was stopped.
+    pub fn stage(&mut self, gang: GangId, mask: Mask, hold_ms: u64, now_ms: u64) -> bool {
+        self.settle(now_ms);
+        if self.members.contains_key(&gang) {
+            return matches!(self.members[&gang].activity, Activity::Staged { .. });
+        }
+        let in_use = |m: &WorkerMember| {
+            let active = matches!(m.activity, Activity::Staged { .. } | Activity::Working { .. });
+            active && m.mask & mask != 0
+        };
+        if self.stopped.contains(&gang) || self.members.values().any(in_use) {
+            self.stopped.insert(gang);
+            return false;
+        }
+        let activity = Activity::Staged { until_ms: now_ms + self.real_ms(hold_ms) };
+        self.members.insert(gang, WorkerMember { mask, activity, fails: false, end_ms: None });
+        true
+    }
+
+    /// Starts a staged member; returns whether it works, and whether it started just now.
+    pub fn commit(
+        &mut self,
+        gang: GangId,
+        lease_ms: u64,
+        run_ms: u64,
+        fails: bool,
+        now_ms: u64,
+    ) -> (bool, bool) {
+        self.settle(now_ms);
+        let lease_until_ms = now_ms + self.real_ms(lease_ms);
+        let Some(member) = self.members.get_mut(&gang) else {
+            self.stopped.insert(gang);
+            return (false, false);
+        };
+        match member.activity {
+            Activity::Staged { .. } => {
+                member.activity = Activity::Working { lease_until_ms, done_ms: now_ms + run_ms };
+                member.fails = fails;
+                (true, true)
+            }
+            Activity::Working { .. } | Activity::Done => (true, false),
+            Activity::Expired { worked } => (worked, false),
+        }
+    }
+
+    /// Renews a lease; 0 only asks.
+    pub fn renew(&mut self, gang: GangId, lease_ms: u64, now_ms: u64) -> MemberStatus {
+        self.settle(now_ms);
+        let renewed_ms = now_ms + self.real_ms(lease_ms);
+        let Some(member) = self.members.get_mut(&gang) else { return MemberStatus::Absent };
+        match &mut member.activity {
+            Activity::Working { lease_until_ms, .. } => {
+                *lease_until_ms = renewed_ms.max(*lease_until_ms);
+                MemberStatus::Running
+            }
+            Activity::Done if member.fails => MemberStatus::Failed,
+            Activity::Done => MemberStatus::Completed,
+            Activity::Staged { .. } | Activity::Expired { .. } => MemberStatus::Absent,
+        }
+    }
+
+    /// Stops a member for good.
+    pub fn stop(&mut self, gang: GangId, now_ms: u64) -> StopStatus {
+        self.settle(now_ms);
+        self.stopped.insert(gang);
+        let Some(member) = self.members.get_mut(&gang) else { return StopStatus::NotStarted };
+        match member.activity {
+            Activity::Done if !member.fails => StopStatus::Completed,
+            Activity::Done | Activity::Expired { worked: true } => StopStatus::Stopped,
+            Activity::Working { .. } => {
+                member.activity = Activity::Expired { worked: true };
+                member.end_ms = Some(now_ms);
+                StopStatus::Stopped
+            }
+            Activity::Staged { .. } | Activity::Expired { worked: false } => {
+                member.activity = Activity::Expired { worked: false };
+                StopStatus::NotStarted
+            }
+        }
+    }
+
+    /// Returns whether a member works.
+    pub fn is_working(&self, gang: GangId, now_ms: u64) -> bool {
+        self.members.get(&gang).is_some_and(|m| match m.activity {
+            Activity::Working { lease_until_ms, done_ms } => now_ms < lease_until_ms.min(done_ms),
+            _ => false,
+        })
+    }
+
+    /// Returns the accelerators on which members work.
+    pub fn working_mask(&self, except: GangId, now_ms: u64) -> Mask {
+        let others = self.members.iter().filter(|(id, _)| **id != except);
+        let working = others.filter(|(id, _)| self.is_working(**id, now_ms));
+        working.fold(0, |mask, (_, member)| mask | member.mask)
+    }
+
+    /// Ends the process with all its members.
+    pub fn kill(&mut self) {
+        self.members.clear();
+        self.stopped.clear();
+        self.link = Link::Down;
+    }
+
+    /// Forgets members and stops older than a gang that has been over for long.
+    pub fn prune(&mut self, before: GangId) {
+        self.stopped = self.stopped.split_off(&before);
+        self.members.retain(|id, m| {
+            *id >= before
+                || matches!(m.activity, Activity::Staged { .. } | Activity::Working { .. })
+        });
+    }
+}
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -4,4 +4,5 @@
 mod guarantees;
 mod harness;
 mod recovery;
+mod soak;
 mod starvation;
--- a/src/scheduler/tests/starvation.rs
+++ b/src/scheduler/tests/starvation.rs
@@ -195,3 +195,15 @@
     let placed = (0..10).filter(|i| matches!(core.state(&format!("a{i}")), JobState::Placed(_)));
     assert_eq!(placed.count(), 9);
 }
+
+/// Guards against a pause after a refusal that never ends because the upstream started again.
+#[test]
+fn a_restart_ends_the_pause_of_an_upstream() {
+    let mut core = Core::with_racks(1, 1);
+    core.submit(job("a", 8));
+    let gang = core.gang("a");
+    core.step(Event::StageAnswered { gang, upstream: upstream(0, 0), staged: false });
+    core.announce(0, 0, 2);
+    core.run_ms(2_000);
+    assert_eq!(core.stage("a"), Some("running"));
+}
