--- a/src/control/documents/tests.rs
+++ b/src/control/documents/tests.rs
@@ -191,7 +191,11 @@
         name => Ok(ServiceDocument {
             service: name.parse().expect("a name"),
             organisations: Vec::new(),
+            interactive_queue_max: 1,
+            interactive_wait_max_ms: 1,
             batch_queue_max: 1,
+            batch_wait_max_ms: 1,
+            job_shapes: Vec::new(),
             completion_weight: 1.0,
             fragmentation_weight: 1.0,
         }),
--- a/src/control/put_document.rs
+++ b/src/control/put_document.rs
@@ -24,6 +24,20 @@
     jobs: &JobsHandle,
     request: rpc::PutDocumentRequest,
 ) -> Result<rpc::PutDocumentReply, Status> {
+    let jobs = jobs.clone();
+    let judge = |body: String, version| async move { job_feed::judge(&jobs, &body, version).await };
+    put_judged(core, request, judge).await
+}
+
+/// Changes a document if `judge` finds that the guarantees of its next version fit.
+pub(super) async fn put_judged<F>(
+    core: &Core,
+    request: rpc::PutDocumentRequest,
+    judge: impl FnOnce(String, u64) -> F,
+) -> Result<rpc::PutDocumentReply, Status>
+where
+    F: Future<Output = Result<Result<(), String>, Status>>,
+{
     if let Some(writer) = core.settings.document_writer {
         return Ok(forward(&format!("http://{writer}"), request).await);
     }
@@ -42,7 +56,7 @@
     let _in_order = core.putting.lock().await;
     let mut checked = documents::check(&put, &*core.validate);
     if let Some(version) = next_version(core, &put, &checked) {
-        checked = job_feed::judge(jobs, &put.body_yaml, version).await?;
+        checked = judge(put.body_yaml.clone(), version).await?;
     }
     let decided = core.decide(|state, now_ms| match state.documents.put(&put, checked, now_ms) {
         Ok((answer, event)) => (Ok(answer), event.map(Event::Document)),
