Show a host's own document and its age while control is away

Cause: reading a document through an entry host failed with 503 when control was away, although the host went on applying its copy. Change: the answer is the copy in force, with confirmed=false and the age of the host's knowledge. Result: before, status 503; after, status 200 with the age (test with a killed control process). Conclusion: operators can see what a cut-off host applies.

--- a/src/entry/api/documents.rs
+++ b/src/entry/api/documents.rs
@@ -11,6 +11,8 @@
     version: u64,
     index: u64,
     body_yaml: String,
+    /// False if control could not be asked and this is the copy in force at the host.
+    confirmed: bool,
     /// Index in force at the host that answers, and the age of its knowledge.
     in_force_index: Option<u64>,
     in_force_version: Option<u64>,
@@ -43,18 +45,32 @@
     diff: String,
 }
 
+/// Answers with control's document, or with the one in force here while control is away.
 pub(super) async fn get(host: &EntryHost, service: &str) -> FullResponse {
     let message = rpc::GetDocumentRequest { service: service.to_owned() };
     match host.control.get_document(message).await {
-        Err(fault) => error(503, &fault.to_string()),
         Ok(rpc::GetDocumentReply { document: Some(document), .. }) => {
-            json(200, &body(host, document))
+            json(200, &body(host, document, true))
         }
         Ok(_) => error(404, "no document has been put for this service"),
+        Err(fault) => match in_force(host, service) {
+            Some(document) => json(200, &body(host, document, false)),
+            None => error(503, &fault.to_string()),
+        },
     }
 }
 
-fn body(host: &EntryHost, document: rpc::Document) -> DocumentBody {
+fn in_force(host: &EntryHost, service: &str) -> Option<rpc::Document> {
+    let in_force = host.documents.get(&service.parse().ok()?)?;
+    Some(rpc::Document {
+        service: service.to_owned(),
+        version: in_force.version,
+        index: in_force.index,
+        body_yaml: in_force.body_yaml.clone(),
+    })
+}
+
+fn body(host: &EntryHost, document: rpc::Document, confirmed: bool) -> DocumentBody {
     let service = document.service.parse().ok();
     let in_force = service.and_then(|service| host.documents.get(&service));
     DocumentBody {
@@ -62,6 +78,7 @@
         version: document.version,
         index: document.index,
         body_yaml: document.body_yaml,
+        confirmed,
         in_force_index: in_force.as_ref().map(|in_force| in_force.index),
         in_force_version: in_force.as_ref().map(|in_force| in_force.version),
         age_ms: host.documents.age_ms(),
@@ -97,7 +114,7 @@
     match host.control.put_document(message).await {
         Err(fault) => error(503, &fault.to_string()),
         Ok(reply) if reply.accepted => match reply.current {
-            Some(document) => json(200, &body(host, document)),
+            Some(document) => json(200, &body(host, document, true)),
             None => error(502, "control accepted the change without naming it"),
         },
         Ok(reply) => refused(reply),
--- a/src/entry/documents.rs
+++ b/src/entry/documents.rs
@@ -12,6 +12,8 @@
 #[derive(Debug)]
 pub(crate) struct InForce {
     pub(crate) document: ServiceDocument,
+    /// The document as the team wrote it.
+    pub(crate) body_yaml: String,
     pub(crate) version: u64,
     pub(crate) index: u64,
 }
@@ -49,13 +51,13 @@
     }
 
     /// Puts a document in force; false if one with the same or a higher index is in force.
-    pub(crate) fn apply(&self, document: ServiceDocument, version: u64, index: u64) -> bool {
+    pub(crate) fn apply(&self, in_force: InForce) -> bool {
         let mut state = self.state.write().expect("no panic while documents are locked");
-        let service = document.service.clone();
+        let (service, index) = (in_force.document.service.clone(), in_force.index);
         if state.by_service.get(&service).is_some_and(|old| old.index >= index) {
             return false;
         }
-        state.by_service.insert(service, Arc::new(InForce { document, version, index }));
+        state.by_service.insert(service, Arc::new(in_force));
         state.index = state.index.max(index);
         true
     }
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -11,6 +11,7 @@
 use tracing::{info, warn};
 
 use super::EntryHost;
+use super::documents::InForce;
 use super::upstreams::{Allowance, ShareReport, UpstreamInfo};
 use crate::config::ServiceDocument;
 use crate::error::StepError;
@@ -257,8 +258,9 @@
     match ServiceDocument::parse(&document.body_yaml) {
         Ok(parsed) => {
             let service = parsed.service.clone();
-            if host.documents.apply(parsed, document.version, document.index) {
-                let (version, index) = (document.version, document.index);
+            let (version, index) = (document.version, document.index);
+            let body_yaml = document.body_yaml.clone();
+            if host.documents.apply(InForce { document: parsed, body_yaml, version, index }) {
                 info!(%service, version, index, "document in force");
             }
         }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -37,6 +37,17 @@
     assert_eq!(installation.started(), started, "nothing was dispatched");
 }
 
+/// Guards against a host that hides how old its document is while control is away.
+#[test]
+fn without_control_a_host_shows_its_document_and_its_age() {
+    let mut installation = Installation::start(2, 1);
+    installation.kill_control();
+    let reply = installation.client(0).get("/v1/documents/plan").expect("an answer");
+    assert_eq!((reply.status, &reply.body["version"]), (200, &1.into()), "{reply:?}");
+    assert_eq!(reply.body["confirmed"], false);
+    assert!(reply.body["age_ms"].is_u64(), "{reply:?}");
+}
+
 /// Guards against an entry host that goes on sending to an upstream that is frozen.
 #[test]
 fn a_frozen_upstream_does_not_fail_idempotent_requests() {
