--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -10,8 +10,10 @@
 
 use crate::config::{Limits, Timeouts};
 use crate::error::StepError;
-use crate::local::{LocalCluster, LocalDataCentre, LocalSettings};
+use crate::local::{LocalCluster, LocalDataCentre, LocalSettings, TEAM_SECRET};
 
+/// Name of the demo's data centre.
+const DATA_CENTRE: &str = "north";
 /// Entry hosts in the demo's data centre.
 const ENTRY_HOSTS: u8 = 2;
 /// Stand-ins in the demo's data centre: one rack.
@@ -52,17 +54,7 @@
 /// Panics if a thread that reports has panicked.
 pub async fn run(folder: &Path, quiet: bool) -> Result<Report, StepError> {
     let report = Report { quiet, ..Report::default() };
-    let settings = LocalSettings {
-        data_centres: vec![LocalDataCentre {
-            name: "north".parse().expect("a valid name"),
-            entry_hosts: ENTRY_HOSTS,
-            upstreams: UPSTREAMS,
-        }],
-        folder: folder.to_owned(),
-        timeouts: Timeouts { balancer_notice_ms: 1_000, ..Timeouts::default() },
-        limits: Limits::default(),
-    };
-    let mut cluster = LocalCluster::start(settings).await?;
+    let mut cluster = start(folder).await?;
     report.say(
         "entry_hosts",
         ENTRY_HOSTS,
@@ -80,6 +72,41 @@
     Ok(report)
 }
 
+/// Starts the demo's installation, prints how to reach it and runs it until `stop` ends.
+///
+/// # Errors
+/// Returns an error if the installation does not start or accept its first document.
+///
+/// # Panics
+/// Panics if a thread that reports has panicked.
+pub async fn stay(folder: &Path, stop: impl Future<Output = ()>) -> Result<(), StepError> {
+    let cluster = start(folder).await?;
+    steps::put_document(&cluster, &Report::default()).await?;
+    let addresses: Vec<String> =
+        (0..ENTRY_HOSTS).map(|host| cluster.caller_address(0, host).to_string()).collect();
+    println!("export CACTUSLATCH_ENTRY={}", addresses.join(","));
+    println!("export CACTUSLATCH_CREDENTIAL={TEAM_SECRET}");
+    println!("admin address of the first entry host: {}", cluster.admin_address(0, 0));
+    println!("interrupt to end");
+    stop.await;
+    cluster.stop().await;
+    Ok(())
+}
+
+async fn start(folder: &Path) -> Result<LocalCluster, StepError> {
+    let settings = LocalSettings {
+        data_centres: vec![LocalDataCentre {
+            name: DATA_CENTRE.parse().expect("a valid name"),
+            entry_hosts: ENTRY_HOSTS,
+            upstreams: UPSTREAMS,
+        }],
+        folder: folder.to_owned(),
+        timeouts: Timeouts { balancer_notice_ms: 1_000, ..Timeouts::default() },
+        limits: Limits::default(),
+    };
+    LocalCluster::start(settings).await
+}
+
 /// Repeats a check until it holds; an error names the step that did not come about.
 async fn wait_until(
     step: &'static str,
