Test commits that wait for a slow disk

Cause: no test covered messages that leave long after the step that decided on them. Conclusion: a slow disk delays gangs and does not stretch their leases.

--- a/src/control/jobs/tests/calls.rs
+++ b/src/control/jobs/tests/calls.rs
@@ -108,7 +108,7 @@
 async fn nothing_is_sent_when_the_journal_fails() {
     let world = World::new(none);
     let jobs = world.start(1).await;
-    *world.disk_failed.lock().expect("no panic") = true;
+    world.disk.lock().expect("no panic").failed = true;
     for _ in 0..2 {
         let reply = submit(&jobs, "a", GANG_OF_16).await;
         assert!(reply.refused && reply.reason.starts_with("unavailable: "), "{reply:?}");
--- a/src/control/jobs/tests/faults.rs
+++ b/src/control/jobs/tests/faults.rs
@@ -167,6 +167,23 @@
     world.assert_bound(LEASE_BOUND_MS);
 }
 
+/// Guards against leases that a slow disk stretches.
+#[rstest]
+#[case::within_the_start_lease(1_900, 1)]
+#[case::beyond_the_start_lease(2_500, 0)]
+#[tokio::test(start_paused = true)]
+async fn a_commit_behind_a_slow_disk_keeps_its_lease(#[case] sync_ms: u64, #[case] gangs: usize) {
+    let world = World::new(none);
+    world.disk.lock().expect("no panic").sync_ms = sync_ms;
+    let jobs = world.start(1).await;
+    submit(&jobs, "a", GANG_OF_16).await;
+    sleep(Duration::from_secs(15)).await;
+    assert_eq!(world.gangs_that_worked(), gangs, "{:#?}", world.runs());
+    world.disk.lock().expect("no panic").sync_ms = 0;
+    assert_eq!(wait_for_end(&jobs, "a").await, "completed");
+    world.assert_bound(HOPS_MS);
+}
+
 /// Guards against a refusal that is taken for silence.
 #[tokio::test(start_paused = true)]
 async fn a_refused_stage_ends_the_gang_at_once() {
--- a/src/control/jobs/tests/site.rs
+++ b/src/control/jobs/tests/site.rs
@@ -56,7 +56,7 @@
     fault: Fault,
     started: Instant,
     pub journal: Arc<Mutex<Vec<Vec<u8>>>>,
-    pub disk_failed: Arc<Mutex<bool>>,
+    pub disk: Arc<Mutex<Disk>>,
     pub metrics: Arc<JobsMetrics>,
 }
 
@@ -70,7 +70,7 @@
             fault,
             started: Instant::now(),
             journal: Arc::default(),
-            disk_failed: Arc::default(),
+            disk: Arc::default(),
             metrics: Arc::new(JobsMetrics::new()),
         })
     }
@@ -124,7 +124,7 @@
         JobsParts {
             epoch,
             now_ms: 1_000_000 + self.elapsed_ms(),
-            append: memory_journal(&self.journal, &self.disk_failed),
+            append: memory_journal(&self.journal, &self.disk),
             deliver,
             find_shape: Box::new(|_, name| (name.as_str() == "pair").then(|| pair(name))),
             metrics: Arc::clone(&self.metrics),
@@ -247,16 +247,27 @@
     longest.as_millis()
 }
 
+/// State of the disk under the journal.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Disk {
+    pub failed: bool,
+    /// Time for each append after the first.
+    pub sync_ms: u64,
+}
+
 /// Returns a journal that keeps its payloads in memory and fails on demand.
-pub fn memory_journal(payloads: &Arc<Mutex<Vec<Vec<u8>>>>, failed: &Arc<Mutex<bool>>) -> Append {
-    let (payloads, failed) = (Arc::clone(payloads), Arc::clone(failed));
+pub fn memory_journal(payloads: &Arc<Mutex<Vec<Vec<u8>>>>, disk: &Arc<Mutex<Disk>>) -> Append {
+    let (payloads, disk) = (Arc::clone(payloads), Arc::clone(disk));
     Box::new(move |kind, payload| {
         assert_eq!(kind, JOBS_RECORD_KIND);
-        let (payloads, failed) = (Arc::clone(&payloads), Arc::clone(&failed));
+        let (payloads, disk) = (Arc::clone(&payloads), *disk.lock().expect("no panic"));
         Box::pin(async move {
-            if *failed.lock().expect("no panic") {
+            if disk.failed {
                 return Err(StepError::new("append", "journal", "the disk is full"));
             }
+            if !payloads.lock().expect("no panic").is_empty() {
+                sleep(Duration::from_millis(disk.sync_ms)).await;
+            }
             let mut payloads = payloads.lock().expect("no panic");
             payloads.push(payload);
             Ok(payloads.len() as u64)
