--- a/src/control/jobs/tests/faults.rs
+++ b/src/control/jobs/tests/faults.rs
@@ -8,6 +8,7 @@
 use super::site::{Fate, Fault, Sent, World, explain, status, submit, wait_for_end};
 
 const GANG_OF_16: &str = r#""accelerators":16,"run_ms":20000"#;
+const LONG_GANG: &str = r#""accelerators":16,"run_ms":50000"#;
 const START_BOUND_MS: u128 = 2_000;
 const LEASE_BOUND_MS: u128 = 30_000;
 /// Difference between the arrival times of two messages sent together.
@@ -88,7 +89,7 @@
 ) {
     let world = World::new(fault);
     let jobs = world.start(1).await;
-    assert!(submit(&jobs, "a", r#""accelerators":16,"run_ms":50000"#).await.found);
+    assert!(submit(&jobs, "a", LONG_GANG).await.found);
     assert_eq!(wait_for_end(&jobs, "a").await, "completed");
     world.assert_bound(bound_ms);
     assert_eq!(world.gangs_that_worked(), gangs, "{:#?}", world.runs());
@@ -120,16 +121,17 @@
 ) {
     let world = World::new(none);
     let jobs = world.start(1).await;
-    let reply = submit(&jobs, "a", GANG_OF_16).await;
+    let reply = submit(&jobs, "a", LONG_GANG).await;
     sleep(Duration::from_millis(dies_ms)).await;
-    drop(jobs);
+    jobs.abort();
     sleep(Duration::from_millis(down_ms)).await;
     let jobs = world.start(2).await;
-    assert_eq!(submit(&jobs, "a", GANG_OF_16).await, reply, "a resend gets the first answer");
+    assert_eq!(submit(&jobs, "a", LONG_GANG).await, reply, "a resend gets the first answer");
     assert_eq!(wait_for_end(&jobs, "a").await, "completed");
     world.assert_bound(START_BOUND_MS);
-    if dies_ms == 12_000 && down_ms < 30_000 {
-        assert_eq!(world.gangs_that_worked(), 1, "a confirmed gang goes on");
+    if dies_ms == 12_000 {
+        let gangs = if down_ms < 30_000 { 1 } else { 2 };
+        assert_eq!(world.gangs_that_worked(), gangs, "{:#?}", world.runs());
     }
 }
 
@@ -167,6 +169,36 @@
     world.assert_bound(LEASE_BOUND_MS);
 }
 
+/// Guards against leases that a slow disk stretches.
+#[rstest]
+#[case::within_the_start_lease(1_900, 1)]
+#[case::beyond_the_start_lease(2_500, 0)]
+#[tokio::test(start_paused = true)]
+async fn a_commit_behind_a_slow_disk_keeps_its_lease(#[case] sync_ms: u64, #[case] gangs: usize) {
+    let world = World::new(none);
+    world.disk.lock().expect("no panic").sync_ms = sync_ms;
+    let jobs = world.start(1).await;
+    submit(&jobs, "a", GANG_OF_16).await;
+    sleep(Duration::from_secs(15)).await;
+    assert_eq!(world.gangs_that_worked(), gangs, "{:#?}", world.runs());
+    world.disk.lock().expect("no panic").sync_ms = 0;
+    assert_eq!(wait_for_end(&jobs, "a").await, "completed");
+    world.assert_bound(HOPS_MS);
+}
+
+/// Guards against a refusal that is taken for silence.
+#[tokio::test(start_paused = true)]
+async fn a_refused_stage_ends_the_gang_at_once() {
+    let world = World::new(|sent| first(sent, "stage", Fate::NoRoom));
+    let jobs = world.start(1).await;
+    submit(&jobs, "a", GANG_OF_16).await;
+    sleep(Duration::from_millis(100)).await;
+    let reason = explain(&jobs, "a").await["stopped_because"].to_string();
+    assert!(reason.contains("upstream u1 refused to stage a member"), "{reason}");
+    assert_eq!(wait_for_end(&jobs, "a").await, "completed");
+    assert_eq!(world.gangs_that_worked(), 1);
+}
+
 /// Guards against new work on an upstream that is leaving.
 #[tokio::test(start_paused = true)]
 async fn a_leaving_upstream_gets_no_gang() {
