End the jobs' task with its control process

Cause: the task of the jobs kept the data folder after control had ended in the same process. Change: control ends the task once its RPCs have ended.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -107,8 +107,10 @@
             tasks.spawn(replica::run(Arc::clone(&core), writer, stop.clone()));
         }
         info!(host = %core.settings.host, epoch = core.epoch, "control serves");
-        let served = serve_rpc(core, jobs, rpc, stop).await;
+        let served = serve_rpc(core, jobs.clone(), rpc, stop).await;
         while tasks.join_next().await.is_some() {}
+        // The task holds the data folder, which a restart in the same process opens again.
+        jobs.abort();
         served
     }
 }
