--- a/src/control/records/mod.rs
+++ b/src/control/records/mod.rs
@@ -109,6 +109,7 @@
 pub(crate) struct Records {
     by_key: HashMap<RequestKey, Record>,
     open: BTreeSet<RequestKey>,
+    counts: Counts,
     /// Latest time seen in any transition, so that a clock set back cannot revive a pruned key.
     latest_ms: u64,
 }
@@ -282,7 +283,9 @@
                 );
                 record.attempt = record.attempt.max(attempt);
                 record.changed_at_ms = at_ms;
+                *self.counts.of(&record.state) -= 1;
                 record.state = State::Ended(outcome);
+                *self.counts.of(&record.state) += 1;
             }
             RecordEvent::SignedOff { key, sign_off } => {
                 self.latest_ms = self.latest_ms.max(sign_off.at_ms);
@@ -292,14 +295,22 @@
             }
             RecordEvent::Pruned { at_ms } => {
                 self.latest_ms = self.latest_ms.max(at_ms);
-                self.by_key.retain(|key, record| !is_prunable(key, record, at_ms));
+                let counts = &mut self.counts;
+                self.by_key.retain(|key, record| {
+                    let keep = !is_prunable(key, record, at_ms);
+                    *counts.of(&record.state) -= u64::from(!keep);
+                    keep
+                });
             }
             RecordEvent::Restored { key, record } => {
                 self.latest_ms = self.latest_ms.max(record.changed_at_ms);
                 if record.state == State::Open {
                     self.open.insert(key.clone());
                 }
-                self.by_key.insert(key, *record);
+                *self.counts.of(&record.state) += 1;
+                if let Some(replaced) = self.by_key.insert(key, *record) {
+                    *self.counts.of(&replaced.state) -= 1;
+                }
             }
         }
     }
@@ -319,8 +330,11 @@
                 used_sign_offs: Vec::new(),
             };
             self.by_key.insert(key, record);
+            self.counts.open += 1;
             return;
         };
+        *self.counts.of(&record.state) -= 1;
+        self.counts.open += 1;
         assert!(attempt > record.attempt, "attempt numbers only go up");
         record.used_sign_offs.extend(record.unused_sign_off.take());
         record.attempt = attempt;
@@ -353,17 +367,19 @@
         }))
     }
 
-    pub(crate) fn counts(&self) -> Counts {
-        let mut counts = Counts::default();
-        for record in self.by_key.values() {
-            match &record.state {
-                State::Open => counts.open += 1,
-                State::Ended(StoredOutcome::Done { .. }) => counts.done += 1,
-                State::Ended(StoredOutcome::NotRun { .. }) => counts.not_run += 1,
-                State::Ended(StoredOutcome::Unknown { .. }) => counts.unknown += 1,
-            }
+    pub(crate) const fn counts(&self) -> Counts {
+        self.counts
+    }
+}
+
+impl Counts {
+    const fn of(&mut self, state: &State) -> &mut u64 {
+        match state {
+            State::Open => &mut self.open,
+            State::Ended(StoredOutcome::Done { .. }) => &mut self.done,
+            State::Ended(StoredOutcome::NotRun { .. }) => &mut self.not_run,
+            State::Ended(StoredOutcome::Unknown { .. }) => &mut self.unknown,
         }
-        counts
     }
 }
 
--- a/src/control/records/tests.rs
+++ b/src/control/records/tests.rs
@@ -346,6 +346,7 @@
                     prop_assert_eq!(&replayed.by_key, &work.records.by_key);
                     prop_assert_eq!(&restored.by_key, &work.records.by_key);
                     prop_assert_eq!(&restored.open, &work.records.open);
+                    prop_assert_eq!(restored.counts(), work.records.counts());
                     work.records = replayed;
                 }
             }
--- a/src/control/tests/watch.rs
+++ b/src/control/tests/watch.rs
@@ -130,6 +130,12 @@
         ended |= matches!(next.expect("a reply or the end"), Ok(None) | Err(_));
     }
     assert!(ended);
+    new.request.epoch = 9;
+    new.out.send(new.request.clone()).await.expect("the stream is open");
+    new.next().await;
+    // One message on the replaced stream and one of another epoch.
+    let metrics = control.admin("/metrics").await;
+    assert!(metrics.contains("stale_dropped{part=\"watch\"} 2"), "{metrics}");
     control.stop().await;
 }
 
--- a/src/control/ticker.rs
+++ b/src/control/ticker.rs
@@ -15,8 +15,8 @@
 /// Pause between two looks at the leases.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Ticks between two looks for records to prune; a look reads all records.
-const PRUNE_TICKS: u64 = 600;
+/// Ticks between two looks for records to prune; a look reads all records, so it is done hourly.
+const PRUNE_TICKS: u64 = 36_000;
 
 /// Runs until `stop` becomes true.
 pub(super) async fn run(core: Arc<Core>, mut stop: watch::Receiver<bool>) {
--- a/src/control/watch_stream.rs
+++ b/src/control/watch_stream.rs
@@ -63,10 +63,14 @@
     /// Begins a stream with the host's first message.
     ///
     /// # Errors
-    /// Returns a status if the host is not one of those configured.
+    /// Returns a status if the host is not one of those configured, or has heard a later epoch.
     pub(super) fn open(core: Arc<Core>, first: &WatchRequest) -> Result<Self, Status> {
         let host: HostName =
             first.host.parse().map_err(|fault| Status::invalid_argument(format!("{fault}")))?;
+        if first.epoch > core.epoch {
+            let text = format!("epoch {} is later than {}", first.epoch, core.epoch);
+            return Err(Status::failed_precondition(text));
+        }
         let mut state = core.lock();
         if !state.shares.is_configured(&host) {
             let text = format!("{host} is not a configured entry host");
@@ -145,7 +149,8 @@
             return false;
         }
         let is_current = request.epoch == self.core.epoch;
-        if !is_current {
+        // A host that has heard no reply yet sends 0.
+        if !is_current && request.epoch != 0 {
             state.streams.stale_dropped += 1;
         }
         // A revision of another epoch says nothing about the shares of this one.
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::StepError;
 use recovery::{Recovered, recover, step};
-use writer::{Progress, Queue, Queued, Writer};
+use writer::{Compact, Progress, Queue, Queued, Writer};
 
 pub(crate) use files::{OpenSink, replace_file};
 
@@ -219,14 +219,12 @@
         !running && progress.bytes_since_snapshot > limit
     }
 
-    /// Replaces all records queued so far by those that `build` returns.
-    ///
-    /// `build` runs on another thread, so it must own a copy of the state.
-    pub(crate) fn snapshot(&self, build: impl FnOnce() -> Vec<Entry> + Send + 'static) {
+    /// Replaces all records queued so far by those that `compact` makes of them, on another thread.
+    pub(crate) fn snapshot(&self, compact: Compact) {
         self.snapshot_running.store(true, Ordering::Release);
         let mut pending = self.queue.lock();
         let next_index = pending.next_index;
-        pending.queued.push(Queued::Snapshot { next_index, build: Box::new(build) });
+        pending.queued.push(Queued::Snapshot { next_index, compact });
         drop(pending);
         self.queue.arrived.notify_one();
     }
--- a/src/journal/recovery.rs
+++ b/src/journal/recovery.rs
@@ -31,25 +31,64 @@
     let (mut records, first) = read_snapshot(&listing)?;
     remove_covered(folder, &listing, first)?;
     let segments: Vec<_> = listing.segments.iter().filter(|(at, _)| *at >= first).collect();
-    let mut next_index = first;
-    let mut log_bytes = 0;
-    let mut cut = None;
+    let log = read_log(&segments, first, true)?;
+    records.extend(log.records);
+    let last = segments.last().map(|(_, path)| path.clone());
+    // The segment after a snapshot is created before the snapshot is written.
+    if last.is_none() && !listing.snapshots.is_empty() {
+        return Err(missing(folder, first, first + 1));
+    }
+    Ok(Recovered {
+        records,
+        next_index: log.next_index,
+        segment: last.unwrap_or_else(|| files::segment_path(folder, log.next_index)),
+        log_bytes: log.size_bytes,
+        cut: log.cut,
+    })
+}
+
+/// Reads all records below an index at which a segment begins, while the journal is in use.
+pub(super) fn read_below(folder: &Path, next_index: u64) -> Result<Vec<Record>, StepError> {
+    let listing = step("list the journal", folder, files::list(folder))?;
+    let (mut records, first) = read_snapshot(&listing)?;
+    let sealed = first..next_index;
+    let segments = listing.segments.iter().filter(|(at, _)| sealed.contains(at));
+    let log = read_log(&segments.collect::<Vec<_>>(), first, false)?;
+    if log.next_index != next_index {
+        return Err(missing(folder, log.next_index, next_index));
+    }
+    records.extend(log.records);
+    Ok(records)
+}
+
+/// Content of segments that follow each other.
+struct Log {
+    records: Vec<Record>,
+    next_index: u64,
+    size_bytes: u64,
+    cut: Option<CutTail>,
+}
+
+/// Reads segments, of which only the one being written may have a torn tail.
+fn read_log(segments: &[&(u64, PathBuf)], first: u64, with_tail: bool) -> Result<Log, StepError> {
+    let mut log = Log { records: Vec::new(), next_index: first, size_bytes: 0, cut: None };
     for (at, (first_index, path)) in segments.iter().enumerate() {
-        if *first_index != next_index {
-            let text = format!("records {next_index} to {} are missing", first_index - 1);
-            return Err(StepError::new("read the journal", path.display(), text));
+        if *first_index != log.next_index {
+            return Err(missing(path, log.next_index, *first_index));
         }
-        let is_last = at + 1 == segments.len();
+        let is_last = with_tail && at + 1 == segments.len();
         let found = read_segment(path, *first_index, is_last)?;
-        next_index += found.records.len() as u64;
-        log_bytes += found.valid_bytes as u64;
-        records.extend(found.records);
-        cut = found.cut;
+        log.next_index += found.records.len() as u64;
+        log.size_bytes += found.valid_bytes as u64;
+        log.records.extend(found.records);
+        log.cut = found.cut;
     }
-    let segment = segments
-        .last()
-        .map_or_else(|| files::segment_path(folder, next_index), |(_, path)| path.clone());
-    Ok(Recovered { records, next_index, segment, log_bytes, cut })
+    Ok(log)
+}
+
+fn missing(path: &Path, from: u64, to: u64) -> StepError {
+    let text = format!("records from {from} up to {to} are missing");
+    StepError::new("read the journal", path.display(), text)
 }
 
 /// Reads the newest snapshot and the index of the first record after it.
@@ -74,7 +113,11 @@
     let old_segments = listing.segments.iter().filter(|(at, _)| *at < first);
     let old_snapshots = listing.snapshots.iter().filter(|(at, _)| *at < first);
     let old = old_segments.chain(old_snapshots).map(|(_, path)| path);
-    for path in old.chain(&listing.temporary) {
+    let old: Vec<_> = old.chain(&listing.temporary).collect();
+    if old.is_empty() {
+        return Ok(());
+    }
+    for path in old {
         step("remove a replaced file", path, fs::remove_file(path))?;
     }
     step("sync the folder", folder, files::sync_folder(folder))
--- a/src/journal/writer.rs
+++ b/src/journal/writer.rs
@@ -12,18 +12,20 @@
 
 use super::files::{self, OpenSink, Sink};
 use super::format::{FIRST_OF_WRITE, encode};
-use super::{Entry, JournalMetrics};
+use super::recovery::{read_below, step};
+use super::{Entry, JournalMetrics, Record};
+use crate::StepError;
 
 /// Most bytes in one write, so that one sync does not grow without bound.
 const WRITE_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
-/// Builds the records that replace everything queued before them.
-pub(super) type BuildSnapshot = Box<dyn FnOnce() -> Vec<Entry> + Send>;
+/// Builds the records that replace those given.
+pub(crate) type Compact = fn(&[Record]) -> Result<Vec<Entry>, StepError>;
 
 /// What waits for the writer, in order.
 pub(super) enum Queued {
     Append { index: u64, entry: Entry },
-    Snapshot { next_index: u64, build: BuildSnapshot },
+    Snapshot { next_index: u64, compact: Compact },
 }
 
 /// Progress of the writer.
@@ -113,9 +115,9 @@
                         self.flush(&mut buffer, last)?;
                     }
                 }
-                Queued::Snapshot { next_index, build } => {
+                Queued::Snapshot { next_index, compact } => {
                     self.flush(&mut buffer, last)?;
-                    self.start_snapshot(next_index, build)?;
+                    self.start_snapshot(next_index, compact)?;
                 }
             }
         }
@@ -140,7 +142,9 @@
     }
 
     /// Begins a new segment and writes the snapshot beside it, so that appends go on.
-    fn start_snapshot(&mut self, next_index: u64, build: BuildSnapshot) -> io::Result<()> {
+    ///
+    /// The snapshot is made from the files, so the state in memory need not be held or copied.
+    fn start_snapshot(&mut self, next_index: u64, compact: Compact) -> io::Result<()> {
         self.join_snapshot();
         self.sink = (self.open)(&files::segment_path(&self.folder, next_index))?;
         files::sync_folder(&self.folder)?;
@@ -149,7 +153,7 @@
         let progress = self.progress.clone();
         let running = Arc::clone(&self.snapshot_running);
         let work = move || {
-            let written = write_snapshot(&folder, next_index, &build());
+            let written = write_snapshot(&folder, next_index, compact);
             progress.send_modify(|progress| {
                 progress.snapshot_bytes = *written.as_ref().unwrap_or(&progress.snapshot_bytes);
             });
@@ -167,20 +171,26 @@
 }
 
 /// Writes the snapshot and removes what it replaces; returns its size.
-fn write_snapshot(folder: &Path, next_index: u64, entries: &[Entry]) -> io::Result<u64> {
+fn write_snapshot(folder: &Path, next_index: u64, compact: Compact) -> Result<u64, StepError> {
+    let entries = compact(&read_below(folder, next_index)?)?;
     let mut content = Vec::new();
     let mut index = 0;
-    for entry in entries {
+    for entry in &entries {
         encode(&mut content, index, entry.kind, &entry.payload);
         index += 1;
     }
     encode(&mut content, index, 0, entries.len().to_string().as_bytes());
-    files::replace_file(&files::snapshot_path(folder, next_index), &content)?;
+    let path = files::snapshot_path(folder, next_index);
+    step("write a snapshot", &path, files::replace_file(&path, &content))?;
+    step("remove replaced files", folder, remove_below(folder, next_index))?;
+    Ok(content.len() as u64)
+}
+
+fn remove_below(folder: &Path, next_index: u64) -> io::Result<()> {
     let listing = files::list(folder)?;
     let old = listing.segments.iter().chain(&listing.snapshots);
     for (_, path) in old.filter(|(first, _)| *first < next_index) {
         fs::remove_file(path)?;
     }
-    files::sync_folder(folder)?;
-    Ok(content.len() as u64)
+    files::sync_folder(folder)
 }
