Count slots in use beyond a shrunken share

Cause: a host that acknowledged a smaller share while requests were still in flight on the larger one would have exceeded the upstream's limit together with the host that got the slots. Change: the acknowledgement counts only down to the slots that the same message reports as in use. A copy that is ahead of the writer's index counts the reply as stale. Conclusion: a host may acknowledge as soon as it starts no more than its share.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -91,6 +91,10 @@
         return Ok(());
     }
     *newest_epoch = reply.epoch;
+    if reply.index < core.lock().documents.index() {
+        // The writer has lost changes that are in force here; they are never taken back.
+        core.lock().documents.count_stale();
+    }
     for pulled in reply.documents {
         let Some(document) = pulled.document else { continue };
         let Ok(service) = document.service.parse() else { continue };
--- a/src/control/shares/mod.rs
+++ b/src/control/shares/mod.rs
@@ -4,8 +4,9 @@
 //! acknowledges a smaller share it counts with the largest it may still hold, so the sum of what
 //! hosts can use never exceeds the limits of the upstream.
 //!
-//! A host acknowledges a revision only once it uses no more than that revision grants, and counts
-//! the lease of lent shares from the time at which it sent the request that a reply answers.
+//! A host acknowledges a revision once it starts no more than that revision grants, and reports with
+//! it what is still in use. It counts the lease of lent shares from the time at which it sent the
+//! request that a reply answers.
 
 mod pool;
 #[cfg(test)]
@@ -124,13 +125,11 @@
         known.heard_at_ms = Some(now_ms);
         // No host can have applied what was never sent.
         let acknowledged = acknowledged.min(known.revision);
-        for pool in self.pools.values_mut() {
-            pool.acknowledge(host, acknowledged);
-        }
         for (name, pool) in &mut self.pools {
             let demand = demands.iter().find(|demand| demand.upstream == *name);
-            let wanted = demand.map_or(0, |d| d.slots_in_use.saturating_add(d.slots_wanted));
-            pool.set_demand(host, wanted, now_ms);
+            let (in_use, wanted) = demand.map_or((0, 0), |d| (d.slots_in_use, d.slots_wanted));
+            pool.acknowledge(host, acknowledged, in_use);
+            pool.set_demand(host, in_use.saturating_add(wanted), now_ms);
         }
         self.rebalance(now_ms);
     }
--- a/src/control/shares/pool.rs
+++ b/src/control/shares/pool.rs
@@ -102,9 +102,19 @@
     }
 
     /// Drops the larger loans that the host has given up by this revision.
-    pub(super) fn acknowledge(&mut self, host: &HostName, revision: u64) {
+    ///
+    /// Slots that it reports as still in use beyond its share stay counted.
+    pub(super) fn acknowledge(&mut self, host: &HostName, revision: u64, slots_in_use: u32) {
         let Some(loan) = self.loans.get_mut(host) else { return };
-        loan.replaced.retain(|(replaced_by, _)| *replaced_by > revision);
+        let lent_in_use = slots_in_use.saturating_sub(BASE_SLOTS);
+        let granted = loan.granted;
+        loan.replaced.retain(|(replaced_by, slots)| {
+            if *replaced_by > revision {
+                return true;
+            }
+            *slots = lent_in_use.min(*slots);
+            *slots > granted
+        });
     }
 
     pub(super) fn set_demand(&mut self, host: &HostName, slots: u32, now_ms: u64) {
--- a/src/control/shares/tests.rs
+++ b/src/control/shares/tests.rs
@@ -89,6 +89,24 @@
     assert_eq!(slots(&shares), [1, 6, 1]);
 }
 
+/// Guards against lending slots on which work goes on although the share has shrunk.
+#[test]
+fn slots_in_use_beyond_a_share_stay_counted() {
+    let mut shares = shares(8, 64);
+    let now_ms = SILENCE_MS + 10;
+    want(&mut shares, 0, 20, now_ms);
+    for busy in [6, 5, 4, 3] {
+        for _ in 0..2 {
+            let (revision, upstream) = (shares.revision(&host(0)), upstream());
+            let demand = Demand { upstream, slots_in_use: busy, slots_wanted: 20 };
+            shares.heard(&host(0), revision, &[demand], now_ms);
+            want(&mut shares, 1, 20, now_ms);
+        }
+        assert!(slots(&shares)[1] <= 7 - busy, "{busy} {:?}", slots(&shares));
+    }
+    assert_eq!(slots(&shares), [4, 3, 1]);
+}
+
 /// Guards against lending a silent host's slots before its lease has certainly ended.
 #[test]
 fn a_silent_host_keeps_its_loan_until_its_lease_has_certainly_ended() {
--- a/src/control/shares/tests/run.rs
+++ b/src/control/shares/tests/run.rs
@@ -44,6 +44,8 @@
     revision: u64,
     shares: Vec<rpc::Share>,
     lease_until_ms: u64,
+    /// Slots of each upstream that are busy.
+    in_use: [u32; UPSTREAMS],
     /// Real time for 1,000 ms of its clock.
     rate: u64,
     cut_until_ms: u64,
@@ -97,6 +99,7 @@
     pub(super) fn steps(&mut self, count: u32) {
         for _ in 0..count {
             self.now_ms += self.rng.random_range(1..40);
+            self.end_leases();
             self.step();
             self.deliver();
             self.check();
@@ -117,7 +120,20 @@
             }
             605..607 => self.restart(number),
             607..610 => self.change_upstream(),
-            _ => {}
+            _ => self.work(number),
+        }
+    }
+
+    /// Starts or ends work; work that began within a larger share may outlast it.
+    fn work(&mut self, number: usize) {
+        let at = self.rng.random_range(0..UPSTREAMS);
+        let usable = self.usable(number, at);
+        let starts = self.rng.random_bool(0.6);
+        let in_use = &mut self.hosts[number].in_use[at];
+        if starts && *in_use < usable {
+            *in_use += 1;
+        } else if !starts {
+            *in_use = in_use.saturating_sub(1);
         }
     }
 
@@ -142,6 +158,7 @@
         }
         let limits = UpstreamLimits { incarnation: self.incarnations[number], ..LIMITS };
         if self.incarnations[number] > incarnation {
+            self.hosts.iter_mut().for_each(|host| host.in_use[number] = 0);
             self.shares.add(&name, limits, self.now_ms);
         }
     }
@@ -153,7 +170,12 @@
         let host = &mut self.hosts[number];
         host.sequence += 1;
         host.sent_ms.push(now_ms);
-        let demand = |at| Demand { upstream: upstream(at), slots_in_use: 0, slots_wanted: slots };
+        let in_use = host.in_use;
+        let demand = |at: usize| Demand {
+            upstream: upstream(at),
+            slots_in_use: in_use[at],
+            slots_wanted: slots,
+        };
         let request = Request {
             arrives_ms: now_ms + delay_ms,
             from: number,
@@ -240,9 +262,22 @@
         share.filter(|_| is_valid).map_or(1, |share| share.slots)
     }
 
+    /// Slots that a host uses or may use.
+    fn busy_or_usable(&self, number: usize, at: usize) -> u32 {
+        self.hosts[number].in_use[at].max(self.usable(number, at))
+    }
+
+    /// Ends the work on lent slots of hosts whose lease has ended.
+    fn end_leases(&mut self) {
+        let now_ms = self.now_ms;
+        for host in self.hosts.iter_mut().filter(|host| host.lease_until_ms < now_ms) {
+            host.in_use = host.in_use.map(|slots| slots.min(1));
+        }
+    }
+
     fn check(&mut self) {
         for at in 0..UPSTREAMS {
-            let sum: u32 = (0..HOSTS).map(|number| self.usable(number, at)).sum();
+            let sum: u32 = (0..HOSTS).map(|number| self.busy_or_usable(number, at)).sum();
             self.violations += u64::from(sum > LIMITS.slots);
             self.most_lent = self.most_lent.max(sum.saturating_sub(3));
         }
@@ -260,7 +295,7 @@
                 let name = host(number);
                 let acknowledged = self.shares.revision(&name);
                 let demand =
-                    |at| Demand { upstream: upstream(at), slots_in_use: 4, slots_wanted: 4 };
+                    |at| Demand { upstream: upstream(at), slots_in_use: 1, slots_wanted: 8 };
                 let demands: Vec<_> = (0..UPSTREAMS).map(demand).collect();
                 self.shares.heard(&name, acknowledged, &demands, self.now_ms);
             }
