--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -8,7 +8,7 @@
 
 use crate::StepError;
 use crate::config::ControlSettings;
-use crate::journal::{Entry, Journal};
+use crate::journal::{Entry, Journal, Record};
 
 use super::clock::{Clock, certainly_ended_ms};
 use super::documents::{Documents, Validate};
@@ -80,7 +80,7 @@
     pub(super) fn with_journal(
         settings: ControlSettings,
         journal: Journal,
-        records: &[crate::journal::Record],
+        records: &[Record],
         validate: Arc<Validate>,
         fence: Fence,
     ) -> Result<Self, StepError> {
@@ -170,19 +170,25 @@
         if !self.journal.wants_snapshot() {
             return;
         }
-        let state = self.lock();
-        let (records, documents) = (state.records.clone(), state.documents.clone());
-        let jobs = state.jobs.clone();
-        self.journal.snapshot(move || snapshot_entries(&records, &documents, &jobs));
+        self.journal.snapshot(compact);
     }
 }
 
-fn snapshot_entries(records: &Records, documents: &Documents, jobs: &JobLog) -> Vec<Entry> {
+/// Makes the fewest transitions that lead to the same state.
+fn compact(stored: &[Record]) -> Result<Vec<Entry>, StepError> {
+    let (mut records, mut documents) = (Records::default(), Documents::default());
+    let mut jobs = JobLog::default();
+    for record in stored {
+        match Event::from_record(record)? {
+            Event::Record(event) => records.apply(event),
+            Event::Document(event) => documents.apply(event),
+            Event::Jobs(kind, payload) => jobs.apply(kind, payload),
+        }
+    }
     let records = records.restore_events().map(Event::Record);
     let documents = documents.restore_events().map(Event::Document);
-    let events = records.chain(documents);
-    let entries = events.map(|event| event.to_entry().expect("every transition has a JSON form"));
-    entries.chain(jobs.entries()).collect()
+    let events = records.chain(documents).chain(jobs.events());
+    events.map(|event| event.to_entry()).collect()
 }
 
 /// Status for a caller whose request could not be made durable.
--- a/src/control/job_log.rs
+++ b/src/control/job_log.rs
@@ -2,8 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::journal::Entry;
-
+use super::event::Event;
 use super::jobs::{JOBS_CHECKPOINT_KIND, JOBS_RECORD_KIND};
 
 /// One payload with its kind.
@@ -33,8 +32,8 @@
         self.payloads.iter().map(|(_, payload)| Arc::clone(payload))
     }
 
-    /// Returns the entries for a snapshot of the whole journal.
-    pub(super) fn entries(&self) -> impl Iterator<Item = Entry> {
-        self.payloads.iter().map(|(kind, payload)| Entry { kind: *kind, payload: payload.to_vec() })
+    /// Returns the transitions for a snapshot of the whole journal.
+    pub(super) fn events(&self) -> impl Iterator<Item = Event> {
+        self.payloads.iter().map(|(kind, payload)| Event::Jobs(*kind, Arc::clone(payload)))
     }
 }
