Take no word from a restarted upstream about its earlier work

Cause: after a fast restart, the new process of an upstream answered a stop or commit of the old one with "not started", and a cancelled job could be told that it had not run. Change: answers to commit and stop messages carry the incarnation. A later incarnation than the member's ends the member and leaves open whether it had worked. Conclusion: the control process has to pass on the incarnation of each answer.

--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -113,6 +113,8 @@
         gang: GangId,
         /// Upstream of the member.
         upstream: UpstreamName,
+        /// Incarnation that answered. A later one than the member's knows nothing about its work.
+        incarnation: u64,
         /// False if the upstream refused and the member certainly does no work.
         started: bool,
     },
@@ -131,6 +133,8 @@
         gang: GangId,
         /// Upstream of the member.
         upstream: UpstreamName,
+        /// Incarnation that answered. A later one than the member's knows nothing about its work.
+        incarnation: u64,
         /// What the member had done before it stopped.
         status: StopStatus,
     },
--- a/src/scheduler/members.rs
+++ b/src/scheduler/members.rs
@@ -22,6 +22,26 @@
         Some((gang, ix))
     }
 
+    /// Returns whether an answer comes from a process that started after the member's had ended.
+    pub(super) fn is_after_member(
+        &mut self,
+        id: GangId,
+        upstream: &UpstreamName,
+        incarnation: u64,
+    ) -> bool {
+        let Some((gang, ix)) = self.member_gang(id, upstream) else { return false };
+        gang.member_mut(ix).is_some_and(|member| member.incarnation < incarnation)
+    }
+
+    /// Ends a member whose process is gone; whether it had worked stays as it was known.
+    pub(super) fn end_lost_member(&mut self, id: GangId, upstream: &UpstreamName, now_ms: u64) {
+        let Some((gang, ix)) = self.member_gang(id, upstream) else { return };
+        if let Some(member) = gang.member_mut(ix) {
+            member.ended = true;
+        }
+        self.stop_gang(id, StopReason::MemberLost(upstream.clone()), now_ms);
+    }
+
     pub(super) fn on_stage_answered(
         &mut self,
         id: GangId,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -148,13 +148,19 @@
             Event::StageAnswered { gang, upstream, staged } => {
                 self.on_stage_answered(gang, &upstream, staged, now_ms);
             }
-            Event::CommitAnswered { gang, upstream, started } => {
+            Event::CommitAnswered { gang, upstream, incarnation, .. }
+            | Event::StopAnswered { gang, upstream, incarnation, .. }
+                if self.is_after_member(gang, &upstream, incarnation) =>
+            {
+                self.end_lost_member(gang, &upstream, now_ms);
+            }
+            Event::CommitAnswered { gang, upstream, started, .. } => {
                 self.on_commit_answered(gang, &upstream, started, now_ms);
             }
             Event::RenewAnswered { upstream, round, members } => {
                 self.on_renew_answered(&upstream, round, &members, now_ms);
             }
-            Event::StopAnswered { gang, upstream, status } => {
+            Event::StopAnswered { gang, upstream, status, .. } => {
                 self.on_stop_answered(gang, &upstream, status, now_ms);
             }
             Event::MemberEnded { gang, upstream, end } => {
--- a/src/scheduler/soak/world.rs
+++ b/src/scheduler/soak/world.rs
@@ -288,7 +288,9 @@
         }
         self.count_check("no_partial_gang_beyond_bound");
         self.count_check("released_gang_has_ended");
-        let completed = gang.members.values().all(|work| work.completed);
+        // A gang on a host that has been replaced has no member here.
+        let completed =
+            !gang.members.is_empty() && gang.members.values().all(|work| work.completed);
         if completed && let Some(job) = self.truth.jobs.get_mut(&gang.job) {
             job.progress = Progress::Completed;
         }
@@ -415,6 +417,7 @@
             return Ok(());
         }
         let (now_ms, upstream) = (self.now_ms, upstream.clone());
+        let incarnation = self.workers[ix].announcement.incarnation;
         let answer = match message {
             Decision::Stage { gang, mask, hold_ms, .. } => {
                 let staged = self.workers[ix].stage(gang, mask, hold_ms, now_ms);
@@ -422,7 +425,7 @@
             }
             Decision::Commit { gang, lease_ms, .. } => {
                 let started = self.deliver_commit(ix, gang, lease_ms)?;
-                Event::CommitAnswered { gang, upstream, started }
+                Event::CommitAnswered { gang, upstream, incarnation, started }
             }
             Decision::Renew { round, gangs, .. } => {
                 let worker = &mut self.workers[ix];
@@ -434,7 +437,7 @@
             }
             Decision::Stop { gang, .. } => {
                 let status = self.workers[ix].stop(gang, now_ms);
-                Event::StopAnswered { gang, upstream, status }
+                Event::StopAnswered { gang, upstream, incarnation, status }
             }
             Decision::Probe { .. } => {
                 let healthy = !self.workers[ix].fails_everything;
--- a/src/scheduler/tests/gangs.rs
+++ b/src/scheduler/tests/gangs.rs
@@ -115,7 +115,7 @@
                 core.step(Event::StageAnswered { gang, upstream, staged: true });
             }
             Decision::Commit { gang, upstream, .. } => {
-                core.step(Event::CommitAnswered { gang, upstream, started: true });
+                core.step(Event::CommitAnswered { gang, upstream, incarnation: 1, started: true });
             }
             _ => {}
         }
@@ -231,8 +231,9 @@
     core.step(Event::JobCancelled { job: "a".parse().expect("name") });
     for message in std::mem::take(&mut core.inbox) {
         if let Decision::Stop { gang, upstream } = message {
-            core.step(Event::StopAnswered { gang, upstream: upstream.clone(), status });
-            core.step(Event::StopAnswered { gang, upstream, status });
+            let stopped = Event::StopAnswered { gang, upstream, incarnation: 1, status };
+            core.step(stopped.clone());
+            core.step(stopped);
         }
     }
     core.run_ms(40_000);
@@ -276,3 +277,17 @@
     let accepted = core.records.iter().filter(|r| format!("{r:?}").starts_with("Accepted"));
     assert_eq!(accepted.count(), 1);
 }
+
+/// Guards against the word of a new process about work of the old one: it knows of none, but the
+/// job may have run.
+#[test]
+fn a_restarted_upstream_does_not_vouch_for_its_past() {
+    let mut core = Core::with_racks(1, 1);
+    core.submit(job("a", 8));
+    answer_round(&mut core, Vec::new());
+    let (gang, upstream) = (core.gang("a"), upstream(0, 0));
+    core.step(Event::JobCancelled { job: "a".parse().expect("name") });
+    let status = StopStatus::NotStarted;
+    core.step(Event::StopAnswered { gang, upstream, incarnation: 2, status });
+    assert_eq!(core.ends, [("a".to_owned(), JobEnd::Cancelled { ran: Ran::Unknown })]);
+}
--- a/src/scheduler/tests/harness.rs
+++ b/src/scheduler/tests/harness.rs
@@ -176,16 +176,17 @@
         Decision::Stage { gang, upstream, .. } => {
             (upstream.clone(), Event::StageAnswered { gang, upstream, staged: true })
         }
-        Decision::Commit { gang, upstream, .. } => {
-            (upstream.clone(), Event::CommitAnswered { gang, upstream, started: true })
-        }
+        Decision::Commit { gang, upstream, .. } => (
+            upstream.clone(),
+            Event::CommitAnswered { gang, upstream, incarnation: 1, started: true },
+        ),
         Decision::Renew { upstream, round, gangs } => {
             let members = gangs.iter().map(|r| (r.gang, MemberStatus::Running)).collect();
             (upstream.clone(), Event::RenewAnswered { upstream, round, members })
         }
         Decision::Stop { gang, upstream } => {
             let status = StopStatus::Stopped;
-            (upstream.clone(), Event::StopAnswered { gang, upstream, status })
+            (upstream.clone(), Event::StopAnswered { gang, upstream, incarnation: 1, status })
         }
         _ => return None,
     };
