Bound the searches for guaranteed blocks and drains; measure decisions

Cause: nothing measured a decision at full size. The first trial at 4,300 workers showed steps of up to 18.5 ms: the loss of an upstream (p99 15.4 ms) looked at every upstream and gang for a new place of its guaranteed block, and the choice of a block to drain took up to 4 ms. Change: cactuslatch-measure decision loads one core with workers and tasks, plays a burst of 200 changes a second with all answers and prints p50, p99 and the maximum of each event, and resident memory. Upstreams keep a mask of work that cannot be stopped, searches for blocks use the index by room, and a drain looks at 32 racks or upstreams at a time.

--- /dev/null
+++ b/src/bin/cactuslatch-measure/decision.rs
@@ -0,0 +1,424 @@
+//! Time and memory of decisions with many workers and tasks in one core.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fs;
+use std::process::ExitCode;
+use std::str::FromStr;
+use std::time::Instant;
+
+use bpaf::{Parser, construct, long};
+use cactuslatch::scheduler::{
+    Announcement, Decision, Event, GangId, Guarantees, JobSpec, JobState, MemberEnd, MemberStatus,
+    Scheduler, StopStatus,
+};
+use cactuslatch::{JobName, UpstreamName};
+use eyre::{Result, WrapErr, eyre};
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+
+const DATA_CENTRES: usize = 22;
+const TEAMS: usize = 170;
+const WORKERS_PER_RACK: usize = 8;
+const GUARANTEED_BLOCKS: [u32; 3] = [32, 8, 8];
+
+/// Jobs that wait while decisions are measured.
+const WAITING_JOBS: usize = 2_000;
+
+/// Simulated time of the measured part.
+const MEASURED_MS: u64 = 30_000;
+
+/// Job ends, cancellations and submissions in each simulated second; 15,000 jobs a day are one
+/// in 6 s, so that this is a burst.
+const CHANGES_PER_S: u64 = 200;
+
+/// Arguments of the command.
+#[derive(Debug, Clone)]
+pub(crate) struct Args {
+    workers: usize,
+    tasks: u32,
+    single: bool,
+    json: bool,
+}
+
+/// Returns the parser of the command.
+pub(crate) fn args() -> impl Parser<Args> {
+    let workers = long("workers").help("Upstreams in the pool").argument("N").fallback(4_300);
+    let tasks = long("tasks").help("Accelerators in use").argument("M").fallback(55_000);
+    let single = long("single").help("Only jobs of one accelerator, the most gangs").switch();
+    let json = long("json").help("Print the report as JSON").switch();
+    construct!(Args { workers, tasks, single, json })
+        .to_options()
+        .descr("Measures the time of decisions and the memory of the scheduling core.")
+        .command("decision")
+}
+
+/// Times of one kind of event, in microseconds.
+#[derive(Debug, Serialize)]
+struct Times {
+    count: u64,
+    p50_us: f64,
+    p99_us: f64,
+    max_us: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct Report {
+    workers: usize,
+    accelerators_per_worker: u32,
+    tasks_running: u32,
+    gangs_running: usize,
+    jobs_waiting: usize,
+    guaranteed_blocks: usize,
+    all: Times,
+    by_event: BTreeMap<&'static str, Times>,
+    resident_before_kib: u64,
+    resident_after_kib: u64,
+}
+
+/// Loads a core, measures a burst of changes and prints the result.
+pub(crate) fn run(args: &Args) -> Result<ExitCode> {
+    let before_kib = resident_kib()?;
+    let mut load = Load::new(args)?;
+    load.fill(args.tasks)?;
+    load.times.clear();
+    load.measure()?;
+    let report = load.report(args.workers, before_kib)?;
+    if args.json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// A running job with its gang and upstreams.
+#[derive(Debug)]
+struct Running {
+    gang: GangId,
+    upstreams: Vec<UpstreamName>,
+    accelerators: u32,
+}
+
+/// A core under load, with members that answer every message.
+#[derive(Debug)]
+struct Load {
+    core: Scheduler,
+    rng: StdRng,
+    now_ms: u64,
+    accelerators: u32,
+    next_job: u32,
+    single: bool,
+    sizes: BTreeMap<JobName, u32>,
+    staged: BTreeMap<GangId, Running>,
+    jobs_of: BTreeMap<GangId, JobName>,
+    running: Vec<(JobName, Running)>,
+    answers: VecDeque<(u64, Event)>,
+    tasks: u32,
+    waiting: usize,
+    times: BTreeMap<&'static str, Histogram<u64>>,
+}
+
+impl Load {
+    fn new(args: &Args) -> Result<Self> {
+        let (workers, tasks) = (args.workers, args.tasks);
+        let mut accelerators = 8;
+        while workers as f64 * f64::from(accelerators) < f64::from(tasks) * 1.1 && accelerators < 32
+        {
+            accelerators *= 2;
+        }
+        let mut load = Self {
+            core: Scheduler::new(0),
+            rng: StdRng::seed_from_u64(1),
+            now_ms: 0,
+            accelerators,
+            next_job: 0,
+            single: args.single,
+            sizes: BTreeMap::new(),
+            staged: BTreeMap::new(),
+            jobs_of: BTreeMap::new(),
+            running: Vec::new(),
+            answers: VecDeque::new(),
+            tasks: 0,
+            waiting: 0,
+            times: BTreeMap::new(),
+        };
+        for worker in 0..workers {
+            let announcement = announcement(worker, accelerators)?;
+            load.step("upstream_announced", Event::UpstreamAnnounced(announcement))?;
+        }
+        load.now_ms = 5_000;
+        load.step("tick", Event::Tick)?;
+        for team in 0..TEAMS {
+            load.step("document_applied", Event::DocumentApplied(document(team)?))?;
+        }
+        Ok(load)
+    }
+
+    /// Submits jobs until enough tasks run and enough jobs wait.
+    fn fill(&mut self, tasks: u32) -> Result<()> {
+        let mut idle_steps = 0;
+        while self.tasks < tasks && idle_steps < 20_000 {
+            let before = self.tasks;
+            if self.waiting < WAITING_JOBS {
+                self.submit()?;
+            }
+            self.advance()?;
+            idle_steps = if self.tasks > before { 0 } else { idle_steps + 1 };
+        }
+        while self.waiting < WAITING_JOBS {
+            self.submit()?;
+            self.advance()?;
+        }
+        Ok(())
+    }
+
+    /// Lets time pass under a burst of changes.
+    fn measure(&mut self) -> Result<()> {
+        let end_ms = self.now_ms + MEASURED_MS;
+        while self.now_ms < end_ms {
+            if self.now_ms.is_multiple_of(1_000 / CHANGES_PER_S) {
+                self.change()?;
+            }
+            self.advance()?;
+        }
+        Ok(())
+    }
+
+    fn change(&mut self) -> Result<()> {
+        match self.rng.random_range(0..100) {
+            0..45 => self.end_one(),
+            45..95 => self.submit(),
+            95..98 => self.cancel_one(),
+            _ => self.lose_one(),
+        }
+    }
+
+    fn end_one(&mut self) -> Result<()> {
+        if self.running.is_empty() {
+            return Ok(());
+        }
+        let ix = self.rng.random_range(0..self.running.len());
+        let (_, job) = self.running.swap_remove(ix);
+        self.tasks -= job.accelerators;
+        for upstream in job.upstreams {
+            let (gang, end) = (job.gang, MemberEnd::Completed);
+            self.step("member_ended", Event::MemberEnded { gang, upstream, end })?;
+        }
+        Ok(())
+    }
+
+    fn cancel_one(&mut self) -> Result<()> {
+        if self.running.is_empty() {
+            return Ok(());
+        }
+        let ix = self.rng.random_range(0..self.running.len());
+        let job = self.running[ix].0.clone();
+        self.step("job_cancelled", Event::JobCancelled { job })
+    }
+
+    fn lose_one(&mut self) -> Result<()> {
+        let workers = self.running.len();
+        let Some((_, job)) = self.running.get(self.rng.random_range(0..workers.max(1))) else {
+            return Ok(());
+        };
+        let upstream = job.upstreams[0].clone();
+        self.step("upstream_lost", Event::UpstreamLost { upstream: upstream.clone() })?;
+        let ix: usize = upstream.as_str().trim_start_matches("worker-").parse()?;
+        let mut announcement = announcement(ix, self.accelerators)?;
+        announcement.incarnation = self.now_ms;
+        self.answers.push_back((self.now_ms + 500, Event::UpstreamAnnounced(announcement)));
+        Ok(())
+    }
+
+    fn submit(&mut self) -> Result<()> {
+        self.next_job += 1;
+        let sizes = [1, 1, 1, 1, 2, 2, 4, 4, 8, 8, 8, 16, 32, 64];
+        let accelerators =
+            if self.single { 1 } else { sizes[self.rng.random_range(0..sizes.len())] };
+        let team = self.rng.random_range(0..TEAMS);
+        let can_stop = self.rng.random_bool(0.8);
+        let spec = JobSpec {
+            name: parse(&format!("job-{}", self.next_job))?,
+            organisation: parse(&format!("organisation-{team}"))?,
+            service: parse(&format!("service-{team}"))?,
+            accelerators,
+            guaranteed: self.rng.random_bool(0.1),
+            can_checkpoint: can_stop,
+            can_stop,
+            kind: format!("kind-{}", team % 7),
+            declared_run_ms: Some(3_600_000),
+        };
+        self.sizes.insert(spec.name.clone(), accelerators);
+        self.waiting += 1;
+        self.step("job_submitted", Event::JobSubmitted(spec))
+    }
+
+    /// Lets 1 ms pass and delivers the answers that are due.
+    fn advance(&mut self) -> Result<()> {
+        self.now_ms += 1;
+        while self.answers.front().is_some_and(|(at_ms, _)| *at_ms <= self.now_ms) {
+            let Some((_, event)) = self.answers.pop_front() else { break };
+            self.step(kind_of(&event), event)?;
+        }
+        if self.core.next_due_ms().is_some_and(|due_ms| due_ms <= self.now_ms) {
+            self.step("tick", Event::Tick)?;
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, kind: &'static str, event: Event) -> Result<()> {
+        let start = Instant::now();
+        let decisions = self.core.step(event, self.now_ms);
+        let elapsed_ns = u64::try_from(start.elapsed().as_nanos()).unwrap_or(u64::MAX);
+        let histogram = match self.times.entry(kind) {
+            std::collections::btree_map::Entry::Occupied(entry) => entry.into_mut(),
+            std::collections::btree_map::Entry::Vacant(entry) => entry.insert(Histogram::new(3)?),
+        };
+        histogram.record(elapsed_ns)?;
+        for decision in decisions {
+            self.carry_out(decision);
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self, event: Event) {
+        self.answers.push_back((self.now_ms + 2, event));
+    }
+
+    fn carry_out(&mut self, decision: Decision) {
+        match decision {
+            Decision::Stage { gang, job, upstream, .. } => {
+                self.note_stage(gang, &job, &upstream);
+                self.answer(Event::StageAnswered { gang, upstream, staged: true });
+            }
+            Decision::Commit { gang, upstream, .. } => {
+                self.note_commit(gang);
+                self.answer(Event::CommitAnswered {
+                    gang,
+                    upstream,
+                    incarnation: 1,
+                    started: true,
+                });
+            }
+            Decision::Renew { upstream, round, gangs } => {
+                let members = gangs.iter().map(|r| (r.gang, MemberStatus::Running)).collect();
+                self.answer(Event::RenewAnswered { upstream, round, members });
+            }
+            Decision::Stop { gang, upstream } => {
+                self.note_stop(gang);
+                let status = StopStatus::Stopped;
+                self.answer(Event::StopAnswered { gang, upstream, incarnation: 1, status });
+            }
+            Decision::JobRefused { job, .. } => {
+                self.sizes.remove(&job);
+                self.waiting -= 1;
+            }
+            Decision::JobEnded { job, .. } => {
+                self.sizes.remove(&job);
+            }
+            _ => {}
+        }
+    }
+
+    fn note_stage(&mut self, gang: GangId, job: &JobName, upstream: &UpstreamName) {
+        let accelerators = self.sizes.get(job).copied().unwrap_or(0);
+        if self.jobs_of.insert(gang, job.clone()).is_none() {
+            self.waiting = self.waiting.saturating_sub(1);
+        }
+        let running = Running { gang, upstreams: Vec::new(), accelerators };
+        self.staged.entry(gang).or_insert(running).upstreams.push(upstream.clone());
+    }
+
+    fn note_commit(&mut self, gang: GangId) {
+        let Some(running) = self.staged.remove(&gang) else { return };
+        if let Some(job) = self.jobs_of.remove(&gang) {
+            self.tasks += running.accelerators;
+            self.running.push((job, running));
+        }
+    }
+
+    fn note_stop(&mut self, gang: GangId) {
+        if let Some(ix) = self.running.iter().position(|(_, running)| running.gang == gang) {
+            let (job, running) = self.running.swap_remove(ix);
+            self.tasks -= running.accelerators;
+            let requeued = !matches!(self.core.job(&job), None | Some(JobState::Ended(_)));
+            self.waiting += usize::from(requeued);
+        }
+    }
+
+    fn report(&self, workers: usize, resident_before_kib: u64) -> Result<Report> {
+        let mut all = Histogram::new(3)?;
+        for histogram in self.times.values() {
+            all.add(histogram)?;
+        }
+        Ok(Report {
+            workers,
+            accelerators_per_worker: self.accelerators,
+            tasks_running: self.tasks,
+            gangs_running: self.running.len(),
+            jobs_waiting: self.waiting,
+            guaranteed_blocks: TEAMS * GUARANTEED_BLOCKS.len(),
+            all: times(&all),
+            by_event: self.times.iter().map(|(kind, h)| (*kind, times(h))).collect(),
+            resident_before_kib,
+            resident_after_kib: resident_kib()?,
+        })
+    }
+}
+
+fn kind_of(event: &Event) -> &'static str {
+    match event {
+        Event::StageAnswered { .. } => "stage_answered",
+        Event::CommitAnswered { .. } => "commit_answered",
+        Event::RenewAnswered { .. } => "renew_answered",
+        Event::StopAnswered { .. } => "stop_answered",
+        Event::UpstreamAnnounced(_) => "upstream_announced",
+        _ => "other",
+    }
+}
+
+fn times(histogram: &Histogram<u64>) -> Times {
+    let us = |ns: u64| ns as f64 / 1_000.0;
+    Times {
+        count: histogram.len(),
+        p50_us: us(histogram.value_at_quantile(0.5)),
+        p99_us: us(histogram.value_at_quantile(0.99)),
+        max_us: us(histogram.max()),
+    }
+}
+
+fn announcement(worker: usize, accelerators: u32) -> Result<Announcement> {
+    let rack = worker / WORKERS_PER_RACK;
+    Ok(Announcement {
+        name: parse(&format!("worker-{worker}"))?,
+        incarnation: 1,
+        rack: parse(&format!("data-centre-{}-rack-{rack}", rack % DATA_CENTRES))?,
+        position: u32::try_from(worker % WORKERS_PER_RACK)?,
+        accelerators,
+        leaving: false,
+    })
+}
+
+fn document(team: usize) -> Result<Guarantees> {
+    let organisation = parse(&format!("organisation-{team}"))?;
+    Ok(Guarantees {
+        service: parse(&format!("service-{team}"))?,
+        version: 1,
+        organisations: vec![(organisation, GUARANTEED_BLOCKS.into_iter().collect())],
+    })
+}
+
+fn parse<T: FromStr>(text: &str) -> Result<T> {
+    text.parse().map_err(|_| eyre!("{text:?} is not a valid name"))
+}
+
+/// Reads the resident memory of this process.
+fn resident_kib() -> Result<u64> {
+    let status =
+        fs::read_to_string("/proc/self/status").wrap_err("cannot read the memory in use")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let line = line.ok_or_else(|| eyre!("the system does not report the memory in use"))?;
+    Ok(line.trim().trim_end_matches(" kB").parse()?)
+}
--- a/src/bin/cactuslatch-measure/main.rs
+++ b/src/bin/cactuslatch-measure/main.rs
@@ -1,5 +1,6 @@
 //! Measurements and long randomised runs.
 
+mod decision;
 mod soak;
 
 use std::process::ExitCode;
@@ -9,17 +10,21 @@
 /// A command with its arguments.
 #[derive(Debug, Clone)]
 enum Command {
+    /// Time and memory of decisions.
+    Decision(decision::Args),
     /// Randomised run of the scheduling core.
     Soak(soak::Args),
 }
 
 fn command() -> OptionParser<Command> {
     let soak = soak::args().map(Command::Soak);
-    construct!([soak]).to_options().descr("Measurements and long randomised runs.")
+    let decision = decision::args().map(Command::Decision);
+    construct!([decision, soak]).to_options().descr("Measurements and long randomised runs.")
 }
 
 fn main() -> ExitCode {
     let result = match command().run() {
+        Command::Decision(args) => decision::run(&args),
         Command::Soak(args) => soak::run(&args),
     };
     result.unwrap_or_else(|error| {
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -110,6 +110,8 @@
     pub started_ms: Option<u64>,
     /// Time at which the commit was sent, once it was.
     pub committed_ms: Option<u64>,
+    /// Whether the gang may be stopped for other work.
+    pub reclaimable: bool,
     /// Guaranteed block of its own organisation in which the gang runs.
     pub own_cell: Option<CellId>,
     /// Time at which a reclaimed gang is stopped after its checkpoint request.
@@ -145,6 +147,7 @@
             staged_ms: now_ms,
             started_ms: None,
             committed_ms: None,
+            reclaimable: true,
             own_cell: None,
             reclaim: None,
             usage_sequence: 0,
--- a/src/scheduler/homes.rs
+++ b/src/scheduler/homes.rs
@@ -17,11 +17,25 @@
 /// the room that is broken up.
 type Cost = (u32, u32, u32);
 
+/// Returns the first place without any gang in the way, or else the one of the lowest cost.
+fn cheapest(homes: impl Iterator<Item = (Cost, Block)>) -> Option<(Cost, Block)> {
+    let mut best: Option<(Cost, Block)> = None;
+    for home in homes {
+        if best.as_ref().is_none_or(|(cost, _)| home.0 < *cost) {
+            let free = home.0.1 == 0;
+            best = Some(home);
+            if free {
+                break;
+            }
+        }
+    }
+    best
+}
+
 impl Scheduler {
     /// Returns whether stopping a gang is allowed, or it is stopping already.
-    pub(super) fn is_reclaimable(&self, gang: &Gang) -> bool {
-        let spec = self.jobs.get(&gang.job).map(|job| &job.spec);
-        gang.phase == Phase::Stopping || spec.is_none_or(super::JobSpec::is_reclaimable)
+    pub(super) fn is_reclaimable(gang: &Gang) -> bool {
+        gang.phase == Phase::Stopping || gang.reclaimable
     }
 
     /// Returns whether a gang runs guaranteed work of the holder.
@@ -30,49 +44,33 @@
         spec.is_some_and(|spec| spec.holder().as_ref() == Some(holder))
     }
 
-    /// Returns the accelerators of an upstream on which gangs run that cannot be stopped.
-    fn blocked_mask(&self, ix: UpstreamIx) -> Mask {
-        let gangs = &self.pool.upstream(ix).gangs;
-        let blocking = gangs
-            .iter()
-            .filter(|(id, _)| self.gangs.get(id).is_some_and(|gang| !self.is_reclaimable(gang)));
-        blocking.fold(0, |blocked, (_, mask)| blocked | mask)
-    }
-
     /// Finds accelerators for a guaranteed block, with as few obstacles as possible.
     pub(super) fn find_home(&self, count: u32) -> Option<(Cost, Block)> {
         if let Some(block) = self.pool.find_block(count, View::Open, &[]) {
             return Some(((0, 0, 0), block));
         }
         if count > UPSTREAM_SHAPE_LIMIT {
-            return self.find_home_run(count);
+            let racks = self.pool.racks_with(count, View::Unreserved);
+            return cheapest(racks.flat_map(|rack| self.home_runs(rack, count)));
         }
-        let upstreams = 0..u32::try_from(self.pool.upstreams.len()).unwrap_or(u32::MAX);
-        let homes = upstreams.filter_map(|ix| self.find_home_on(UpstreamIx(ix), count));
-        homes.min_by_key(|(cost, _)| *cost)
+        let upstreams = self.pool.upstreams_with(count, View::Unreserved);
+        cheapest(upstreams.filter_map(|ix| self.find_home_on(ix, count)))
     }
 
     fn find_home_on(&self, ix: UpstreamIx, count: u32) -> Option<(Cost, Block)> {
         let upstream = self.pool.upstream(ix);
         let unreserved = upstream.available(View::Unreserved);
-        if !upstream.is_sound() || unreserved == 0 {
+        if !upstream.is_sound() {
             return None;
         }
-        let blocked = self.blocked_mask(ix);
-        let masks = aligned_masks(unreserved, count);
-        let costs = masks.map(|mask| {
-            let broken = room(unreserved) - room(unreserved & !mask).min(room(unreserved));
-            (((blocked & mask).count_ones(), (upstream.used & mask).count_ones(), broken), mask)
+        let costs = aligned_masks(unreserved, count).map(|mask| {
+            let broken = room(unreserved) - room(unreserved & !mask);
+            let (firm, used) = (upstream.firm & mask, upstream.used & mask);
+            ((firm.count_ones(), used.count_ones(), broken), mask)
         });
         costs.min().map(|(cost, mask)| (cost, Block::from_iter([(ix, mask)])))
     }
 
-    fn find_home_run(&self, count: u32) -> Option<(Cost, Block)> {
-        let racks = 0..u32::try_from(self.pool.racks.len()).unwrap_or(u32::MAX);
-        let homes = racks.flat_map(|rack| self.home_runs(RackIx(rack), count));
-        homes.min_by_key(|(cost, _)| *cost)
-    }
-
     fn home_runs(&self, rack: RackIx, count: u32) -> Vec<(Cost, Block)> {
         let rack = &self.pool.racks[rack.get()];
         let windows = rack.windows(&self.pool.upstreams, count, View::Unreserved);
@@ -80,8 +78,9 @@
         let costed = sound.map(|(run, block)| {
             let mut cost = (0, 0, run);
             for (ix, mask) in &block {
-                cost.0 += (self.blocked_mask(*ix) & mask).count_ones();
-                cost.1 += (self.pool.upstream(*ix).used & mask).count_ones();
+                let upstream = self.pool.upstream(*ix);
+                cost.0 += (upstream.firm & mask).count_ones();
+                cost.1 += (upstream.used & mask).count_ones();
             }
             (cost, block)
         });
@@ -169,7 +168,7 @@
         }
         let blocking = self.gangs_in(&cell.home).into_iter().find_map(|gang| {
             let gang = self.gangs.get(&gang)?;
-            let fine = gang.own_cell == Some(id) || self.is_reclaimable(gang);
+            let fine = gang.own_cell == Some(id) || Self::is_reclaimable(gang);
             (!fine).then_some(&gang.job)
         });
         blocking
--- a/src/scheduler/invariants.rs
+++ b/src/scheduler/invariants.rs
@@ -60,7 +60,7 @@
             for gang in self.gangs_in(&cell.home) {
                 let gang = &self.gangs[&gang];
                 assert!(
-                    cell.risk.is_some() || gang.own_cell == Some(*id) || self.is_reclaimable(gang),
+                    cell.risk.is_some() || gang.own_cell == Some(*id) || Self::is_reclaimable(gang),
                     "gang {} cannot be stopped and is in the way of a guarantee",
                     gang.id
                 );
@@ -90,6 +90,15 @@
                     "gang {id} does not hold its accelerators"
                 );
             }
+            let firm = upstream.gangs.iter().filter(|(id, _)| {
+                self.gangs.get(id).is_some_and(|gang| !Self::is_reclaimable(gang))
+            });
+            let firm = firm.fold(0, |firm, (_, mask)| firm | mask);
+            assert!(
+                firm == upstream.firm,
+                "work that cannot be stopped on {} is miscounted",
+                upstream.name
+            );
             assert!(used == upstream.used, "accelerators of {} leak", upstream.name);
             let open = upstream.available(View::Open);
             assert!(open & used == 0, "accelerators in use of {} are offered", upstream.name);
--- a/src/scheduler/limits.rs
+++ b/src/scheduler/limits.rs
@@ -72,6 +72,10 @@
 /// Most blocks that are drained at once; bounds the capacity that waits for a drain's end.
 pub const DRAIN_LIMIT: usize = 2;
 
+/// Racks or upstreams among which a block to drain is chosen. A whole pool of 4,300 upstreams
+/// would take several milliseconds.
+pub const DRAIN_SCAN_LIMIT: usize = 32;
+
 /// Most waiting jobs for which a review looks for a block to drain.
 pub const DRAIN_CANDIDATES: usize = 4;
 
--- a/src/scheduler/loans.rs
+++ b/src/scheduler/loans.rs
@@ -119,7 +119,7 @@
         let gangs = self.pool.upstream(ix).gangs.iter();
         let kept = gangs.filter(|(id, _)| {
             let gang = self.gangs.get(id);
-            gang.is_some_and(|g| g.own_cell == Some(cell) || !self.is_reclaimable(g))
+            gang.is_some_and(|g| g.own_cell == Some(cell) || !Self::is_reclaimable(g))
         });
         kept.fold(mask, |mask, (_, held)| mask & !held)
     }
--- a/src/scheduler/placing.rs
+++ b/src/scheduler/placing.rs
@@ -104,16 +104,18 @@
         self.next_gang += 1;
         self.queue.remove(&job.spec, job.accepted_ms);
         job.state = JobState::Placed(id);
+        let reclaimable = job.spec.is_reclaimable();
         let lent = block.iter().any(|(ix, mask)| self.pool.upstream(*ix).reserved & mask != 0);
         assert!(
-            !lent || own_cell.is_some() || job.spec.is_reclaimable(),
+            !lent || own_cell.is_some() || reclaimable,
             "job {name} cannot be stopped and would run on a loan"
         );
         self.end_drain(name);
-        self.pool.take(id, block);
+        self.pool.take(id, block, !reclaimable);
         let members = block.iter().map(|&(ix, mask)| self.member(ix, mask)).collect();
         let mut gang = Gang::stage(id, name.clone(), members, now_ms);
         gang.own_cell = own_cell;
+        gang.reclaimable = reclaimable;
         if let Some(cell) = own_cell.and_then(|id| self.organisations.cells.get_mut(&id)) {
             cell.gangs.insert(id);
         }
--- a/src/scheduler/pool.rs
+++ b/src/scheduler/pool.rs
@@ -56,6 +56,8 @@
     pub suspended: bool,
     /// Accelerators held by gangs.
     pub used: Mask,
+    /// Accelerators of gangs that can be neither checkpointed nor stopped and are not ending.
+    pub firm: Mask,
     /// Accelerators that belong to guaranteed blocks.
     pub reserved: Mask,
     /// Accelerators of guaranteed blocks at risk, which are not lent.
@@ -308,6 +310,7 @@
             leaving: None,
             suspended: false,
             used: 0,
+            firm: 0,
             reserved: 0,
             withheld: 0,
             claimed: 0,
@@ -394,7 +397,7 @@
     ///
     /// # Panics
     /// Panics if another gang holds one of them, because both would run on it.
-    pub fn take(&mut self, gang: GangId, block: &[(UpstreamIx, Mask)]) {
+    pub fn take(&mut self, gang: GangId, block: &[(UpstreamIx, Mask)], firm: bool) {
         for &(ix, mask) in block {
             assert!(
                 self.upstream(ix).used & mask == 0,
@@ -403,15 +406,34 @@
             );
             self.change(ix, |u| {
                 u.used |= mask;
+                u.firm |= if firm { mask } else { 0 };
                 u.gangs.push((gang, mask));
             });
         }
     }
 
+    /// Notes that the gang on these accelerators is ending.
+    pub fn soften(&mut self, ix: UpstreamIx, mask: Mask) {
+        self.upstreams[ix.get()].firm &= !mask;
+    }
+
+    /// Returns the upstreams with room for a shape of up to 8 accelerators.
+    pub fn upstreams_with(&self, count: u32, view: View) -> impl Iterator<Item = UpstreamIx> {
+        let fits = self.free[view as usize].upstreams.range((count, 0, UpstreamIx(0))..);
+        fits.map(|(.., ix)| *ix)
+    }
+
+    /// Returns the racks with room for a shape of more than 8 accelerators.
+    pub fn racks_with(&self, count: u32, view: View) -> impl Iterator<Item = RackIx> {
+        let fits = self.free[view as usize].racks.range((count, RackIx(0))..);
+        fits.map(|(_, ix)| *ix)
+    }
+
     /// Takes the accelerators back from a gang that has certainly ended.
     pub fn release(&mut self, gang: GangId, ix: UpstreamIx, mask: Mask) {
         self.change(ix, |u| {
             u.used &= !mask;
+            u.firm &= !mask;
             u.gangs.retain(|(id, _)| *id != gang);
         });
         if !self.unmounted.is_empty() || self.upstream(ix).pending.is_some() {
--- a/src/scheduler/recovery.rs
+++ b/src/scheduler/recovery.rs
@@ -155,8 +155,10 @@
             open.members.iter().map(|record| self.recovered_member(record, open.committed));
         let members: SmallVec<[Member; 1]> = members.collect();
         let block: Vec<_> = members.iter().map(|m| (m.upstream, m.mask)).collect();
-        self.pool.take(id, &block);
+        let reclaimable = self.jobs.get(&open.job).is_none_or(|job| job.spec.is_reclaimable());
+        self.pool.take(id, &block, !reclaimable);
         let mut gang = Gang::stage(id, open.job.clone(), members, now_ms);
+        gang.reclaimable = reclaimable;
         if open.committed {
             gang.confirm(self.next_round, now_ms);
             self.next_round += 1;
--- a/src/scheduler/soak/faults.rs
+++ b/src/scheduler/soak/faults.rs
@@ -189,6 +189,10 @@
 
     /// Ends an upstream that had said that it would leave.
     pub(super) fn depart(&mut self, ix: usize) {
+        if self.workers[ix].link == Link::Frozen {
+            // Its return is scheduled already.
+            self.kill_worker(ix);
+        }
         self.send_away(ix, Link::Down, "upstream_left");
     }
 
--- a/src/scheduler/starvation.rs
+++ b/src/scheduler/starvation.rs
@@ -9,8 +9,8 @@
 use super::event::GangId;
 use super::gang::{Gang, Phase, StopReason};
 use super::limits::{
-    DRAIN_AFTER_MS, DRAIN_CANDIDATES, DRAIN_LIMIT, DRAIN_MIN_RUN_MS, STARVATION_REVIEW_MS,
-    UPSTREAM_SHAPE_LIMIT,
+    DRAIN_AFTER_MS, DRAIN_CANDIDATES, DRAIN_LIMIT, DRAIN_MIN_RUN_MS, DRAIN_SCAN_LIMIT,
+    STARVATION_REVIEW_MS, UPSTREAM_SHAPE_LIMIT,
 };
 use super::loans::Claim;
 use super::packing::Moves;
@@ -88,29 +88,33 @@
         self.review_drain(job, now_ms);
     }
 
-    /// Finds the block with the least expected wait and the fewest accelerators in use.
-    fn find_drain(&self, class: &Class, now_ms: u64) -> Option<Block> {
+    /// Finds the block with the least expected wait and the fewest accelerators in use, among a
+    /// bounded number of racks or upstreams that differs from search to search.
+    fn find_drain(&mut self, class: &Class, now_ms: u64) -> Option<Block> {
         let view = if class.reclaimable { View::Layout } else { View::Unreserved };
-        let blocks = self.drain_blocks(class.accelerators, view);
+        self.drain_searches += 1;
+        let blocks = self.drain_blocks(class.accelerators, view, self.drain_searches);
         blocks.into_iter().min_by_key(|block| self.drain_cost(block, now_ms))
     }
 
-    fn drain_blocks(&self, count: u32, view: View) -> Vec<Block> {
+    fn drain_blocks(&self, count: u32, view: View, search: usize) -> Vec<Block> {
         let free = |ix: UpstreamIx| {
             let u = self.pool.upstream(ix);
             if u.is_usable() { u.available(view) & !u.draining & !u.claimed } else { 0 }
         };
         if count > UPSTREAM_SHAPE_LIMIT {
-            let racks = self.pool.racks.iter();
-            let windows = racks.flat_map(|rack| rack.windows(&self.pool.upstreams, count, view));
-            let whole = |block: &Block| block.iter().all(|(ix, mask)| free(*ix) == *mask);
-            return windows.map(|(_, block)| block).filter(whole).collect();
-        }
-        let upstreams = 0..u32::try_from(self.pool.upstreams.len()).unwrap_or(u32::MAX);
-        let blocks = upstreams.map(UpstreamIx).flat_map(|ix| {
-            aligned_masks(free(ix), count).map(move |mask| Block::from_iter([(ix, mask)]))
-        });
-        blocks.collect()
+            let racks: Vec<_> = self.pool.racks_with(count, view).collect();
+            return some_of(&racks, search, |rack| {
+                let windows =
+                    self.pool.racks[rack.get()].windows(&self.pool.upstreams, count, view);
+                let blocks = windows.into_iter().map(|(_, block)| block);
+                blocks.filter(|block| block.iter().all(|(ix, mask)| free(*ix) == *mask)).collect()
+            });
+        }
+        let upstreams: Vec<_> = self.pool.upstreams_with(count, view).collect();
+        some_of(&upstreams, search, |ix| {
+            aligned_masks(free(ix), count).map(|mask| Block::from_iter([(ix, mask)])).collect()
+        })
     }
 
     fn drain_cost(&self, block: &Block, now_ms: u64) -> (u64, u32) {
@@ -192,3 +196,15 @@
         Some(drain)
     }
 }
+
+/// Collects blocks from a bounded number of places, and from more only while there is none.
+fn some_of<T: Copy>(places: &[T], search: usize, blocks: impl Fn(T) -> Vec<Block>) -> Vec<Block> {
+    let mut found = Vec::new();
+    for i in 0..places.len() {
+        if i >= DRAIN_SCAN_LIMIT && !found.is_empty() {
+            break;
+        }
+        found.extend(blocks(places[(i + search * DRAIN_SCAN_LIMIT) % places.len()]));
+    }
+    found
+}
--- a/src/scheduler/stopping.rs
+++ b/src/scheduler/stopping.rs
@@ -14,6 +14,9 @@
         let Some(gang) = self.gangs.get_mut(&id) else { return };
         if gang.phase != Phase::Stopping {
             gang.begin_stop(reason, now_ms);
+            for member in &gang.members {
+                self.pool.soften(member.upstream, member.mask);
+            }
             self.send_stops(id, now_ms);
         }
         self.finish_if_ended(id, now_ms);
