--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -73,6 +73,7 @@
     organisations: Organisations,
     claims: BTreeMap<JobName, Claim>,
     drains: BTreeMap<JobName, Drain>,
+    drain_searches: usize,
     learned: Learned,
     quarantine: Quarantine,
     pending_documents: Vec<Guarantees>,
@@ -102,6 +103,7 @@
             organisations: Organisations::default(),
             claims: BTreeMap::new(),
             drains: BTreeMap::new(),
+            drain_searches: 0,
             learned: Learned::default(),
             quarantine: Quarantine::default(),
             pending_documents: Vec::new(),
@@ -148,13 +150,19 @@
             Event::StageAnswered { gang, upstream, staged } => {
                 self.on_stage_answered(gang, &upstream, staged, now_ms);
             }
-            Event::CommitAnswered { gang, upstream, started } => {
+            Event::CommitAnswered { gang, upstream, incarnation, .. }
+            | Event::StopAnswered { gang, upstream, incarnation, .. }
+                if self.is_after_member(gang, &upstream, incarnation) =>
+            {
+                self.end_lost_member(gang, &upstream, now_ms);
+            }
+            Event::CommitAnswered { gang, upstream, started, .. } => {
                 self.on_commit_answered(gang, &upstream, started, now_ms);
             }
             Event::RenewAnswered { upstream, round, members } => {
                 self.on_renew_answered(&upstream, round, &members, now_ms);
             }
-            Event::StopAnswered { gang, upstream, status } => {
+            Event::StopAnswered { gang, upstream, status, .. } => {
                 self.on_stop_answered(gang, &upstream, status, now_ms);
             }
             Event::MemberEnded { gang, upstream, end } => {
