Test the request path behind a faulty loopback link

Cause: the path ran end to end, but its promises under faults on the way to upstreams and control had no test. Change: tests/support/link.rs is a proxy that swallows, cuts, delays, repeats, swaps or spoils bytes of established or new connections and refuses or cuts connections. tests/support/path.rs starts an installation whose stand-ins and control stand behind such links. The stand-in records refusals of its own guard and the peak of connections, and can crash.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,7 +2,7 @@
 
 mod server;
 
-pub(crate) use server::{Received, ServerLimits, serve, stopped};
+pub(crate) use server::{Received, ServerLimits, serve, serve_counted, stopped};
 
 use bytes::Bytes;
 use http_body_util::Full;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -59,6 +60,20 @@
 pub(crate) async fn serve<H, F>(
     listener: TcpListener,
     limits: ServerLimits,
+    stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Received) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = FullResponse> + Send + 'static,
+{
+    serve_counted(listener, limits, &AtomicUsize::new(0), stop, handler).await;
+}
+
+/// Serves like [`serve`] and records the most connections that were open at once.
+pub(crate) async fn serve_counted<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    open_peak: &AtomicUsize,
     mut stop: watch::Receiver<bool>,
     handler: H,
 ) where
@@ -68,6 +83,8 @@
     let permits = Arc::new(Semaphore::new(limits.max_connections));
     let mut connections = JoinSet::new();
     while let Some((stream, permit)) = accept(&listener, &permits, &mut stop).await {
+        let open = limits.max_connections - permits.available_permits();
+        open_peak.fetch_max(open, Ordering::AcqRel);
         connections.spawn(serve_connection(stream, permit, limits, stop.clone(), handler.clone()));
         while connections.try_join_next().is_some() {}
     }
--- a/src/local/cluster.rs
+++ b/src/local/cluster.rs
@@ -81,6 +81,17 @@
     /// # Errors
     /// Returns an error if a port cannot be bound.
     pub async fn start(settings: LocalSettings) -> Result<Self, StepError> {
+        Self::start_adjusted(settings, |_| {}).await
+    }
+
+    /// Starts all processes, with the settings of each entry host changed by `adjust`.
+    ///
+    /// # Errors
+    /// Returns an error if a port cannot be bound.
+    pub async fn start_adjusted(
+        settings: LocalSettings,
+        mut adjust: impl FnMut(&mut EntrySettings),
+    ) -> Result<Self, StepError> {
         let mut cluster = Self {
             addresses: AddressBlock::take()?,
             controls: Vec::new(),
@@ -94,16 +105,22 @@
             cluster.controls.push(Some(control));
         }
         for centre in 0..cluster.settings.data_centres.len() {
-            cluster.start_hosts(centre).await?;
+            cluster.start_hosts(centre, &mut adjust).await?;
         }
         Ok(cluster)
     }
 
-    async fn start_hosts(&mut self, centre: usize) -> Result<(), StepError> {
+    async fn start_hosts(
+        &mut self,
+        centre: usize,
+        adjust: &mut impl FnMut(&mut EntrySettings),
+    ) -> Result<(), StepError> {
         let size = self.settings.data_centres[centre].clone();
         let mut entries = Vec::new();
         for number in 0..size.entry_hosts {
-            entries.push(Some(entry::start(self.entry_settings(centre, number)).await?));
+            let mut settings = self.entry_settings(centre, number);
+            adjust(&mut settings);
+            entries.push(Some(entry::start(settings).await?));
         }
         self.entries.push(entries);
         let mut standins = Vec::new();
@@ -164,6 +181,12 @@
         }
     }
 
+    /// Hands over an entry host, which the caller then drains itself.
+    #[must_use]
+    pub fn take_entry(&mut self, centre: usize, number: u8) -> Option<entry::Running> {
+        self.entries.get_mut(centre)?.get_mut(usize::from(number))?.take()
+    }
+
     /// Stops the control process of a data centre.
     ///
     /// # Errors
@@ -248,7 +271,12 @@
         self.settings.data_centres.iter().enumerate().map(peers).collect()
     }
 
-    fn standin_settings(&self, centre: usize, number: u8) -> StandinSettings {
+    /// Returns the settings with which a stand-in of this installation is started.
+    ///
+    /// # Panics
+    /// Never: the names are valid.
+    #[must_use]
+    pub fn standin_settings(&self, centre: usize, number: u8) -> StandinSettings {
         let size = &self.settings.data_centres[centre];
         let place = u32::from(number);
         let entry_hosts =
--- a/src/standin/attempts.rs
+++ b/src/standin/attempts.rs
@@ -17,6 +17,7 @@
     starts: BTreeMap<RequestKey, u32>,
     running: u32,
     running_peak: u32,
+    refused: u32,
 }
 
 #[derive(Debug)]
@@ -48,6 +49,7 @@
             None => {}
         }
         if self.running >= slots {
+            self.refused += 1;
             return Err(Refusal::NoSlot);
         }
         self.by_id.insert(id.clone(), Attempt::Running);
@@ -78,6 +80,16 @@
         self.starts.get(key).copied().unwrap_or(0)
     }
 
+    /// Returns every key with the number of its attempts that have started.
+    pub(super) fn starts_by_key(&self) -> Vec<(RequestKey, u32)> {
+        self.starts.iter().map(|(key, starts)| (key.clone(), *starts)).collect()
+    }
+
+    /// Returns how many attempts were refused because all slots were taken.
+    pub(super) fn refused(&self) -> u32 {
+        self.refused
+    }
+
     pub(super) fn running(&self) -> u32 {
         self.running
     }
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -1,7 +1,7 @@
 //! The stand-in's HTTP server.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -71,6 +71,7 @@
     attempts: Mutex<Attempts>,
     gangs: Mutex<Gangs>,
     leaving: AtomicBool,
+    connections_peak: AtomicUsize,
 }
 
 /// Work that a request asks for; anything else in the body is echoed.
@@ -93,6 +94,8 @@
     running: u32,
     running_peak: u32,
     started: u32,
+    refused: u32,
+    connections_peak: usize,
 }
 
 impl RunningStandin {
@@ -120,6 +123,32 @@
         self.shared.attempts().running_peak()
     }
 
+    /// Returns how many attempts its own guard has refused for want of a slot.
+    #[must_use]
+    pub fn refused(&self) -> u32 {
+        self.shared.attempts().refused()
+    }
+
+    /// Returns the most connections that were open at once.
+    #[must_use]
+    pub fn connections_peak(&self) -> usize {
+        self.shared.connections_peak.load(Ordering::Acquire)
+    }
+
+    /// Returns the keys of the attempts that have started, with the number of starts.
+    #[must_use]
+    pub fn starts_by_key(&self) -> Vec<(RequestKey, u32)> {
+        self.shared.attempts().starts_by_key()
+    }
+
+    /// Ends without a leave and cuts every connection, as a crash does.
+    pub async fn crash(self) {
+        self.shared.leaving.store(true, Ordering::Release);
+        self.stop.send_replace(true);
+        self.task.abort();
+        _ = self.task.await;
+    }
+
     /// Returns which gang members worked, from when to when.
     #[must_use]
     pub fn gang_runs(&self) -> Vec<MemberRun> {
@@ -189,12 +218,16 @@
         attempts: Mutex::new(Attempts::default()),
         gangs: Mutex::new(gangs),
         leaving: AtomicBool::new(false),
+        connections_peak: AtomicUsize::new(0),
     });
     let (stop, stopped) = watch::channel(false);
     let server = Arc::clone(&shared);
-    let task = tokio::spawn(http::serve(listener, limits, stopped.clone(), move |received| {
-        handle(Arc::clone(&server), received)
-    }));
+    let stop_server = stopped.clone();
+    let task = tokio::spawn(async move {
+        let peak = &Arc::clone(&server).connections_peak;
+        let handler = move |received| handle(Arc::clone(&server), received);
+        http::serve_counted(listener, limits, peak, stop_server, handler).await;
+    });
     tokio::spawn(announce(Arc::clone(&shared), stopped));
     Ok(RunningStandin { shared, stop, task })
 }
@@ -238,6 +271,8 @@
         running: attempts.running(),
         running_peak: attempts.running_peak(),
         started: attempts.started(),
+        refused: attempts.refused(),
+        connections_peak: shared.connections_peak.load(Ordering::Acquire),
     };
     json(200, &body)
 }
--- /dev/null
+++ b/tests/request_path/main.rs
@@ -0,0 +1,8 @@
+//! The promises of the request path under faults, one contract table per promise.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod answers;
+mod once;
+mod silence;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! An installation of separate processes, for tests that kill and freeze them.
 #![allow(dead_code, reason = "each test file uses a part of the support module")]
 
+pub mod link;
+pub mod path;
+
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
