End requests by their deadline and give undispatched ones their status

Cause: calls to control (2 s limit) and questions about an unanswered attempt (1 s limit) did not watch the caller's deadline, and a refusal that was not dispatched answered 504 although the callers' guide promises 503, or 429 over a limit. Change: calls to control, connects to other data centres and questions end at the deadline; a question no longer blocks the answer that arrives meanwhile; nothing is sent after the deadline; a limit of 50 ms beyond it bounds the whole request. The status of an unknown outcome follows from its detail, the only part that travels between hosts.

--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::attempt::{self, Answer, Fenced, Payload, Sent};
 use super::upstreams::Slot;
@@ -47,18 +47,21 @@
 }
 
 async fn run_once(slot: &Slot, payload: &Payload, until: Instant, patience: Patience) -> Ended {
+    if Instant::now() >= until {
+        return Ended::NotStarted("the deadline passed before anything was sent".into());
+    }
     let sending = attempt::send(slot, payload);
     tokio::pin!(sending);
     loop {
-        tokio::select! {
+        let fenced = tokio::select! {
+            biased;
             sent = &mut sending => {
                 return after_send(slot, payload, sent, until, patience).await;
             }
             () = sleep_until(until) => return Ended::Open("no answer in time".into()),
-            () = sleep(UNANSWERED_CHECK) => {}
-        }
-        // A connection can go silent for good, so the question takes a fresh one.
-        match attempt::fence(slot, &payload.key, payload.attempt).await {
+            fenced = ask_later(slot, payload) => fenced,
+        };
+        match fenced {
             Fenced::NotStarted => {
                 return Ended::NotStarted("the request never reached the upstream".into());
             }
@@ -71,6 +74,13 @@
     }
 }
 
+/// Asks about an attempt that is unanswered for a while.
+async fn ask_later(slot: &Slot, payload: &Payload) -> Fenced {
+    sleep(UNANSWERED_CHECK).await;
+    // A connection can go silent for good, so the question takes a fresh one.
+    attempt::fence(slot, &payload.key, payload.attempt).await
+}
+
 async fn after_send(
     slot: &Slot,
     payload: &Payload,
@@ -81,32 +91,26 @@
     match sent {
         Sent::Answered(answer) => Ended::Answered(answer),
         Sent::NotStarted(reason) => Ended::NotStarted(reason),
-        Sent::Broken(reason) if patience == Patience::AskOnce => {
-            settle(slot, payload, reason, Instant::now()).await
+        Sent::Broken(reason) => {
+            let settling = settle(slot, payload, &reason, patience);
+            timeout_at(until, settling).await.unwrap_or(Ended::Open(reason))
         }
-        Sent::Broken(reason) => settle(slot, payload, reason, until).await,
     }
 }
 
-/// Asks for the end of an attempt whose connection broke, until it is known or `until`.
-pub(crate) async fn settle(
-    slot: &Slot,
-    payload: &Payload,
-    broken: String,
-    until: Instant,
-) -> Ended {
+/// Asks for the end of an attempt whose connection broke, until it is known.
+async fn settle(slot: &Slot, payload: &Payload, broken: &str, patience: Patience) -> Ended {
     loop {
         match attempt::fence(slot, &payload.key, payload.attempt).await {
-            Fenced::NotStarted => return Ended::NotStarted(broken),
+            Fenced::NotStarted => return Ended::NotStarted(broken.to_owned()),
             Fenced::Done(answer) => return Ended::Answered(answer),
-            Fenced::Running | Fenced::Silent(_) if !slot.is_current() => {
-                return Ended::Open(broken);
+            Fenced::Running | Fenced::Silent(_)
+                if patience == Patience::AskOnce || !slot.is_current() =>
+            {
+                return Ended::Open(broken.to_owned());
             }
             Fenced::Running | Fenced::Silent(_) => {}
         }
-        if Instant::now() + SETTLE_PAUSE >= until {
-            return Ended::Open(broken);
-        }
         sleep(SETTLE_PAUSE).await;
     }
 }
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout_at};
 
 use super::EntryHost;
 use super::attempt::{Answer, Payload};
@@ -105,7 +105,8 @@
     key: &RequestKey,
 ) -> Result<Option<Outcome>, Outcome> {
     let message = lookup_request(key);
-    let reply = host.control.lookup(message).await.map_err(|error| unavailable(request, &error))?;
+    let reply = in_time(request, host.control.lookup(message)).await;
+    let reply = reply.map_err(|error| unavailable(request, &error))?;
     match reply.state.as_str() {
         "done" => Ok(reply.outcome.map(Outcome::from)),
         "unknown" if reply.signed_off_by.is_empty() => Ok(reply.outcome.map(Outcome::from)),
@@ -117,6 +118,15 @@
     rpc::LookupRequest { data_centre: key.data_centre().to_string(), id: key.id().to_owned() }
 }
 
+/// Gives up a call to control at the caller's deadline.
+async fn in_time<T>(
+    request: &CallerRequest,
+    call: impl Future<Output = Result<T, StepError>>,
+) -> Result<T, StepError> {
+    let late = |elapsed| StepError::new("wait for control", "the caller's deadline", elapsed);
+    timeout_at(request.deadline, call).await.map_err(late)?
+}
+
 fn unavailable(request: &CallerRequest, error: &StepError) -> Outcome {
     request.refused(NotRun::new(NotRunCause::Unavailable, error.to_string()))
 }
@@ -146,7 +156,7 @@
         submission: host.next_id(),
     };
     loop {
-        let reply = match host.control.begin(message.clone()).await {
+        let reply = match in_time(request, host.control.begin(message.clone())).await {
             Ok(reply) => reply,
             Err(error) => {
                 abandon(host, message);
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Request, Response, Status};
 
@@ -72,10 +72,15 @@
     let mut sent = false;
     let mut detail = String::new();
     for address in addresses {
-        let Ok(channel) = host.peers.channel(address).await else {
+        let connecting = timeout_at(request.deadline, host.peers.channel(address));
+        let Ok(Ok(channel)) = connecting.await else {
             detail = format!("no connection to {address} in {owner}");
             continue;
         };
+        if request.left() <= RETURN_MARGIN {
+            detail = format!("the deadline leaves no time for a call to {owner}");
+            break;
+        }
         // The owner decides by the key, so sending to a second host cannot run it twice.
         match call(request, channel, sent).await {
             Ok(outcome) => return outcome,
@@ -105,9 +110,6 @@
     sent_before: bool,
 ) -> Result<Outcome, String> {
     let left = request.left().saturating_sub(RETURN_MARGIN);
-    if left.is_zero() {
-        return Err("the caller's deadline has passed".into());
-    }
     let message = forward_message(request, left, sent_before);
     let mut client = EntryClient::new(channel);
     let reply = timeout(request.left(), client.forward(message)).await;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use tokio::time::{Duration, Instant};
+use tokio::time::{Duration, Instant, timeout_at};
 
 use super::EntryHost;
 use super::documents::InForce;
@@ -13,6 +13,9 @@
 use crate::names::{OrganisationName, RequestKey, ServiceName};
 use crate::outcome::{NotRun, NotRunCause, Outcome};
 
+/// Time after the deadline in which each step can end by itself and name its reason.
+const DEADLINE_GRACE: Duration = Duration::from_millis(50);
+
 /// A caller's request with everything that decides how it is treated.
 #[derive(Debug, Clone)]
 pub(crate) struct CallerRequest {
@@ -55,9 +58,7 @@
     /// first submission can be told that the request did not run.
     pub(crate) fn refused(&self, reason: NotRun) -> Outcome {
         match &self.kind {
-            Kind::Once { first_submission: false, .. } => Outcome::Unknown {
-                detail: format!("not dispatched by this host ({reason}); resend with the same key"),
-            },
+            Kind::Once { first_submission: false, .. } => Outcome::not_dispatched(&reason),
             Kind::Once { .. } | Kind::Idempotent { .. } => Outcome::NotRun(reason),
         }
     }
@@ -86,6 +87,7 @@
         Ok(admitted) => admitted,
         Err(reason) => return request.refused(reason),
     };
+    let deadline = request.deadline;
     // The task goes on if the caller hangs up, so that an outcome is recorded all the same.
     let host = Arc::clone(host);
     let task = tokio::spawn(async move {
@@ -93,8 +95,11 @@
         drop(admitted);
         outcome
     });
-    task.await
-        .unwrap_or_else(|error| Outcome::Unknown { detail: format!("internal fault: {error}") })
+    let unknown = |detail: String| Outcome::Unknown { detail };
+    match timeout_at(deadline + DEADLINE_GRACE, task).await {
+        Ok(ended) => ended.unwrap_or_else(|error| unknown(format!("internal fault: {error}"))),
+        Err(_) => unknown("no outcome was known by the deadline".to_owned()),
+    }
 }
 
 async fn run(host: &Arc<EntryHost>, request: &CallerRequest, in_force: &InForce) -> Outcome {
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -75,6 +75,22 @@
     }
 }
 
+/// Beginning of the detail of an unknown outcome that was not dispatched by the answering host.
+const NOT_DISPATCHED: &str = "not dispatched by this host (";
+
+/// Tells an unknown outcome that needs only a resend from one that may need a sign-off.
+///
+/// Only the text travels between hosts and into records, so the status is read from it.
+fn unknown_status(detail: &str) -> u16 {
+    let class_is = |text: &str, cause: NotRunCause| text.starts_with(&cause.to_string());
+    match detail.strip_prefix(NOT_DISPATCHED) {
+        Some(reason) if class_is(reason, NotRunCause::OverLimit) => 429,
+        Some(_) => 503,
+        None if class_is(detail, NotRunCause::KeyExpired) => 410,
+        None => 504,
+    }
+}
+
 /// The three things a caller can be told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -107,13 +123,20 @@
         }
     }
 
+    /// Builds the outcome of a refusal at a host that has not asked the owner's records.
+    #[must_use]
+    pub fn not_dispatched(reason: &NotRun) -> Self {
+        let detail = format!("{NOT_DISPATCHED}{reason}); resend with the same key");
+        Self::Unknown { detail }
+    }
+
     /// Returns the HTTP status that belongs to the outcome.
     #[must_use]
-    pub const fn http_status(&self) -> u16 {
+    pub fn http_status(&self) -> u16 {
         match self {
             Self::Done { .. } => 200,
             Self::NotRun(reason) => reason.cause.http_status(),
-            Self::Unknown { .. } => 504,
+            Self::Unknown { detail } => unknown_status(detail),
         }
     }
 }
--- a/tests/request_path/main.rs
+++ b/tests/request_path/main.rs
@@ -4,5 +4,7 @@
 mod support;
 
 mod answers;
+mod deadlines;
+mod not_run;
 mod once;
 mod silence;
