Let upstreams leave, vanish and return without harm

Cause: (1) an entry host removed an upstream at its leave, so it could no longer ask about attempts that still ran there and gave them up at the next question; (2) control reports a lost upstream as leaving, and entry hosts kept that as a leave, so the incarnation could never return; (3) a host that did not hear a leave went on sending for the lease of 3 s; (4) upstreams whose lease had ended stayed in the table for good, and leaves too; (5) a host cut off from control kept idle connections beyond its base share after the lease of its shares. Ruled out for (3): a message between entry hosts, because it needs the peer's link at that moment. Change: an upstream that leaves is kept without new work until its slots are free; `Upstream.lost` marks a lease that ended; new work needs an announcement within 1.9 s; an upstream is forgotten 60 s after its lease and a leave after an hour; idle connections beyond the share are closed within 50 ms of the end of its lease. (5) follows from reading; no test has shown connections beyond 64.

--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -63,7 +63,7 @@
         }
     }
 
-    pub(crate) fn to_wire(&self, leaving: bool) -> rpc::Upstream {
+    pub(crate) fn to_wire(&self, presence: Presence) -> rpc::Upstream {
         rpc::Upstream {
             name: self.name.to_string(),
             incarnation: self.incarnation,
@@ -74,7 +74,8 @@
             accelerators: self.accelerators,
             slots: self.slots,
             connections: self.connections,
-            leaving,
+            leaving: presence != Presence::Alive,
+            lost: presence == Presence::Lost,
         }
     }
 }
@@ -222,7 +223,7 @@
     /// Returns the upstreams changed after a revision.
     pub(crate) fn changed_since(&self, revision: u64) -> Vec<rpc::Upstream> {
         let changed = self.entries.values().filter(|entry| entry.revision > revision);
-        changed.map(|entry| entry.upstream.to_wire(entry.presence != Presence::Alive)).collect()
+        changed.map(|entry| entry.upstream.to_wire(entry.presence)).collect()
     }
 
     pub(crate) const fn revision(&self) -> u64 {
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -83,6 +83,7 @@
     let (stop_rest, _) = watch::channel(false);
     let rest = [
         tokio::spawn(sync::watch_control(Arc::clone(&host), stop_rest.subscribe())),
+        tokio::spawn(sync::tidy(Arc::clone(&host), stop_rest.subscribe())),
         tokio::spawn(sync::relay(Arc::clone(&host), stop_rest.subscribe())),
         tokio::spawn(serve_peers(Arc::clone(&host), peers, stop_rest.subscribe())),
         tokio::spawn(serve_admin(Arc::clone(&host), admin, drain.clone(), stop_rest.subscribe())),
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -26,6 +26,9 @@
 const SILENCE_MAX: Duration = Duration::from_secs(3);
 /// Interval at which announcements are passed on to control.
 const RELAY_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which shares that have ended are given up; control waits for 160 ms longer than
+/// a lease of 3 s before it gives them to another host.
+const TIDY_INTERVAL: Duration = Duration::from_millis(50);
 /// Messages that wait for the stream; one is enough, since each report replaces the last.
 const STREAM_BUFFER: usize = 4;
 
@@ -69,6 +72,16 @@
     }
 }
 
+/// Keeps the table of upstreams within shares and memory until `stop`.
+pub(crate) async fn tidy(host: Arc<EntryHost>, mut stop: watch::Receiver<bool>) {
+    loop {
+        tokio::select! {
+            () = sleep(TIDY_INTERVAL) => host.upstreams.tidy(),
+            () = stopped(&mut stop) => return,
+        }
+    }
+}
+
 /// Passes announcements on to control until `stop`.
 pub(crate) async fn relay(host: Arc<EntryHost>, mut stop: watch::Receiver<bool>) {
     loop {
@@ -242,6 +255,10 @@
 
 fn apply_upstream(host: &EntryHost, upstream: &rpc::Upstream) {
     let Ok(name) = upstream.name.parse::<UpstreamName>() else { return };
+    if upstream.lost {
+        // The same incarnation may return; the lease at this host ends by itself.
+        return;
+    }
     if upstream.leaving {
         host.upstreams.leave(&name, upstream.incarnation);
         return;
@@ -306,6 +323,7 @@
             slots: info.slots,
             connections: info.connections,
             leaving: false,
+            lost: false,
         }
     }
 }
--- a/src/entry/upstreams/slot.rs
+++ b/src/entry/upstreams/slot.rs
@@ -36,7 +36,7 @@
         self.address
     }
 
-    /// Tells whether the incarnation that was reserved has neither left nor restarted.
+    /// Tells whether the incarnation that was reserved can still be asked about its attempts.
     pub(crate) fn is_current(&self) -> bool {
         self.upstreams.is_current(&self.name, self.incarnation)
     }
@@ -50,6 +50,10 @@
     /// # Errors
     /// Returns an error if no connection may be opened or opening fails; nothing has been sent.
     pub(crate) async fn connection(&self) -> Result<Connection, StepError> {
+        if !self.upstreams.takes_work(&self.name, self.incarnation) {
+            let reason = "the upstream has left or restarted";
+            return Err(StepError::new("send work", &self.name, reason));
+        }
         match self.upstreams.take_idle(&self.name, self.incarnation) {
             Some(connection) => Ok(connection),
             None => self.fresh_connection().await,
--- a/src/entry/upstreams/state.rs
+++ b/src/entry/upstreams/state.rs
@@ -14,6 +14,15 @@
 /// Most doublings of [`FAILURE_PAUSE`], so that an upstream is tried at least every 6.4 s.
 const FAILURE_DOUBLINGS_MAX: u32 = 5;
 
+/// Time after an announcement in which an upstream gets new work.
+///
+/// A leave may reach other hosts only. An upstream that leaves stops announcing itself, so this
+/// bounds the time for which it still gets work, less a margin for dispatch, to 2 s.
+const WORK_AFTER_ANNOUNCEMENT: Duration = Duration::from_millis(1_900);
+/// Time after the end of its lease for which an upstream is kept, so that the end of attempts
+/// that it may still be running can be found out.
+const KEEP_AFTER_LEASE: Duration = Duration::from_mins(1);
+
 /// What an upstream has announced.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct UpstreamInfo {
@@ -39,7 +48,10 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamState {
     pub(crate) info: UpstreamInfo,
-    pub(crate) lease_until: Instant,
+    announced_at: Instant,
+    lease_until: Instant,
+    /// It gets nothing new, and finishes what it runs.
+    pub(crate) leaving: bool,
     /// Share that control has lent for as long as the lease of all shares lasts.
     pub(crate) lent: Option<Allowance>,
     pub(crate) slots_in_use: u32,
@@ -49,10 +61,13 @@
 }
 
 impl UpstreamState {
-    pub(crate) fn new(info: UpstreamInfo, lease_until: Instant) -> Self {
+    pub(crate) fn new(info: UpstreamInfo, lease: Duration) -> Self {
+        let now = Instant::now();
         Self {
             info,
-            lease_until,
+            announced_at: now,
+            lease_until: now + lease,
+            leaving: false,
             lent: None,
             slots_in_use: 0,
             pool: Pool::default(),
@@ -70,9 +85,25 @@
         self.lent.filter(|_| shares_valid).unwrap_or(base)
     }
 
-    /// Tells whether the upstream may be given new work.
+    pub(crate) fn renew(&mut self, lease: Duration) {
+        self.announced_at = Instant::now();
+        self.lease_until = self.announced_at + lease;
+    }
+
+    /// Tells whether the upstream is present: it has not left and its lease has not ended.
     pub(crate) fn is_live(&self, now: Instant) -> bool {
-        now < self.lease_until
+        !self.leaving && now < self.lease_until
+    }
+
+    /// Tells whether the upstream may be given new work.
+    pub(crate) fn takes_work(&self, now: Instant) -> bool {
+        self.is_live(now) && now < self.announced_at + WORK_AFTER_ANNOUNCEMENT
+    }
+
+    /// Tells whether nothing needs this upstream any more.
+    pub(crate) fn is_forgotten(&self, now: Instant) -> bool {
+        let has_left = self.leaving && self.slots_in_use == 0;
+        has_left || now >= self.lease_until + KEEP_AFTER_LEASE
     }
 
     /// Tells whether the upstream failed recently and should be avoided if there is another.
--- a/src/entry/upstreams/table.rs
+++ b/src/entry/upstreams/table.rs
@@ -8,13 +8,16 @@
 use tokio::time::Instant;
 
 use super::Slot;
-use super::state::{Allowance, UpstreamInfo, UpstreamState};
+use super::state::{UpstreamInfo, UpstreamState};
 use super::waiting::{Waiter, Waiting};
 use crate::class::Class;
 use crate::entry::pool::{Connection, OpenPermit, PoolTimes};
 use crate::error::StepError;
 use crate::names::{ServiceName, UpstreamName};
 
+/// Time for which a leave is remembered, so that delayed announcements are recognised.
+const REMEMBER_LEAVES: Duration = Duration::from_hours(1);
+
 /// Fixed values of the table.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct TableSettings {
@@ -31,27 +34,27 @@
 /// Upstreams of this host's data centre; clones share one table.
 #[derive(Debug, Clone)]
 pub(crate) struct Upstreams {
-    shared: Arc<Shared>,
+    pub(super) shared: Arc<Shared>,
 }
 
 #[derive(Debug)]
-struct Shared {
-    settings: TableSettings,
+pub(super) struct Shared {
+    pub(super) settings: TableSettings,
     table: Mutex<Table>,
     /// Wakes the task that reports use and demand to control.
     demand_changed: Notify,
 }
 
 #[derive(Debug, Default)]
-struct Table {
-    upstreams: BTreeMap<UpstreamName, UpstreamState>,
-    by_service: BTreeMap<ServiceName, Vec<UpstreamName>>,
-    /// Highest incarnation that has left; it outranks any announcement up to it.
-    left: BTreeMap<UpstreamName, u64>,
-    waiting: BTreeMap<ServiceName, Waiting>,
+pub(super) struct Table {
+    pub(super) upstreams: BTreeMap<UpstreamName, UpstreamState>,
+    pub(super) by_service: BTreeMap<ServiceName, Vec<UpstreamName>>,
+    /// Highest incarnation that has left, and when; it outranks any announcement up to it.
+    left: BTreeMap<UpstreamName, (u64, Instant)>,
+    pub(super) waiting: BTreeMap<ServiceName, Waiting>,
     parked: usize,
-    shares_until: Option<Instant>,
-    share_revision: u64,
+    pub(super) shares_until: Option<Instant>,
+    pub(super) share_revision: u64,
 }
 
 /// A request that waits for a slot.
@@ -70,16 +73,6 @@
     BatchFull,
 }
 
-/// Use and demand of one upstream, as reported to control.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct ShareReport {
-    pub(crate) upstream: UpstreamName,
-    pub(crate) slots_in_use: u32,
-    pub(crate) connections_in_use: u32,
-    /// Slots that waiting requests could use beyond those in use.
-    pub(crate) slots_wanted: u32,
-}
-
 impl Upstreams {
     pub(crate) fn new(settings: TableSettings) -> Self {
         let shared =
@@ -89,9 +82,8 @@
 
     /// Applies an announcement; false if it is outranked by a leave or a newer incarnation.
     pub(crate) fn announce(&self, info: UpstreamInfo) -> bool {
-        let lease_until = Instant::now() + self.shared.settings.upstream_lease;
         let mut table = self.lock();
-        let applied = table.announce(info, lease_until);
+        let applied = table.announce(info, self.shared.settings.upstream_lease);
         table.pump(self);
         applied
     }
@@ -101,70 +93,6 @@
         self.lock().leave(name, incarnation);
     }
 
-    /// Applies the complete list of this host's shares, valid until `until`.
-    pub(crate) fn apply_shares(
-        &self,
-        revision: u64,
-        shares: impl IntoIterator<Item = (UpstreamName, u64, Allowance)>,
-        until: Instant,
-    ) {
-        let mut table = self.lock();
-        table.share_revision = revision;
-        table.shares_until = Some(until);
-        for state in table.upstreams.values_mut() {
-            state.lent = None;
-        }
-        for (name, incarnation, allowance) in shares {
-            if let Some(state) = table.current(&name, incarnation) {
-                state.lent = Some(allowance);
-                state.pool.shrink(allowance.connections);
-            }
-        }
-        table.pump(self);
-    }
-
-    /// Extends the lease of the shares in force.
-    pub(crate) fn renew_shares(&self, until: Instant) {
-        let mut table = self.lock();
-        table.shares_until = Some(until);
-        table.pump(self);
-    }
-
-    /// Returns the share revision whose limits this host keeps now, if it keeps them.
-    ///
-    /// A shrunk share is acknowledged only once the use has come down to it.
-    pub(crate) fn acknowledged_revision(&self) -> Option<u64> {
-        let mut table = self.lock();
-        let hosts = self.shared.settings.local_entry_hosts;
-        let valid = table.shares_valid(Instant::now());
-        let within = table.upstreams.values_mut().all(|state| {
-            let allowance = state.allowance(hosts, valid);
-            state.pool.shrink(allowance.connections);
-            state.slots_in_use <= allowance.slots
-                && state.pool.open().get() <= allowance.connections
-        });
-        within.then_some(table.share_revision)
-    }
-
-    /// Returns use and demand of every upstream with either.
-    pub(crate) fn share_reports(&self) -> Vec<ShareReport> {
-        let table = self.lock();
-        let wanted = table.wanted_slots();
-        table
-            .upstreams
-            .iter()
-            .map(|(name, state)| ShareReport {
-                upstream: name.clone(),
-                slots_in_use: state.slots_in_use,
-                connections_in_use: state.pool.open().get(),
-                slots_wanted: wanted.get(name).copied().unwrap_or(0),
-            })
-            .filter(|report| {
-                report.slots_in_use + report.slots_wanted + report.connections_in_use > 0
-            })
-            .collect()
-    }
-
     /// Waits until demand has changed in a way that control should hear of at once.
     pub(crate) async fn demand_changed(&self) {
         self.shared.demand_changed.notified().await;
@@ -229,10 +157,22 @@
             .collect()
     }
 
+    /// Returns the number of upstreams in the table, those that have left included.
+    #[cfg(test)]
+    pub(super) fn known(&self) -> usize {
+        self.lock().upstreams.len()
+    }
+
     pub(super) fn is_current(&self, name: &UpstreamName, incarnation: u64) -> bool {
         self.lock().current(name, incarnation).is_some()
     }
 
+    /// Tells whether this incarnation may still be sent what was reserved for it.
+    pub(super) fn takes_work(&self, name: &UpstreamName, incarnation: u64) -> bool {
+        let mut table = self.lock();
+        table.current(name, incarnation).is_some_and(|state| !state.leaving)
+    }
+
     pub(super) fn times(&self) -> &PoolTimes {
         &self.shared.settings.pool_times
     }
@@ -285,11 +225,14 @@
         let mut table = self.lock();
         if let Some(state) = table.current(name, incarnation) {
             state.slots_in_use -= 1;
+            if state.leaving {
+                table.forget(Instant::now());
+            }
         }
         table.pump(self);
     }
 
-    fn lock(&self) -> MutexGuard<'_, Table> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Table> {
         self.shared.table.lock().expect("no panic while the table is locked")
     }
 }
@@ -314,22 +257,22 @@
 }
 
 impl Table {
-    fn announce(&mut self, info: UpstreamInfo, lease_until: Instant) -> bool {
-        if self.left.get(&info.name).is_some_and(|left| *left >= info.incarnation) {
+    fn announce(&mut self, info: UpstreamInfo, lease: Duration) -> bool {
+        if self.left.get(&info.name).is_some_and(|(left, _)| *left >= info.incarnation) {
             return false;
         }
         match self.upstreams.get_mut(&info.name) {
             Some(state) if state.info.incarnation > info.incarnation => return false,
             Some(state) if state.info == info => {
-                state.lease_until = lease_until;
+                state.renew(lease);
                 return true;
             }
             Some(state) if state.info.incarnation == info.incarnation => {
                 state.info = info;
-                state.lease_until = lease_until;
+                state.renew(lease);
             }
             _ => {
-                let state = UpstreamState::new(info.clone(), lease_until);
+                let state = UpstreamState::new(info.clone(), lease);
                 self.upstreams.insert(info.name, state);
             }
         }
@@ -338,51 +281,52 @@
     }
 
     fn leave(&mut self, name: &UpstreamName, incarnation: u64) {
-        let left = self.left.entry(name.clone()).or_default();
-        *left = incarnation.max(*left);
-        if self.upstreams.get(name).is_some_and(|state| state.info.incarnation <= incarnation) {
-            self.upstreams.remove(name);
+        let now = Instant::now();
+        let (left, at) = self.left.entry(name.clone()).or_insert((incarnation, now));
+        (*left, *at) = (incarnation.max(*left), now);
+        if let Some(state) = self.upstreams.get_mut(name)
+            && state.info.incarnation <= incarnation
+        {
+            state.leaving = true;
+            self.forget(now);
+            self.index_services();
+        }
+    }
+
+    /// Removes upstreams and leaves that nothing needs any more.
+    pub(super) fn forget(&mut self, now: Instant) {
+        let before = self.upstreams.len();
+        self.upstreams.retain(|_, state| !state.is_forgotten(now));
+        self.left.retain(|_, (_, at)| now < *at + REMEMBER_LEAVES);
+        if self.upstreams.len() != before {
             self.index_services();
         }
     }
 
     fn index_services(&mut self) {
         self.by_service.clear();
-        for (name, state) in &self.upstreams {
+        for (name, state) in self.upstreams.iter().filter(|(_, state)| !state.leaving) {
             for service in &state.info.services {
                 self.by_service.entry(service.clone()).or_default().push(name.clone());
             }
         }
     }
 
-    fn current(&mut self, name: &UpstreamName, incarnation: u64) -> Option<&mut UpstreamState> {
+    pub(super) fn current(
+        &mut self,
+        name: &UpstreamName,
+        incarnation: u64,
+    ) -> Option<&mut UpstreamState> {
         let state = self.upstreams.get_mut(name)?;
         (state.info.incarnation == incarnation).then_some(state)
     }
 
-    fn shares_valid(&self, now: Instant) -> bool {
+    pub(super) fn shares_valid(&self, now: Instant) -> bool {
         self.shares_until.is_some_and(|until| now < until)
     }
 
-    /// Spreads the waiting requests of each service over its upstreams, as demand for slots.
-    fn wanted_slots(&self) -> BTreeMap<UpstreamName, u32> {
-        let mut wanted = BTreeMap::new();
-        for (service, waiting) in &self.waiting {
-            let count = waiting.len(Class::Interactive) + waiting.len(Class::Batch);
-            let names = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-            if count == 0 || names.is_empty() {
-                continue;
-            }
-            let each = u32::try_from(count.div_ceil(names.len())).unwrap_or(u32::MAX);
-            for name in names {
-                *wanted.entry(name.clone()).or_default() += each;
-            }
-        }
-        wanted
-    }
-
     /// Gives free slots to waiting requests.
-    fn pump(&mut self, upstreams: &Upstreams) {
+    pub(super) fn pump(&mut self, upstreams: &Upstreams) {
         if self.waiting.values().all(Waiting::is_empty) {
             return;
         }
@@ -464,7 +408,7 @@
         let valid = self.shares_valid(now);
         let free = |name: &&UpstreamName| {
             let state = &self.upstreams[*name];
-            state.is_live(now) && state.slots_in_use < state.allowance(hosts, valid).slots
+            state.takes_work(now) && state.slots_in_use < state.allowance(hosts, valid).slots
         };
         let names = self.by_service.get(service)?;
         let candidates: Vec<&UpstreamName> = names.iter().filter(free).collect();
--- /dev/null
+++ b/src/entry/upstreams/tests.rs
@@ -0,0 +1,116 @@
+//! Leases, leaves and what is forgotten of them, on a paused clock.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::time::advance;
+
+use super::{Slot, TableSettings, UpstreamInfo, Upstreams};
+use crate::class::Class;
+use crate::entry::pool::PoolTimes;
+use crate::names::{ServiceName, UpstreamName};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn upstreams() -> Upstreams {
+    let pool_times = PoolTimes { connect_timeout: SECOND, age: SECOND, idle_probe: SECOND };
+    Upstreams::new(TableSettings {
+        local_entry_hosts: 1,
+        upstream_lease: 3 * SECOND,
+        pool_times,
+        park_max: 10,
+        batch_share_one_in: 8,
+    })
+}
+
+fn service() -> ServiceName {
+    "plan".parse().expect("a name")
+}
+
+fn name(number: u32) -> UpstreamName {
+    format!("worker-{number}").parse().expect("a name")
+}
+
+fn info(number: u32, incarnation: u64) -> UpstreamInfo {
+    UpstreamInfo {
+        name: name(number),
+        incarnation,
+        address: ([127, 0, 0, 1], 1).into(),
+        services: [service()].into_iter().collect(),
+        rack: "rack-0".parse().expect("a name"),
+        rack_position: 0,
+        accelerators: 8,
+        slots: 8,
+        connections: 64,
+    }
+}
+
+fn reserve(upstreams: &Upstreams) -> Option<Slot> {
+    upstreams.try_reserve(&service(), Class::Interactive, None)
+}
+
+/// Guards against work for an upstream that may have left unheard, and against a lease that ends
+/// with one late announcement.
+#[rstest]
+#[case::announced(1_500, true, 1)]
+#[case::late(1_950, false, 1)]
+#[case::lease_ended(3_000, false, 0)]
+#[tokio::test(start_paused = true)]
+async fn new_work_needs_a_recent_announcement(
+    #[case] after_ms: u64,
+    #[case] gets_work: bool,
+    #[case] present: usize,
+) {
+    let upstreams = upstreams();
+    assert!(upstreams.announce(info(1, 1)));
+    advance(Duration::from_millis(after_ms)).await;
+    assert_eq!(reserve(&upstreams).is_some(), gets_work);
+    assert_eq!(upstreams.live().len(), present);
+    assert!(upstreams.announce(info(1, 1)));
+    assert!(reserve(&upstreams).is_some(), "the same incarnation may return");
+}
+
+/// Guards against memory that grows with upstreams that are replaced under new names.
+#[tokio::test(start_paused = true)]
+async fn upstreams_gone_for_long_are_forgotten() {
+    let upstreams = upstreams();
+    for number in 0..1_000 {
+        assert!(upstreams.announce(info(number, 1)));
+        advance(SECOND).await;
+        upstreams.tidy();
+        assert!(upstreams.known() <= 64, "{} are known", upstreams.known());
+    }
+}
+
+/// Guards against an upstream that is forgotten while it may still run work of this host.
+#[tokio::test(start_paused = true)]
+async fn a_leaving_upstream_is_kept_until_its_work_has_ended() {
+    let upstreams = upstreams();
+    upstreams.announce(info(1, 1));
+    let slot = reserve(&upstreams).expect("a slot");
+    upstreams.leave(&name(1), 1);
+    assert!(reserve(&upstreams).is_none(), "nothing new");
+    assert!(slot.is_current(), "its attempts can be asked about");
+    drop(slot);
+    assert_eq!(upstreams.known(), 0);
+}
+
+/// Guards against a delayed announcement that revives an incarnation that has left.
+#[rstest]
+#[case::same_incarnation(5, 59 * 60, false)]
+#[case::older_incarnation(4, 59 * 60, false)]
+#[case::newer_incarnation(6, 0, true)]
+#[case::after_the_memory_of_an_hour(5, 61 * 60, true)]
+#[tokio::test(start_paused = true)]
+async fn a_leave_outranks_announcements_for_an_hour(
+    #[case] incarnation: u64,
+    #[case] after_s: u64,
+    #[case] applied: bool,
+) {
+    let upstreams = upstreams();
+    upstreams.announce(info(1, 5));
+    upstreams.leave(&name(1), 5);
+    advance(Duration::from_secs(after_s)).await;
+    upstreams.tidy();
+    assert_eq!(upstreams.announce(info(1, incarnation)), applied);
+}
--- a/src/rpc/generated.rs
+++ b/src/rpc/generated.rs
@@ -156,6 +156,9 @@
     pub connections: u32,
     #[prost(bool, tag = "10")]
     pub leaving: bool,
+    /// Set beside `leaving` if only the lease ended: the same incarnation may return.
+    #[prost(bool, tag = "11")]
+    pub lost: bool,
 }
 /// Announcements and leaves that an entry host received since its last message.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -71,6 +71,7 @@
     attempts: Mutex<Attempts>,
     gangs: Mutex<Gangs>,
     leaving: AtomicBool,
+    silenced: AtomicBool,
     connections_peak: AtomicUsize,
 }
 
@@ -141,6 +142,11 @@
         self.shared.attempts().starts_by_key()
     }
 
+    /// Goes on working without announcing itself, as one whose announcements are lost.
+    pub fn stop_announcing(&self) {
+        self.shared.silenced.store(true, Ordering::Release);
+    }
+
     /// Ends without a leave and cuts every connection, as a crash does.
     pub async fn crash(self) {
         self.shared.leaving.store(true, Ordering::Release);
@@ -218,6 +224,7 @@
         attempts: Mutex::new(Attempts::default()),
         gangs: Mutex::new(gangs),
         leaving: AtomicBool::new(false),
+        silenced: AtomicBool::new(false),
         connections_peak: AtomicUsize::new(0),
     });
     let (stop, stopped) = watch::channel(false);
@@ -235,7 +242,8 @@
 async fn announce(shared: Arc<Shared>, mut stop: watch::Receiver<bool>) {
     let announcer = shared.announcer();
     let announcement = shared.announcement();
-    while !shared.leaving.load(Ordering::Acquire) {
+    let is_leaving = || shared.leaving.load(Ordering::Acquire);
+    while !is_leaving() && !shared.silenced.load(Ordering::Acquire) {
         let (announcer, announcement) = (announcer.clone(), announcement.clone());
         _ = tokio::task::spawn_blocking(move || announcer.announce(&announcement)).await;
         tokio::select! {
--- a/tests/request_path/main.rs
+++ b/tests/request_path/main.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod deadlines;
+mod leave;
 mod not_run;
 mod once;
 mod silence;
--- a/tests/request_path/not_run.rs
+++ b/tests/request_path/not_run.rs
@@ -11,7 +11,7 @@
 use crate::support::{eventually, key};
 
 /// Takes every slot of every stand-in without the entry hosts' knowledge.
-fn fill_behind_the_hosts(path: &Path) {
+pub fn fill_behind_the_hosts(path: &Path) {
     for number in 0..2 {
         let direct = Client::new(path.standin(number).address());
         for slot in 0..8 {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the support module")]
 
 pub mod link;
+pub mod load;
 pub mod path;
 
 use std::fs;
@@ -172,6 +173,29 @@
         signal(self.standins[usize::from(number)].as_ref(), "-CONT");
     }
 
+    /// Stops control from running without ending it.
+    pub fn freeze_control(&self) {
+        signal(self.control.as_ref(), "-STOP");
+    }
+
+    /// Lets a frozen control process go on.
+    pub fn thaw_control(&self) {
+        signal(self.control.as_ref(), "-CONT");
+    }
+
+    pub fn entry_address(&self, number: u8) -> SocketAddr {
+        self.addresses.work(FIRST_ENTRY + number)
+    }
+
+    pub fn entry_pid(&self, number: u8) -> u32 {
+        self.entries[usize::from(number)].as_ref().expect("the host runs").id()
+    }
+
+    /// Returns what a stand-in has recorded.
+    pub fn stats(&self, number: u8) -> serde_json::Value {
+        Client::new(self.standin_address(number)).get("/standin/stats").expect("an answer").body
+    }
+
     /// Asks an entry host to end gracefully and returns its exit code once it has.
     pub fn terminate_entry(&mut self, number: u8) -> Option<i32> {
         signal(self.entries[usize::from(number)].as_ref(), "-TERM");
--- a/tests/support/path.rs
+++ b/tests/support/path.rs
@@ -275,6 +275,7 @@
 pub struct Told {
     pub reply: Reply,
     pub took: Duration,
+    pub at: Instant,
 }
 
 impl Told {
@@ -329,7 +330,7 @@
         let headers: Vec<_> = self.headers.iter().map(|(name, value)| (*name, &**value)).collect();
         let started = Instant::now();
         let reply = client.send("POST", "/v1/services/plan/requests", &headers, &self.body).ok()?;
-        Some(Told { reply, took: started.elapsed() })
+        Some(Told { reply, took: started.elapsed(), at: Instant::now() })
     }
 
     pub fn send(&self, client: &Client) -> Told {
