Free the place of a caller that hangs up while it waits

Cause: the task of a request goes on when its caller hangs up, so that an outcome is recorded, and a parked request went on as well: it kept its place and ran later. The queue also kept an entry for each request that had stopped waiting until a slot was free, and counted it as demand. Change: a request whose caller is gone stops waiting and is not retried; an attempt under way goes on. The queue drops abandoned entries at once.

--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -131,6 +131,7 @@
         kind: read_kind(host, received)?,
         deadline: Instant::now() + read_timeout(host, received)?,
         body: received.body.clone(),
+        caller: request::Caller::default(),
     })
 }
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -22,12 +22,12 @@
     let parked =
         host.upstreams.park(&request.service, request.class, avoid, batch_max).map_err(refusal)?;
     let started = Instant::now();
-    let slot = timeout_at(until, parked.slot()).await;
-    host.metrics.parked_ended(started.elapsed(), slot.is_ok());
-    match slot {
-        Ok(Some(slot)) => Ok(slot),
-        Ok(None) | Err(_) => Err(no_capacity(request)),
-    }
+    let slot = tokio::select! {
+        slot = timeout_at(until, parked.slot()) => slot.ok().flatten(),
+        () = request.caller.gone() => None,
+    };
+    host.metrics.parked_ended(started.elapsed(), slot.is_some());
+    slot.ok_or_else(|| no_capacity(request))
 }
 
 fn refusal(refusal: ParkRefusal) -> NotRun {
--- a/src/entry/idempotent.rs
+++ b/src/entry/idempotent.rs
@@ -40,7 +40,7 @@
                 reason
             }
         };
-        if request.left().is_zero() {
+        if request.left().is_zero() || request.caller.is_gone() {
             return give_up(may_have_run, NotRun::new(NotRunCause::Deadline, reason));
         }
         if !host.retry_budget.try_spend() {
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -193,6 +193,7 @@
         kind,
         deadline: Instant::now() + Duration::from_millis(message.timeout_ms),
         body: message.body,
+        caller: request::Caller::default(),
     })
 }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use tokio::sync::watch;
 use tokio::time::{Duration, Instant, timeout_at};
 
 use super::EntryHost;
@@ -25,6 +26,25 @@
     pub(crate) kind: Kind,
     pub(crate) deadline: Instant,
     pub(crate) body: Bytes,
+    pub(crate) caller: Caller,
+}
+
+/// Tells whether the caller still waits for its answer.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Caller(Option<watch::Receiver<()>>);
+
+impl Caller {
+    /// Ends when the caller has hung up.
+    pub(crate) async fn gone(&self) {
+        match self.0.clone() {
+            Some(mut present) => while present.changed().await.is_ok() {},
+            None => std::future::pending().await,
+        }
+    }
+
+    pub(crate) fn is_gone(&self) -> bool {
+        self.0.as_ref().is_some_and(|present| present.has_changed().is_err())
+    }
 }
 
 /// Whether a request may run more than once.
@@ -73,7 +93,7 @@
     outcome
 }
 
-async fn admit_and_run(host: &Arc<EntryHost>, request: CallerRequest) -> Outcome {
+async fn admit_and_run(host: &Arc<EntryHost>, mut request: CallerRequest) -> Outcome {
     let (in_force, limits) = match find_limits(host, &request) {
         Ok(found) => found,
         Err(reason) => return request.refused(reason),
@@ -88,6 +108,9 @@
         Err(reason) => return request.refused(reason),
     };
     let deadline = request.deadline;
+    // The sender is dropped with this call, which ends early if the caller hangs up.
+    let (_present, caller) = watch::channel(());
+    request.caller = Caller(Some(caller));
     // The task goes on if the caller hangs up, so that an outcome is recorded all the same.
     let host = Arc::clone(host);
     let task = tokio::spawn(async move {
--- a/src/entry/upstreams/table.rs
+++ b/src/entry/upstreams/table.rs
@@ -61,6 +61,7 @@
 #[derive(Debug)]
 pub(crate) struct Parked {
     receiver: oneshot::Receiver<Slot>,
+    service: ServiceName,
     upstreams: Upstreams,
 }
 
@@ -137,7 +138,7 @@
         table.pump(self);
         drop(table);
         self.shared.demand_changed.notify_one();
-        Ok(Parked { receiver, upstreams: self.clone() })
+        Ok(Parked { receiver, service: service.clone(), upstreams: self.clone() })
     }
 
     /// Returns the number of parked requests.
@@ -251,6 +252,9 @@
         let granted = self.receiver.try_recv().ok();
         let mut table = self.upstreams.lock();
         table.parked -= 1;
+        if let Some(waiting) = table.waiting.get_mut(&self.service) {
+            waiting.drop_abandoned();
+        }
         drop(table);
         drop(granted);
     }
--- a/src/entry/upstreams/tests.rs
+++ b/src/entry/upstreams/tests.rs
@@ -114,3 +114,17 @@
     upstreams.tidy();
     assert_eq!(upstreams.announce(info(1, incarnation)), applied);
 }
+
+/// Guards against demand and memory that grow with callers that no longer wait.
+#[tokio::test(start_paused = true)]
+async fn abandoned_requests_leave_no_demand() {
+    let upstreams = upstreams();
+    upstreams.announce(info(1, 1));
+    let slot = reserve(&upstreams).expect("a slot");
+    for _ in 0..100 {
+        let parked = upstreams.park(&service(), Class::Interactive, None, 10);
+        drop(parked.expect("a place"));
+    }
+    assert_eq!(upstreams.share_reports()[0].slots_wanted, 0);
+    drop(slot);
+}
--- a/tests/request_path/main.rs
+++ b/tests/request_path/main.rs
@@ -4,6 +4,7 @@
 mod support;
 
 mod answers;
+mod callers;
 mod deadlines;
 mod leave;
 mod not_run;
