--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use tokio::time::{Duration, Instant};
+use tokio::sync::watch;
+use tokio::time::{Duration, Instant, timeout_at};
 
 use super::EntryHost;
 use super::documents::InForce;
@@ -13,6 +14,9 @@
 use crate::names::{OrganisationName, RequestKey, ServiceName};
 use crate::outcome::{NotRun, NotRunCause, Outcome};
 
+/// Time after the deadline in which each step can end by itself and name its reason.
+const DEADLINE_GRACE: Duration = Duration::from_millis(50);
+
 /// A caller's request with everything that decides how it is treated.
 #[derive(Debug, Clone)]
 pub(crate) struct CallerRequest {
@@ -22,6 +26,25 @@
     pub(crate) kind: Kind,
     pub(crate) deadline: Instant,
     pub(crate) body: Bytes,
+    pub(crate) caller: Caller,
+}
+
+/// Tells whether the caller still waits for its answer.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Caller(Option<watch::Receiver<()>>);
+
+impl Caller {
+    /// Ends when the caller has hung up.
+    pub(crate) async fn gone(&self) {
+        match self.0.clone() {
+            Some(mut present) => while present.changed().await.is_ok() {},
+            None => std::future::pending().await,
+        }
+    }
+
+    pub(crate) fn is_gone(&self) -> bool {
+        self.0.as_ref().is_some_and(|present| present.has_changed().is_err())
+    }
 }
 
 /// Whether a request may run more than once.
@@ -55,9 +78,7 @@
     /// first submission can be told that the request did not run.
     pub(crate) fn refused(&self, reason: NotRun) -> Outcome {
         match &self.kind {
-            Kind::Once { first_submission: false, .. } => Outcome::Unknown {
-                detail: format!("not dispatched by this host ({reason}); resend with the same key"),
-            },
+            Kind::Once { first_submission: false, .. } => Outcome::not_dispatched(&reason),
             Kind::Once { .. } | Kind::Idempotent { .. } => Outcome::NotRun(reason),
         }
     }
@@ -72,7 +93,7 @@
     outcome
 }
 
-async fn admit_and_run(host: &Arc<EntryHost>, request: CallerRequest) -> Outcome {
+async fn admit_and_run(host: &Arc<EntryHost>, mut request: CallerRequest) -> Outcome {
     let (in_force, limits) = match find_limits(host, &request) {
         Ok(found) => found,
         Err(reason) => return request.refused(reason),
@@ -86,6 +107,10 @@
         Ok(admitted) => admitted,
         Err(reason) => return request.refused(reason),
     };
+    let deadline = request.deadline;
+    // The sender is dropped with this call, which ends early if the caller hangs up.
+    let (_present, caller) = watch::channel(());
+    request.caller = Caller(Some(caller));
     // The task goes on if the caller hangs up, so that an outcome is recorded all the same.
     let host = Arc::clone(host);
     let task = tokio::spawn(async move {
@@ -93,8 +118,11 @@
         drop(admitted);
         outcome
     });
-    task.await
-        .unwrap_or_else(|error| Outcome::Unknown { detail: format!("internal fault: {error}") })
+    let unknown = |detail: String| Outcome::Unknown { detail };
+    match timeout_at(deadline + DEADLINE_GRACE, task).await {
+        Ok(ended) => ended.unwrap_or_else(|error| unknown(format!("internal fault: {error}"))),
+        Err(_) => unknown("no outcome was known by the deadline".to_owned()),
+    }
 }
 
 async fn run(host: &Arc<EntryHost>, request: &CallerRequest, in_force: &InForce) -> Outcome {
--- /dev/null
+++ b/tests/request_path/main.rs
@@ -0,0 +1,16 @@
+//! The promises of the request path under faults, one contract table per promise.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod answers;
+mod callers;
+mod deadlines;
+mod kills;
+mod leave;
+mod not_run;
+mod once;
+mod retries;
+mod shares;
+mod shutdown;
+mod silence;
