--- /dev/null
+++ b/src/bin/cactuslatch-measure/load.rs
@@ -0,0 +1,171 @@
+//! Open-loop load over keep-alive connections, with latency counted from the intended send time.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eyre::eyre;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+
+/// Longest latency that a histogram holds, in nanoseconds.
+const LATENCY_MAX_NS: u64 = 120_000_000_000;
+
+/// Returns an empty histogram of nanoseconds with three significant digits.
+pub(crate) fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LATENCY_MAX_NS, 3).expect("the bounds are valid")
+}
+
+/// Returns a quantile in milliseconds.
+pub(crate) fn quantile_ms(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1e6
+}
+
+/// Keep-alive connections to one server.
+#[derive(Debug)]
+pub(crate) struct Connections {
+    address: SocketAddr,
+    idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
+    permits: Semaphore,
+}
+
+impl Connections {
+    /// Allows at most `limit` connections; further calls wait, which counts as latency.
+    pub(crate) fn new(address: SocketAddr, limit: usize) -> Self {
+        Self { address, idle: Mutex::default(), permits: Semaphore::new(limit) }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request and receives the whole answer.
+    pub(crate) async fn call(&self, request: Request<Full<Bytes>>) -> eyre::Result<(u16, Bytes)> {
+        let _permit = self.permits.acquire().await?;
+        let idle = lock(&self.idle).pop();
+        let mut sender = match idle.filter(|sender| !sender.is_closed()) {
+            Some(sender) => sender,
+            None => self.open().await?,
+        };
+        sender.ready().await?;
+        let response = sender.send_request(request).await?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await?.to_bytes();
+        lock(&self.idle).push(sender);
+        Ok((status, body))
+    }
+
+    async fn open(&self) -> eyre::Result<SendRequest<Full<Bytes>>> {
+        let stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        let (sender, driver) = handshake(TokioIo::new(stream)).await?;
+        // An error of the connection reaches the request that used it.
+        tokio::spawn(driver);
+        Ok(sender)
+    }
+}
+
+/// Results of the requests of one kind.
+#[derive(Debug)]
+pub(crate) struct Tally {
+    latency: Mutex<Histogram<u64>>,
+    /// Number of answers by status; 0 stands for no answer.
+    statuses: Mutex<BTreeMap<u16, u64>>,
+    sent: AtomicU64,
+    ended: AtomicU64,
+}
+
+impl Tally {
+    pub(crate) fn new() -> Self {
+        Self {
+            latency: Mutex::new(histogram()),
+            statuses: Mutex::default(),
+            sent: AtomicU64::new(0),
+            ended: AtomicU64::new(0),
+        }
+    }
+
+    /// Counts a request before it is handed to the runtime.
+    pub(crate) fn sending(&self) {
+        self.sent.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// Records the end of a request; only successes count in the latency.
+    pub(crate) fn ended(&self, intended: Instant, status: u16) {
+        if status == 200 {
+            let nanos = u64::try_from(intended.elapsed().as_nanos()).unwrap_or(LATENCY_MAX_NS);
+            lock(&self.latency).saturating_record(nanos);
+        }
+        *lock(&self.statuses).entry(status).or_default() += 1;
+        self.ended.fetch_add(1, Ordering::AcqRel);
+    }
+
+    pub(crate) fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn outstanding(&self) -> u64 {
+        self.sent().saturating_sub(self.ended.load(Ordering::Acquire))
+    }
+
+    pub(crate) fn done(&self) -> u64 {
+        lock(&self.statuses).get(&200).copied().unwrap_or(0)
+    }
+
+    pub(crate) fn statuses(&self) -> BTreeMap<u16, u64> {
+        lock(&self.statuses).clone()
+    }
+
+    pub(crate) fn latency(&self) -> Histogram<u64> {
+        lock(&self.latency).clone()
+    }
+
+    /// Waits until every request that was sent has ended.
+    pub(crate) fn wait(&self, limit: Duration) -> eyre::Result<()> {
+        let started = Instant::now();
+        while self.outstanding() > 0 {
+            if started.elapsed() > limit {
+                return Err(eyre!("{} requests had no end", self.outstanding()));
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Ok(())
+    }
+}
+
+/// Makes calls at a mean rate with exponential gaps; blocks until `duration` has passed.
+///
+/// A late call keeps its intended time, so that a stalled sender does not hide waiting.
+pub(crate) fn pace(
+    rate_per_s: f64,
+    duration: Duration,
+    seed: u64,
+    mut call: impl FnMut(u64, Instant),
+) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let started = Instant::now();
+    let mut intended = started;
+    for number in 0.. {
+        let gap = -(1.0 - rng.random::<f64>()).ln() / rate_per_s;
+        intended += Duration::from_secs_f64(gap);
+        if intended.duration_since(started) >= duration {
+            return;
+        }
+        std::thread::sleep(intended.saturating_duration_since(Instant::now()));
+        call(number, intended);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no panic while results are locked")
+}
