--- a/src/bin/cactuslatch-measure/main.rs
+++ b/src/bin/cactuslatch-measure/main.rs
@@ -1,34 +1,47 @@
 //! Measurements and long randomised runs.
 
 mod decision;
+mod disk;
+mod load;
+mod path;
+mod process;
+mod site;
 mod soak;
 
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
 
-/// A command with its arguments.
-#[derive(Debug, Clone)]
-enum Command {
-    /// Time and memory of decisions.
-    Decision(decision::Args),
-    /// Randomised run of the scheduling core.
-    Soak(soak::Args),
+/// A command with its arguments, ready to run.
+type Run = Box<dyn Fn() -> eyre::Result<ExitCode>>;
+
+const USAGE: &str = "Measures Cactuslatch. Use release builds; figures of other builds mislead.";
+
+fn options() -> OptionParser<Run> {
+    let decision = decision::args().map(|args| runner(args, decision::run));
+    let path = slot("path", path::options(), path::run);
+    let soak = soak::args().map(|args| runner(args, soak::run));
+    construct!([decision, path, soak]).to_options().descr(USAGE)
+}
+
+/// Makes a command of a parser and the function that runs its arguments.
+fn slot<A: 'static>(
+    name: &'static str,
+    options: OptionParser<A>,
+    run: fn(&A) -> eyre::Result<()>,
+) -> impl Parser<Run> {
+    options
+        .command(name)
+        .map(move |args| -> Run { Box::new(move || run(&args).map(|()| ExitCode::SUCCESS)) })
 }
 
-fn command() -> OptionParser<Command> {
-    let soak = soak::args().map(Command::Soak);
-    let decision = decision::args().map(Command::Decision);
-    construct!([decision, soak]).to_options().descr("Measurements and long randomised runs.")
+fn runner<A: 'static>(args: A, run: fn(&A) -> eyre::Result<ExitCode>) -> Run {
+    Box::new(move || run(&args))
 }
 
 fn main() -> ExitCode {
-    let result = match command().run() {
-        Command::Decision(args) => decision::run(&args),
-        Command::Soak(args) => soak::run(&args),
-    };
-    result.unwrap_or_else(|error| {
-        eprintln!("{error:#}");
+    options().run()().unwrap_or_else(|error| {
+        eprintln!("cactuslatch-measure: {error:#}");
         ExitCode::FAILURE
     })
 }
--- a/src/control/jobs/messages.rs
+++ b/src/control/jobs/messages.rs
@@ -44,12 +44,14 @@
     request: GangRequest,
     reply: GangReply,
 ) -> Option<Event> {
+    let incarnation = reply.incarnation;
     Some(match (request.message, reply.answer) {
         (GangMessage::Stage(stage), answer) => {
             Event::StageAnswered { gang: stage.gang, upstream, staged: verdict(&answer)? }
         }
         (GangMessage::Commit(commit), answer) => {
-            Event::CommitAnswered { gang: commit.gang, upstream, started: verdict(&answer)? }
+            let started = verdict(&answer)?;
+            Event::CommitAnswered { gang: commit.gang, upstream, incarnation, started }
         }
         (GangMessage::Renew(renew), GangAnswer::Renewed { .. }) if renew.gangs.is_empty() => {
             Event::ProbeAnswered { upstream, healthy: true }
@@ -61,7 +63,7 @@
             Event::RenewAnswered { upstream, round, members }
         }
         (GangMessage::Stop(stop), GangAnswer::Stopped { status }) => {
-            Event::StopAnswered { gang: stop.gang, upstream, status }
+            Event::StopAnswered { gang: stop.gang, upstream, incarnation, status }
         }
         _ => return None,
     })
--- a/tests/support/path.rs
+++ b/tests/support/path.rs
@@ -181,7 +181,9 @@
         eventually("a host is ready", Duration::from_secs(10), || {
             let upstreams = client.get("/v1/upstreams").ok();
             let heard = upstreams.and_then(|reply| reply.body.as_array().map(Vec::len));
-            let document = client.get("/v1/documents/plan").is_ok_and(|reply| reply.status == 200);
+            let document = client
+                .get("/v1/documents/plan")
+                .is_ok_and(|reply| reply.body["in_force_version"].is_u64());
             heard == Some(wanted) && document
         });
     }
