Show answers only to the organisation that sent the request

Cause: a look-up returned the answer to anybody who knew the key, and a resend that had to wait took a record's answer without comparing whose request it was. Refused jobs always got status 422. Change: a look-up shows the outcome only if the organisation's header matches; a waiting resend compares organisation, service and body; jobs of organisations without a part in the service are refused, and refusals have the status of their cause. Conclusion: callers see no one else's answers on these two ways.

--- a/src/cmd/request.rs
+++ b/src/cmd/request.rs
@@ -1,7 +1,7 @@
 //! `cactuslatch request`: looks up what became of a request.
 
-use bpaf::{OptionParser, Parser, construct, positional};
-use cactuslatch::RequestKey;
+use bpaf::{OptionParser, Parser, construct, long, positional};
+use cactuslatch::{OrganisationName, RequestKey};
 use eyre::eyre;
 use serde_json::Value;
 use ureq::http::Method;
@@ -19,18 +19,25 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Args {
     remote: Remote,
+    organisation: Option<OrganisationName>,
     key: RequestKey,
 }
 
 pub(crate) fn options() -> OptionParser<Args> {
     let remote = util::remote();
+    let organisation = long("organisation")
+        .help("organisation that sent the request; only it is shown the answer")
+        .argument::<OrganisationName>("NAME")
+        .optional();
     let key = positional::<RequestKey>("KEY").help("DATA_CENTRE/ID of the request");
-    construct!(Args { remote, key }).to_options().descr(USAGE).footer(FOOTER)
+    construct!(Args { remote, organisation, key }).to_options().descr(USAGE).footer(FOOTER)
 }
 
 pub(crate) fn run(args: &Args) -> eyre::Result<Exit> {
     let path = format!("/v1/requests/{}/{}", args.key.data_centre(), args.key.id());
-    let call = Call::new("look up the request", Method::GET, path);
+    let mut call = Call::new("look up the request", Method::GET, path);
+    let organisation = args.organisation.as_ref().map(ToString::to_string);
+    call.headers.extend(organisation.map(|name| ("cactuslatch-organisation", name)));
     let answer = call.run(&args.remote.entries()?, args.remote.timeout())?;
     let value = answer.json().unwrap_or_default();
     let Some(exit) = state(&value).and_then(exit_of) else {
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -18,6 +18,9 @@
 mod requests;
 mod upstreams;
 
+/// Header with the organisation in whose name a call is made.
+const ORGANISATION_HEADER: &str = "cactuslatch-organisation";
+
 /// Answers one request of a caller, an upstream or an operator.
 pub(crate) async fn handle(host: Arc<EntryHost>, received: Received) -> FullResponse {
     let segments = received.segments();
@@ -25,7 +28,7 @@
     match (received.method.as_str(), segments.as_slice()) {
         ("POST", ["v1", "services", service, "requests"]) => run(&host, &received, service).await,
         ("GET", ["v1", "requests", data_centre, id]) => {
-            requests::lookup(&host, data_centre, id).await
+            requests::lookup(&host, data_centre, id, &received).await
         }
         ("POST", ["v1", "requests", data_centre, id, "sign-off"]) => {
             requests::sign_off(&host, data_centre, id, &received).await
@@ -49,9 +52,10 @@
 }
 
 /// Body of the answer to a request.
-#[derive(Debug, Serialize)]
-struct OutcomeBody<'a> {
-    outcome: &'a str,
+#[derive(Debug, Default, Serialize)]
+struct OutcomeBody {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    outcome: Option<&'static str>,
     #[serde(skip_serializing_if = "Option::is_none")]
     key: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -80,24 +84,26 @@
 
 /// Writes an outcome as the answer to its caller.
 fn outcome_response(key: Option<&RequestKey>, outcome: &Outcome) -> FullResponse {
+    json(outcome.http_status(), &outcome_body(key, Some(outcome)))
+}
+
+fn outcome_body(key: Option<&RequestKey>, outcome: Option<&Outcome>) -> OutcomeBody {
     let mut body = OutcomeBody {
-        outcome: outcome.name(),
+        outcome: outcome.map(Outcome::name),
         key: key.map(ToString::to_string),
-        attempt: None,
-        status: None,
-        answer: None,
-        reason: None,
+        ..OutcomeBody::default()
     };
     match outcome {
-        Outcome::Done { answer, attempt, upstream_status } => {
+        Some(Outcome::Done { answer, attempt, upstream_status }) => {
             body.attempt = Some(*attempt);
             body.status = Some(*upstream_status);
             body.answer = Some(raw_json(answer));
         }
-        Outcome::NotRun(reason) => body.reason = Some(reason.to_string()),
-        Outcome::Unknown { detail } => body.reason = Some(detail.clone()),
+        Some(Outcome::NotRun(reason)) => body.reason = Some(reason.to_string()),
+        Some(Outcome::Unknown { detail }) => body.reason = Some(detail.clone()),
+        None => {}
     }
-    json(outcome.http_status(), &body)
+    body
 }
 
 /// Embeds an answer as it is if it is JSON, and as a string otherwise.
@@ -116,7 +122,7 @@
 ) -> Result<CallerRequest, String> {
     let service: ServiceName = service.parse().map_err(text)?;
     let organisation = received
-        .header("cactuslatch-organisation")
+        .header(ORGANISATION_HEADER)
         .ok_or("the header Cactuslatch-Organisation is missing")?
         .parse()
         .map_err(text)?;
--- a/src/entry/api/jobs.rs
+++ b/src/entry/api/jobs.rs
@@ -4,8 +4,10 @@
 use serde_json::value::RawValue;
 
 use super::{EntryHost, FullResponse, Received, error, json, read_body};
+use crate::entry::request;
 use crate::error::StepError;
 use crate::names::{JobName, OrganisationName, ServiceName};
+use crate::outcome::{NotRun, NotRunCause};
 use crate::rpc;
 
 /// The part of a submitted job that an entry host reads; control reads the rest.
@@ -21,6 +23,9 @@
         Ok(submitted) => submitted,
         Err(response) => return *response,
     };
+    if let Err(reason) = request::limits_of(host, &submitted.service, &submitted.organisation) {
+        return error(reason.cause.http_status(), &reason.to_string());
+    }
     let message = rpc::SubmitJobRequest {
         name: submitted.name.to_string(),
         organisation: submitted.organisation.to_string(),
@@ -48,7 +53,7 @@
 fn answer(reply: Result<rpc::JobReply, StepError>, success: u16) -> FullResponse {
     match reply {
         Err(fault) => error(503, &fault.to_string()),
-        Ok(reply) if reply.refused => error(422, &reply.reason),
+        Ok(reply) if reply.refused => refused(&reply.reason),
         Ok(reply) if !reply.found => error(404, "no job has this name in this data centre"),
         Ok(reply) => match RawValue::from_string(reply.status_json) {
             Ok(status) => json(success, &status),
@@ -56,3 +61,12 @@
         },
     }
 }
+
+/// A job whose constraints cannot be met is well-formed but cannot be processed.
+fn refused(reason: &str) -> FullResponse {
+    let status = match NotRun::from_wire(reason).cause {
+        NotRunCause::BadRequest => 422,
+        cause => cause.http_status(),
+    };
+    error(status, reason)
+}
--- a/src/entry/api/requests.rs
+++ b/src/entry/api/requests.rs
@@ -2,7 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{EntryHost, FullResponse, Received, error, json, outcome_response, read_body};
+use super::{
+    EntryHost, FullResponse, ORGANISATION_HEADER, OutcomeBody, Received, error, json, outcome_body,
+    read_body,
+};
 use crate::entry::peers;
 use crate::names::RequestKey;
 use crate::outcome::Outcome;
@@ -10,12 +13,13 @@
 
 #[derive(Debug, Serialize)]
 struct StateBody<'a> {
-    key: String,
     state: &'a str,
     #[serde(skip_serializing_if = "str::is_empty")]
     upstream: &'a str,
     #[serde(skip_serializing_if = "str::is_empty")]
     signed_off_by: &'a str,
+    #[serde(flatten)]
+    outcome: OutcomeBody,
 }
 
 #[derive(Debug, Deserialize)]
@@ -36,7 +40,13 @@
         .map_err(|fault: crate::InvalidName| Box::new(error(400, &fault.to_string())))
 }
 
-pub(super) async fn lookup(host: &EntryHost, data_centre: &str, id: &str) -> FullResponse {
+/// Answers with the record; its outcome only goes to the organisation that sent the request.
+pub(super) async fn lookup(
+    host: &EntryHost,
+    data_centre: &str,
+    id: &str,
+    received: &Received,
+) -> FullResponse {
     let key = match read_key(data_centre, id) {
         Ok(key) => key,
         Err(response) => return *response,
@@ -45,18 +55,15 @@
         Ok(reply) => reply,
         Err(fault) => return error(503, &fault.to_string()),
     };
-    match reply.outcome.map(Outcome::from) {
-        Some(outcome) => outcome_response(Some(&key), &outcome),
-        None => json(
-            if reply.state == "absent" { 404 } else { 200 },
-            &StateBody {
-                key: key.to_string(),
-                state: &reply.state,
-                upstream: &reply.upstream,
-                signed_off_by: &reply.signed_off_by,
-            },
-        ),
-    }
+    let own = received.header(ORGANISATION_HEADER) == Some(reply.organisation.as_str());
+    let outcome = reply.outcome.filter(|_| own).map(Outcome::from);
+    let body = StateBody {
+        state: &reply.state,
+        upstream: &reply.upstream,
+        signed_off_by: &reply.signed_off_by,
+        outcome: outcome_body(Some(&key), outcome.as_ref()),
+    };
+    json(if reply.state == "absent" { 404 } else { 200 }, &body)
 }
 
 pub(super) async fn sign_off(
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -107,6 +107,10 @@
     let message = lookup_request(key);
     let reply = in_time(request, host.control.lookup(message)).await;
     let reply = reply.map_err(|error| unavailable(request, &error))?;
+    if !is_same_request(host, request, &reply) {
+        // Begin refuses it with the reason.
+        return Ok(None);
+    }
     match reply.state.as_str() {
         "done" => Ok(reply.outcome.map(Outcome::from)),
         "unknown" if reply.signed_off_by.is_empty() => Ok(reply.outcome.map(Outcome::from)),
@@ -114,6 +118,13 @@
     }
 }
 
+/// Tells whether a record belongs to this request and not to another one under the same key.
+fn is_same_request(host: &EntryHost, request: &CallerRequest, reply: &rpc::LookupReply) -> bool {
+    reply.organisation == request.organisation.as_str()
+        && reply.service == request.service.as_str()
+        && reply.body_digest == host.digest(&request.body)
+}
+
 fn lookup_request(key: &RequestKey) -> rpc::LookupRequest {
     rpc::LookupRequest { data_centre: key.data_centre().to_string(), id: key.id().to_owned() }
 }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -94,7 +94,7 @@
 }
 
 async fn admit_and_run(host: &Arc<EntryHost>, mut request: CallerRequest) -> Outcome {
-    let (in_force, limits) = match find_limits(host, &request) {
+    let (in_force, limits) = match limits_of(host, &request.service, &request.organisation) {
         Ok(found) => found,
         Err(reason) => return request.refused(reason),
     };
@@ -132,19 +132,19 @@
     }
 }
 
-fn find_limits(
+/// Finds the document of a service and the limits of an organisation in it.
+pub(crate) fn limits_of(
     host: &EntryHost,
-    request: &CallerRequest,
+    service: &ServiceName,
+    organisation: &OrganisationName,
 ) -> Result<(Arc<InForce>, Organisation), NotRun> {
-    let service = &request.service;
     let in_force = host.documents.get(service).ok_or_else(|| {
         let detail = format!("service {service} has no document at this host");
         NotRun::new(NotRunCause::UnknownService, detail)
     })?;
-    let named = |limits: &&Organisation| limits.name == request.organisation;
+    let named = |limits: &&Organisation| limits.name == *organisation;
     let limits = in_force.document.organisations.iter().find(named).cloned().ok_or_else(|| {
-        let name = &request.organisation;
-        let detail = format!("organisation {name} has no part in service {service}");
+        let detail = format!("organisation {organisation} has no part in service {service}");
         NotRun::new(NotRunCause::Forbidden, detail)
     })?;
     Ok((in_force, limits))
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -24,6 +24,25 @@
     assert_eq!(installation.started(), started, "nothing ran again");
 }
 
+/// Guards against showing an answer to another organisation than the one that sent the request.
+#[test]
+fn an_answer_is_shown_only_to_the_organisation_that_sent_the_request() {
+    let installation = Installation::start(1, 1);
+    let client = installation.client(0);
+    let key = key("posting-3");
+    assert_eq!(once(&client, &key, 0).expect("an answer").outcome(), "done");
+    let path = format!("/v1/requests/{key}");
+    let own = [("Cactuslatch-Organisation", "plovdiv")];
+    eventually("the outcome is recorded", Duration::from_secs(5), || {
+        let reply = client.send("GET", &path, &own, "").expect("an answer");
+        reply.body["answer"].is_object()
+    });
+    let others = client.send("GET", &path, &[("Cactuslatch-Organisation", "varna")], "");
+    let others = others.expect("an answer");
+    assert_eq!(others.body["state"], "done");
+    assert!(others.body["answer"].is_null(), "{others:?}");
+}
+
 /// Guards against entry hosts that stop serving when control is gone.
 #[test]
 fn without_control_idempotent_requests_are_served_and_others_are_not_dispatched() {
