Let some work of the randomised run outlast several leases

Cause: with run times of up to 33 s, a trial fault that renews gangs without all answers did not exceed the bound of partial work. Change: one job in twenty runs for 33 s to 262 s. Conclusion: the trial fault has to be run again.

--- a/src/scheduler/soak/faults.rs
+++ b/src/scheduler/soak/faults.rs
@@ -63,7 +63,9 @@
     }
 
     fn random_run_ms(&mut self) -> u64 {
-        let exponent = self.rng.random_range(7..16);
+        // Some work outlasts several leases, so that a gang could be renewed wrongly for long.
+        let long = self.rng.random_bool(0.05);
+        let exponent = self.rng.random_range(if long { 16..19 } else { 7..16 });
         self.rng.random_range(1 << (exponent - 1)..1 << exponent)
     }
 
