--- a/src/scheduler/soak/faults.rs
+++ b/src/scheduler/soak/faults.rs
@@ -108,7 +108,7 @@
             15..30 => self.away(Link::Down, "upstream_loss"),
             30..38 => self.leave(),
             38..46 => self.fail_everything(),
-            46..52 => self.cancel_wave(),
+            46..48 => self.cancel_wave(),
             52..60 => self.change_document(),
             // More frequent restarts would end each partly silent gang before its bound matters.
             60 => self.stop_core(),
