--- a/src/scheduler/soak/faults.rs
+++ b/src/scheduler/soak/faults.rs
@@ -63,7 +63,9 @@
     }
 
     fn random_run_ms(&mut self) -> u64 {
-        let exponent = self.rng.random_range(7..16);
+        // Some work outlasts several leases, so that a gang could be renewed wrongly for long.
+        let long = self.rng.random_bool(0.05);
+        let exponent = self.rng.random_range(if long { 16..19 } else { 7..16 });
         self.rng.random_range(1 << (exponent - 1)..1 << exponent)
     }
 
@@ -106,11 +108,13 @@
             15..30 => self.away(Link::Down, "upstream_loss"),
             30..38 => self.leave(),
             38..46 => self.fail_everything(),
-            46..52 => self.cancel_wave(),
+            46..48 => self.cancel_wave(),
             52..60 => self.change_document(),
-            60..63 => self.stop_core(),
-            63..66 => self.crash_next = true,
-            66 => self.lose_rack(),
+            // More frequent restarts would end each partly silent gang before its bound matters.
+            60 => self.stop_core(),
+            61 => self.crash_next = true,
+            62 => self.lose_rack(),
+            63..67 => self.silence(),
             _ => {}
         }
     }
@@ -144,6 +148,18 @@
         self.at(away_ms, Item::Return(ix));
     }
 
+    /// Cuts off an upstream from the core's messages, while its announcements still arrive.
+    fn silence(&mut self) {
+        let ix = self.rng.random_range(0..self.workers.len());
+        if self.workers[ix].link != Link::Up || self.away_count() >= AWAY_LIMIT {
+            return;
+        }
+        self.workers[ix].link = Link::Frozen;
+        self.count_fault("upstream_silent_but_announced");
+        let silent_ms = self.rng.random_range(1_000..180_000);
+        self.at(silent_ms, Item::Return(ix));
+    }
+
     fn lose_rack(&mut self) {
         self.count_fault("rack_loss");
         let first = 8 * self.rng.random_range(0..self.workers.len() / 8);
