Adopt the shares that hosts hold when control restarts

Cause: after a restart control lends nothing until the leases of its earlier life have ended (3.16 s), and the first list of the new epoch took every host back to its base share. Ruled out: keeping the old shares at the host until their lease ends, because it is shorter than the wait before the new epoch lends; adopting from the first message of a stream, because the host may have written it before the earlier process ended and gave the share away. Change: a host reports shares whose lease has not ended until it gets a list (`WatchRequest.held`). A new epoch answers a report of an older epoch with `share_revision` 0, adopts the next one, and lends the rest only after the wait. What is held of an upstream that control has not heard yet is kept until it is. The invariant of the shares stays asserted; a report that does not fit is refused. The randomised run now restarts control.

--- a/src/control/shares/mod.rs
+++ b/src/control/shares/mod.rs
@@ -6,7 +6,11 @@
 //!
 //! A host acknowledges a revision only once it uses no more than that revision grants, and counts
 //! the lease of lent shares from the time at which it sent the request that a reply answers.
+//!
+//! After a restart nothing is lent until the leases of the earlier epoch have ended, but what a host
+//! still holds of it is adopted as its grant.
 
+mod adoption;
 mod pool;
 #[cfg(test)]
 mod tests;
@@ -39,6 +43,10 @@
     /// Revision of the newest complete list of shares for this host.
     revision: u64,
     heard_at_ms: Option<u64>,
+    /// It has reported what it holds of an earlier epoch.
+    has_reported: bool,
+    /// Shares of an earlier epoch for upstreams that have not been heard yet.
+    held: Vec<rpc::Share>,
 }
 
 /// Shares of all upstreams of one data centre.
@@ -62,7 +70,12 @@
         silence_ms: u64,
         started_ms: u64,
     ) -> Self {
-        let host = Host { revision: first_revision, heard_at_ms: None };
+        let host = Host {
+            revision: first_revision,
+            heard_at_ms: None,
+            has_reported: false,
+            held: Vec::new(),
+        };
         let hosts = hosts.iter().map(|name| (name.clone(), host.clone())).collect();
         let lend_from_ms = started_ms + silence_ms;
         Self { hosts, pools: BTreeMap::new(), silence_ms, lend_from_ms }
@@ -80,6 +93,7 @@
         if !known {
             let hosts = self.hosts.keys().cloned();
             self.pools.insert(name.clone(), Pool::new(limits, hosts));
+            self.adopt_held(name);
             self.raise_all();
         }
         self.set_open(name, true);
@@ -102,7 +116,13 @@
 
     /// Forgets an upstream whose incarnation has left for good.
     pub(crate) fn remove(&mut self, name: &UpstreamName) {
-        if self.pools.remove(name).is_some() {
+        let mut is_known = self.pools.remove(name).is_some();
+        for host in self.hosts.values_mut() {
+            let before = host.held.len();
+            host.held.retain(|share| share.upstream != name.as_str());
+            is_known |= host.held.len() != before;
+        }
+        if is_known {
             self.raise_all();
         }
     }
@@ -144,6 +164,7 @@
                 continue;
             }
             host.heard_at_ms = None;
+            host.held.clear();
             host.revision += 1;
             self.pools.values_mut().for_each(|pool| pool.expire(name));
         }
@@ -177,7 +198,8 @@
                 connections: grant.connections,
             })
         };
-        open.filter_map(share).collect()
+        let unheard = self.hosts.get(host).map_or(&[][..], |host| &host.held);
+        open.filter_map(share).chain(unheard.iter().cloned()).collect()
     }
 
     /// Returns the number of slots lent beyond the base shares.
--- a/src/control/shares/pool.rs
+++ b/src/control/shares/pool.rs
@@ -136,6 +136,17 @@
         true
     }
 
+    /// Takes over a grant of an earlier epoch; false if it does not fit what others may use.
+    pub(super) fn adopt(&mut self, host: &HostName, grant: Grant) -> bool {
+        let used: u32 = self.loans.values().map(Loan::worst_case).sum();
+        let lent = grant.slots.saturating_sub(BASE_SLOTS);
+        let fits = lent <= self.lendable().saturating_sub(used) && self.share(lent) == grant;
+        if let Some(loan) = self.loans.get_mut(host).filter(|_| fits) {
+            loan.granted = lent;
+        }
+        fits
+    }
+
     /// Computes the loans that suit demand and fit what no host can still use.
     ///
     /// A host keeps an idle loan until another host lacks slots.
--- a/src/control/shares/tests.rs
+++ b/src/control/shares/tests.rs
@@ -6,6 +6,7 @@
 
 use super::{Demand, Shares, UpstreamLimits};
 use crate::names::{HostName, UpstreamName};
+use crate::rpc;
 use run::Run;
 
 const SILENCE_MS: u64 = 3160;
@@ -114,6 +115,40 @@
     assert_eq!(slots(&shares), [6, 1, 1]);
 }
 
+fn held(slots: u32, incarnation: u64) -> rpc::Share {
+    let connections = 10 + (slots - 1) * 6;
+    rpc::Share { upstream: "worker-1".into(), incarnation, slots, connections }
+}
+
+/// Guards against shares that a restart of control takes away, and against adopting what may have
+/// been lent to another host or belongs to another incarnation.
+#[rstest]
+#[case::of_one_host([Some(held(6, 1)), None, None], 0, [6, 1, 1])]
+#[case::of_two_hosts([Some(held(4, 1)), Some(held(3, 1)), None], 0, [4, 3, 1])]
+#[case::beyond_the_limit([Some(held(5, 1)), Some(held(3, 1)), None], 0, [5, 1, 1])]
+#[case::of_another_incarnation([Some(held(6, 2)), None, None], 0, [1, 1, 1])]
+#[case::after_lending_began([Some(held(6, 1)), None, None], SILENCE_MS, [1, 1, 1])]
+fn a_restart_adopts_what_hosts_hold(
+    #[case] reports: [Option<rpc::Share>; 3],
+    #[case] at_ms: u64,
+    #[case] expected: [u32; 3],
+    #[values(false, true)] upstream_is_heard_first: bool,
+) {
+    let hosts: Vec<_> = (0..3).map(host).collect();
+    let mut shares = Shares::new(&hosts, 1, SILENCE_MS, 0);
+    if upstream_is_heard_first {
+        shares.add(&upstream(), limits(8, 64), 0);
+    }
+    for (number, report) in reports.iter().enumerate() {
+        let report: Vec<_> = report.iter().cloned().collect();
+        shares.reported(&host(number), &report, at_ms);
+        // Only the first report counts; a second one could be older than a change.
+        shares.reported(&host(number), &[held(7, 1)], at_ms);
+    }
+    shares.add(&upstream(), limits(8, 64), at_ms);
+    assert_eq!(slots(&shares), expected);
+}
+
 /// Guards against slots that wander between hosts whose demand comes and goes.
 #[test]
 fn loans_do_not_oscillate_with_short_peaks() {
@@ -153,6 +188,7 @@
     run.steps(20_000);
     assert_eq!(run.violations, 0);
     assert!(run.most_lent >= 5, "the run lends: {}", run.most_lent);
+    assert!(run.adopted >= 4, "the run adopts: {}", run.adopted);
     run.heal();
 }
 
--- a/src/control/shares/tests/run.rs
+++ b/src/control/shares/tests/run.rs
@@ -21,7 +21,9 @@
     from: usize,
     life: u64,
     sequence: u64,
+    epoch: u64,
     acknowledged: u64,
+    held: Vec<rpc::Share>,
     demands: Vec<Demand>,
 }
 
@@ -31,6 +33,7 @@
     to: usize,
     life: u64,
     sequence: u64,
+    epoch: u64,
     revision: u64,
     shares: Vec<rpc::Share>,
 }
@@ -41,6 +44,9 @@
     life: u64,
     sequence: u64,
     sent_ms: Vec<u64>,
+    epoch: u64,
+    /// Epoch of control whose list it has applied.
+    listed_epoch: u64,
     revision: u64,
     shares: Vec<rpc::Share>,
     lease_until_ms: u64,
@@ -53,6 +59,11 @@
     rng: StdRng,
     now_ms: u64,
     shares: Shares,
+    silence_ms: u64,
+    /// Goes up with each start of control.
+    epoch: u64,
+    /// When control hears of each upstream again after a restart.
+    unheard: Vec<(u64, usize)>,
     /// Incarnation of each upstream.
     incarnations: Vec<u64>,
     hosts: Vec<Host>,
@@ -62,6 +73,8 @@
     heard: BTreeMap<usize, (u64, u64)>,
     pub(super) violations: u64,
     pub(super) most_lent: u32,
+    /// Slots beyond the base shares that hosts could use before control lent any after a start.
+    pub(super) adopted: u32,
 }
 
 fn upstream(number: usize) -> UpstreamName {
@@ -84,6 +97,9 @@
             rng,
             now_ms: 0,
             shares,
+            silence_ms,
+            epoch: 1,
+            unheard: Vec::new(),
             incarnations: vec![1; UPSTREAMS],
             hosts,
             requests: Vec::new(),
@@ -91,6 +107,7 @@
             heard: BTreeMap::new(),
             violations: 0,
             most_lent: 0,
+            adopted: 0,
         }
     }
 
@@ -98,6 +115,7 @@
         for _ in 0..count {
             self.now_ms += self.rng.random_range(1..40);
             self.step();
+            self.hear_upstreams();
             self.deliver();
             self.check();
         }
@@ -117,6 +135,7 @@
             }
             605..607 => self.restart(number),
             607..610 => self.change_upstream(),
+            610 => self.restart_control(),
             _ => {}
         }
     }
@@ -127,12 +146,39 @@
         self.hosts[number] = host;
     }
 
+    /// Control loses what it knew; what it has sent still arrives.
+    fn restart_control(&mut self) {
+        self.epoch += 1;
+        let names: Vec<_> = (0..HOSTS).map(host).collect();
+        self.shares = Shares::new(&names, (self.epoch << 32) + 1, self.silence_ms, self.now_ms);
+        self.requests.clear();
+        self.heard.clear();
+        // Each host opens a new stream and keeps its shares until their lease ends.
+        for host in &mut self.hosts {
+            host.life += 1;
+            host.listed_epoch = 0;
+        }
+        let hears = |number| (self.now_ms + self.rng.random_range(0..4_000), number);
+        self.unheard = (0..UPSTREAMS).map(hears).collect();
+    }
+
+    fn hear_upstreams(&mut self) {
+        while let Some(at) = self.unheard.iter().position(|(at_ms, _)| *at_ms <= self.now_ms) {
+            let (_, number) = self.unheard.swap_remove(at);
+            let limits = UpstreamLimits { incarnation: self.incarnations[number], ..LIMITS };
+            self.shares.add(&upstream(number), limits, self.now_ms);
+        }
+    }
+
     fn change_upstream(&mut self) {
         let number = self.rng.random_range(0..UPSTREAMS);
         let name = upstream(number);
         match self.rng.random_range(0..3) {
             0 => self.shares.suspend(&name, self.now_ms),
-            1 => self.shares.remove(&name),
+            1 => {
+                self.shares.remove(&name);
+                self.unheard.retain(|(_, unheard)| *unheard != number);
+            }
             _ => self.incarnations[number] += 1,
         }
         let incarnation = self.incarnations[number];
@@ -154,12 +200,15 @@
         host.sequence += 1;
         host.sent_ms.push(now_ms);
         let demand = |at| Demand { upstream: upstream(at), slots_in_use: 0, slots_wanted: slots };
+        let holds = host.listed_epoch != host.epoch && host.lease_until_ms >= now_ms;
         let request = Request {
             arrives_ms: now_ms + delay_ms,
             from: number,
             life: host.life,
             sequence: host.sequence,
+            epoch: host.epoch,
             acknowledged: host.revision,
+            held: if holds { host.shares.clone() } else { Vec::new() },
             demands: (0..UPSTREAMS).map(demand).collect(),
         };
         if !self.is_lost(number) {
@@ -201,13 +250,20 @@
             (request.life, request.sequence.max(if heard.0 == request.life { heard.1 } else { 0 }));
         let sequence = heard.1;
         let name = host(request.from);
-        self.shares.heard(&name, request.acknowledged, &request.demands, self.now_ms);
+        let is_current = request.epoch == self.epoch;
+        if is_current || request.held.is_empty() {
+            self.shares.reported(&name, &request.held, self.now_ms);
+        }
+        let acknowledged = if is_current { request.acknowledged } else { 0 };
+        self.shares.heard(&name, acknowledged, &request.demands, self.now_ms);
+        let awaits_report = self.shares.awaits_report(&name, self.now_ms);
         let reply = Reply {
             arrives_ms: self.now_ms + self.delay_ms(),
             to: request.from,
             life: request.life,
             sequence,
-            revision: self.shares.revision(&name),
+            epoch: self.epoch,
+            revision: if awaits_report { 0 } else { self.shares.revision(&name) },
             shares: self.shares.list(&name),
         };
         if !self.is_lost(request.from) {
@@ -217,11 +273,16 @@
 
     fn apply(&mut self, reply: Reply) {
         let host = &mut self.hosts[reply.to];
-        if reply.life != host.life || reply.revision < host.revision {
+        if reply.life != host.life || reply.epoch < host.epoch {
+            return;
+        }
+        host.epoch = reply.epoch;
+        if reply.revision < host.revision {
             return;
         }
         let at = usize::try_from(reply.sequence).expect("a small number") - 1;
         let lease_ms = LEASE_MS * 1000 / host.rate;
+        host.listed_epoch = reply.epoch;
         host.revision = reply.revision;
         host.shares = reply.shares;
         host.lease_until_ms = host.lease_until_ms.max(host.sent_ms[at] + lease_ms);
@@ -246,10 +307,16 @@
             self.violations += u64::from(sum > LIMITS.slots);
             self.most_lent = self.most_lent.max(sum.saturating_sub(3));
         }
+        if self.shares.awaits_loans(self.now_ms) {
+            self.adopted = self.adopted.max(self.shares.lent_slots());
+        }
     }
 
     /// Ends all faults and expects the loans to follow a constant demand and to stay.
     pub(super) fn heal(&mut self) {
+        self.unheard.iter_mut().for_each(|(at_ms, _)| *at_ms = 0);
+        self.hear_upstreams();
+        self.now_ms += self.silence_ms;
         self.requests.clear();
         self.replies.clear();
         let mut revision = 0;
--- a/src/control/watch_stream.rs
+++ b/src/control/watch_stream.rs
@@ -151,6 +151,10 @@
         // A revision of another epoch says nothing about the shares of this one.
         let acknowledged = if is_current { request.share_revision } else { 0 };
         let before = state.shares.total_revision();
+        // A host that holds nothing has nothing to report, whatever epoch it knows.
+        if is_current || request.held.is_empty() {
+            state.shares.reported(&self.host, &request.held, now_ms);
+        }
         let demands = demands(request);
         state.shares.heard(&self.host, acknowledged, &demands, now_ms);
         let changed = state.shares.total_revision() != before;
@@ -164,8 +168,10 @@
     }
 
     fn reply(&mut self) -> WatchReply {
+        let now_ms = self.core.now_ms();
         let state = self.core.lock();
-        let share_revision = state.shares.revision(&self.host);
+        let awaits_report = state.shares.awaits_report(&self.host, now_ms);
+        let share_revision = if awaits_report { 0 } else { state.shares.revision(&self.host) };
         let went_up = share_revision > self.sent_revision;
         let shares = if went_up { state.shares.list(&self.host) } else { Vec::new() };
         let upstreams = state.registry.changed_since(self.sent_registry);
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -196,6 +196,7 @@
             document_index: host.documents.index(),
             r#use: host.upstreams.share_reports().iter().map(share_use).collect(),
             sequence: self.sequence,
+            held: if self.revision == 0 { held_shares(host) } else { Vec::new() },
         };
         self.sent_at.push_back((self.sequence, Instant::now()));
         // A closed stream shows at the receiving side, which reconnects.
@@ -211,6 +212,16 @@
     }
 }
 
+fn held_shares(host: &EntryHost) -> Vec<rpc::Share> {
+    let share = |(upstream, incarnation, lent): (UpstreamName, u64, Allowance)| rpc::Share {
+        upstream: upstream.to_string(),
+        incarnation,
+        slots: lent.slots,
+        connections: lent.connections,
+    };
+    host.upstreams.held_shares().into_iter().map(share).collect()
+}
+
 fn share_use(report: &ShareReport) -> rpc::ShareUse {
     rpc::ShareUse {
         upstream: report.upstream.to_string(),
@@ -233,6 +244,10 @@
         apply_document(host, &document);
     }
     host.documents.refreshed(reply.document_index);
+    if reply.share_revision == 0 {
+        // The next report carries the new epoch, with which control adopts what is held.
+        return true;
+    }
     let lease = Duration::from_millis(reply.share_lease_ms.into());
     let Some(until) = reports.echoed_at(reply.sequence).map(|sent_at| sent_at + lease) else {
         return false;
--- a/src/entry/upstreams/shares.rs
+++ b/src/entry/upstreams/shares.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use super::Upstreams;
-use super::state::Allowance;
+use super::state::{Allowance, UpstreamState};
 use super::table::Table;
 use crate::class::Class;
 use crate::names::UpstreamName;
@@ -43,6 +43,20 @@
         table.pump(self);
     }
 
+    /// Returns the lent shares whose lease has not ended.
+    pub(crate) fn held_shares(&self) -> Vec<(UpstreamName, u64, Allowance)> {
+        let table = self.lock();
+        if !table.shares_valid(Instant::now()) {
+            return Vec::new();
+        }
+        let held = table.upstreams.values().filter(|state| !state.leaving);
+        let share = |state: &UpstreamState| {
+            let lent = state.lent?;
+            Some((state.info.name.clone(), state.info.incarnation, lent))
+        };
+        held.filter_map(share).collect()
+    }
+
     /// Extends the lease of the shares in force.
     pub(crate) fn renew_shares(&self, until: Instant) {
         let mut table = self.lock();
--- a/src/rpc/generated.rs
+++ b/src/rpc/generated.rs
@@ -214,6 +214,10 @@
     /// Counts the messages of this stream, from 1.
     #[prost(uint64, tag = "6")]
     pub sequence: u64,
+    /// Lent shares whose lease has not ended, until the first list of this stream has arrived. A
+    /// control process that has just started adopts them.
+    #[prost(message, repeated, tag = "7")]
+    pub held: ::prost::alloc::vec::Vec<Share>,
 }
 /// Demand for one upstream as seen by one host.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -232,6 +236,8 @@
 pub struct WatchReply {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
+    /// 0 if this reply says nothing about shares: control waits for a report that carries its epoch
+    /// and what the host still holds.
     #[prost(uint64, tag = "2")]
     pub share_revision: u64,
     #[prost(uint32, tag = "3")]
--- a/tests/request_path/main.rs
+++ b/tests/request_path/main.rs
@@ -10,6 +10,7 @@
 mod leave;
 mod not_run;
 mod once;
+mod restart;
 mod retries;
 mod shares;
 mod shutdown;
