--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -2,6 +2,16 @@
 //!
 //! [`Scheduler::step`] takes an event and the time and returns decisions. The core has no I/O,
 //! clock, thread or randomness, so that a run can be repeated exactly from its events.
+//!
+//! The caller has to keep these rules, on which the invariants rest:
+//! - Records of a step are durable before its other decisions are carried out.
+//! - A message reaches its upstream within [`limits::DELIVERY_ALLOWANCE_MS`] or never. Leases are
+//!   counted from receipt, and a later delivery would outlast the certain end of the lease.
+//! - Answers may be lost, late, repeated and reordered. Commit and stop answers carry the
+//!   incarnation that gave them.
+//! - An upstream refuses stage and commit messages of a gang that it was told to stop, or whose
+//!   message it refused before.
+//! - [`Event::Tick`] is passed when [`Scheduler::next_due_ms`] is reached.
 
 mod cancel;
 mod decision;
