Close kept connections without cutting off their last request

Cause: while a host drained, it told callers with kept connections nothing and closed the connections at the end of the notice, also those over which a request was on its way. Connections that waited in the backlog of the listener were reset. Change: answers of a draining host carry `Connection: close`; the server takes what waits in the backlog, and closes idle connections 200 ms after the stop.

--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::header::{CONNECTION, HeaderValue};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -113,8 +114,17 @@
         body_limit_bytes: host.settings.limits.body_limit_bytes,
         max_connections: host.settings.limits.max_connections,
     };
-    http::serve(listener, limits, stop, move |received| api::handle(Arc::clone(&host), received))
-        .await;
+    let handler = move |received| answer_caller(Arc::clone(&host), received);
+    http::serve(listener, limits, stop, handler).await;
+}
+
+/// Answers a caller; a draining host asks it to open its next connection elsewhere.
+async fn answer_caller(host: Arc<EntryHost>, received: Received) -> FullResponse {
+    let mut response = api::handle(Arc::clone(&host), received).await;
+    if host.is_draining() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
 
 async fn serve_peers(host: Arc<EntryHost>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -22,6 +22,9 @@
 /// Pause after a failed accept, so that a lack of file handles does not become a busy loop.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time after the stop in which a request that is on its way over an open connection is taken.
+const LAST_REQUEST_PAUSE: Duration = Duration::from_millis(200);
+
 /// Bounds on what one listener takes from its peers.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ServerLimits {
@@ -88,6 +91,11 @@
         connections.spawn(serve_connection(stream, permit, limits, stop.clone(), handler.clone()));
         while connections.try_join_next().is_some() {}
     }
+    // The kernel resets connections that wait in the backlog of a closed listener.
+    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else { break };
+        connections.spawn(serve_connection(stream, permit, limits, stop.clone(), handler.clone()));
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
@@ -119,6 +127,13 @@
     _ = stop.wait_for(|stopped| *stopped).await;
 }
 
+/// Waits for the stop and a little longer, since closing an idle connection cuts off a request that
+/// its peer is sending at that moment.
+async fn stop_after_last_request(stop: &mut watch::Receiver<bool>) {
+    stopped(stop).await;
+    tokio::time::sleep(LAST_REQUEST_PAUSE).await;
+}
+
 async fn serve_connection<H, F>(
     stream: TcpStream,
     permit: OwnedSemaphorePermit,
@@ -142,7 +157,7 @@
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => {}
-        () = stopped(&mut stop) => {
+        () = stop_after_last_request(&mut stop) => {
             connection.as_mut().graceful_shutdown();
             _ = connection.await;
         }
