Send again without budget what never reached an upstream

Cause: when established connections go silent, each request on one of them needs a second attempt; the retry budget (10%, floor of 3 a second) refused these although the upstream had got nothing, and the next request took another silent connection. Ruled out: sending every refused attempt again without budget, because an overload refuses attempts as well, and a refusal comes at once. Change: an attempt that the upstream says never arrived is repeated within the deadline without budget; each takes 1 s of silence, so there are few. The host closes the idle connections to that upstream and does not count the silence as a failure of the upstream.

--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -12,12 +12,17 @@
 /// Pause between questions about an attempt whose connection broke.
 const SETTLE_PAUSE: Duration = Duration::from_millis(250);
 
+/// Reason of an attempt that ended as [`Ended::NeverArrived`].
+pub(crate) const NEVER_ARRIVED: &str = "the request never reached the upstream";
+
 /// How an attempt ended, as far as it is known in time.
 #[derive(Debug)]
 pub(crate) enum Ended {
     Answered(Answer),
     /// It certainly did not start and never will.
     NotStarted(String),
+    /// It did not reach the upstream within [`UNANSWERED_CHECK`], and never will.
+    NeverArrived,
     /// It may be running, or may have run.
     Open(String),
 }
@@ -41,6 +46,8 @@
     let ended = run_once(slot, payload, until, patience).await;
     match &ended {
         Ended::Answered(_) => slot.note_success(),
+        // The upstream has answered the question, so it works.
+        Ended::NeverArrived => {}
         Ended::NotStarted(_) | Ended::Open(_) => slot.note_failure(),
     }
     ended
@@ -63,7 +70,9 @@
         };
         match fenced {
             Fenced::NotStarted => {
-                return Ended::NotStarted("the request never reached the upstream".into());
+                // Other connections to the upstream may have gone silent with this one.
+                slot.close_idle();
+                return Ended::NeverArrived;
             }
             Fenced::Done(answer) => return Ended::Answered(answer),
             Fenced::Silent(reason) if patience == Patience::AskOnce => {
--- a/src/entry/idempotent.rs
+++ b/src/entry/idempotent.rs
@@ -8,7 +8,7 @@
 use super::attempt::Payload;
 use super::dispatch;
 use super::documents::InForce;
-use super::flight::{self, Ended, Patience};
+use super::flight::{self, Ended, NEVER_ARRIVED, Patience};
 use super::linger;
 use super::request::CallerRequest;
 use super::upstreams::Slot;
@@ -34,6 +34,9 @@
         avoid = Some(slot.upstream().clone());
         let reason = match attempt_once(host, request, slot, attempt).await {
             Ok(done) => return done,
+            // It has put no load on the upstream, so it needs no budget; silence takes its time.
+            Err(Failure::NeverArrived) if !request.left().is_zero() => continue,
+            Err(Failure::NeverArrived) => NEVER_ARRIVED.to_owned(),
             Err(Failure::NotStarted(reason)) => reason,
             Err(Failure::Open(reason)) => {
                 may_have_run = true;
@@ -53,6 +56,7 @@
 }
 
 enum Failure {
+    NeverArrived,
     NotStarted(String),
     Open(String),
 }
@@ -88,6 +92,7 @@
         Ended::Answered(answer) => {
             Ok(Outcome::Done { answer: answer.body, attempt, upstream_status: answer.status })
         }
+        Ended::NeverArrived => Err(Failure::NeverArrived),
         Ended::NotStarted(reason) => Err(Failure::NotStarted(reason)),
         Ended::Open(reason) => {
             linger::hold(slot, payload);
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -9,7 +9,7 @@
 use super::attempt::{Answer, Payload};
 use super::dispatch;
 use super::documents::InForce;
-use super::flight::{self, Ended, Patience};
+use super::flight::{self, Ended, NEVER_ARRIVED, Patience};
 use super::linger::{self, End};
 use super::request::CallerRequest;
 use super::upstreams::Slot;
@@ -46,12 +46,13 @@
             Err(outcome) => return outcome,
         };
         avoid = Some(slot.upstream().clone());
-        let reason = match attempt_once(host, request, key, slot, attempt).await {
+        let failure = match attempt_once(host, request, key, slot, attempt).await {
             Ok(outcome) => return outcome,
-            Err(reason) => reason,
+            Err(failure) => failure,
         };
         replaces_attempt = attempt;
-        if request.left().is_zero() || !host.retry_budget.try_spend() {
+        if request.left().is_zero() || !failure.may_retry(host) {
+            let reason = failure.reason;
             let reason = NotRun::new(NotRunCause::RefusedByUpstream, reason);
             return settle_refusal(host, key, attempt, Outcome::NotRun(reason));
         }
@@ -59,6 +60,19 @@
     }
 }
 
+/// Why an attempt certainly did not start.
+struct NotStarted {
+    reason: String,
+    /// It has put no load on the upstream, so another attempt needs no budget.
+    never_arrived: bool,
+}
+
+impl NotStarted {
+    fn may_retry(&self, host: &EntryHost) -> bool {
+        self.never_arrived || host.retry_budget.try_spend()
+    }
+}
+
 /// Reports the end of an intent whose attempt did not start.
 fn settle_refusal(
     host: &Arc<EntryHost>,
@@ -224,7 +238,7 @@
     key: &RequestKey,
     slot: Slot,
     attempt: u32,
-) -> Result<Outcome, String> {
+) -> Result<Outcome, NotStarted> {
     let payload = Payload {
         key: key.clone(),
         attempt,
@@ -233,7 +247,10 @@
     };
     match flight::run(&slot, &payload, request.deadline, Patience::UntilDeadline).await {
         Ended::Answered(answer) => Ok(answered(host, key, attempt, answer)),
-        Ended::NotStarted(reason) => Err(reason),
+        Ended::NeverArrived => {
+            Err(NotStarted { reason: NEVER_ARRIVED.to_owned(), never_arrived: true })
+        }
+        Ended::NotStarted(reason) => Err(NotStarted { reason, never_arrived: false }),
         Ended::Open(detail) => {
             finish_later(host, key.clone(), slot, payload);
             Ok(Outcome::Unknown { detail })
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn close_idle(&mut self) {
+        self.idle.clear();
+    }
+
     /// Closes idle connections until at most `limit` sockets are open, as far as idle ones go.
     pub(crate) fn shrink(&mut self, limit: u32) {
         let excess = self.open.get().saturating_sub(limit) as usize;
--- a/src/entry/upstreams/slot.rs
+++ b/src/entry/upstreams/slot.rs
@@ -74,6 +74,11 @@
         self.upstreams.put_idle(&self.name, self.incarnation, connection);
     }
 
+    /// Closes the idle connections, so that the next request opens a fresh one.
+    pub(crate) fn close_idle(&self) {
+        self.upstreams.close_idle(&self.name, self.incarnation);
+    }
+
     pub(crate) fn note_success(&self) {
         self.upstreams.note_success(&self.name, self.incarnation);
     }
--- a/src/entry/upstreams/table.rs
+++ b/src/entry/upstreams/table.rs
@@ -193,6 +193,12 @@
         state.pool.shrink(limit);
     }
 
+    pub(super) fn close_idle(&self, name: &UpstreamName, incarnation: u64) {
+        if let Some(state) = self.lock().current(name, incarnation) {
+            state.pool.close_idle();
+        }
+    }
+
     pub(super) fn permit_to_open(
         &self,
         name: &UpstreamName,
--- a/tests/request_path/silence.rs
+++ b/tests/request_path/silence.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactuslatch::config::Timeouts;
+use cactuslatch::config::{Limits, Timeouts};
 use rstest::rstest;
 
 use crate::support::key;
@@ -41,6 +41,23 @@
     }
 }
 
+/// Guards against requests that fail because more connections have gone silent than the retry
+/// budget allows for: what never reached an upstream has put no load on it.
+#[rstest]
+fn silent_connections_need_no_retry_budget() {
+    let limits = Limits { retry_budget_percent: 0, retry_floor_per_s: 0, ..Limits::default() };
+    let path = Path::start(Shape { limits, ..Shape::default() });
+    path.wait_for_lending();
+    open_connections(&path);
+    path.links.iter().for_each(|link| link.fault_established(Fault::Silent));
+    let asked: Vec<_> = (0..12).map(|_| Ask::idempotent().spawn(&path.client(0))).collect();
+    for asked in asked {
+        let told = asked.join().expect("no panic").expect("an answer");
+        assert_eq!(told.outcome(), "done", "{told:?}");
+        assert!(told.took < Duration::from_secs(3), "one silent connection at most: {told:?}");
+    }
+}
+
 /// Guards against an idle connection that is used although it has gone silent.
 #[rstest]
 fn an_idle_connection_is_probed_before_use() {
