Keep organisations that callers make up out of the metrics

Cause: a request was labelled with the organisation it named before it was known to have a part in the service, and a label takes memory for good. Change: requests of other organisations carry the label "none".

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -12,7 +12,6 @@
 use prometheus_client::registry::Registry;
 
 use crate::class::Class;
-use crate::names::OrganisationName;
 use crate::outcome::Outcome;
 
 /// Organisation and class of a request.
@@ -23,7 +22,7 @@
 }
 
 impl RequestLabels {
-    pub(crate) fn new(organisation: &OrganisationName, class: Class) -> Self {
+    pub(crate) fn new(organisation: &str, class: Class) -> Self {
         Self { organisation: organisation.to_string(), class: class.to_string() }
     }
 }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -14,6 +14,9 @@
 use crate::names::{OrganisationName, RequestKey, ServiceName};
 use crate::outcome::{NotRun, NotRunCause, Outcome};
 
+/// Label of requests whose organisation has no part in their service.
+const NO_ORGANISATION: &str = "none";
+
 /// Time after the deadline in which each step can end by itself and name its reason.
 const DEADLINE_GRACE: Duration = Duration::from_millis(50);
 
@@ -86,18 +89,25 @@
 
 /// Takes a request through admission, dispatch and metrics.
 pub(crate) async fn handle(host: &Arc<EntryHost>, request: CallerRequest) -> Outcome {
-    let labels = RequestLabels::new(&request.organisation, request.class);
     let started = Instant::now();
-    let outcome = admit_and_run(host, request).await;
+    let found = find_limits(host, &request);
+    // Callers may make up any number of names, and each label takes memory for good.
+    let organisation = found.as_ref().map_or(NO_ORGANISATION, |_| request.organisation.as_str());
+    let labels = RequestLabels::new(organisation, request.class);
+    let outcome = match found {
+        Ok((in_force, limits)) => admit_and_run(host, request, in_force, limits).await,
+        Err(reason) => request.refused(reason),
+    };
     host.metrics.request_ended(&labels, &outcome, started.elapsed());
     outcome
 }
 
-async fn admit_and_run(host: &Arc<EntryHost>, mut request: CallerRequest) -> Outcome {
-    let (in_force, limits) = match find_limits(host, &request) {
-        Ok(found) => found,
-        Err(reason) => return request.refused(reason),
-    };
+async fn admit_and_run(
+    host: &Arc<EntryHost>,
+    mut request: CallerRequest,
+    in_force: Arc<InForce>,
+    limits: Organisation,
+) -> Outcome {
     if let Kind::Once { key, .. } = &request.kind
         && key.data_centre() != &host.settings.data_centre
     {
--- a/tests/request_path/callers.rs
+++ b/tests/request_path/callers.rs
@@ -49,6 +49,18 @@
     assert_eq!(path.started(), 8, "nobody waits for a ninth");
 }
 
+/// Guards against memory that grows with the organisations that callers make up.
+#[rstest]
+fn made_up_organisations_leave_no_metrics() {
+    let path = Path::start(Shape::default());
+    for number in 0..50 {
+        let ask = Ask::of(&format!("made-up-{number}")).with("Cactuslatch-Idempotent", "true");
+        assert_eq!(ask.send(&path.client(0)).reply.status, 403);
+    }
+    assert!(!path.metrics(0).contains("made-up"), "no label for an organisation without a part");
+    assert!(path.metric(0, "cactuslatch_entry_requests_total") > 49.0, "they are counted");
+}
+
 /// Guards against callers that never read and hold slots or places of others.
 #[rstest]
 fn a_caller_that_never_reads_holds_only_its_connection() {
--- a/tests/support/path.rs
+++ b/tests/support/path.rs
@@ -228,16 +228,21 @@
         })
     }
 
-    /// Reads a counter or gauge of a host; the first line that starts with `name` counts.
-    pub fn metric(&self, number: u8, name: &str) -> f64 {
-        let text = ureq::get(format!("http://{}/metrics", self.cluster().admin_address(0, number)))
+    /// Reads the metrics of a host as text.
+    pub fn metrics(&self, number: u8) -> String {
+        ureq::get(format!("http://{}/metrics", self.cluster().admin_address(0, number)))
             .call()
             .expect("metrics")
             .body_mut()
             .read_to_string()
-            .expect("text");
-        let line = text.lines().find(|line| line.starts_with(name));
-        line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
+            .expect("text")
+    }
+
+    /// Returns the sum of the counters or gauges whose lines start with `name`.
+    pub fn metric(&self, number: u8, name: &str) -> f64 {
+        let text = self.metrics(number);
+        let lines = text.lines().filter(|line| line.starts_with(name));
+        lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
     }
 }
 
