Make the faults of the test link visible to a host without checks

Cause: mutations in a scratch copy showed that two cases could not fail: an answer with another identity carried its own body, an answer without length was whole, and answers had no other connection to change places with. Change: the link changes the body with the identity, cuts the answer that states no length, and the test runs requests at the same time. New cases: a host over its park limit, a host that dies before and after `Begin`, and no failed request while control restarts or freezes.

--- a/tests/request_path/answers.rs
+++ b/tests/request_path/answers.rs
@@ -29,14 +29,17 @@
 #[case::closed_before_the_request(Fault::CloseBeforeRequest)]
 fn every_answer_is_whole_and_the_callers_own(#[case] fault: Fault) {
     let path = Path::start(Shape::default());
-    let warm: Vec<_> = (0..4).map(|_| Ask::idempotent().spawn(&path.client(0))).collect();
+    path.wait_for_lending();
+    let warm = Ask::idempotent().work_ms(100);
+    let warm: Vec<_> = (0..12).map(|_| warm.spawn(&path.client(0))).collect();
     for asked in warm {
         assert_own_answer(&asked.join().expect("no panic").expect("an answer"));
     }
     path.links.iter().for_each(|link| link.fault_established(fault));
     let keys: Vec<_> = (0..4).map(|number| key(&format!("whole-{number}"))).collect();
-    let once = keys.iter().map(|key| Ask::once(key).spawn(&path.client(0)));
-    let repeatable = (0..4).map(|_| Ask::idempotent().spawn(&path.client(0)));
+    // They run at the same time, so that answers can change places.
+    let once = keys.iter().map(|key| Ask::once(key).work_ms(50).spawn(&path.client(0)));
+    let repeatable = (0..4).map(|_| Ask::idempotent().work_ms(50).spawn(&path.client(0)));
     let asked: Vec<_> = once.chain(repeatable).collect();
     for asked in asked {
         let told = asked.join().expect("no panic").expect("an answer");
--- a/tests/request_path/kills.rs
+++ b/tests/request_path/kills.rs
@@ -4,6 +4,7 @@
 
 use rstest::rstest;
 
+use crate::support::link::Fault;
 use crate::support::path::Ask;
 use crate::support::{Installation, eventually, key};
 
@@ -32,6 +33,35 @@
     }
 }
 
+/// Guards against a second run, or a request that is stuck, when its host dies around `Begin`: the
+/// intent is recorded or not, and nothing was dispatched.
+#[rstest]
+#[case::before_begin(Fault::Silent, "absent")]
+#[case::after_begin(Fault::SwallowAnswers, "in_flight")]
+fn a_resend_after_its_host_died_around_begin_runs_once(
+    #[case] fault: Fault,
+    #[case] recorded: &str,
+) {
+    let mut installation = Installation::start(2, 1);
+    let key = key("begun");
+    let ask = Ask::once(&key);
+    let before = installation.started();
+    installation.control_link.fault_established(fault);
+    drop(ask.spawn(&installation.client(0)));
+    eventually("the record is as expected", Duration::from_secs(2), || {
+        let reply = installation.client(1).get(&format!("/v1/requests/{key}"));
+        reply.is_ok_and(|reply| reply.body["state"] == recorded)
+    });
+    installation.kill_entry(0);
+    assert_eq!(installation.started(), before, "nothing was dispatched");
+    eventually("the resend runs", Duration::from_secs(15), || {
+        let told = ask.clone().timeout_ms(2_000).send(&installation.client(1));
+        assert_ne!(told.outcome(), "not_run", "{told:?}");
+        told.outcome() == "done"
+    });
+    assert_eq!(installation.started(), before + 1, "one start");
+}
+
 /// Guards against a second run when a request is sent again after a process was killed.
 #[rstest]
 #[case(Kill::EntryHostAfterDispatch)]
--- a/tests/request_path/not_run.rs
+++ b/tests/request_path/not_run.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use cactuslatch::config::Limits;
 use cactuslatch::local::Client;
 use rstest::rstest;
 
@@ -100,6 +101,28 @@
     assert_eq!(path.started(), 1, "only the whole request started");
 }
 
+/// Guards against a request that is refused for want of a place to wait and runs later.
+#[rstest]
+#[case::no_places(0)]
+#[case::all_places_taken(2)]
+fn a_host_over_its_park_limit_starts_nothing(#[case] park_max: u32) {
+    let limits = Limits { park_max: park_max as usize, ..Limits::default() };
+    let path = Path::start(Shape { standins: 1, limits, ..Shape::default() });
+    let busy = Ask::idempotent().work_ms(1_500);
+    let running: Vec<_> = (0..=park_max).map(|_| busy.spawn(&path.client(0))).collect();
+    eventually("places are taken", Duration::from_secs(2), || {
+        let parked = path.metric(0, "cactuslatch_entry_parked ");
+        path.started() >= 1 && parked > f64::from(park_max) - 0.5
+    });
+    let key = key("no-place");
+    let told = Ask::once(&key).first().send(&path.client(0));
+    assert_eq!((told.outcome(), told.reply.status), ("not_run", 503), "{told:?}");
+    for asked in running {
+        asked.join().expect("no panic").expect("an answer");
+    }
+    assert_eq!(path.starts(&key), 0, "nothing started");
+}
+
 /// Guards against a body over the limit that is dispatched in part.
 #[rstest]
 fn a_body_that_is_too_large_starts_nothing() {
--- a/tests/request_path/shares.rs
+++ b/tests/request_path/shares.rs
@@ -78,9 +78,11 @@
     make_trouble(&mut installation, trouble);
     // A host that stops asking gives its share to the others.
     let mut loads = loads.into_iter();
-    drop(loads.next().map(Load::stop));
+    let mut told = loads.next().map(Load::stop).expect("three loads");
     std::thread::sleep(Duration::from_secs(1));
-    loads.for_each(|load| drop(load.stop()));
+    told.extend(loads.flat_map(Load::stop));
+    let failed = told.iter().find(|told| told.outcome() != "done");
+    assert!(failed.is_none(), "{failed:?} among {}", told.len());
     let stats = installation.stats(0);
     println!("{trouble:?}: {stats}");
     assert!(stats["running_peak"].as_u64() <= Some(8), "{stats}");
--- a/tests/support/link.rs
+++ b/tests/support/link.rs
@@ -14,6 +14,9 @@
 /// Largest piece that is read at once; requests and answers of the tests are smaller.
 const PIECE_BYTES: usize = 64 * 1024;
 
+/// Bytes that an answer without length loses.
+const LOST_BYTES: usize = 5;
+
 /// What happens to a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -34,7 +37,7 @@
     DelayAnswers(Duration),
     /// Answers carry the identity of another request.
     OtherIdentity,
-    /// Answers lose the header that states their length.
+    /// Answers lose the header that states their length, and their last bytes.
     NoLength,
     /// Each answer arrives twice.
     RepeatAnswers,
@@ -226,8 +229,11 @@
                 sleep(delay).await;
                 (answer, false)
             }
-            Fault::OtherIdentity => (replace(&answer, "cactuslatch-key: ", "other-"), false),
-            Fault::NoLength => (replace(&answer, "content-length", "content-width"), true),
+            Fault::OtherIdentity => (of_another(&answer), false),
+            Fault::NoLength => {
+                let cut = &answer[..length.saturating_sub(LOST_BYTES)];
+                (replace(cut, "content-length", "content-width"), true)
+            }
             Fault::RepeatAnswers => (answer.repeat(2), false),
             Fault::SwapAnswers => match swap(shared, number, answer) {
                 Some(other) => (other, false),
@@ -254,9 +260,12 @@
     }
 }
 
-/// Replaces a word of an answer's head, or puts text after it if it ends with a blank.
+/// Gives an answer the key of another request, in its head and its body, of the same length.
+fn of_another(answer: &[u8]) -> Vec<u8> {
+    let answer = replace(answer, "cactuslatch-key: north", "cactuslatch-key: other");
+    replace(&answer, "\"key\":\"north", "\"key\":\"other")
+}
+
 fn replace(answer: &[u8], word: &str, by: &str) -> Vec<u8> {
-    let text = String::from_utf8_lossy(answer);
-    let by = if word.ends_with(' ') { format!("{word}{by}") } else { by.to_owned() };
-    text.replacen(word, &by, 1).into_bytes()
+    String::from_utf8_lossy(answer).replacen(word, by, 1).into_bytes()
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use cactuslatch::local::{AddressBlock, Client, Reply};
+use link::Link;
 use tempfile::TempDir;
 
 const CONTROL: u8 = 0;
@@ -42,6 +43,8 @@
     pub folder: TempDir,
     addresses: AddressBlock,
     entry_hosts: u8,
+    /// Proxy between entry host 0 and control.
+    pub control_link: Link,
     control: Option<Child>,
     entries: Vec<Option<Child>>,
     standins: Vec<Option<Child>>,
@@ -50,9 +53,11 @@
 impl Installation {
     /// Starts all processes and waits until a request is served.
     pub fn start(entry_hosts: u8, standins: u8) -> Self {
+        let addresses = AddressBlock::take().expect("free loopback addresses");
         let mut installation = Self {
             folder: TempDir::new().expect("a work folder"),
-            addresses: AddressBlock::take().expect("free loopback addresses"),
+            control_link: Link::start(addresses.peer(CONTROL)),
+            addresses,
             entry_hosts,
             control: None,
             entries: (0..entry_hosts).map(|_| None).collect(),
@@ -93,6 +98,10 @@
         let peers: Vec<String> = (0..self.entry_hosts)
             .map(|number| format!("\"{}\"", self.addresses.peer(FIRST_ENTRY + number)))
             .collect();
+        let control = match number {
+            0 => self.control_link.address(),
+            _ => self.addresses.peer(CONTROL),
+        };
         let settings = format!(
             "kind: entry\nhost: entry-{number}\ndata_centre: {DATA_CENTRE}\n\
              caller_address: {}\npeer_address: {}\nadmin_address: {}\ncontrol_address: {}\n\
@@ -101,7 +110,7 @@
             self.addresses.work(host),
             self.addresses.peer(host),
             self.addresses.admin(host),
-            self.addresses.peer(CONTROL),
+            control,
             self.entry_hosts,
             peers.join(", "),
         );
