Measure a burst under failing fast, unbounded queueing and parking

Cause: the design asks for figures before parking is kept. Change: the subcommand `parking` runs steady interactive load, adds a burst of both classes, and counts outcomes, waiting, goodput, wasted work and recovery for each way, which the entry hosts' settings select.

--- a/src/bin/cactuslatch-measure/main.rs
+++ b/src/bin/cactuslatch-measure/main.rs
@@ -1,7 +1,9 @@
 //! Measurements and long randomised runs.
 
+mod burst_report;
 mod disk;
 mod load;
+mod parking;
 mod path;
 mod process;
 mod site;
@@ -17,7 +19,8 @@
 
 fn options() -> OptionParser<Run> {
     let path = slot("path", path::options(), path::run);
-    construct!([path]).to_options().descr(USAGE)
+    let parking = slot("parking", parking::options(), parking::run);
+    construct!([path, parking]).to_options().descr(USAGE)
 }
 
 /// Makes a command of a parser and the function that runs its arguments.
