--- a/src/bin/cactuslatch-measure/parking.rs
+++ b/src/bin/cactuslatch-measure/parking.rs
@@ -1,4 +1,4 @@
-//! `parking`: a burst beyond the free slots under three ways of waiting.
+//! `parking`: a burst beyond the free slots under several ways of waiting.
 
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -19,8 +19,7 @@
 use crate::load::{Connections, pace};
 use crate::site::{ORGANISATION, Plan, Site};
 
-const USAGE: &str =
-    "Compares failing fast, unbounded queueing and parking when a burst exceeds the free slots";
+const USAGE: &str = "Compares failing fast, brief waits, unbounded queueing and parking when a burst exceeds the free slots";
 
 const FOOTER: &str = "Steady interactive load runs throughout; the burst comes 1 s after its start. \
     A caller leaves at its deadline. Waiting is latency less the work time. Wasted work is what \
@@ -62,6 +61,9 @@
 pub(crate) enum Way {
     #[display("fail-fast")]
     FailFast,
+    /// Fails after 50 ms, so that refusals still show as demand for slots.
+    #[display("brief")]
+    Brief,
     #[display("unbounded")]
     Unbounded,
     #[display("parking")]
@@ -69,12 +71,13 @@
 }
 
 impl Way {
-    const ALL: [Self; 3] = [Self::FailFast, Self::Unbounded, Self::Parking];
+    const ALL: [Self; 4] = [Self::FailFast, Self::Brief, Self::Unbounded, Self::Parking];
 
     /// Returns the keys of the entry hosts' settings, and the bound on waiting batch requests.
     fn settings(self) -> (&'static str, u32) {
         match self {
             Self::FailFast => ("limits:\n  park_max: 0\n", 65_536),
+            Self::Brief => ("timeouts:\n  park_budget_ms: 50\n", 256),
             Self::Unbounded => (
                 "timeouts:\n  park_budget_ms: 10000\n  drain_timeout_ms: 20000\n\
                  limits:\n  park_max: 65536\n",
@@ -90,7 +93,7 @@
 
     fn from_str(text: &str) -> Result<Self, String> {
         let named = Self::ALL.into_iter().find(|way| way.to_string() == text);
-        named.ok_or_else(|| format!("{text:?}: use fail-fast, unbounded or parking"))
+        named.ok_or_else(|| format!("{text:?}: use fail-fast, brief, unbounded or parking"))
     }
 }
 
@@ -103,7 +106,7 @@
     let bursts = many(burst.argument::<u32>("N"), &[64, 256, 1024]);
     let work = long("work-ms").help("Work time of each request; repeat it [20 100]");
     let works = many(work.argument::<u64>("MS"), &[20, 100]);
-    let way = long("way").help("fail-fast, unbounded or parking; all if absent");
+    let way = long("way").help("fail-fast, brief, unbounded or parking; all if absent");
     let ways = many(way.argument::<Way>("WAY"), &Way::ALL);
     let deadline_ms = long("deadline-ms").help("Time for which a caller waits");
     let deadline_ms = deadline_ms.argument::<u64>("MS").fallback(3_000);
