--- a/src/bin/cactuslatch-measure/main.rs
+++ b/src/bin/cactuslatch-measure/main.rs
@@ -6,7 +6,9 @@
 mod parking;
 mod path;
 mod process;
+mod proxy;
 mod site;
+mod slopes;
 
 use std::process::ExitCode;
 
@@ -20,7 +22,8 @@
 fn options() -> OptionParser<Run> {
     let path = slot("path", path::options(), path::run);
     let parking = slot("parking", parking::options(), parking::run);
-    construct!([path, parking]).to_options().descr(USAGE)
+    let slopes = slot("slopes", slopes::options(), slopes::run);
+    construct!([path, parking, slopes]).to_options().descr(USAGE)
 }
 
 /// Makes a command of a parser and the function that runs its arguments.
--- a/src/bin/cactuslatch-measure/parking.rs
+++ b/src/bin/cactuslatch-measure/parking.rs
@@ -145,11 +145,9 @@
     for way in &args.ways {
         let (keys, batch_queue_max) = way.settings();
         let site = standins.block_on(Site::start(Plan {
-            folder: args.folder.clone(),
-            entry_hosts: args.entry_hosts,
-            upstreams: args.upstreams,
             entry_keys: keys.to_owned(),
             batch_queue_max,
+            ..Plan::new(&args.folder, args.entry_hosts, args.upstreams)
         }))?;
         for work_ms in &args.works {
             for burst in &args.bursts {
--- a/src/bin/cactuslatch-measure/path.rs
+++ b/src/bin/cactuslatch-measure/path.rs
@@ -176,13 +176,11 @@
     // Stand-ins and load generator get threads of their own, so that neither queues for the other.
     let standins = runtime("standin", 3)?;
     let load = runtime("load", 3)?;
-    let site = standins.block_on(Site::start(Plan {
-        folder: args.folder.clone(),
-        entry_hosts: args.entry_hosts,
-        upstreams: args.upstreams,
-        entry_keys: String::new(),
-        batch_queue_max: 1024,
-    }))?;
+    let site = standins.block_on(Site::start(Plan::new(
+        &args.folder,
+        args.entry_hosts,
+        args.upstreams,
+    )))?;
     let mut bench = Bench::new(site, &load);
     bench.warm_up(args)?;
     println!("{}", Row::HEAD);
--- a/src/bin/cactuslatch-measure/site.rs
+++ b/src/bin/cactuslatch-measure/site.rs
@@ -12,6 +12,8 @@
 use serde_json::json;
 use tempfile::TempDir;
 
+use crate::proxy::{Proxy, Traffic};
+
 /// Data centre of the site.
 pub(crate) const DATA_CENTRE: &str = "north";
 /// Organisation whose limits allow any load.
@@ -25,6 +27,8 @@
 const RACK_SIZE: u32 = 8;
 /// Time after its start at which control lends slots beyond the base shares.
 const LENDING_AFTER: Duration = Duration::from_millis(3_500);
+/// Pause between two checks, and the resolution of times measured with them.
+const CHECK_PAUSE: Duration = Duration::from_millis(2);
 /// Time for the site to serve its first request.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
@@ -39,6 +43,25 @@
     pub(crate) entry_keys: String,
     /// Most batch requests that wait.
     pub(crate) batch_queue_max: u32,
+    /// Counts the traffic of announcements and between entry hosts and control.
+    pub(crate) counted: bool,
+    /// Services beside the one that runs requests; each may get a document.
+    pub(crate) further_services: u16,
+}
+
+impl Plan {
+    /// Plans a site with default settings.
+    pub(crate) fn new(folder: &Path, entry_hosts: u8, upstreams: u8) -> Self {
+        Self {
+            folder: folder.to_owned(),
+            entry_hosts,
+            upstreams,
+            entry_keys: String::new(),
+            batch_queue_max: 1_024,
+            counted: false,
+            further_services: 0,
+        }
+    }
 }
 
 /// A running data centre.
@@ -50,6 +73,10 @@
     control: Process,
     entries: Vec<Process>,
     standins: Vec<RunningStandin>,
+    /// Links from entry hosts to control, by host.
+    control_links: Vec<Proxy>,
+    /// Links from upstreams to entry hosts, by host.
+    announce_links: Vec<Proxy>,
 }
 
 /// A child process that ends with its owner.
@@ -72,24 +99,40 @@
     }
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
+impl Process {
+    fn end(&mut self) {
         _ = self.0.kill();
         _ = self.0.wait();
     }
 }
 
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
 impl Site {
     /// Starts all processes and waits until requests are served and slots are lent.
     pub(crate) async fn start(plan: Plan) -> eyre::Result<Self> {
         let started = Instant::now();
         let folder = tempfile::Builder::new().prefix("measure-").tempdir_in(&plan.folder)?;
         let addresses = AddressBlock::take()?;
+        let (control_links, announce_links) = start_proxies(&addresses, &plan).await?;
         let control = start_control(folder.path(), &addresses, &plan)?;
         let entries = (0..plan.entry_hosts)
             .map(|number| start_entry(folder.path(), &addresses, &plan, number))
             .collect::<eyre::Result<_>>()?;
-        let mut site = Self { folder, addresses, control, entries, standins: Vec::new(), plan };
+        let mut site = Self {
+            folder,
+            addresses,
+            control,
+            entries,
+            standins: Vec::new(),
+            control_links,
+            announce_links,
+            plan,
+        };
         for number in 0..site.plan.upstreams {
             let settings = site.standin_settings(number)?;
             site.standins.push(standin::start(settings).await?);
@@ -120,10 +163,40 @@
         &self.control
     }
 
+    /// Returns the traffic of all links between entry hosts and control.
+    pub(crate) fn control_traffic(&self) -> Traffic {
+        self.control_links.iter().map(Proxy::traffic).fold(Traffic::default(), Traffic::plus)
+    }
+
+    /// Returns the traffic of all links between upstreams and entry hosts.
+    pub(crate) fn announce_traffic(&self) -> Traffic {
+        self.announce_links.iter().map(Proxy::traffic).fold(Traffic::default(), Traffic::plus)
+    }
+
+    /// Kills control, starts it again and returns the time until it is healthy.
+    pub(crate) fn restart_control(&mut self) -> eyre::Result<Duration> {
+        self.control.end();
+        let started = Instant::now();
+        self.control = start_control(self.folder.path(), &self.addresses, &self.plan)?;
+        let client = Client::new(self.addresses.admin(CONTROL));
+        wait_until("start control again", || {
+            client.get("/health").is_ok_and(|reply| reply.status == 200)
+        })?;
+        Ok(started.elapsed())
+    }
+
     pub(crate) fn entries(&self) -> &[Process] {
         &self.entries
     }
 
+    fn announce_address(&self, entry: u8) -> SocketAddr {
+        if self.plan.counted {
+            announce_proxy(&self.addresses, entry)
+        } else {
+            self.caller_address(entry)
+        }
+    }
+
     fn standin_settings(&self, number: u8) -> eyre::Result<StandinSettings> {
         let place = u32::from(number);
         Ok(StandinSettings {
@@ -137,21 +210,50 @@
             accelerators: 8,
             slots: 8,
             connections: 64,
-            entry_hosts: (0..self.plan.entry_hosts).map(|n| self.caller_address(n)).collect(),
+            entry_hosts: (0..self.plan.entry_hosts).map(|n| self.announce_address(n)).collect(),
         })
     }
 }
 
+/// Address at which an entry host finds control if the link is counted.
+fn control_proxy(addresses: &AddressBlock, entry: u8) -> SocketAddr {
+    // Stand-ins have no peer port, so it is free for proxies.
+    addresses.peer(FIRST_STANDIN + entry)
+}
+
+/// Address at which upstreams find an entry host if the link is counted.
+fn announce_proxy(addresses: &AddressBlock, entry: u8) -> SocketAddr {
+    addresses.admin(FIRST_STANDIN + entry)
+}
+
+async fn start_proxies(
+    addresses: &AddressBlock,
+    plan: &Plan,
+) -> eyre::Result<(Vec<Proxy>, Vec<Proxy>)> {
+    let (mut control, mut announce) = (Vec::new(), Vec::new());
+    for entry in 0..if plan.counted { plan.entry_hosts } else { 0 } {
+        let to_control = control_proxy(addresses, entry);
+        control.push(Proxy::start(to_control, addresses.peer(CONTROL)).await?);
+        let to_entry = announce_proxy(addresses, entry);
+        announce.push(Proxy::start(to_entry, addresses.work(FIRST_ENTRY + entry)).await?);
+    }
+    Ok((control, announce))
+}
+
 fn start_control(folder: &Path, addresses: &AddressBlock, plan: &Plan) -> eyre::Result<Process> {
     let hosts: Vec<String> = (0..plan.entry_hosts).map(|n| format!("entry-{n}")).collect();
+    let credentials: Vec<String> = (0..plan.further_services)
+        .map(|n| format!("  - service: service-{n}\n    secret: {SECRET}\n"))
+        .collect();
     let settings = format!(
         "kind: control\nhost: control-0\ndata_centre: {DATA_CENTRE}\nrpc_address: {}\n\
          admin_address: {}\ndata_folder: {}\nentry_hosts: [{}]\n\
-         credentials:\n  - service: plan\n    secret: {SECRET}\n",
+         credentials:\n  - service: plan\n    secret: {SECRET}\n{}",
         addresses.peer(CONTROL),
         addresses.admin(CONTROL),
         folder.join("data").display(),
         hosts.join(", "),
+        credentials.concat(),
     );
     let path = folder.join("control.yaml");
     fs::write(&path, settings)?;
@@ -175,7 +277,7 @@
         addresses.work(host),
         addresses.peer(host),
         addresses.admin(host),
-        addresses.peer(CONTROL),
+        if plan.counted { control_proxy(addresses, number) } else { addresses.peer(CONTROL) },
         plan.entry_hosts,
         peers.join(", "),
         plan.entry_keys,
@@ -185,30 +287,36 @@
     Process::start("cactuslatch-entry", &[&path])
 }
 
-/// Returns a document whose limits allow any load.
-pub(crate) fn document(batch_queue_max: u32, requests_per_s: u32) -> String {
+/// Returns a document of a service with one organisation whose limits allow any load.
+pub(crate) fn document(service: &str, organisation: &str, batch_queue_max: u32) -> String {
     format!(
-        "kind: service\nservice: plan\norganisations:\n  - name: {ORGANISATION}\n    \
-         concurrency_max: 65536\n    requests_per_s: {requests_per_s}\n    \
+        "kind: service\nservice: {service}\norganisations:\n  - name: {organisation}\n    \
+         concurrency_max: 65536\n    requests_per_s: 1000000\n    \
          guaranteed_blocks: []\nbatch_queue_max: {batch_queue_max}\ncompletion_weight: 1.0\n\
          fragmentation_weight: 0.2\n"
     )
 }
 
-/// Changes the service document; returns the status of the answer.
-pub(crate) fn change_document(client: &Client, base: u64, text: &str) -> eyre::Result<u16> {
+/// Changes a service document; returns the status of the answer.
+pub(crate) fn change_document(
+    client: &Client,
+    service: &str,
+    base: u64,
+    text: &str,
+) -> eyre::Result<u16> {
     let authorization = format!("Bearer {SECRET}");
     let headers = [("Authorization", authorization.as_str())];
     let body =
         json!({ "base_version": base, "operation": format!("change-{base}"), "body_yaml": text });
-    let reply = client.send("PUT", "/v1/documents/plan", &headers, &body.to_string())?;
+    let path = format!("/v1/documents/{service}");
+    let reply = client.send("PUT", &path, &headers, &body.to_string())?;
     Ok(reply.status)
 }
 
 fn put_document(client: &Client, batch_queue_max: u32) -> eyre::Result<()> {
-    let text = document(batch_queue_max, 1_000_000);
+    let text = document("plan", ORGANISATION, batch_queue_max);
     wait_until("accept the document", || {
-        change_document(client, 0, &text).is_ok_and(|status| status == 200)
+        change_document(client, "plan", 0, &text).is_ok_and(|status| status == 200)
     })
 }
 
@@ -227,7 +335,7 @@
         if started.elapsed() > START_LIMIT {
             return Err(eyre!("{step}: not seen within {} s", START_LIMIT.as_secs()));
         }
-        std::thread::sleep(Duration::from_millis(20));
+        std::thread::sleep(CHECK_PAUSE);
     }
     Ok(())
 }
--- /dev/null
+++ b/src/bin/cactuslatch-measure/slopes.rs
@@ -0,0 +1,312 @@
+//! `slopes`: what each further upstream, entry host, record and document costs.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bpaf::{OptionParser, Parser, construct, long};
+use bytes::Bytes;
+use cactuslatch::local::Client;
+use http_body_util::Full;
+use hyper::Request;
+use serde::Serialize;
+use serde_json::{Value, json};
+use tokio::runtime::Runtime;
+
+use crate::load::{Connections, Tally, histogram, pace, quantile_ms};
+use crate::process::{processor_time, status};
+use crate::proxy::Traffic;
+use crate::site::{DATA_CENTRE, ORGANISATION, Plan, Site, change_document, document, wait_until};
+
+const USAGE: &str =
+    "Measures bytes, processor time and memory against upstreams, entry hosts, records, documents";
+
+const FOOTER: &str = "Bytes are payload at the sockets in both directions, counted by a proxy on \
+    each link; headers of TCP and IP come on top. Processor time and memory are from /proc.";
+
+/// Time after the start in which a site comes to rest.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Rate at which records are made.
+const RECORDS_PER_S: f64 = 1_000.0;
+/// Time for the last answers.
+const END_LIMIT: Duration = Duration::from_mins(1);
+/// Upstreams and entry hosts of the sites on which records and documents are measured.
+const SMALL: (u8, u8) = (16, 2);
+
+/// Arguments of `slopes`.
+#[derive(Debug, Clone)]
+pub(crate) struct Args {
+    upstreams: Vec<u8>,
+    entry_hosts: Vec<u8>,
+    records: Vec<u32>,
+    documents: Vec<u16>,
+    duration_ms: u64,
+    seed: u64,
+    folder: PathBuf,
+    json: bool,
+}
+
+pub(crate) fn options() -> OptionParser<Args> {
+    let upstreams = long("upstreams").help("Sizes to measure; repeat it [16 64 195]");
+    let upstreams = upstreams.argument::<u8>("N").many().map(or_default(&[16, 64, 195]));
+    let entry_hosts = long("entry-hosts").help("Entry hosts; repeat it [2 3]");
+    let entry_hosts = entry_hosts.argument::<u8>("N").many().map(or_default(&[2, 3]));
+    let records = long("records").help("Records to add in each step [2000 6000 16000]");
+    let records = records.argument::<u32>("N").many().map(or_default(&[2_000, 6_000, 16_000]));
+    let documents = long("documents").help("Documents in all after each step [20 80 170]");
+    let documents = documents.argument::<u16>("N").many().map(or_default(&[20, 80, 170]));
+    let duration_ms = long("duration-ms").help("Time at rest for each size");
+    let duration_ms = duration_ms.argument::<u64>("MS").fallback(10_000);
+    let seed = long("seed").argument::<u64>("SEED").fallback(1);
+    let folder = long("folder").argument::<PathBuf>("FOLDER").fallback(PathBuf::from("."));
+    let json = long("json").help("Print one JSON object as the last line").switch();
+    construct!(Args { upstreams, entry_hosts, records, documents, duration_ms, seed, folder, json })
+        .to_options()
+        .descr(USAGE)
+        .footer(FOOTER)
+}
+
+fn or_default<T: Clone>(default: &'static [T]) -> impl Fn(Vec<T>) -> Vec<T> {
+    move |given| if given.is_empty() { default.to_vec() } else { given }
+}
+
+pub(crate) fn run(args: &Args) -> eyre::Result<()> {
+    let standins = Runtime::new()?;
+    let mut rest = Vec::new();
+    for entry_hosts in &args.entry_hosts {
+        for upstreams in &args.upstreams {
+            rest.push(at_rest(args, &standins, *entry_hosts, *upstreams)?);
+        }
+    }
+    let records = records(args, &standins)?;
+    let documents = documents(args, &standins)?;
+    if args.json {
+        let rows = json!({ "rest": rest, "records": records, "documents": documents });
+        println!("{}", json!({ "command": "slopes", "rows": rows }));
+    }
+    Ok(())
+}
+
+/// What a site has used so far.
+#[derive(Debug, Clone, Copy)]
+struct Usage {
+    at: Instant,
+    control: Traffic,
+    announce: Traffic,
+    entry_cpu: Duration,
+    control_cpu: Duration,
+}
+
+impl Usage {
+    fn of(site: &Site) -> eyre::Result<Self> {
+        Ok(Self {
+            at: Instant::now(),
+            control: site.control_traffic(),
+            announce: site.announce_traffic(),
+            // All entry hosts do the same work, so one stands for each.
+            entry_cpu: processor_time(site.entries()[0].id())?,
+            control_cpu: processor_time(site.control().id())?,
+        })
+    }
+
+    fn since(&self, before: &Self) -> Used {
+        Used {
+            seconds: self.at.duration_since(before.at).as_secs_f64(),
+            control: self.control.since(before.control),
+            announce: self.announce.since(before.announce),
+            entry_cpu_ms: self.entry_cpu.saturating_sub(before.entry_cpu).as_secs_f64() * 1e3,
+            control_cpu_ms: self.control_cpu.saturating_sub(before.control_cpu).as_secs_f64() * 1e3,
+        }
+    }
+}
+
+/// What a site used between two moments.
+#[derive(Debug, Serialize)]
+struct Used {
+    seconds: f64,
+    control: Traffic,
+    announce: Traffic,
+    entry_cpu_ms: f64,
+    control_cpu_ms: f64,
+}
+
+fn at_rest(args: &Args, standins: &Runtime, entry_hosts: u8, upstreams: u8) -> eyre::Result<Value> {
+    let plan = Plan { counted: true, ..Plan::new(&args.folder, entry_hosts, upstreams) };
+    let site = standins.block_on(Site::start(plan))?;
+    std::thread::sleep(SETTLE);
+    let before = Usage::of(&site)?;
+    std::thread::sleep(Duration::from_millis(args.duration_ms));
+    let used = Usage::of(&site)?.since(&before);
+    let hosts = f64::from(entry_hosts);
+    let (announce, control) =
+        (used.announce.bytes() as f64 / used.seconds, used.control.bytes() as f64 / used.seconds);
+    println!(
+        "rest: {entry_hosts} entry hosts, {upstreams:>3} upstreams: announcements {:.0} B/s an \
+         upstream and host; control link {:.0} B/s a host; CPU entry {:.2} ms/s control {:.2} ms/s; \
+         RSS entry {} KiB control {} KiB",
+        announce / hosts / f64::from(upstreams),
+        control / hosts,
+        used.entry_cpu_ms / used.seconds,
+        used.control_cpu_ms / used.seconds,
+        status(site.entries()[0].id(), "VmRSS")? / 1024,
+        status(site.control().id(), "VmRSS")? / 1024,
+    );
+    Ok(json!({
+        "entry_hosts": entry_hosts,
+        "upstreams": upstreams,
+        "used": used,
+        "entry_rss_bytes": status(site.entries()[0].id(), "VmRSS")?,
+        "control_rss_bytes": status(site.control().id(), "VmRSS")?,
+    }))
+}
+
+fn records(args: &Args, standins: &Runtime) -> eyre::Result<Vec<Value>> {
+    let (upstreams, entry_hosts) = SMALL;
+    let plan = Plan { counted: true, ..Plan::new(&args.folder, entry_hosts, upstreams) };
+    let mut site = standins.block_on(Site::start(plan))?;
+    let load = Runtime::new()?;
+    let (mut total, mut rows) = (0, Vec::new());
+    for step in &args.records {
+        let before = Usage::of(&site)?;
+        make_records(&site, &load, total, *step, args.seed)?;
+        total += step;
+        let used = Usage::of(&site)?.since(&before);
+        let rss = status(site.control().id(), "VmRSS")?;
+        let log = folder_size(&site.folder.path().join("data"))?;
+        let recovery = site.restart_control()?;
+        let recovered_rss = status(site.control().id(), "VmRSS")?;
+        println!(
+            "records: {total} in all: control link {:.0} B each; CPU entry {:.3} ms control {:.3} ms \
+             each; log {log} B; control RSS {} KiB; recovered in {} ms, RSS {} KiB",
+            used.control.bytes() as f64 / f64::from(*step),
+            used.entry_cpu_ms * f64::from(entry_hosts) / f64::from(*step),
+            used.control_cpu_ms / f64::from(*step),
+            rss / 1024,
+            recovery.as_millis(),
+            recovered_rss / 1024,
+        );
+        rows.push(json!({
+            "records": total,
+            "step": step,
+            "used": used,
+            "log_bytes": log,
+            "control_rss_bytes": rss,
+            "recovery_ms": recovery.as_secs_f64() * 1e3,
+            "recovered_rss_bytes": recovered_rss,
+        }));
+        std::thread::sleep(SETTLE);
+    }
+    Ok(rows)
+}
+
+fn make_records(
+    site: &Site,
+    load: &Runtime,
+    first: u32,
+    count: u32,
+    seed: u64,
+) -> eyre::Result<()> {
+    let entries = [0, 1].map(|n| Arc::new(Connections::new(site.caller_address(n), 256)));
+    let tally = Arc::new(Tally::new());
+    let today = cactuslatch::today_utc();
+    let duration = Duration::from_secs_f64(f64::from(count) / RECORDS_PER_S);
+    pace(RECORDS_PER_S, duration, seed, |number, intended| {
+        let target = Arc::clone(&entries[usize::from(number % 2 == 1)]);
+        let key = format!("{DATA_CENTRE}/{today}-record-{first}-{number}");
+        let request = Request::post("/v1/services/plan/requests")
+            .header("host", target.address().to_string())
+            .header("cactuslatch-organisation", ORGANISATION)
+            .header("idempotency-key", key)
+            .body(Full::new(Bytes::from_static(b"{}")))
+            .expect("names and numbers are valid headers");
+        let tally = Arc::clone(&tally);
+        tally.sending();
+        load.spawn(async move {
+            let status = target.call(request).await.map_or(0, |(status, _)| status);
+            tally.ended(intended, status);
+        });
+    });
+    tally.wait(END_LIMIT)?;
+    println!("records: answers by status {:?}", tally.statuses());
+    // Outcomes are reported in the background.
+    std::thread::sleep(Duration::from_secs(1));
+    Ok(())
+}
+
+fn folder_size(folder: &std::path::Path) -> eyre::Result<u64> {
+    let mut size = 0;
+    for file in std::fs::read_dir(folder)? {
+        size += file?.metadata()?.len();
+    }
+    Ok(size)
+}
+
+fn documents(args: &Args, standins: &Runtime) -> eyre::Result<Vec<Value>> {
+    let (upstreams, entry_hosts) = SMALL;
+    let most = args.documents.iter().copied().max().unwrap_or(0);
+    let plan = Plan {
+        counted: true,
+        further_services: most,
+        ..Plan::new(&args.folder, entry_hosts, upstreams)
+    };
+    let site = standins.block_on(Site::start(plan))?;
+    let (mut total, mut rows) = (0, Vec::new());
+    for target in &args.documents {
+        let before = Usage::of(&site)?;
+        let mut in_force = histogram();
+        for number in total..*target {
+            let took = add_document(&site, entry_hosts, number)?;
+            in_force.saturating_record(u64::try_from(took.as_nanos())?);
+        }
+        let added = f64::from(target.saturating_sub(total).max(1));
+        total = *target;
+        let used = Usage::of(&site)?.since(&before);
+        let (p50, p99) = (quantile_ms(&in_force, 0.5), quantile_ms(&in_force, 0.99));
+        let entry_rss = status(site.entries()[0].id(), "VmRSS")?;
+        let control_rss = status(site.control().id(), "VmRSS")?;
+        println!(
+            "documents: {total} in all: control links {:.0} B each; CPU control {:.2} ms each; in \
+             force everywhere after p50 {p50:.1} p99 {p99:.1} ms; RSS entry {} KiB control {} KiB",
+            used.control.bytes() as f64 / added,
+            used.control_cpu_ms / added,
+            entry_rss / 1024,
+            control_rss / 1024,
+        );
+        rows.push(json!({
+            "documents": total,
+            "added": added,
+            "used": used,
+            "in_force_p50_ms": p50,
+            "in_force_p99_ms": p99,
+            "entry_rss_bytes": entry_rss,
+            "control_rss_bytes": control_rss,
+        }));
+    }
+    Ok(rows)
+}
+
+/// Adds a document and returns the time from sending it until every entry host knows it.
+fn add_document(site: &Site, entry_hosts: u8, number: u16) -> eyre::Result<Duration> {
+    let service = format!("service-{number}");
+    let text = document(&service, ORGANISATION, 100);
+    let clients: Vec<Client> = (0..entry_hosts).map(|n| site.client(n)).collect();
+    let started = Instant::now();
+    let status = change_document(&clients[0], &service, 0, &text)?;
+    eyre::ensure!(status == 200, "the document of {service} was answered with status {status}");
+    for client in &clients {
+        wait_until("put the document in force", || is_known(client, &service))?;
+    }
+    Ok(started.elapsed())
+}
+
+/// No upstream runs the service, so a host that knows its document finds no capacity.
+fn is_known(client: &Client, service: &str) -> bool {
+    let headers = [
+        ("Cactuslatch-Organisation", ORGANISATION),
+        ("Cactuslatch-Idempotent", "true"),
+        ("Cactuslatch-Timeout-Ms", "1"),
+    ];
+    let path = format!("/v1/services/{service}/requests");
+    let reply = client.send("POST", &path, &headers, "{}");
+    reply.is_ok_and(|reply| reply.status == 503)
+}
