Look up an announcing upstream instead of copying the whole table

Cause: each announcement copied every live upstream of the host to see whether it was known; with 195 upstreams that is 195 copies of 195 entries a second on each entry host. Change: the table answers the question under its lock for the one upstream. Conclusion: the work of an announcement no longer grows with the number of upstreams.

--- a/src/entry/api/upstreams.rs
+++ b/src/entry/api/upstreams.rs
@@ -68,7 +68,7 @@
         connections: announcement.connections,
     };
     let message = rpc::Upstream::from(&info);
-    let known = host.upstreams.live().contains(&info);
+    let known = host.upstreams.is_known(&info);
     if !host.upstreams.announce(info) {
         host.metrics.stale_message();
         return error(409, "this incarnation has left or is older than one already known");
--- a/src/entry/upstreams/table.rs
+++ b/src/entry/upstreams/table.rs
@@ -96,6 +96,13 @@
         applied
     }
 
+    /// Tells whether a live upstream has announced exactly this before.
+    pub(crate) fn is_known(&self, info: &UpstreamInfo) -> bool {
+        let table = self.lock();
+        let state = table.upstreams.get(&info.name);
+        state.is_some_and(|state| state.info == *info && state.is_live(Instant::now()))
+    }
+
     /// Applies a leave; the incarnation and older ones get nothing new.
     pub(crate) fn leave(&self, name: &UpstreamName, incarnation: u64) {
         self.lock().leave(name, incarnation);
