--- a/src/bin/cactuslatch-measure/main.rs
+++ b/src/bin/cactuslatch-measure/main.rs
@@ -1,11 +1,15 @@
 //! Measurements and long randomised runs.
 
+mod burst_report;
 mod decision;
 mod disk;
 mod load;
+mod parking;
 mod path;
 mod process;
+mod proxy;
 mod site;
+mod slopes;
 mod soak;
 
 use std::process::ExitCode;
@@ -21,7 +25,9 @@
     let decision = decision::args().map(|args| runner(args, decision::run));
     let path = slot("path", path::options(), path::run);
     let soak = soak::args().map(|args| runner(args, soak::run));
-    construct!([decision, path, soak]).to_options().descr(USAGE)
+    let parking = slot("parking", parking::options(), parking::run);
+    let slopes = slot("slopes", slopes::options(), slopes::run);
+    construct!([decision, parking, path, slopes, soak]).to_options().descr(USAGE)
 }
 
 /// Makes a command of a parser and the function that runs its arguments.
