--- a/src/control/tests/leases.rs
+++ b/src/control/tests/leases.rs
@@ -49,7 +49,7 @@
     assert_eq!((work.asked(), control.state(&id).await.as_str()), (1, "not_run"));
     let reply = control.client.begin(request).await.expect("an answer to Begin").into_inner();
     assert_eq!(reply.verdict, Some(Verdict::ProceedAttempt(2)));
-    control.stop().await;
+    clock.stop(control).await;
 }
 
 /// Guards against an outcome that the upstream's word does not prove, after a restart of control.
@@ -78,13 +78,13 @@
     let id = today("1");
     let mut control = work.start().await;
     control.begin(&id).await;
-    control.stop().await;
+    clock.stop(control).await;
     let mut control = work.start().await;
     pass(&mut control, &clock, 2500, incarnation).await;
     assert_eq!(control.state(&id).await, before_the_lease_ended);
     pass(&mut control, &clock, 3000, incarnation).await;
     assert_eq!(control.state(&id).await, after);
-    control.stop().await;
+    clock.stop(control).await;
 }
 
 /// Guards against an intent whose answer never reached a host that goes on living.
@@ -105,5 +105,5 @@
         }
     }
     assert_eq!(control.state(&id).await, "not_run");
-    control.stop().await;
+    clock.stop(control).await;
 }
--- a/src/control/tests/watch.rs
+++ b/src/control/tests/watch.rs
@@ -119,7 +119,7 @@
     step 7: slots Some(7) leaving []
     step 15: slots None leaving [true]
     ");
-    control.stop().await;
+    clock.stop(control).await;
 }
 
 /// Guards against a second stream of a host that is served beside the first one.
--- a/src/control/tests/work.rs
+++ b/src/control/tests/work.rs
@@ -171,6 +171,15 @@
         Self(Some(sender))
     }
 
+    /// Stops a control process, whose servers wait a moment for last requests.
+    pub(crate) async fn stop(&self, control: Running) {
+        let stopping = tokio::spawn(control.stop());
+        while !stopping.is_finished() {
+            self.advance(50).await;
+        }
+        stopping.await.expect("no panic");
+    }
+
     /// Advances in small steps, and lets messages arrive after each.
     pub(crate) async fn advance(&self, millis: u64) {
         assert!(self.0.is_some());
