Give the recorded answer only to the request it belongs to

Cause: (1) a host without a free slot looks a key up before it parks the request, and answered with the recorded outcome without comparing organisation, service and body; a caller who used the key for another request, or of another organisation, got the first caller's answer. (2) A resend that waited for a submission in flight kept its slot and asked control for an intent every 50 ms. Change: a lookup whose record has another identity is refused with 409, as `Begin` does. A waiting resend gives its slot back, polls the record, and begins again once it has ended; if control cannot be asked meanwhile the outcome is unknown, also for a declared first submission. Measured before: status 200 with the other request's answer in both cases without a slot, 409 with one; beside 20 waiting resends a request with free slots took over 300 ms. After: 409 in all three, and each of 5 requests beside the resends took less than 300 ms.

--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -42,7 +42,16 @@
             Err(outcome) => return settle_refusal(host, key, replaces_attempt, outcome),
         };
         let attempt = match begin(host, request, key, &slot, replaces_attempt).await {
-            Ok(attempt) => attempt,
+            Ok(Begun::Attempt(attempt)) => attempt,
+            Ok(Begun::InFlight) => {
+                // A resend that waits must not keep a slot from other requests.
+                drop(slot);
+                if let Err(detail) = wait_for_other(host, request, key).await {
+                    return Outcome::Unknown { detail };
+                }
+                avoid = None;
+                continue;
+            }
             Err(outcome) => return outcome,
         };
         avoid = Some(slot.upstream().clone());
@@ -60,6 +69,31 @@
     }
 }
 
+/// What control has decided on an intent.
+enum Begun {
+    /// The intent of this attempt is durable.
+    Attempt(u32),
+    /// Another submission with the key is in flight.
+    InFlight,
+}
+
+/// Waits until no other submission with the key is in flight.
+async fn wait_for_other(
+    host: &EntryHost,
+    request: &CallerRequest,
+    key: &RequestKey,
+) -> Result<(), String> {
+    while request.left() > IN_FLIGHT_PAUSE && !request.caller.is_gone() {
+        sleep(IN_FLIGHT_PAUSE).await;
+        let reply = in_time(request, host.control.lookup(lookup_request(key))).await;
+        let reply = reply.map_err(|error| error.to_string())?;
+        if reply.state != "in_flight" {
+            return Ok(());
+        }
+    }
+    Err("an earlier submission with this key is still in flight".to_owned())
+}
+
 /// Why an attempt certainly did not start.
 struct NotStarted {
     reason: String,
@@ -121,6 +155,12 @@
     let message = lookup_request(key);
     let reply = in_time(request, host.control.lookup(message)).await;
     let reply = reply.map_err(|error| unavailable(request, &error))?;
+    let is_recorded = !matches!(reply.state.as_str(), "absent" | "expired");
+    if is_recorded && !is_same_request(host, request, &reply) {
+        // The record belongs to another request, whose answer this caller must not get.
+        let detail = "the key was used for another request; this one was not run";
+        return Err(Outcome::NotRun(NotRun::new(NotRunCause::Conflict, detail)));
+    }
     match reply.state.as_str() {
         "done" => Ok(reply.outcome.map(Outcome::from)),
         "unknown" if reply.signed_off_by.is_empty() => Ok(reply.outcome.map(Outcome::from)),
@@ -128,6 +168,12 @@
     }
 }
 
+fn is_same_request(host: &EntryHost, request: &CallerRequest, reply: &rpc::LookupReply) -> bool {
+    reply.organisation == request.organisation.as_str()
+        && reply.service == request.service.as_str()
+        && reply.body_digest == host.digest(&request.body)
+}
+
 fn lookup_request(key: &RequestKey) -> rpc::LookupRequest {
     rpc::LookupRequest { data_centre: key.data_centre().to_string(), id: key.id().to_owned() }
 }
@@ -152,7 +198,7 @@
     key: &RequestKey,
     slot: &Slot,
     replaces_attempt: u32,
-) -> Result<u32, Outcome> {
+) -> Result<Begun, Outcome> {
     let identity = rpc::RequestIdentity {
         data_centre: key.data_centre().to_string(),
         id: key.id().to_owned(),
@@ -169,29 +215,21 @@
         replaces_attempt,
         submission: host.next_id(),
     };
-    loop {
-        let reply = match in_time(request, host.control.begin(message.clone())).await {
-            Ok(reply) => reply,
-            Err(error) => {
-                abandon(host, message);
-                return Err(begin_failed(request, replaces_attempt, &error));
-            }
-        };
-        match reply.verdict {
-            Some(Verdict::ProceedAttempt(attempt)) => return Ok(attempt),
-            Some(Verdict::Ended(outcome)) => return Err(outcome.into()),
-            Some(Verdict::Refused(reason)) => return Err(refusal(&reason)),
-            Some(Verdict::InFlight(_)) if request.left() > IN_FLIGHT_PAUSE => {
-                sleep(IN_FLIGHT_PAUSE).await;
-            }
-            Some(Verdict::InFlight(_)) => {
-                let detail = "an earlier submission with this key is still in flight".to_owned();
-                return Err(Outcome::Unknown { detail });
-            }
-            None => {
-                let detail = "control answered without a verdict".to_owned();
-                return Err(Outcome::Unknown { detail });
-            }
+    let reply = match in_time(request, host.control.begin(message.clone())).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            abandon(host, message);
+            return Err(begin_failed(request, replaces_attempt, &error));
+        }
+    };
+    match reply.verdict {
+        Some(Verdict::ProceedAttempt(attempt)) => Ok(Begun::Attempt(attempt)),
+        Some(Verdict::InFlight(_)) => Ok(Begun::InFlight),
+        Some(Verdict::Ended(outcome)) => Err(outcome.into()),
+        Some(Verdict::Refused(reason)) => Err(refusal(&reason)),
+        None => {
+            let detail = "control answered without a verdict".to_owned();
+            Err(Outcome::Unknown { detail })
         }
     }
 }
--- a/tests/request_path/once.rs
+++ b/tests/request_path/once.rs
@@ -1,11 +1,12 @@
 //! A request that is not idempotent runs at most once, over resends, kills and lost messages.
 
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use rstest::rstest;
 
 use crate::support::link::Fault;
-use crate::support::path::{Ask, Path, Shape};
+use crate::support::path::{Ask, Path, Shape, Told};
 use crate::support::{eventually, key};
 
 /// Guards against a second run when two submissions with one key arrive at the same time.
@@ -25,6 +26,57 @@
     }
 }
 
+/// Takes every slot that host 0 may use for as long as the answer is awaited.
+fn fill(path: &Path) -> Vec<JoinHandle<Option<Told>>> {
+    let busy = Ask::idempotent().work_ms(1_500);
+    let running: Vec<_> = (0..8).map(|_| busy.spawn(&path.client(0))).collect();
+    let before = path.started();
+    eventually("all slots are taken", Duration::from_secs(2), || path.started() >= before + 8);
+    running
+}
+
+/// Guards against the answer to one request that reaches a caller who uses its key for another,
+/// also when no slot is free and the host looks the key up first.
+#[rstest]
+#[case::another_body("plovdiv", "{\"item\":2}", false)]
+#[case::another_body_without_a_slot("plovdiv", "{\"item\":2}", true)]
+#[case::another_organisation_without_a_slot("small", "{}", true)]
+fn a_key_used_for_another_request_gets_no_answer(
+    #[case] organisation: &str,
+    #[case] body: &str,
+    #[case] is_full: bool,
+) {
+    let path = Path::start(Shape { standins: 1, entry_hosts: 1, ..Shape::default() });
+    path.wait_for_lending();
+    let key = key("reused");
+    assert_eq!(Ask::once(&key).send(&path.client(0)).outcome(), "done");
+    let _running = is_full.then(|| fill(&path));
+    let other = Ask::of(organisation).with("Idempotency-Key", &key).body(body.to_owned());
+    let told = other.timeout_ms(1_000).send(&path.client(0));
+    assert_eq!((told.outcome(), told.reply.status), ("not_run", 409), "{told:?}");
+}
+
+/// Guards against resends that take the slots of other requests while they wait.
+#[rstest]
+fn resends_that_wait_hold_no_slots() {
+    let path = Path::start(Shape { standins: 1, entry_hosts: 1, ..Shape::default() });
+    path.wait_for_lending();
+    let ask = Ask::once(&key("waiting")).work_ms(1_500);
+    let mut asked = vec![ask.spawn(&path.client(0))];
+    eventually("it runs", Duration::from_secs(2), || path.started() == 1);
+    asked.extend((0..20).map(|_| ask.spawn(&path.client(0))));
+    std::thread::sleep(Duration::from_millis(200));
+    for _ in 0..5 {
+        let told = Ask::idempotent().send(&path.client(0));
+        assert!(told.took < Duration::from_millis(300), "served beside the resends: {told:?}");
+    }
+    for asked in asked {
+        let told = asked.join().expect("no panic").expect("an answer");
+        assert_eq!(told.outcome(), "done", "{told:?}");
+    }
+    assert_eq!(path.started(), 6, "one start of the key");
+}
+
 /// Guards against a second run through another host or another data centre.
 #[rstest]
 fn a_resend_elsewhere_gets_the_first_answer() {
