Bound the memory of request bodies that arrive slowly

Cause: each body may have 1 MiB, and nothing bounded what all connections hold of unfinished ones. Ruled out: waiting for room, because a slow large body would hold up every other one. Change: the bodies of one listener share 32 MiB; what would exceed it is refused with status 503, not dispatched. A connection's read buffer is at most 32 KiB.

--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -16,6 +16,7 @@
     head_timeout: Duration::from_secs(5),
     body_timeout: Duration::from_secs(5),
     body_limit_bytes: 4096,
+    all_bodies_limit_bytes: 4096,
     max_connections: 32,
 };
 
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -20,6 +20,8 @@
 
 /// Largest body taken on the admin port.
 const ADMIN_BODY_LIMIT_BYTES: usize = 4 * 1024;
+/// Most bytes of large request bodies held at once; a host has 128 MB for everything.
+const BODIES_LIMIT_BYTES: usize = 32 * 1024 * 1024;
 /// Most connections open on the admin port.
 const ADMIN_CONNECTIONS_MAX: usize = 32;
 
@@ -112,6 +114,7 @@
         head_timeout: Duration::from_millis(timeouts.head_timeout_ms),
         body_timeout: Duration::from_millis(timeouts.body_timeout_ms),
         body_limit_bytes: host.settings.limits.body_limit_bytes,
+        all_bodies_limit_bytes: BODIES_LIMIT_BYTES.max(host.settings.limits.body_limit_bytes),
         max_connections: host.settings.limits.max_connections,
     };
     let handler = move |received| answer_caller(Arc::clone(&host), received);
@@ -151,6 +154,7 @@
         head_timeout: Duration::from_millis(host.settings.timeouts.head_timeout_ms),
         body_timeout: Duration::from_millis(host.settings.timeouts.body_timeout_ms),
         body_limit_bytes: ADMIN_BODY_LIMIT_BYTES,
+        all_bodies_limit_bytes: ADMIN_BODY_LIMIT_BYTES,
         max_connections: ADMIN_CONNECTIONS_MAX,
     };
     http::serve(listener, limits, stop, move |received| {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP towards callers, upstreams and operators, on top of `hyper`.
 
+mod body;
 mod server;
 
 pub(crate) use server::{Received, ServerLimits, serve, serve_counted, stopped};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,6 +16,7 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use super::body::{BodyFault, BodyRoom};
 use super::{FullResponse, error};
 
 /// Pause after a failed accept, so that a lack of file handles does not become a busy loop.
@@ -25,6 +25,9 @@
 /// Time after the stop in which a request that is on its way over an open connection is taken.
 const LAST_REQUEST_PAUSE: Duration = Duration::from_millis(200);
 
+/// Largest read buffer of a connection, which also bounds the size of a head.
+const READ_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Bounds on what one listener takes from its peers.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ServerLimits {
@@ -34,6 +37,8 @@
     pub(crate) body_timeout: Duration,
     /// Largest request body.
     pub(crate) body_limit_bytes: usize,
+    /// Most bytes of large bodies of all requests together.
+    pub(crate) all_bodies_limit_bytes: usize,
     /// Most connections open at once; further ones wait in the listener's backlog.
     pub(crate) max_connections: usize,
 }
@@ -84,17 +89,20 @@
     F: Future<Output = FullResponse> + Send + 'static,
 {
     let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let room = BodyRoom::new(limits.all_bodies_limit_bytes, limits.body_limit_bytes);
     let mut connections = JoinSet::new();
     while let Some((stream, permit)) = accept(&listener, &permits, &mut stop).await {
         let open = limits.max_connections - permits.available_permits();
         open_peak.fetch_max(open, Ordering::AcqRel);
-        connections.spawn(serve_connection(stream, permit, limits, stop.clone(), handler.clone()));
+        let bounds = (limits, room.clone());
+        connections.spawn(serve_connection(stream, permit, bounds, stop.clone(), handler.clone()));
         while connections.try_join_next().is_some() {}
     }
     // The kernel resets connections that wait in the backlog of a closed listener.
     while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else { break };
-        connections.spawn(serve_connection(stream, permit, limits, stop.clone(), handler.clone()));
+        let bounds = (limits, room.clone());
+        connections.spawn(serve_connection(stream, permit, bounds, stop.clone(), handler.clone()));
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
@@ -137,7 +145,7 @@
 async fn serve_connection<H, F>(
     stream: TcpStream,
     permit: OwnedSemaphorePermit,
-    limits: ServerLimits,
+    (limits, room): (ServerLimits, BodyRoom),
     mut stop: watch::Receiver<bool>,
     handler: H,
 ) where
@@ -147,12 +155,13 @@
     // Without this, an answer in two writes can wait for the peer's delayed acknowledgement.
     _ = stream.set_nodelay(true);
     let service = service_fn(move |request: Request<Incoming>| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(respond(request, limits, handler).await) }
+        let (handler, room) = (handler.clone(), room.clone());
+        async move { Ok::<_, Infallible>(respond(request, limits, &room, handler).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
+        .max_buf_size(READ_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
@@ -165,38 +174,46 @@
     drop(permit);
 }
 
-async fn respond<H, F>(request: Request<Incoming>, limits: ServerLimits, handler: H) -> FullResponse
+async fn respond<H, F>(
+    request: Request<Incoming>,
+    limits: ServerLimits,
+    room: &BodyRoom,
+    handler: H,
+) -> FullResponse
 where
     H: Fn(Received) -> F,
     F: Future<Output = FullResponse>,
 {
     let (parts, body) = request.into_parts();
-    let body = Limited::new(body, limits.body_limit_bytes).collect();
-    let body = match timeout(limits.body_timeout, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(fault)) if fault.is::<LengthLimitError>() => {
-            let bytes = limits.body_limit_bytes;
-            return error(
-                413,
-                &format!(
-                    "the body is larger than {bytes} bytes; this submission was not dispatched"
-                ),
-            );
-        }
-        Ok(Err(fault)) => {
-            return error(
-                400,
-                &format!("the body could not be read: {fault}; this submission was not dispatched"),
-            );
-        }
+    let body = match timeout(limits.body_timeout, room.receive(body)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(fault)) => return refuse_body(&fault, limits),
         Err(_) => {
             let millis = limits.body_timeout.as_millis();
-            return error(
-                408,
-                &format!("the body took over {millis} ms; this submission was not dispatched"),
-            );
+            return not_dispatched(408, &format!("the body took over {millis} ms"));
         }
     };
-    let received = Received { method: parts.method, uri: parts.uri, headers: parts.headers, body };
-    handler(received).await
+    let (method, uri, headers) = (parts.method, parts.uri, parts.headers);
+    let received = Received { method, uri, headers, body: body.bytes.clone() };
+    // The room of the body stays taken until the answer is at hand.
+    let response = handler(received).await;
+    drop(body);
+    response
+}
+
+fn refuse_body(fault: &BodyFault, limits: ServerLimits) -> FullResponse {
+    match fault {
+        BodyFault::TooLarge => {
+            let bytes = limits.body_limit_bytes;
+            not_dispatched(413, &format!("the body is larger than {bytes} bytes"))
+        }
+        BodyFault::NoRoom => not_dispatched(503, "this host holds as many bodies as it may"),
+        BodyFault::Broken(fault) => {
+            not_dispatched(400, &format!("the body could not be read: {fault}"))
+        }
+    }
+}
+
+fn not_dispatched(status: u16, reason: &str) -> FullResponse {
+    error(status, &format!("{reason}; this submission was not dispatched"))
 }
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -216,6 +216,7 @@
         head_timeout: RECEIVE_TIMEOUT,
         body_timeout: RECEIVE_TIMEOUT,
         body_limit_bytes: BODY_LIMIT_BYTES,
+        all_bodies_limit_bytes: settings.connections as usize * BODY_LIMIT_BYTES,
         max_connections: settings.connections as usize,
     };
     let gangs = Gangs::new(settings.incarnation, settings.accelerators);
