Send nothing under a share whose lease ended meanwhile

Cause: a slot reserved under a lent share was used however long the host stood still before it sent the work, when control may have lent the slot to another host. Change: a host sends only while the lease of its shares lasts, with 50 ms of grace, or within its base share. The attempt counts as not started and is retried. Measured: on a paused clock a slot was used 200 ms after the end of the lease before, and is not after.

--- a/src/entry/upstreams/slot.rs
+++ b/src/entry/upstreams/slot.rs
@@ -41,6 +41,11 @@
         self.upstreams.is_current(&self.name, self.incarnation)
     }
 
+    /// Tells whether the work for which the slot was reserved may still be sent.
+    pub(super) fn may_send(&self) -> bool {
+        self.upstreams.takes_work(&self.name, self.incarnation)
+    }
+
     pub(crate) fn pool_times(&self) -> &PoolTimes {
         self.upstreams.times()
     }
@@ -50,8 +55,8 @@
     /// # Errors
     /// Returns an error if no connection may be opened or opening fails; nothing has been sent.
     pub(crate) async fn connection(&self) -> Result<Connection, StepError> {
-        if !self.upstreams.takes_work(&self.name, self.incarnation) {
-            let reason = "the upstream has left or restarted";
+        if !self.may_send() {
+            let reason = "the upstream has left or restarted, or this host's share has ended";
             return Err(StepError::new("send work", &self.name, reason));
         }
         match self.upstreams.take_idle(&self.name, self.incarnation) {
--- a/src/entry/upstreams/table.rs
+++ b/src/entry/upstreams/table.rs
@@ -18,6 +18,10 @@
 /// Time for which a leave is remembered, so that delayed announcements are recognised.
 const REMEMBER_LEAVES: Duration = Duration::from_hours(1);
 
+/// Time after the lease of lent shares in which a slot reserved before is still used; control gives
+/// them away 160 ms after a lease of 3 s.
+const SHARE_GRACE: Duration = Duration::from_millis(50);
+
 /// Fixed values of the table.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct TableSettings {
@@ -169,9 +173,17 @@
     }
 
     /// Tells whether this incarnation may still be sent what was reserved for it.
+    ///
+    /// A host that stood still since may have lost the share to another host.
     pub(super) fn takes_work(&self, name: &UpstreamName, incarnation: u64) -> bool {
+        let now = Instant::now();
+        let hosts = self.shared.settings.local_entry_hosts;
         let mut table = self.lock();
-        table.current(name, incarnation).is_some_and(|state| !state.leaving)
+        let has_share = table.shares_until.is_none_or(|until| now < until + SHARE_GRACE);
+        table.current(name, incarnation).is_some_and(|state| {
+            let base = state.allowance(hosts, false);
+            !state.leaving && (has_share || state.slots_in_use <= base.slots)
+        })
     }
 
     pub(super) fn times(&self) -> &PoolTimes {
--- a/src/entry/upstreams/tests.rs
+++ b/src/entry/upstreams/tests.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use tokio::time::advance;
+use tokio::time::{Instant, advance};
 
-use super::{Slot, TableSettings, UpstreamInfo, Upstreams};
+use super::{Allowance, Slot, TableSettings, UpstreamInfo, Upstreams};
 use crate::class::Class;
 use crate::entry::pool::PoolTimes;
 use crate::names::{ServiceName, UpstreamName};
@@ -128,3 +128,24 @@
     assert_eq!(upstreams.share_reports()[0].slots_wanted, 0);
     drop(slot);
 }
+
+/// Guards against work that a host sends under a share that another host may have by then, because
+/// this host stood still between reserving the slot and sending.
+#[rstest]
+#[case::within_the_lease(2_900, 2, true)]
+#[case::after_the_lease(3_200, 2, false)]
+#[case::after_the_lease_within_the_base_share(3_200, 1, true)]
+#[tokio::test(start_paused = true)]
+async fn a_slot_of_an_ended_share_is_not_used(
+    #[case] after_ms: u64,
+    #[case] slots: usize,
+    #[case] is_used: bool,
+) {
+    let upstreams = upstreams();
+    upstreams.announce(info(1, 1));
+    let lent = Allowance { slots: 8, connections: 64 };
+    upstreams.apply_shares(1, [(name(1), 1, lent)], Instant::now() + 3 * SECOND);
+    let reserved: Vec<_> = (0..slots).map(|_| reserve(&upstreams).expect("a slot")).collect();
+    advance(Duration::from_millis(after_ms)).await;
+    assert_eq!(reserved[0].may_send(), is_used);
+}
--- a/tests/request_path/shares.rs
+++ b/tests/request_path/shares.rs
@@ -39,11 +39,12 @@
 }
 
 /// What happens to control while hosts keep dispatching.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Trouble {
     None,
     Restarted,
     Frozen,
+    HostFrozen,
 }
 
 fn make_trouble(installation: &mut Installation, trouble: Trouble) {
@@ -55,6 +56,12 @@
             installation.start_control();
             std::thread::sleep(Duration::from_secs(4));
         }
+        Trouble::HostFrozen => {
+            installation.freeze_entry(0);
+            std::thread::sleep(Duration::from_secs(4));
+            installation.thaw_entry(0);
+            std::thread::sleep(Duration::from_secs(1));
+        }
         Trouble::Frozen => {
             installation.freeze_control();
             std::thread::sleep(Duration::from_secs(4));
@@ -69,6 +76,7 @@
 #[case::healthy(Trouble::None)]
 #[case::control_restarted(Trouble::Restarted)]
 #[case::control_frozen(Trouble::Frozen)]
+#[case::a_host_frozen(Trouble::HostFrozen)]
 fn all_hosts_together_keep_to_the_limits(#[case] trouble: Trouble) {
     let mut installation = Installation::start(3, 1);
     let ask = Ask::idempotent().work_ms(10);
@@ -79,6 +87,10 @@
     // A host that stops asking gives its share to the others.
     let mut loads = loads.into_iter();
     let mut told = loads.next().map(Load::stop).expect("three loads");
+    if trouble == Trouble::HostFrozen {
+        // Their time to wait passed while the host stood still.
+        told.clear();
+    }
     std::thread::sleep(Duration::from_secs(1));
     told.extend(loads.flat_map(Load::stop));
     let failed = told.iter().find(|told| told.outcome() != "done");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -192,6 +192,16 @@
         signal(self.control.as_ref(), "-CONT");
     }
 
+    /// Stops an entry host from running without ending it.
+    pub fn freeze_entry(&self, number: u8) {
+        signal(self.entries[usize::from(number)].as_ref(), "-STOP");
+    }
+
+    /// Lets a frozen entry host go on.
+    pub fn thaw_entry(&self, number: u8) {
+        signal(self.entries[usize::from(number)].as_ref(), "-CONT");
+    }
+
     pub fn entry_address(&self, number: u8) -> SocketAddr {
         self.addresses.work(FIRST_ENTRY + number)
     }
