Test that a terminated process finishes long requests

Cause: a mutation in a scratch copy that ended the drain after 300 ms failed no test. Hosts in the test's own process answer after their end as well, and the test with separate processes sent requests that were shorter than the notice. Change: a terminated entry host process finishes requests of 4.5 s, beyond the notice of 3 s.

--- a/tests/request_path/shutdown.rs
+++ b/tests/request_path/shutdown.rs
@@ -9,7 +9,7 @@
 
 use crate::support::load::KeepAlive;
 use crate::support::path::{Ask, Path, Shape};
-use crate::support::{eventually, key};
+use crate::support::{Installation, eventually, key};
 
 /// Time of a drain after which the balancer has seen the failed health check; the notice is 1 s.
 const BALANCER_SEES: Duration = Duration::from_millis(900);
@@ -77,3 +77,20 @@
     }
     path.block(draining).expect("the host ends");
 }
+
+/// Guards against a process that exits while requests longer than the notice of 3 s are in flight.
+#[rstest]
+fn a_terminated_process_finishes_long_requests() {
+    let mut installation = Installation::start(2, 2);
+    let before = installation.started();
+    let keys: Vec<_> = (0..4).map(|number| key(&format!("long-{number}"))).collect();
+    let client = installation.client(0);
+    let ask = |key: &String| Ask::once(key).work_ms(4_500).spawn(&client);
+    let asked: Vec<_> = keys.iter().map(ask).collect();
+    eventually("they run", Duration::from_secs(5), || installation.started() == before + 4);
+    assert_eq!(installation.terminate_entry(0), Some(0));
+    for asked in asked {
+        let told = asked.join().expect("no panic").expect("an answer");
+        assert_eq!(told.outcome(), "done", "{told:?}");
+    }
+}
