Copy the parts of messages that records keep

Cause: a record's body digest and answer were slices of the receive buffer of their message, so each record kept a whole buffer in memory until the next restart. Change: both are copied when control takes in Begin and Finish.

--- a/src/bin/cactuslatch-measure/site.rs
+++ b/src/bin/cactuslatch-measure/site.rs
@@ -159,6 +159,20 @@
         &self.standins
     }
 
+    /// Lets the last stand-in leave.
+    pub(crate) async fn leave_last(&mut self) {
+        if let Some(standin) = self.standins.pop() {
+            standin.leave().await;
+        }
+    }
+
+    /// Adds a stand-in after those that are there.
+    pub(crate) async fn add_standin(&mut self) -> eyre::Result<()> {
+        let number = u8::try_from(self.standins.len())?;
+        self.standins.push(standin::start(self.standin_settings(number)?).await?);
+        Ok(())
+    }
+
     pub(crate) fn control(&self) -> &Process {
         &self.control
     }
--- a/src/bin/cactuslatch-measure/slopes.rs
+++ b/src/bin/cactuslatch-measure/slopes.rs
@@ -32,6 +32,10 @@
 const END_LIMIT: Duration = Duration::from_mins(1);
 /// Upstreams and entry hosts of the sites on which records and documents are measured.
 const SMALL: (u8, u8) = (16, 2);
+/// Upstreams that arrive and leave again.
+const CHURN: u32 = 20;
+/// Time for which a site is watched with and without churn.
+const CHURN_TIME: Duration = Duration::from_secs(8);
 
 /// Arguments of `slopes`.
 #[derive(Debug, Clone)]
@@ -78,10 +82,12 @@
             rest.push(at_rest(args, &standins, *entry_hosts, *upstreams)?);
         }
     }
+    let churn = churn(args, &standins)?;
     let records = records(args, &standins)?;
     let documents = documents(args, &standins)?;
     if args.json {
-        let rows = json!({ "rest": rest, "records": records, "documents": documents });
+        let rows =
+            json!({ "rest": rest, "churn": churn, "records": records, "documents": documents });
         println!("{}", json!({ "command": "slopes", "rows": rows }));
     }
     Ok(())
@@ -160,6 +166,42 @@
     }))
 }
 
+/// Measures upstreams that arrive and leave, less what the site uses at rest in the same time.
+fn churn(args: &Args, standins: &Runtime) -> eyre::Result<Value> {
+    let (upstreams, entry_hosts) = SMALL;
+    let plan = Plan { counted: true, ..Plan::new(&args.folder, entry_hosts, upstreams) };
+    let mut site = standins.block_on(Site::start(plan))?;
+    std::thread::sleep(SETTLE);
+    let before = Usage::of(&site)?;
+    std::thread::sleep(CHURN_TIME);
+    let rest = Usage::of(&site)?.since(&before);
+    let before = Usage::of(&site)?;
+    let started = Instant::now();
+    for _ in 0..CHURN {
+        standins.block_on(site.add_standin())?;
+    }
+    for _ in 0..CHURN {
+        standins.block_on(site.leave_last());
+    }
+    std::thread::sleep(CHURN_TIME.saturating_sub(started.elapsed()));
+    let busy = Usage::of(&site)?.since(&before);
+    let extra = |used: fn(&Used) -> f64| {
+        (used(&busy) - used(&rest) * busy.seconds / rest.seconds) / f64::from(CHURN)
+    };
+    let control_bytes = extra(|used| used.control.bytes() as f64);
+    let announce_bytes = extra(|used| used.announce.bytes() as f64);
+    let control_cpu_ms = extra(|used| used.control_cpu_ms);
+    println!(
+        "churn: an arrival and a leave: control links {control_bytes:.0} B, announcements \
+         {announce_bytes:.0} B, CPU control {control_cpu_ms:.2} ms"
+    );
+    Ok(json!({
+        "control_bytes": control_bytes,
+        "announce_bytes": announce_bytes,
+        "control_cpu_ms": control_cpu_ms,
+    }))
+}
+
 fn records(args: &Args, standins: &Runtime) -> eyre::Result<Vec<Value>> {
     let (upstreams, entry_hosts) = SMALL;
     let plan = Plan { counted: true, ..Plan::new(&args.folder, entry_hosts, upstreams) };
--- a/src/control/requests.rs
+++ b/src/control/requests.rs
@@ -1,5 +1,6 @@
 //! Begin, finish, look up and sign off: messages to and from the records.
 
+use bytes::Bytes;
 use tonic::Status;
 
 use crate::names::{DataCentreName, RequestKey};
@@ -56,11 +57,16 @@
     let identity = Identity {
         organisation: identity.organisation.parse().map_err(|fault| bad(&fault))?,
         service: identity.service.parse().map_err(|fault| bad(&fault))?,
-        body_digest: Blob(identity.body_digest),
+        body_digest: Blob(detached(&identity.body_digest)),
     };
     Ok(Begin { key, identity, intent, replaces_attempt: request.replaces_attempt })
 }
 
+/// Copies a part of a message, which would otherwise keep the whole receive buffer in memory.
+fn detached(part: &Bytes) -> Bytes {
+    Bytes::copy_from_slice(part)
+}
+
 /// Reads a key that this data centre owns.
 fn read_key(core: &Core, data_centre: &str, id: &str) -> Result<RequestKey, String> {
     let name: DataCentreName = data_centre.parse().map_err(|fault| format!("{fault}"))?;
@@ -87,6 +93,7 @@
     let outcome = match Outcome::from(outcome) {
         // The attempt's number is in the message itself.
         Outcome::Done { answer, upstream_status, .. } => {
+            let answer = detached(&answer);
             Outcome::Done { answer, attempt: request.attempt, upstream_status }
         }
         other => other,
