Judge saturation by the requests sent

Cause: gaps are random, so a short run at a low rate can send 5% less than the stated rate and was taken for saturated. Change: `path` compares the requests done in time with those sent.

--- a/src/bin/cactuslatch-measure/path.rs
+++ b/src/bin/cactuslatch-measure/path.rs
@@ -32,7 +32,7 @@
 const SYNCS: u32 = 150;
 /// Time for the last answers of a rate.
 const END_LIMIT: Duration = Duration::from_mins(1);
-/// Share of the offered rate below which the path counts as saturated.
+/// Share of the requests sent that has to be done in time; below it the path is saturated.
 const SATURATED_BELOW: f64 = 0.95;
 /// Rate and time of the load that opens connections before the first measurement.
 const WARM_UP: (f64, Duration) = (200.0, Duration::from_secs(1));
@@ -122,6 +122,7 @@
     kind: Kind,
     rate_per_s: u32,
     achieved_per_s: f64,
+    saturated: bool,
     direct_p50_ms: f64,
     direct_p99_ms: f64,
     path_p50_ms: f64,
@@ -190,7 +191,7 @@
             for rate in &args.rates {
                 let row = bench.measure(args, run, *kind, *rate)?;
                 row.print();
-                let saturated = row.achieved_per_s < f64::from(*rate) * SATURATED_BELOW;
+                let saturated = row.saturated;
                 rows.push(row);
                 if saturated {
                     break;
@@ -246,6 +247,7 @@
             kind,
             rate_per_s: rate,
             achieved_per_s: path.done_in_time as f64 / duration.as_secs_f64(),
+            saturated: (path.done_in_time as f64) < path.sent as f64 * SATURATED_BELOW,
             direct_p50_ms: quantile(&direct, 0.5),
             direct_p99_ms: quantile(&direct, 0.99),
             path_p50_ms: quantile(&path, 0.5),
