--- a/src/control/tests/faults.rs
+++ b/src/control/tests/faults.rs
@@ -176,6 +176,7 @@
         head_timeout: Duration::from_secs(1),
         body_timeout: Duration::from_secs(1),
         body_limit_bytes: 1024,
+        all_bodies_limit_bytes: 65_536,
         max_connections: 4,
     };
     let (stop, stopped) = watch::channel(false);
