Test gang jobs under faults in separate processes

Cause: the jobs were tested in one process with a simulated network only. Kills of real processes, frozen upstreams and two entry hosts were not covered.

Ruled out: counting starts alone, because a gang that works with some of its members and a gang that runs twice look the same in a counter. The log needs times.

Change: the stand-in answers GET /standin/gangs with the members that worked, from when to when. Times count from one wall-clock origin per incarnation, because an origin that is taken anew for each answer moved the same time by 1 ms and failed a comparison of two readings. tests/jobs starts control, entry hosts and stand-ins as processes and covers: a gang of 16; control killed while the gang waits, is staged, runs and stops; an upstream killed, restarted and frozen; a leave with members; cancellations in each state, repeated and through two hosts; resends, conflicts, jobs that can never run and jobs that fail everywhere.

--- a/src/standin/gangs.rs
+++ b/src/standin/gangs.rs
@@ -5,10 +5,11 @@
 #[cfg(test)]
 mod tests;
 
-pub(super) use http::handle;
+pub(super) use http::{handle, log};
 pub use member::{MemberRun, RunEnd};
 
 use std::collections::BTreeMap;
+use std::time::SystemTime;
 
 use tokio::time::Instant;
 
@@ -34,6 +35,8 @@
     incarnation: u64,
     accelerators: u32,
     started: Instant,
+    /// Wall-clock time of the start; only the log of members uses it.
+    started_unix_ms: u64,
     epoch: u64,
     members: BTreeMap<GangId, Member>,
 }
@@ -41,8 +44,14 @@
 impl Gangs {
     /// Builds the state of an incarnation that has just started.
     pub(crate) fn new(incarnation: u64, accelerators: u32) -> Self {
-        let started = Instant::now();
-        Self { incarnation, accelerators, started, epoch: 0, members: BTreeMap::new() }
+        Self {
+            incarnation,
+            accelerators,
+            started: Instant::now(),
+            started_unix_ms: unix_ms(),
+            epoch: 0,
+            members: BTreeMap::new(),
+        }
     }
 
     /// Carries out a message and answers it.
@@ -216,6 +225,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns when a lease ends that counts from a moment on this clock; `None` if the moment is
 /// missing or lies in the future, or the lease has ended.
 fn lease_end(clock_ms: Option<u64>, lease_ms: u64, now_ms: u64) -> Option<u64> {
--- a/src/standin/gangs/http.rs
+++ b/src/standin/gangs/http.rs
@@ -1,13 +1,50 @@
 //! HTTP form of the stand-in's gang messages.
 
 use hyper::header::HeaderValue;
+use serde::Serialize;
+use tokio::time::Instant;
 
-use super::{Gangs, Room};
+use super::{Gangs, MemberRun, Room, RunEnd};
 use crate::http::{FullResponse, Received, error, json};
+use crate::names::JobName;
+use crate::scheduler::{GangId, Mask};
 use crate::upstream_http::{
     GangAnswer, GangMessage, GangReply, GangRequest, NOT_STARTED_HEADER, RefusalCode,
 };
 
+/// One member in the log of members that worked.
+#[derive(Debug, Serialize)]
+struct RunBody {
+    gang: GangId,
+    job: JobName,
+    mask: Mask,
+    /// Milliseconds since 1970, so that logs of several stand-ins on one host can be compared.
+    from_ms: u64,
+    to_ms: Option<u64>,
+    end: Option<RunEnd>,
+    checkpoints: u32,
+}
+
+/// Answers with the members that worked, from when to when.
+pub(in crate::standin) fn log(gangs: &mut Gangs) -> FullResponse {
+    let (started, started_unix_ms) = (gangs.started, gangs.started_unix_ms);
+    // One origin for all times keeps the log the same each time it is read.
+    let at_ms = |at: Instant| {
+        let since_ms = u64::try_from((at - started).as_millis()).unwrap_or(u64::MAX);
+        started_unix_ms.saturating_add(since_ms)
+    };
+    let body = |run: MemberRun| RunBody {
+        gang: run.gang,
+        job: run.job,
+        mask: run.mask,
+        from_ms: at_ms(run.from),
+        to_ms: run.to.map(at_ms),
+        end: run.end,
+        checkpoints: run.checkpoints,
+    };
+    json(200, &gangs.runs().into_iter().map(body).collect::<Vec<_>>())
+}
+
 /// Answers a gang message; other paths get status 404.
 pub(in crate::standin) fn handle(
     gangs: &mut Gangs,
--- a/src/standin/gangs/member.rs
+++ b/src/standin/gangs/member.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use serde::Serialize;
 use tokio::time::Instant;
 
 use crate::names::JobName;
@@ -9,7 +10,8 @@
 use crate::upstream_http::{GangWork, StageRequest};
 
 /// How the work of a member ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RunEnd {
     /// The work was finished.
     Completed,
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -260,6 +260,7 @@
         ("POST", path) if path.starts_with(GANG_PATH_PREFIX) => gang(&shared, &received),
         ("GET", PROBE_PATH) => http::text(200, "ok\n"),
         ("GET", "/standin/stats") => stats(&shared),
+        ("GET", "/standin/gangs") => gangs::log(&mut shared.gangs()),
         _ => error(404, "the stand-in has nothing at this path"),
     }
 }
--- /dev/null
+++ b/tests/jobs/main.rs
@@ -0,0 +1,10 @@
+//! The promises of gang jobs under faults, in separate processes.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod cancel;
+mod control_kills;
+mod site;
+mod submit;
+mod upstreams;
