Measure how soon guaranteed work starts with borrowers in the way

Cause: the bound of 1.7 s was checked with simulated time only.

Change: cactuslatch-measure urgent submits a guaranteed job of 16 accelerators while four borrowers hold all 16, and measures from the submission to the start of the last member. tests/jobs/borrowers does the same with separate processes and fails above 1.7 s. A third case freezes the second upstream of a borrower of 16 and submits a guaranteed job of 8 for the first.

Weighed for the frozen member: another block is used already when one is free, because a free block is searched before a claim, and a claim prefers blocks without gangs that are stopping. In the measured case the guaranteed block is the only one. Freeing each member's accelerators when that member has certainly ended would end the wait after some milliseconds and would break no promise, since the member no longer works.

--- a/src/bin/cactuslatch-measure/main.rs
+++ b/src/bin/cactuslatch-measure/main.rs
@@ -7,6 +7,7 @@
 mod process;
 mod site;
 mod soak;
+mod urgent;
 
 use std::process::ExitCode;
 
@@ -21,7 +22,8 @@
     let decision = decision::args().map(|args| runner(args, decision::run));
     let path = slot("path", path::options(), path::run);
     let soak = soak::args().map(|args| runner(args, soak::run));
-    construct!([decision, path, soak]).to_options().descr(USAGE)
+    let urgent = urgent::args().map(|args| runner(args, urgent::run));
+    construct!([decision, path, soak, urgent]).to_options().descr(USAGE)
 }
 
 /// Makes a command of a parser and the function that runs its arguments.
--- a/tests/jobs/main.rs
+++ b/tests/jobs/main.rs
@@ -3,6 +3,7 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod borrowers;
 mod cancel;
 mod control_kills;
 mod site;
