End jobs that failed wherever they fit

Cause: a job counts as faulty after failures on three upstreams, and no upstream is tried twice. In a pool with fewer upstreams, or with only one block of its size, the job waited for ever.

Ruled out: a limit of min(3, upstreams), because a gang of 16 on two upstreams stops at its first failure, has failed on one of them and still fits nowhere else; and a second try on the same upstreams, which has no bound.

Change: when a gang ends after a failure, the job ends as failed if no block of the layout has its size without the upstreams on which it failed.

Conclusion: a job that fits in one block only ends at its first failure, even if the upstream is at fault; its caller can submit it under a new name.

--- a/src/scheduler/placing.rs
+++ b/src/scheduler/placing.rs
@@ -50,7 +50,7 @@
         false
     }
 
-    fn failed_upstreams(&self, job: &JobName) -> SmallVec<[UpstreamIx; 3]> {
+    pub(super) fn failed_upstreams(&self, job: &JobName) -> SmallVec<[UpstreamIx; 3]> {
         let failed = self.jobs.get(job).map(|job| job.failed_on.iter());
         failed.into_iter().flatten().filter_map(|name| self.pool.find(name)).collect()
     }
--- a/src/scheduler/stopping.rs
+++ b/src/scheduler/stopping.rs
@@ -3,7 +3,8 @@
 use super::event::{GangId, StopStatus};
 use super::gang::{Gang, Phase, StopReason};
 use super::job::{JobEnd, JobState, Ran};
-use super::limits::ENDED_JOBS_LIMIT;
+use super::limits::{ENDED_JOBS_LIMIT, POOL_DISCOVERY_MS};
+use super::rack::View;
 use super::timers::Timer;
 use super::{Decision, JobRecord, Scheduler};
 use crate::names::{JobName, UpstreamName};
@@ -106,15 +107,31 @@
         } else {
             job.fault()
         };
-        if let Some(end) = end {
+        if let Some(end) = end.or_else(|| self.out_of_places(&gang.job, now_ms)) {
             return self.end_job(&gang.job, end);
         }
+        let Some(job) = self.jobs.get_mut(&gang.job) else { return };
         job.state = JobState::Waiting;
         job.waiting_since_ms = now_ms;
         self.queue.push(&job.spec, job.accepted_ms);
         self.refuse_if_unrunnable(&gang.job, now_ms);
     }
 
+    /// Returns the end of a job that failed on upstreams without which no block has its size, so
+    /// that it would wait for ever. Lost upstreams count as part of the layout.
+    fn out_of_places(&self, name: &JobName, now_ms: u64) -> Option<JobEnd> {
+        let failed = self.failed_upstreams(name);
+        if failed.is_empty() || now_ms < self.started_ms + POOL_DISCOVERY_MS {
+            return None;
+        }
+        let accelerators = self.jobs.get(name)?.spec.accelerators;
+        let none_left = self.pool.find_block(accelerators, View::Layout, &failed).is_none();
+        let count = failed.len();
+        none_left.then(|| JobEnd::Failed {
+            reason: format!("no block of its size avoids the upstreams where it failed: {count}"),
+        })
+    }
+
     /// Ends a job and reports it once.
     ///
     /// # Panics
--- a/src/scheduler/tests/gangs.rs
+++ b/src/scheduler/tests/gangs.rs
@@ -268,6 +268,30 @@
     assert_eq!(core.ends, [("a".to_owned(), JobEnd::Failed { reason })]);
 }
 
+/// Guards against a job at fault that waits for ever, because the pool has no further upstream on
+/// which it could fail.
+#[rstest]
+#[case(1, 8, 1)]
+#[case(2, 8, 2)]
+#[case(2, 16, 1)]
+fn a_job_that_failed_wherever_it_fits_is_at_fault(
+    #[case] upstreams: u32,
+    #[case] accelerators: u32,
+    #[case] failures: usize,
+) {
+    let mut core = Core::with_racks(1, upstreams);
+    core.submit(job("a", accelerators));
+    for _ in 0..failures {
+        core.run_ms(6_000);
+        let gang = core.gang("a");
+        let upstream = core.upstreams("a")[0].parse().expect("name");
+        core.step(Event::MemberEnded { gang, upstream, end: MemberEnd::Failed });
+    }
+    core.run_ms(1_000);
+    let reason = format!("no block of its size avoids the upstreams where it failed: {failures}");
+    assert_eq!(core.ends, [("a".to_owned(), JobEnd::Failed { reason })]);
+}
+
 /// Guards against a repeated submission that runs the job twice, and a reused name.
 #[test]
 fn a_repeated_submission_is_one_job() {
