Let the jobs' task ask whether a job has a claim

Cause: a job whose shape may not wait has to be refused unless it starts at once.

Ruled out: reading the reason from the text of an explanation.

Change: a read-only query, has_claim. No decision of the core changes.

--- a/src/scheduler/loans.rs
+++ b/src/scheduler/loans.rs
@@ -153,6 +153,12 @@
         }
     }
 
+    /// Returns whether a waiting job has claimed accelerators that are being freed for it.
+    #[must_use]
+    pub fn has_claim(&self, job: &JobName) -> bool {
+        self.claims.contains_key(job)
+    }
+
     /// Starts the jobs whose claimed accelerators are all free.
     pub(super) fn start_claims(&mut self, now_ms: u64) {
         let is_free = |(ix, mask): &(UpstreamIx, Mask)| self.pool.upstream(*ix).used & mask == 0;
