Refuse jobs that may not wait and organisations without a part

Cause: may_wait: false of a job shape was read and never used. The organisation of a job was checked at the entry host only, whose document may be older than that of control.

Ruled out: forgetting a refused job. A late copy of its submission would run after the caller was told that it did not.

Change: control resolves a submission with the whole document. A service without a document is refused with unknown_service (404), an organisation that the document does not name with forbidden (403). A job whose shape may not wait is refused with no_capacity (503) unless its gang is placed in the same step or its block is being reclaimed for it. The refusal is recorded: a resend gets the same answer, also after a restart, and the status shows the result refused, ran no.

Limits: a job that was placed at once and whose upstreams then do not stage it waits for another place. In the first 4 s after a start of control the pool may be unknown, so that such jobs are refused.

Conclusion: both checks are made where the job is recorded.

--- a/src/control/job_feed.rs
+++ b/src/control/job_feed.rs
@@ -6,8 +6,8 @@
 use tracing::warn;
 
 use crate::StepError;
-use crate::config::{JobShape, ServiceDocument};
-use crate::names::{ServiceName, ShapeName, UpstreamName};
+use crate::config::ServiceDocument;
+use crate::names::{ServiceName, UpstreamName};
 use crate::scheduler::{Announcement, Guarantees};
 
 use super::core::Core;
@@ -29,13 +29,13 @@
 /// Returns an error if a record of the journal cannot be read.
 pub(super) fn start(core: &Arc<Core>) -> Result<JobsHandle, StepError> {
     let payloads: Vec<Arc<[u8]>> = core.lock().jobs.payloads().collect();
-    let shapes = Arc::clone(core);
+    let documents = Arc::clone(core);
     let parts = JobsParts {
         epoch: core.epoch,
         now_ms: core.now_ms(),
         append: append(Arc::clone(core)),
         deliver: Arc::new(deliver_http),
-        find_shape: Box::new(move |service, shape| find_shape(&shapes, service, shape)),
+        find_document: Box::new(move |service| find_document(&documents, service)),
         metrics: Arc::clone(&core.metrics.jobs),
     };
     Jobs::start(payloads, parts)
@@ -53,10 +53,9 @@
     })
 }
 
-fn find_shape(core: &Core, service: &ServiceName, shape: &ShapeName) -> Option<JobShape> {
+fn find_document(core: &Core, service: &ServiceName) -> Option<ServiceDocument> {
     let body = core.lock().documents.get(service)?.0.body_yaml.clone();
-    let document = ServiceDocument::parse(&body).ok()?;
-    document.job_shapes.into_iter().find(|known| known.name == *shape)
+    ServiceDocument::parse(&body).ok()
 }
 
 /// Tells the jobs what happened to upstreams, in order.
--- a/src/control/jobs/book.rs
+++ b/src/control/jobs/book.rs
@@ -31,6 +31,8 @@
     pub(super) spec: JobSpec,
     pub(super) accepted_ms: u64,
     pub(super) cancelled: bool,
+    /// Whether the job was refused at once, because it may not wait.
+    pub(super) refused: bool,
     /// How the job ended; kept here because the core forgets ended jobs by their number.
     pub(super) end: Option<JobEnd>,
     waiting_since_ms: u64,
@@ -64,6 +66,7 @@
                     spec: spec.clone(),
                     accepted_ms: *at_ms,
                     cancelled: false,
+                    refused: stored.refused,
                     end: None,
                     waiting_since_ms: *at_ms,
                 };
@@ -116,6 +119,13 @@
         }
     }
 
+    /// Notes that a job was refused at once.
+    pub(super) fn refuse(&mut self, job: &JobName) {
+        if let Some(entry) = self.jobs.get_mut(job) {
+            entry.refused = true;
+        }
+    }
+
     /// Returns whether no further job can be kept.
     pub(super) fn is_full(&self) -> bool {
         self.jobs.len() >= JOBS_LIMIT
@@ -141,12 +151,12 @@
     fn records(&self) -> Vec<StoredRecord> {
         let job = self.spec.name.clone();
         let accepted = JobRecord::Accepted { spec: self.spec.clone(), at_ms: self.accepted_ms };
-        let mut records =
-            vec![StoredRecord { record: accepted, submission: self.submission.clone() }];
+        let (submission, refused) = (self.submission.clone(), self.refused);
+        let mut records = vec![StoredRecord { record: accepted, submission, refused }];
         let cancelled = self.cancelled.then(|| JobRecord::Cancelled { job: job.clone() });
         let ended = self.end.clone().map(|end| JobRecord::Ended { job, end });
         let later = cancelled.into_iter().chain(ended);
-        records.extend(later.map(|record| StoredRecord { record, submission: None }));
+        records.extend(later.map(StoredRecord::plain));
         records
     }
 }
--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -30,9 +30,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 
-use crate::config::JobShape;
+use crate::config::ServiceDocument;
 use crate::error::StepError;
-use crate::names::{JobName, ServiceName, ShapeName, UpstreamName};
+use crate::names::{JobName, ServiceName, UpstreamName};
 use crate::outcome::{NotRun, NotRunCause};
 use crate::scheduler::{Announcement, Guarantees};
 use crate::upstream_http::{GangReply, GangRequest};
@@ -51,8 +51,8 @@
 pub(crate) type Deliver =
     Arc<dyn Fn(SocketAddr, GangRequest) -> Pending<Result<GangReply, StepError>> + Send + Sync>;
 
-/// Finds a shape of job in a service document.
-pub(crate) type FindShape = Box<dyn Fn(&ServiceName, &ShapeName) -> Option<JobShape> + Send + Sync>;
+/// Finds the document of a service.
+pub(crate) type FindDocument = Box<dyn Fn(&ServiceName) -> Option<ServiceDocument> + Send + Sync>;
 
 /// What the task needs from the rest of the control process.
 pub(crate) struct JobsParts {
@@ -62,7 +62,7 @@
     pub(crate) now_ms: u64,
     pub(crate) append: Append,
     pub(crate) deliver: Deliver,
-    pub(crate) find_shape: FindShape,
+    pub(crate) find_document: FindDocument,
     pub(crate) metrics: Arc<JobsMetrics>,
 }
 
--- a/src/control/jobs/record.rs
+++ b/src/control/jobs/record.rs
@@ -18,6 +18,16 @@
     pub(super) record: JobRecord,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(super) submission: Option<Submission>,
+    /// Whether the accepted job was refused at once, because it may not wait.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub(super) refused: bool,
+}
+
+impl StoredRecord {
+    /// Builds a record that no submission belongs to.
+    pub(super) const fn plain(record: JobRecord) -> Self {
+        Self { record, submission: None, refused: false }
+    }
 }
 
 /// Writes records as one payload, so that they become durable together and keep their order.
--- a/src/control/jobs/status.rs
+++ b/src/control/jobs/status.rs
@@ -51,6 +51,13 @@
     stopped_because: Option<&'a str>,
 }
 
+/// End of a job that was refused at once; the core knows it as cancelled.
+const REFUSED: EndBody<'static> = EndBody {
+    result: "refused",
+    ran: "no",
+    reason: Some("the shape of the job may not wait, and the job could not start at once"),
+};
+
 /// Writes the answer to a submission.
 pub(super) fn accepted(entry: &Entry) -> String {
     write(&AcceptedBody {
@@ -100,6 +107,7 @@
     let (state, end) = match &explanation.state {
         JobState::Waiting => ("waiting", None),
         JobState::Placed(_) => ("placed", None),
+        JobState::Ended(_) if entry.refused => ("ended", Some(REFUSED)),
         JobState::Ended(end) => ("ended", Some(end_body(end))),
     };
     StatusBody {
@@ -109,7 +117,7 @@
         accelerators: entry.spec.accelerators,
         state,
         stage: explanation.stage,
-        cancel_requested: entry.cancelled,
+        cancel_requested: entry.cancelled && !entry.refused,
         end,
     }
 }
--- a/src/control/jobs/submission.rs
+++ b/src/control/jobs/submission.rs
@@ -2,8 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::FindShape;
-use crate::config::JobShape;
+use crate::config::{JobShape, ServiceDocument};
 use crate::names::{JobName, OrganisationName, ServiceName, ShapeName};
 use crate::outcome::{NotRun, NotRunCause};
 use crate::scheduler::JobSpec;
@@ -43,6 +42,14 @@
     fails: bool,
 }
 
+/// A submission with what the document of its service adds.
+#[derive(Debug)]
+pub(super) struct Resolved {
+    pub(super) spec: JobSpec,
+    /// Whether the job may wait; otherwise it is refused unless it starts at once.
+    pub(super) may_wait: bool,
+}
+
 impl Submission {
     /// Reads a submission from JSON.
     ///
@@ -63,9 +70,11 @@
     }
 
     /// Builds the job that the core schedules.
-    pub(super) fn resolve(&self, find_shape: &FindShape) -> Result<JobSpec, NotRun> {
-        let shape = self.find(find_shape)?;
-        let shape = shape.as_ref();
+    ///
+    /// # Errors
+    /// Returns why the job does not fit the document of its service.
+    pub(super) fn resolve(&self, document: Option<&ServiceDocument>) -> Result<Resolved, NotRun> {
+        let shape = self.find(self.check_organisation(document)?)?;
         let accelerators = match (self.accelerators, shape) {
             (Some(accelerators), None) => accelerators,
             (None, Some(shape)) => shape.accelerators,
@@ -76,7 +85,7 @@
         };
         let can_checkpoint = shape.is_some_and(|shape| shape.can_checkpoint);
         let can_stop = shape.is_some_and(|shape| shape.can_stop);
-        Ok(JobSpec {
+        let spec = JobSpec {
             name: self.name.clone(),
             organisation: self.organisation.clone(),
             service: self.service.clone(),
@@ -86,15 +95,33 @@
             can_stop: self.can_stop.unwrap_or(can_stop),
             kind: self.kind.clone(),
             declared_run_ms: self.declared_run_ms,
+        };
+        Ok(Resolved { spec, may_wait: shape.is_none_or(|shape| shape.may_wait) })
+    }
+
+    /// Checks the organisation here too, because a document reaches an entry host later.
+    fn check_organisation<'a>(
+        &self,
+        document: Option<&'a ServiceDocument>,
+    ) -> Result<&'a ServiceDocument, NotRun> {
+        let (service, organisation) = (&self.service, &self.organisation);
+        let document = document.ok_or_else(|| {
+            let detail = format!("service {service} has no document in this data centre");
+            NotRun::new(NotRunCause::UnknownService, detail)
+        })?;
+        let known = document.organisations.iter().any(|known| known.name == *organisation);
+        known.then_some(document).ok_or_else(|| {
+            let detail = format!("organisation {organisation} has no part in service {service}");
+            NotRun::new(NotRunCause::Forbidden, detail)
         })
     }
 
-    fn find(&self, find_shape: &FindShape) -> Result<Option<JobShape>, NotRun> {
+    fn find<'a>(&self, document: &'a ServiceDocument) -> Result<Option<&'a JobShape>, NotRun> {
         let Some(name) = &self.shape else { return Ok(None) };
-        let shape = find_shape(&self.service, name).ok_or_else(|| {
-            bad(format!("the document of service {} has no job shape {name}", self.service))
-        })?;
-        Ok(Some(shape))
+        let shape = document.job_shapes.iter().find(|shape| shape.name == *name);
+        let missing =
+            || bad(format!("the document of service {} has no job shape {name}", self.service));
+        shape.map(Some).ok_or_else(missing)
     }
 }
 
--- a/src/control/jobs/task.rs
+++ b/src/control/jobs/task.rs
@@ -10,12 +10,12 @@
 use super::book::{Book, JOBS_LIMIT, check_date};
 use super::peers::{Outgoing, Peers};
 use super::record::{self, JOBS_CHECKPOINT_KIND, JOBS_RECORD_KIND, StoredRecord};
-use super::submission::Submission;
+use super::submission::{Resolved, Submission};
 use super::{Call, CallResult, Input, JobsParts, messages, status, unavailable};
 use crate::error::StepError;
 use crate::names::JobName;
 use crate::outcome::{NotRun, NotRunCause};
-use crate::scheduler::{Decision, Event, Guarantees, JobRecord, Scheduler};
+use crate::scheduler::{Decision, Event, Guarantees, JobRecord, JobSpec, JobState, Scheduler};
 use crate::upstream_http::{GangAnswer, GangReply, RefusalCode};
 
 /// Time for an upstream to answer a gang message. It is as long as the start lease, after which
@@ -157,12 +157,13 @@
     /// Returns records that stand for everything that earlier ones say.
     fn checkpoint(&self) -> Vec<StoredRecord> {
         let stored = |record| {
-            let submission = match &record {
+            let entry = match &record {
                 JobRecord::Accepted { spec, .. } => self.book.get(&spec.name),
                 _ => None,
             };
-            let submission = submission.and_then(|entry| entry.submission.clone());
-            StoredRecord { record, submission }
+            let submission = entry.and_then(|entry| entry.submission.clone());
+            let refused = entry.is_some_and(|entry| entry.refused);
+            StoredRecord { record, submission, refused }
         };
         // The core counts ended jobs in the order of their records and keeps the latest.
         let mut records = self.book.forgotten(&self.scheduler);
@@ -276,7 +277,7 @@
     ) {
         let accepted = matches!(record, JobRecord::Accepted { .. });
         let submission = submission.filter(|_| accepted).cloned();
-        let stored = StoredRecord { record, submission };
+        let stored = StoredRecord { record, submission, refused: false };
         self.book.apply(&stored, now_ms);
         self.book.count(&stored.record, &self.parts.metrics, now_ms);
         batch.records.push(stored);
@@ -308,7 +309,11 @@
         let name = &submission.name;
         if let Some(entry) = self.book.get(name) {
             if entry.submission.as_ref() == Some(submission) {
-                return Ok(status::accepted(entry));
+                return if entry.refused {
+                    Err(may_not_wait())
+                } else {
+                    Ok(status::accepted(entry))
+                };
             }
             let detail = format!("job {name} exists with other content; this one was not run");
             return Err(NotRun::new(NotRunCause::Conflict, detail));
@@ -318,15 +323,33 @@
             let detail = format!("the data centre keeps its limit of {JOBS_LIMIT} jobs");
             return Err(NotRun::new(NotRunCause::OverLimit, detail));
         }
-        let spec = submission.resolve(&self.parts.find_shape)?;
+        let document = (self.parts.find_document)(&submission.service);
+        let Resolved { spec, may_wait } = submission.resolve(document.as_ref())?;
         if let Some(reason) = self.step(Event::JobSubmitted(spec), Some(submission), now_ms, batch)
         {
             return Err(NotRun::new(NotRunCause::BadRequest, reason));
         }
+        let waits = self.scheduler.job(name) == Some(&JobState::Waiting);
+        if waits && !may_wait && !self.scheduler.has_claim(name) {
+            return Err(self.refuse_wait(name, now_ms, batch));
+        }
         let entry = self.book.get(name).ok_or_else(|| unavailable("the job was not accepted"))?;
         Ok(status::accepted(entry))
     }
 
+    /// Ends a job that may not wait. It is kept, so that a late copy of the submission gets the
+    /// same answer and does not run after its caller was told that it did not.
+    fn refuse_wait(&mut self, job: &JobName, now_ms: u64, batch: &mut Batch) -> NotRun {
+        for stored in &mut batch.records {
+            let own = |spec: &JobSpec| spec.name == *job;
+            stored.refused |=
+                matches!(&stored.record, JobRecord::Accepted { spec, .. } if own(spec));
+        }
+        self.book.refuse(job);
+        self.step(Event::JobCancelled { job: job.clone() }, None, now_ms, batch);
+        may_not_wait()
+    }
+
     fn describe(
         &self,
         job: &JobName,
@@ -354,6 +377,11 @@
     }
 }
 
+fn may_not_wait() -> NotRun {
+    let detail = "the shape of the job may not wait, and the job could not start at once";
+    NotRun::new(NotRunCause::NoCapacity, detail)
+}
+
 fn accepted_ms(stored: &StoredRecord) -> Option<u64> {
     match &stored.record {
         JobRecord::Accepted { at_ms, .. } => Some(*at_ms),
--- a/src/control/jobs/tests/calls.rs
+++ b/src/control/jobs/tests/calls.rs
@@ -5,9 +5,9 @@
 use rstest::rstest;
 use tokio::time::sleep;
 
-use super::super::cancel_job;
+use super::super::{cancel_job, submit_job};
 use super::site::{Fate, Fault, Sent, World, dated, status, submit, submit_named, wait_for_end};
-use crate::rpc::JobNameRequest;
+use crate::rpc::{JobNameRequest, SubmitJobRequest};
 
 const GANG_OF_16: &str = r#""accelerators":16,"run_ms":20000"#;
 
@@ -104,6 +104,52 @@
     assert!(reason.contains("the upstreams where it failed: 2"), "{reason}");
 }
 
+/// Guards against a job that waits although its shape may not, and against a late copy of its
+/// submission that runs after the refusal.
+#[rstest]
+#[case::free(false)]
+#[case::taken(true)]
+#[tokio::test(start_paused = true)]
+async fn a_job_that_may_not_wait_starts_at_once_or_never(#[case] taken: bool) {
+    let world = World::new(none);
+    let mut jobs = world.start(1).await;
+    if taken {
+        submit(&jobs, "blocker", GANG_OF_16).await;
+    }
+    let keys = r#""shape":"prompt","run_ms":10"#;
+    let first = submit(&jobs, "a", keys).await;
+    assert_eq!(first.refused, taken, "{first:?}");
+    assert_eq!(first.reason.starts_with("no_capacity: "), taken, "{first:?}");
+    sleep(Duration::from_mins(1)).await;
+    for epoch in 2..4 {
+        assert_eq!(submit(&jobs, "a", keys).await, first);
+        let end = status(&jobs, "a").await["end"].clone();
+        let expected = if taken { ("refused", "no") } else { ("completed", "yes") };
+        assert_eq!((&end["result"], &end["ran"]), (&expected.0.into(), &expected.1.into()));
+        jobs = world.start(epoch).await;
+    }
+    assert_eq!(world.gangs_that_worked(), 1);
+}
+
+/// Guards against jobs of organisations and services that the document does not name.
+#[rstest]
+#[case("south", "plan", "forbidden: organisation south has no part in service plan")]
+#[case("north", "check", "unknown_service: service check has no document in this data centre")]
+#[tokio::test(start_paused = true)]
+async fn control_checks_who_submits(
+    #[case] organisation: &str,
+    #[case] service: &str,
+    #[case] reason: &str,
+) {
+    let jobs = World::new(none).start(1).await;
+    let (name, organisation, service) = (dated("a"), organisation.to_owned(), service.to_owned());
+    let job_json = format!(
+        r#"{{"name":"{name}","organisation":"{organisation}","service":"{service}","accelerators":1}}"#
+    );
+    let request = SubmitJobRequest { name, organisation, service, job_json };
+    assert_eq!(submit_job(&jobs, &request).await.reason, reason);
+}
+
 /// Guards against a resend that runs again because the first job has been forgotten.
 #[rstest]
 #[case("19700101-old", true)]
--- a/src/control/jobs/tests/loopback.rs
+++ b/src/control/jobs/tests/loopback.rs
@@ -8,7 +8,7 @@
 
 use super::super::task::Jobs;
 use super::super::{JobsMetrics, JobsParts, deliver_http};
-use super::site::{memory_journal, submit, wait_for_end};
+use super::site::{document, memory_journal, submit, wait_for_end};
 use crate::scheduler::{Announcement, GangId, StopStatus};
 use crate::standin::{RunEnd, RunningStandin, StandinSettings, start};
 use crate::upstream_http::{
@@ -25,7 +25,7 @@
         now_ms: 1_000_000,
         append: memory_journal(&Arc::default(), &Arc::default()),
         deliver: Arc::new(deliver_http),
-        find_shape: Box::new(|_, _| None),
+        find_document: Box::new(|_| Some(document())),
         metrics: Arc::clone(&metrics),
     };
     let jobs = Jobs::start(Vec::<Vec<u8>>::new(), parts).expect("empty journal");
--- a/src/control/jobs/tests/site.rs
+++ b/src/control/jobs/tests/site.rs
@@ -14,8 +14,7 @@
     submit_job,
 };
 use crate::StepError;
-use crate::config::JobShape;
-use crate::names::ShapeName;
+use crate::config::ServiceDocument;
 use crate::rpc::{JobReply, SubmitJobRequest};
 use crate::scheduler::{Announcement, GangId};
 use crate::standin::{Gangs, MemberRun, Room, RunEnd};
@@ -128,7 +127,7 @@
             now_ms: 1_000_000 + self.elapsed_ms(),
             append: memory_journal(&self.journal, &self.disk),
             deliver,
-            find_shape: Box::new(|_, name| (name.as_str() == "pair").then(|| pair(name))),
+            find_document: Box::new(|service| (service.as_str() == "plan").then(document)),
             metrics: Arc::clone(&self.metrics),
         }
     }
@@ -280,9 +279,14 @@
     })
 }
 
-fn pair(name: &ShapeName) -> JobShape {
-    let name = name.clone();
-    JobShape { name, accelerators: 16, may_wait: true, can_checkpoint: true, can_stop: false }
+/// Returns the document of the service `plan`.
+pub fn document() -> ServiceDocument {
+    let text = "kind: service\nservice: plan\norganisations:\n  - name: north\n    \
+                concurrency_max: 1\n    requests_per_s: 1\n    guaranteed_blocks: []\n\
+                completion_weight: 1.0\nfragmentation_weight: 1.0\njob_shapes:\n  \
+                - name: pair\n    accelerators: 16\n    can_checkpoint: true\n  \
+                - name: prompt\n    accelerators: 16\n    may_wait: false\n";
+    ServiceDocument::parse(text).expect("a valid document")
 }
 
 /// The port of the address is the number of the upstream.
