Keep four connections to each upstream for control

Cause: entry hosts could share all 64 connections of an upstream, while gang messages, fences and probes of control open further ones. The upstream's own guard then refuses some of them.

Ruled out: keeping back four of any number. An upstream with 6 or 7 connections could be lent nothing, and the tests of small limits would have to be weakened.

Change: control lends 4 connections fewer, but at most an eighth of the limit. The asserted sum counts them.

Conclusion: with two hosts a lent slot brings 4 connections instead of 5, and so does no other case at 64.

--- a/src/control/shares/pool.rs
+++ b/src/control/shares/pool.rs
@@ -10,6 +10,13 @@
 /// Slots that each configured host holds permanently.
 const BASE_SLOTS: u32 = 1;
 
+/// Connections kept back for control, whose gang messages and questions open connections to an
+/// upstream beyond those of the entry hosts.
+const CONTROL_CONNECTIONS: u32 = 4;
+
+/// At most one in this many connections is kept back, so that small upstreams can still be lent.
+const CONTROL_DIVISOR: u32 = 8;
+
 /// Time for which a peak of demand counts, so that loans do not follow every single request.
 const PEAK_MS: u64 = 1000;
 
@@ -83,8 +90,13 @@
         slots.min(self.lendable_connections())
     }
 
+    fn control_connections(&self) -> u32 {
+        CONTROL_CONNECTIONS.min(self.limits.connections / CONTROL_DIVISOR)
+    }
+
     fn lendable_connections(&self) -> u32 {
-        self.limits.connections.saturating_sub(self.base_connections() * self.hosts())
+        let kept_back = self.base_connections() * self.hosts() + self.control_connections();
+        self.limits.connections.saturating_sub(kept_back)
     }
 
     /// Returns the share that belongs to a loan of this many slots.
@@ -218,6 +230,7 @@
         let (slots, connections) =
             worst.fold((0, 0), |sum, share| (sum.0 + share.slots, sum.1 + share.connections));
         assert!(slots <= self.limits.slots, "slots of {name} shared beyond its limit");
+        let connections = connections + self.control_connections();
         assert!(connections <= self.limits.connections, "connections of {name} over its limit");
     }
 }
--- a/src/control/shares/tests.rs
+++ b/src/control/shares/tests.rs
@@ -192,6 +192,26 @@
     assert_eq!(slots(&shares), expected);
 }
 
+/// Guards against entry hosts that leave no connection for the messages of control.
+#[rstest]
+#[case(1, 64, 60)]
+#[case(2, 64, 60)]
+#[case(3, 64, 60)]
+#[case(1, 33, 29)]
+fn four_connections_are_kept_for_control(
+    #[case] hosts: usize,
+    #[case] connections: u32,
+    #[case] most: u32,
+) {
+    let names: Vec<_> = (0..hosts).map(host).collect();
+    let mut shares = Shares::new(&names, 1, SILENCE_MS, 0);
+    shares.add(&upstream(), limits(8, connections), SILENCE_MS);
+    want(&mut shares, 0, 1000, SILENCE_MS);
+    let granted = (0..hosts).map(|number| shares.list(&host(number))[0].connections);
+    let granted: u32 = granted.sum();
+    assert!(granted <= most, "{granted} connections are shared");
+}
+
 /// Guards against hosts that together use more than an upstream's limit during partitions.
 #[rstest]
 fn a_randomised_run_keeps_the_limits(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
