Judge jobs that failed before the pool was known

Cause: a job that failed wherever it fits within 4 s after a start was not judged again. It waited until a drain after 60 s started it on an upstream where it had failed.

Ruled out: judging during the discovery, because upstreams that have not announced themselves yet are missing from the layout.

Change: once the pool is known, waiting jobs with failures are judged like those whose gang ends later.

--- a/src/scheduler/cancel.rs
+++ b/src/scheduler/cancel.rs
@@ -80,7 +80,7 @@
     }
 
     /// Ends a job that waits.
-    fn end_waiting(&mut self, name: &JobName, end: impl FnOnce(Ran) -> JobEnd) {
+    pub(super) fn end_waiting(&mut self, name: &JobName, end: impl FnOnce(Ran) -> JobEnd) {
         let Some(job) = self.jobs.get(name) else { return };
         let end = end(job.ran);
         if self.queue.remove(&job.spec, job.accepted_ms) || self.drop_claim(name) {
--- a/src/scheduler/documents.rs
+++ b/src/scheduler/documents.rs
@@ -28,6 +28,7 @@
             self.on_document(document, now_ms);
         }
         self.refuse_unrunnable(now_ms);
+        self.end_out_of_places(now_ms);
         self.queue.retry_all();
     }
 
--- a/src/scheduler/stopping.rs
+++ b/src/scheduler/stopping.rs
@@ -2,7 +2,7 @@
 
 use super::event::{GangId, StopStatus};
 use super::gang::{Gang, Phase, StopReason};
-use super::job::{JobEnd, JobState, Ran};
+use super::job::{Job, JobEnd, JobState, Ran};
 use super::limits::{ENDED_JOBS_LIMIT, POOL_DISCOVERY_MS};
 use super::rack::View;
 use super::timers::Timer;
@@ -117,6 +117,17 @@
         self.refuse_if_unrunnable(&gang.job, now_ms);
     }
 
+    /// Ends the waiting jobs that failed wherever they fit before the pool was known.
+    pub(super) fn end_out_of_places(&mut self, now_ms: u64) {
+        let failed = |job: &Job| job.state == JobState::Waiting && !job.failed_on.is_empty();
+        let failed = self.jobs.iter().filter(|(_, job)| failed(job));
+        for name in failed.map(|(name, _)| name.clone()).collect::<Vec<_>>() {
+            if let Some(end) = self.out_of_places(&name, now_ms) {
+                self.end_waiting(&name, |_| end);
+            }
+        }
+    }
+
     /// Returns the end of a job that failed on upstreams without which no block has its size, so
     /// that it would wait for ever. Lost upstreams count as part of the layout.
     fn out_of_places(&self, name: &JobName, now_ms: u64) -> Option<JobEnd> {
