--- a/src/bin/cactuslatch-measure/main.rs
+++ b/src/bin/cactuslatch-measure/main.rs
@@ -11,6 +11,7 @@
 mod site;
 mod slopes;
 mod soak;
+mod urgent;
 
 use std::process::ExitCode;
 
@@ -27,7 +28,8 @@
     let soak = soak::args().map(|args| runner(args, soak::run));
     let parking = slot("parking", parking::options(), parking::run);
     let slopes = slot("slopes", slopes::options(), slopes::run);
-    construct!([decision, parking, path, slopes, soak]).to_options().descr(USAGE)
+    let urgent = urgent::args().map(|args| runner(args, urgent::run));
+    construct!([decision, parking, path, slopes, soak, urgent]).to_options().descr(USAGE)
 }
 
 /// Makes a command of a parser and the function that runs its arguments.
--- a/src/control/jobs/status.rs
+++ b/src/control/jobs/status.rs
@@ -51,6 +51,13 @@
     stopped_because: Option<&'a str>,
 }
 
+/// End of a job that was refused at once; the core knows it as cancelled.
+const REFUSED: EndBody<'static> = EndBody {
+    result: "refused",
+    ran: "no",
+    reason: Some("the shape of the job may not wait, and the job could not start at once"),
+};
+
 /// Writes the answer to a submission.
 pub(super) fn accepted(entry: &Entry) -> String {
     write(&AcceptedBody {
@@ -79,10 +86,28 @@
     })
 }
 
+/// Returns what is left to say of an ended job that the core has forgotten.
+pub(super) fn of_forgotten(entry: &Entry) -> Option<Explanation> {
+    Some(Explanation {
+        job: entry.spec.name.clone(),
+        state: JobState::Ended(entry.end.clone()?),
+        expected_run_ms: None,
+        expected_use: None,
+        stage: None,
+        upstreams: Vec::new(),
+        waits_because: None,
+        would_start_if: None,
+        waiting_ms: 0,
+        borrowed_from: Vec::new(),
+        stopped_because: None,
+    })
+}
+
 fn status_body<'a>(entry: &'a Entry, explanation: &'a Explanation) -> StatusBody<'a> {
     let (state, end) = match &explanation.state {
         JobState::Waiting => ("waiting", None),
         JobState::Placed(_) => ("placed", None),
+        JobState::Ended(_) if entry.refused => ("ended", Some(REFUSED)),
         JobState::Ended(end) => ("ended", Some(end_body(end))),
     };
     StatusBody {
@@ -92,7 +117,7 @@
         accelerators: entry.spec.accelerators,
         state,
         stage: explanation.stage,
-        cancel_requested: entry.cancelled,
+        cancel_requested: entry.cancelled && !entry.refused,
         end,
     }
 }
--- a/src/control/jobs/tests/calls.rs
+++ b/src/control/jobs/tests/calls.rs
@@ -5,9 +5,9 @@
 use rstest::rstest;
 use tokio::time::sleep;
 
-use super::super::cancel_job;
-use super::site::{Fate, Fault, Sent, World, explain, status, submit, wait_for_end};
-use crate::rpc::JobNameRequest;
+use super::super::{cancel_job, submit_job};
+use super::site::{Fate, Fault, Sent, World, dated, status, submit, submit_named, wait_for_end};
+use crate::rpc::{JobNameRequest, SubmitJobRequest};
 
 const GANG_OF_16: &str = r#""accelerators":16,"run_ms":20000"#;
 
@@ -32,7 +32,7 @@
 #[case::no_size(r#""run_ms":1"#, "either accelerators or a shape")]
 #[case::two_sizes(r#""accelerators":8,"shape":"pair""#, "both accelerators and a shape")]
 #[case::unknown_shape(r#""shape":"cube""#, "service plan has no job shape cube")]
-#[case::other_content(r#""accelerators":8,"run_ms":7"#, "conflict: job a exists")]
+#[case::other_content(r#""accelerators":8,"run_ms":7"#, "conflict: job 19700101-a exists")]
 #[tokio::test(start_paused = true)]
 async fn a_job_is_refused_with_the_reason(#[case] keys: &str, #[case] reason: &str) {
     let world = World::new(none);
@@ -67,7 +67,7 @@
     let jobs = world.start(1).await;
     submit(&jobs, "a", GANG_OF_16).await;
     sleep(Duration::from_millis(at_ms)).await;
-    let request = JobNameRequest { name: "a".to_owned() };
+    let request = JobNameRequest { name: dated("a") };
     let reply = cancel_job(&jobs, &request).await;
     assert!(reply.status_json.contains(r#""cancel_requested":"#), "{reply:?}");
     assert_eq!(wait_for_end(&jobs, "a").await, result);
@@ -84,9 +84,9 @@
     let jobs = world.start(1).await;
     submit(&jobs, "a", GANG_OF_16).await;
     submit(&jobs, "b", GANG_OF_16).await;
-    cancel_job(&jobs, &JobNameRequest { name: "b".to_owned() }).await;
+    cancel_job(&jobs, &JobNameRequest { name: dated("b") }).await;
     assert_eq!(status(&jobs, "b").await["end"]["ran"], "no");
-    assert!(!cancel_job(&jobs, &JobNameRequest { name: "c".to_owned() }).await.found);
+    assert!(!cancel_job(&jobs, &JobNameRequest { name: dated("c") }).await.found);
     sleep(Duration::from_mins(1)).await;
     assert_eq!(world.gangs_that_worked(), 1);
 }
@@ -97,10 +97,89 @@
     let world = World::new(none);
     let jobs = world.start(1).await;
     submit(&jobs, "a", r#""accelerators":8,"run_ms":1000,"fails":true"#).await;
+    assert_eq!(wait_for_end(&jobs, "a").await, "failed");
     sleep(Duration::from_mins(1)).await;
     assert_eq!(world.gangs_that_worked(), 2, "{:#?}", world.runs());
-    let reason = explain(&jobs, "a").await["waits_because"].to_string();
-    assert!(reason.contains("it failed on 2 upstreams"), "{reason}");
+    let reason = status(&jobs, "a").await["end"]["reason"].to_string();
+    assert!(reason.contains("the upstreams where it failed: 2"), "{reason}");
+}
+
+/// Guards against a job that waits although its shape may not, and against a late copy of its
+/// submission that runs after the refusal.
+#[rstest]
+#[case::free(false)]
+#[case::taken(true)]
+#[tokio::test(start_paused = true)]
+async fn a_job_that_may_not_wait_starts_at_once_or_never(#[case] taken: bool) {
+    let world = World::new(none);
+    let mut jobs = world.start(1).await;
+    if taken {
+        submit(&jobs, "blocker", GANG_OF_16).await;
+    }
+    let keys = r#""shape":"prompt","run_ms":10"#;
+    let first = submit(&jobs, "a", keys).await;
+    assert_eq!(first.refused, taken, "{first:?}");
+    assert_eq!(first.reason.starts_with("no_capacity: "), taken, "{first:?}");
+    sleep(Duration::from_mins(1)).await;
+    for epoch in 2..4 {
+        assert_eq!(submit(&jobs, "a", keys).await, first);
+        let end = status(&jobs, "a").await["end"].clone();
+        let expected = if taken { ("refused", "no") } else { ("completed", "yes") };
+        assert_eq!((&end["result"], &end["ran"]), (&expected.0.into(), &expected.1.into()));
+        jobs = world.start(epoch).await;
+    }
+    assert_eq!(world.gangs_that_worked(), 1);
+}
+
+/// Guards against jobs of organisations and services that the document does not name.
+#[rstest]
+#[case("south", "plan", "forbidden: organisation south has no part in service plan")]
+#[case("north", "check", "unknown_service: service check has no document in this data centre")]
+#[tokio::test(start_paused = true)]
+async fn control_checks_who_submits(
+    #[case] organisation: &str,
+    #[case] service: &str,
+    #[case] reason: &str,
+) {
+    let jobs = World::new(none).start(1).await;
+    let (name, organisation, service) = (dated("a"), organisation.to_owned(), service.to_owned());
+    let job_json = format!(
+        r#"{{"name":"{name}","organisation":"{organisation}","service":"{service}","accelerators":1}}"#
+    );
+    let request = SubmitJobRequest { name, organisation, service, job_json };
+    assert_eq!(submit_job(&jobs, &request).await.reason, reason);
+}
+
+/// Guards against a resend that runs again because the first job has been forgotten.
+#[rstest]
+#[case("19700101-old", true)]
+#[case("19700109-old", false)]
+#[tokio::test(start_paused = true)]
+async fn a_late_resend_never_runs_again(#[case] name: &str, #[case] at_once: bool) {
+    let world = World::new(none);
+    let mut jobs = world.start(1).await;
+    let keys = r#""accelerators":8,"run_ms":1"#;
+    let first = submit_named(&jobs, "19700101-old", keys).await;
+    wait_for_end(&jobs, "old").await;
+    for number in 0..4_097 {
+        submit(&jobs, &format!("fill-{number}"), keys).await;
+        cancel_job(&jobs, &JobNameRequest { name: dated(&format!("fill-{number}")) }).await;
+    }
+    for epoch in 2..4 {
+        assert_eq!(submit_named(&jobs, "19700101-old", keys).await, first);
+        assert_eq!(status(&jobs, "old").await["end"]["result"], "completed");
+        jobs = world.start(epoch).await;
+    }
+    let reply = submit_named(&jobs, name, keys).await;
+    assert_eq!(reply.found, at_once, "{reply:?}");
+    sleep(Duration::from_hours(8 * 24)).await;
+    for number in 0..2_000 {
+        submit_named(&jobs, &format!("19700108-later-{number}"), keys).await;
+    }
+    let reply = submit_named(&jobs, "19700101-old", keys).await;
+    assert!(reply.reason.starts_with("key_expired: ") || reply == first, "{reply:?}");
+    let runs = world.runs();
+    assert_eq!(runs.iter().filter(|run| run.job.as_str() == "19700101-old").count(), 1);
 }
 
 /// Guards against messages whose records are not durable.
--- /dev/null
+++ b/tests/jobs/main.rs
@@ -0,0 +1,11 @@
+//! The promises of gang jobs under faults, in separate processes.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod borrowers;
+mod cancel;
+mod control_kills;
+mod site;
+mod submit;
+mod upstreams;
