Notice the end of members at once

Cause: control learned only from renewals, every 5 s, that a member had ended. The accelerators and the caller's answer waited as long.

Ruled out: a counter in the announcement. It costs its bytes each second for every upstream and entry host and again in the relay, is seen up to a second late, and changes the announcement that entry hosts read strictly. Shorter renewal intervals cost the bytes of every gang.

Change: control keeps one question, POST /v1/gangs/ends, open at each upstream with active members. The ends reach the core as MemberEnded. Messages in flight no longer keep the jobs' task alive, as a question would for 12 s.

Without the question, an_end_is_noticed_soon fails: a gang of 1.5 s is not seen as ended within 2.5 s of its start.

--- a/src/control/jobs/messages.rs
+++ b/src/control/jobs/messages.rs
@@ -2,9 +2,9 @@
 
 use super::book::Book;
 use crate::names::UpstreamName;
-use crate::scheduler::{Decision, Event};
+use crate::scheduler::{Decision, Event, MemberEnd, MemberStatus};
 use crate::upstream_http::{
-    CheckpointRequest, CommitRequest, GangAnswer, GangMessage, GangReply, GangRequest,
+    CheckpointRequest, CommitRequest, GangAnswer, GangMessage, GangReply, GangRequest, MemberState,
     RenewRequest, StageRequest, StopRequest,
 };
 
@@ -38,6 +38,19 @@
     })
 }
 
+/// Returns the ends that an answer reports, as events.
+pub(super) fn ends(upstream: &UpstreamName, members: &[MemberState]) -> Vec<Event> {
+    let event = |member: &MemberState| {
+        let end = match member.status {
+            MemberStatus::Completed => MemberEnd::Completed,
+            MemberStatus::Failed => MemberEnd::Failed,
+            MemberStatus::Running | MemberStatus::Absent => return None,
+        };
+        Some(Event::MemberEnded { gang: member.gang, upstream: upstream.clone(), end })
+    };
+    members.iter().filter_map(event).collect()
+}
+
 /// Returns what an answer tells the core; an answer that does not fit its message tells nothing.
 pub(super) fn event(
     upstream: UpstreamName,
--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -16,6 +16,7 @@
 mod task;
 #[cfg(test)]
 mod tests;
+mod watches;
 
 pub(crate) use delivery::deliver_http;
 pub(crate) use metrics::JobsMetrics;
@@ -85,6 +86,8 @@
     Announced(Announcement, SocketAddr),
     Lost(UpstreamName),
     Leaving(UpstreamName, u64),
+    /// A question about ended members got no answer.
+    EndsUnanswered(UpstreamName),
     /// A document is to take effect; the answer says whether its guarantees fit.
     Document(Guarantees, oneshot::Sender<Result<(), String>>),
     Answered {
--- a/src/control/jobs/task.rs
+++ b/src/control/jobs/task.rs
@@ -11,12 +11,13 @@
 use super::peers::{Outgoing, Peers};
 use super::record::{self, JOBS_CHECKPOINT_KIND, JOBS_RECORD_KIND, StoredRecord};
 use super::submission::{Resolved, Submission};
+use super::watches::Watches;
 use super::{Call, CallResult, Input, JobsParts, messages, status, unavailable};
 use crate::error::StepError;
-use crate::names::JobName;
+use crate::names::{JobName, UpstreamName};
 use crate::outcome::{NotRun, NotRunCause};
 use crate::scheduler::{Decision, Event, Guarantees, JobRecord, JobSpec, JobState, Scheduler};
-use crate::upstream_http::{GangAnswer, GangReply, RefusalCode};
+use crate::upstream_http::{GangAnswer, GangMessage, GangReply, GangRequest, RefusalCode};
 
 /// Time for an upstream to answer a gang message. It is as long as the start lease, after which
 /// the answer to a commit is useless.
@@ -33,6 +34,7 @@
     scheduler: Scheduler,
     book: Book,
     peers: Peers,
+    watches: Watches,
     parts: JobsParts,
     started: Instant,
     started_ms: u64,
@@ -71,6 +73,7 @@
             scheduler: Scheduler::recover(records, started_ms),
             book,
             peers: Peers::new(parts.epoch),
+            watches: Watches::default(),
             parts,
             started: Instant::now(),
             started_ms,
@@ -194,9 +197,11 @@
             Input::Leaving(upstream, incarnation) => {
                 Event::UpstreamLeaving { upstream, incarnation }
             }
+            Input::EndsUnanswered(upstream) => return self.watches.closed(&upstream),
             Input::Answered { upstream, request, reply } => {
                 self.peers.answered(&upstream, reply.incarnation, reply.clock_ms);
                 self.check_epoch(&reply);
+                self.watch(&upstream, &request, &reply, now_ms, batch);
                 let Some(event) = messages::event(upstream, request, reply) else { return };
                 event
             }
@@ -204,6 +209,30 @@
         self.step(event, None, now_ms, batch);
     }
 
+    /// Applies the ends that an answer reports, and keeps a question about further ones open.
+    fn watch(
+        &mut self,
+        upstream: &UpstreamName,
+        request: &GangRequest,
+        reply: &GangReply,
+        now_ms: u64,
+        batch: &mut Batch,
+    ) {
+        if let GangAnswer::Ends { members, .. } = &reply.answer {
+            for event in messages::ends(upstream, members) {
+                self.step(event, None, now_ms, batch);
+            }
+        } else if matches!(request.message, GangMessage::Ends(_)) {
+            self.watches.closed(upstream);
+        }
+        if self.halted.is_none()
+            && let Some(question) = self.watches.after_answer(upstream, reply)
+        {
+            let outgoing = self.peers.address(upstream.clone(), question);
+            batch.messages.extend(outgoing);
+        }
+    }
+
     /// Applies the guarantees of a document; dropping the sender reports unavailable jobs.
     fn judge(
         &mut self,
@@ -364,15 +393,27 @@
 
     /// Sends a message in a task of its own; its answer comes back as an input.
     fn send(&self, message: Outgoing) {
-        let Some(inbox) = self.inbox.upgrade() else { return };
+        // A message in flight does not keep the task from ending.
+        let inbox = self.inbox.clone();
         let deliver = Arc::clone(&self.parts.deliver);
         let metrics = Arc::clone(&self.parts.metrics);
         tokio::spawn(async move {
             let Outgoing { upstream, address, request } = message;
-            let answer = timeout(MESSAGE_TIMEOUT, deliver(address, request.clone())).await;
-            let Ok(Ok(reply)) = answer else { return metrics.message_ended("unanswered") };
-            metrics.message_ended("answered");
-            _ = inbox.send(Input::Answered { upstream, request, reply }).await;
+            let limit = MESSAGE_TIMEOUT + Watches::extra_time(&request.message);
+            let answer = timeout(limit, deliver(address, request.clone())).await;
+            let input = if let Ok(Ok(reply)) = answer {
+                metrics.message_ended("answered");
+                Input::Answered { upstream, request, reply }
+            } else {
+                metrics.message_ended("unanswered");
+                if !matches!(request.message, GangMessage::Ends(_)) {
+                    return;
+                }
+                Input::EndsUnanswered(upstream)
+            };
+            if let Some(inbox) = inbox.upgrade() {
+                _ = inbox.send(input).await;
+            }
         });
     }
 }
--- a/src/control/jobs/tests/site.rs
+++ b/src/control/jobs/tests/site.rs
@@ -18,7 +18,7 @@
 use crate::rpc::{JobReply, SubmitJobRequest};
 use crate::scheduler::{Announcement, GangId};
 use crate::standin::{Gangs, MemberRun, Room, RunEnd};
-use crate::upstream_http::{GangMessage, GangReply, GangRequest};
+use crate::upstream_http::{EndsRequest, GangMessage, GangReply, GangRequest};
 
 /// Time for a message or an answer to arrive.
 const HOP: Duration = Duration::from_millis(1);
@@ -152,6 +152,13 @@
         let late_ms = if let Fate::RequestLate(late_ms) = fate { late_ms } else { 0 };
         sleep(HOP + Duration::from_millis(late_ms)).await;
         let room = Room { slots: if fate == Fate::NoRoom { 0 } else { 8 }, open: true };
+        if let GangMessage::Ends(EndsRequest { after: Some(after), wait_ms }) = request.message {
+            let until = Instant::now() + Duration::from_millis(wait_ms);
+            let gangs = || self.gangs[upstream as usize].lock().expect("no panic");
+            while Instant::now() < until && !gangs().has_ends_after(after) {
+                sleep(Duration::from_millis(10)).await;
+            }
+        }
         let reply = self.gangs[upstream as usize].lock().expect("no panic").answer(&request, room);
         sleep(HOP).await;
         reply
@@ -301,6 +308,7 @@
         GangMessage::Renew(_) => "renew",
         GangMessage::Checkpoint(_) => "checkpoint",
         GangMessage::Stop(_) => "stop",
+        GangMessage::Ends(_) => "ends",
     }
 }
 
--- a/src/standin/gangs.rs
+++ b/src/standin/gangs.rs
@@ -5,7 +5,7 @@
 #[cfg(test)]
 mod tests;
 
-pub(super) use http::{handle, log};
+pub(super) use http::{ends_wait, handle, log};
 pub use member::{MemberRun, RunEnd};
 
 use std::collections::BTreeMap;
@@ -15,11 +15,14 @@
 
 use crate::scheduler::{GangId, MemberStatus, Renewal, StopStatus};
 use crate::upstream_http::{
-    CheckpointRequest, CommitRequest, GangAnswer, GangMessage, GangReply, GangRequest, MemberState,
-    RefusalCode, RenewRequest, Sender, StageRequest, StopRequest,
+    CheckpointRequest, CommitRequest, EndsRequest, GangAnswer, GangMessage, GangReply, GangRequest,
+    MemberState, RefusalCode, RenewRequest, Sender, StageRequest, StopRequest,
 };
 use member::{Member, State};
 
+/// Most ends that are answered to a sender that names none; the rest are asked for by renewals.
+const LATEST_ENDS: usize = 64;
+
 /// Capacity for gang members at the moment of a message.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Room {
@@ -39,6 +42,8 @@
     started_unix_ms: u64,
     epoch: u64,
     members: BTreeMap<GangId, Member>,
+    /// Gangs whose member ended by itself, in order.
+    ends: Vec<GangId>,
 }
 
 impl Gangs {
@@ -51,6 +56,7 @@
             started_unix_ms: unix_ms(),
             epoch: 0,
             members: BTreeMap::new(),
+            ends: Vec::new(),
         }
     }
 
@@ -85,11 +91,34 @@
 
     /// Ends the members whose hold, lease or work is over.
     fn settle(&mut self, now_ms: u64) {
-        for member in self.members.values_mut() {
+        for (id, member) in &mut self.members {
+            let was_active = member.is_active();
             member.settle(now_ms);
+            let ended = matches!(member.status(), MemberStatus::Completed | MemberStatus::Failed);
+            if was_active && ended {
+                self.ends.push(*id);
+            }
         }
     }
 
+    /// Returns whether more members have ended by themselves than this many.
+    pub(crate) fn has_ends_after(&mut self, after: u64) -> bool {
+        self.settle(self.clock_ms());
+        self.ends.len() as u64 > after
+    }
+
+    fn answer_ends(&mut self, question: EndsRequest) -> GangAnswer {
+        let first = question.after.and_then(|after| usize::try_from(after).ok());
+        let first = first.unwrap_or_else(|| self.ends.len().saturating_sub(LATEST_ENDS));
+        let ends = self.ends.get(first..).unwrap_or_default();
+        let members = ends.iter().filter_map(|gang| {
+            let status = self.members.get(gang)?.status();
+            Some(MemberState { gang: *gang, status })
+        });
+        let members = members.collect();
+        GangAnswer::Ends { count: self.ends.len() as u64, active: self.slots_taken(), members }
+    }
+
     fn check_sender(&mut self, sender: &Sender) -> Result<(), RefusalCode> {
         if sender.epoch < self.epoch {
             return Err(RefusalCode::OlderEpoch);
@@ -118,6 +147,7 @@
             GangMessage::Renew(renew) => Ok(self.renew(renew, clock_ms, now_ms)),
             GangMessage::Checkpoint(checkpoint) => Ok(self.checkpoint(*checkpoint)),
             GangMessage::Stop(stop) => Ok(self.stop(*stop, now_ms)),
+            GangMessage::Ends(question) => Ok(self.answer_ends(*question)),
         }
     }
 
--- a/src/standin/gangs/http.rs
+++ b/src/standin/gangs/http.rs
@@ -1,5 +1,7 @@
 //! HTTP form of the stand-in's gang messages.
 
+use std::time::Duration;
+
 use hyper::header::HeaderValue;
 use serde::Serialize;
 use tokio::time::Instant;
@@ -45,6 +47,13 @@
     json(200, &gangs.runs().into_iter().map(body).collect::<Vec<_>>())
 }
 
+/// Returns the number of known ends and the time for which a question waits for a further one.
+pub(in crate::standin) fn ends_wait(received: &Received) -> Option<(u64, Duration)> {
+    let request = GangRequest::read(received.uri.path(), &received.body)?.ok()?;
+    let GangMessage::Ends(question) = request.message else { return None };
+    Some((question.after?, Duration::from_millis(question.wait_ms)))
+}
+
 /// Answers a gang message; other paths get status 404.
 pub(in crate::standin) fn handle(
     gangs: &mut Gangs,
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::announcer::{ANNOUNCE_INTERVAL, Announcer};
 use super::attempts::{Attempts, Refusal};
@@ -30,6 +30,10 @@
 /// Largest request body.
 const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
+/// Longest wait for the end of a member, and the interval at which the members are looked at.
+const ENDS_WAIT_MAX: Duration = Duration::from_secs(30);
+const ENDS_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Settings of a stand-in.
 #[derive(Debug, Clone)]
 pub struct StandinSettings {
@@ -257,7 +261,7 @@
     match (received.method.as_str(), received.uri.path()) {
         ("POST", RUN_PATH) => run(shared, received).await,
         ("POST", FENCE_PATH) => fence(&shared, &received),
-        ("POST", path) if path.starts_with(GANG_PATH_PREFIX) => gang(&shared, &received),
+        ("POST", path) if path.starts_with(GANG_PATH_PREFIX) => gang(&shared, &received).await,
         ("GET", PROBE_PATH) => http::text(200, "ok\n"),
         ("GET", "/standin/stats") => stats(&shared),
         ("GET", "/standin/gangs") => gangs::log(&mut shared.gangs()),
@@ -265,7 +269,13 @@
     }
 }
 
-fn gang(shared: &Shared, received: &Received) -> FullResponse {
+async fn gang(shared: &Shared, received: &Received) -> FullResponse {
+    if let Some((after, wait)) = gangs::ends_wait(received) {
+        let until = Instant::now() + wait.min(ENDS_WAIT_MAX);
+        while Instant::now() < until && !shared.gangs().has_ends_after(after) {
+            sleep(ENDS_POLL_INTERVAL).await;
+        }
+    }
     let attempts = shared.attempts();
     let room = Room {
         slots: shared.settings.slots.saturating_sub(attempts.running()),
--- a/src/upstream_http.rs
+++ b/src/upstream_http.rs
@@ -3,8 +3,8 @@
 mod gangs;
 
 pub(crate) use gangs::{
-    CheckpointRequest, CommitRequest, GANG_PATH_PREFIX, GangAnswer, GangMessage, GangReply,
-    GangRequest, GangWork, MemberState, RefusalCode, RenewRequest, Sender, StageRequest,
+    CheckpointRequest, CommitRequest, EndsRequest, GANG_PATH_PREFIX, GangAnswer, GangMessage,
+    GangReply, GangRequest, GangWork, MemberState, RefusalCode, RenewRequest, Sender, StageRequest,
     StopRequest,
 };
 
--- a/src/upstream_http/gangs.rs
+++ b/src/upstream_http/gangs.rs
@@ -70,6 +70,16 @@
     pub(crate) gang: GangId,
 }
 
+/// Asks which members have ended by themselves, and waits for the next one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EndsRequest {
+    /// Ends that the sender knows of; without it, the latest ones are answered at once.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) after: Option<u64>,
+    /// Time after which an answer without ends is sent.
+    pub(crate) wait_ms: u64,
+}
+
 /// One gang message.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum GangMessage {
@@ -78,6 +88,7 @@
     Renew(RenewRequest),
     Checkpoint(CheckpointRequest),
     Stop(StopRequest),
+    Ends(EndsRequest),
 }
 
 /// A gang message with its sender.
@@ -145,6 +156,14 @@
     Stopped {
         status: StopStatus,
     },
+    Ends {
+        /// Members of this incarnation that have ended by themselves.
+        count: u64,
+        /// Members that are staged or run.
+        active: u32,
+        /// Members that ended after those that the question names.
+        members: Vec<MemberState>,
+    },
     Refused {
         code: RefusalCode,
         /// Newest epoch that the upstream has seen.
@@ -181,6 +200,7 @@
             GangMessage::Renew(_) => "/v1/gangs/renew",
             GangMessage::Checkpoint(_) => "/v1/gangs/checkpoint",
             GangMessage::Stop(_) => "/v1/gangs/stop",
+            GangMessage::Ends(_) => "/v1/gangs/ends",
         }
     }
 
@@ -196,6 +216,7 @@
             GangMessage::Renew(content) => write(sender, content),
             GangMessage::Checkpoint(content) => write(sender, content),
             GangMessage::Stop(content) => write(sender, content),
+            GangMessage::Ends(content) => write(sender, content),
         }
     }
 
@@ -208,6 +229,7 @@
             "renew" => parse(body, GangMessage::Renew),
             "checkpoint" => parse(body, GangMessage::Checkpoint),
             "stop" => parse(body, GangMessage::Stop),
+            "ends" => parse(body, GangMessage::Ends),
             _ => return None,
         })
     }
--- a/tests/jobs/control_kills.rs
+++ b/tests/jobs/control_kills.rs
@@ -88,3 +88,15 @@
         }
     }
 }
+
+/// Guards against an end that control notices only at the next renewal, up to 5 s later.
+#[test]
+fn an_end_is_noticed_soon() {
+    let site = Installation::start(2, 2);
+    for id in ["first", "second"] {
+        submit_until(&site, &job(id, 16, 1_500), 202);
+        wait_for(&site, id, "running", LIMIT);
+        // The first renewal after the start is 5 s later.
+        wait_for_end(&site, id, Duration::from_millis(2_500));
+    }
+}
