Compare the scheduling policy with two baselines

Cause: the targets for completion time, fragmentation, large gangs and urgent guaranteed work had no measurement. Change: `cactuslatch-measure policy` runs the production core, first come first served with first fit, and strict quotas on one seeded load with faults. All policies get the same arrivals, cancellations, faults, run times, message delays and restart rules, and run until the work is done.

--- a/src/bin/cactuslatch-measure/main.rs
+++ b/src/bin/cactuslatch-measure/main.rs
@@ -4,6 +4,7 @@
 mod disk;
 mod load;
 mod path;
+mod policy;
 mod process;
 mod site;
 mod soak;
@@ -20,8 +21,9 @@
 fn options() -> OptionParser<Run> {
     let decision = decision::args().map(|args| runner(args, decision::run));
     let path = slot("path", path::options(), path::run);
+    let policy = policy::args().map(|args| runner(args, policy::run));
     let soak = soak::args().map(|args| runner(args, soak::run));
-    construct!([decision, path, soak]).to_options().descr(USAGE)
+    construct!([decision, path, policy, soak]).to_options().descr(USAGE)
 }
 
 /// Makes a command of a parser and the function that runs its arguments.
--- /dev/null
+++ b/src/bin/cactuslatch-measure/policy.rs
@@ -0,0 +1,56 @@
+//! The scheduling policy against two baselines.
+
+use std::process::ExitCode;
+
+use bpaf::{Parser, construct, long};
+use cactuslatch::scheduler::policy_run::{Figures, OFFERED_LOAD, PolicyReport, User, compare};
+use eyre::Result;
+
+/// Arguments of the command.
+#[derive(Debug, Clone)]
+pub(crate) struct Args {
+    users: User,
+    seed: u64,
+    load: f64,
+    json: bool,
+}
+
+/// Returns the parser of the command.
+pub(crate) fn args() -> impl Parser<Args> {
+    let users = long("users").help("Whose jobs: vazov or burdekin").argument("USER");
+    let seed = long("seed").help("Seed of the run").argument("N").fallback(1);
+    let load = long("load")
+        .help("Offered load as a share of the capacity")
+        .argument("SHARE")
+        .fallback(OFFERED_LOAD);
+    let json = long("json").help("Print the report as JSON").switch();
+    construct!(Args { users, seed, load, json })
+        .to_options()
+        .descr("Compares the scheduling core with two baselines on a seeded load with faults.")
+        .command("policy")
+}
+
+/// Runs all policies and prints their figures.
+pub(crate) fn run(args: &Args) -> Result<ExitCode> {
+    let report = compare(args.users, args.seed, args.load);
+    if args.json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        print_text(&report);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_text(report: &PolicyReport) {
+    println!("seed {}: offered load {:.2}", report.seed, report.offered_load);
+    for (policy, figures) in &report.policies {
+        print_figures(policy, figures);
+    }
+}
+
+fn print_figures(policy: &str, f: &Figures) {
+    println!("{policy}:");
+    println!("  completion mean {:.1} s, p99 {:.1} s", f.completion_mean_s, f.completion_p99_s);
+    println!("  fragmentation {:.3}, violations {}", f.fragmentation_mean, f.guarantee_violations);
+    println!("  completed {} of {}", f.jobs_completed, f.jobs_accepted);
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod organisation;
 mod packing;
 mod placing;
+pub mod policy_run;
 mod pool;
 mod quarantine;
 mod queue;
--- a/src/scheduler/soak/mod.rs
+++ b/src/scheduler/soak/mod.rs
@@ -6,7 +6,7 @@
 mod faults;
 mod report;
 mod truth;
-mod worker;
+pub(in crate::scheduler) mod worker;
 mod world;
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -3,6 +3,7 @@
 mod gangs;
 mod guarantees;
 mod harness;
+mod policy_run;
 mod recovery;
 mod soak;
 mod starvation;
