Take the smallest own guaranteed block before a larger one

Cause: guaranteed work took a free larger block of its organisation while the block of its own size was lent. A later shape that needs the larger block whole then had to wait for guaranteed work, which cannot be reclaimed. Change: a guaranteed job takes or reclaims a block of the smallest size that fits, and a larger one only if that is not possible.

--- a/src/scheduler/loans.rs
+++ b/src/scheduler/loans.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use smallvec::SmallVec;
+
 use super::event::GangId;
 use super::gang::{Phase, Reclaim, StopReason};
 use super::job::JobState;
@@ -48,35 +50,44 @@
         (0..whole.len()).filter_map(|start| window_from(&whole[start..], count)).collect()
     }
 
-    /// Finds free accelerators within the holder's own blocks.
+    /// Returns the sizes of the holder's own blocks that fit a shape, smallest first.
+    pub(super) fn own_sizes(&self, holder: &Holder, count: u32) -> SmallVec<[u32; 4]> {
+        let cells = self.organisations.cells_of(holder);
+        let mut sizes: SmallVec<[u32; 4]> =
+            cells.map(|(_, cell)| cell.accelerators).filter(|size| *size >= count).collect();
+        sizes.sort_unstable();
+        sizes.dedup();
+        sizes
+    }
+
+    /// Finds free accelerators within the holder's own blocks of one size.
     pub(super) fn find_own(
         &self,
         holder: &Holder,
         count: u32,
+        size: u32,
         avoid: &[UpstreamIx],
     ) -> Option<(Block, CellId)> {
         let free = |ix: UpstreamIx, mask| mask & !self.pool.upstream(ix).used;
         let cells = self.organisations.cells_of(holder);
-        let mut cells: Vec<_> = cells.filter(|(_, cell)| cell.accelerators >= count).collect();
-        // The smallest block that fits leaves larger ones for larger shapes.
-        cells.sort_by_key(|(id, cell)| (cell.accelerators, *id));
-        let mut places = cells.into_iter().filter_map(|(id, cell)| {
-            let place = self.places_in(cell, count, avoid, free).into_iter().next()?;
-            Some((place, id))
-        });
+        let mut places =
+            cells.filter(|(_, cell)| cell.accelerators == size).filter_map(|(id, cell)| {
+                let place = self.places_in(cell, count, avoid, free).into_iter().next()?;
+                Some((place, id))
+            });
         places.next()
     }
 
-    /// Claims accelerators of the holder's own blocks from the fewest borrowers.
+    /// Claims accelerators of the holder's own blocks of one size from the fewest borrowers.
     pub(super) fn claim_own(
         &mut self,
         job: &JobName,
         holder: &Holder,
-        count: u32,
+        (count, size): (u32, u32),
         avoid: &[UpstreamIx],
         now_ms: u64,
     ) -> bool {
-        let Some((cell, block)) = self.find_claim(holder, count, avoid) else { return false };
+        let Some((cell, block)) = self.find_claim(holder, count, size, avoid) else { return false };
         let Some(known) = self.jobs.get(job) else { return false };
         self.queue.remove(&known.spec, known.accepted_ms);
         for &(ix, mask) in &block {
@@ -95,10 +106,11 @@
         &self,
         holder: &Holder,
         count: u32,
+        size: u32,
         avoid: &[UpstreamIx],
     ) -> Option<(CellId, Block)> {
         let cells = self.organisations.cells_of(holder);
-        let cells = cells.filter(|(_, cell)| cell.accelerators >= count);
+        let cells = cells.filter(|(_, cell)| cell.accelerators == size);
         let places = cells.flat_map(|(id, cell)| {
             let lent = |ix, mask| self.reclaimable_mask(ix, mask, id);
             self.places_in(cell, count, avoid, lent).into_iter().map(move |place| (id, place))
--- a/src/scheduler/placing.rs
+++ b/src/scheduler/placing.rs
@@ -6,7 +6,7 @@
 use super::gang::{Gang, Member};
 use super::job::JobState;
 use super::limits::{PLACEMENTS_PER_STEP, STAGE_HOLD_MS};
-use super::organisation::CellId;
+use super::organisation::{CellId, Holder};
 use super::pool::UpstreamIx;
 use super::queue::Class;
 use super::rack::{Block, View};
@@ -59,14 +59,37 @@
     fn find_place(&self, class: &Class, avoid: &[UpstreamIx]) -> Option<(Block, Option<CellId>)> {
         let count = class.accelerators;
         if let Some(holder) = &class.guaranteed
-            && let Some((block, cell)) = self.find_own(holder, count, avoid)
+            && let Some(size) = self.own_sizes(holder, count).first()
+            && let Some((block, cell)) = self.find_own(holder, count, *size, avoid)
         {
             return Some((block, Some(cell)));
         }
         Some((self.pool.find_block(count, View::Open, avoid)?, None))
     }
 
-    /// Reclaims the job's own guaranteed block, or borrows from other guarantees.
+    /// Takes or reclaims accelerators of the smallest own guaranteed block that can provide them.
+    /// A larger block is taken only after that, because a larger shape may need it whole.
+    fn take_own(
+        &mut self,
+        job: &JobName,
+        holder: &Holder,
+        count: u32,
+        avoid: &[UpstreamIx],
+        now_ms: u64,
+    ) -> bool {
+        for size in self.own_sizes(holder, count) {
+            if let Some((block, cell)) = self.find_own(holder, count, size, avoid) {
+                self.start_gang(job, &block, Some(cell), now_ms);
+                return true;
+            }
+            if self.claim_own(job, holder, (count, size), avoid, now_ms) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Takes or reclaims the job's own guaranteed block, or borrows from other guarantees.
     fn claim_or_borrow(
         &mut self,
         job: &JobName,
@@ -76,7 +99,7 @@
     ) -> bool {
         let count = class.accelerators;
         if let Some(holder) = &class.guaranteed
-            && self.claim_own(job, holder, count, avoid, now_ms)
+            && self.take_own(job, holder, count, avoid, now_ms)
         {
             return true;
         }
