Let guaranteed work use its own block before free capacity outside

Cause: guaranteed work that ran outside left its own small block lent, so that later work of the organisation went into a larger block. Once the outer work had ended, a shape for the larger block found guaranteed work there. Change: guaranteed work reclaims its own block even if other capacity is free.

--- a/src/scheduler/placing.rs
+++ b/src/scheduler/placing.rs
@@ -36,11 +36,7 @@
     fn place_first_of(&mut self, class: &Class, now_ms: u64) -> bool {
         for job in self.queue.first_of(class, HEADS_PER_CLASS) {
             let avoid = self.failed_upstreams(&job);
-            if let Some((block, cell)) = self.find_place(class, &avoid) {
-                self.start_gang(&job, &block, cell, now_ms);
-                return true;
-            }
-            if self.claim_or_borrow(&job, class, &avoid, now_ms) {
+            if self.place(&job, class, &avoid, now_ms) {
                 return true;
             }
             if avoid.is_empty() {
@@ -55,18 +51,6 @@
         failed.into_iter().flatten().filter_map(|name| self.pool.find(name)).collect()
     }
 
-    /// Finds free accelerators for a class of jobs, in its own guaranteed block or outside all.
-    fn find_place(&self, class: &Class, avoid: &[UpstreamIx]) -> Option<(Block, Option<CellId>)> {
-        let count = class.accelerators;
-        if let Some(holder) = &class.guaranteed
-            && let Some(size) = self.own_sizes(holder, count).first()
-            && let Some((block, cell)) = self.find_own(holder, count, *size, avoid)
-        {
-            return Some((block, Some(cell)));
-        }
-        Some((self.pool.find_block(count, View::Open, avoid)?, None))
-    }
-
     /// Takes or reclaims accelerators of the smallest own guaranteed block that can provide them.
     /// A larger block is taken only after that, because a larger shape may need it whole.
     fn take_own(
@@ -89,24 +73,20 @@
         false
     }
 
-    /// Takes or reclaims the job's own guaranteed block, or borrows from other guarantees.
-    fn claim_or_borrow(
-        &mut self,
-        job: &JobName,
-        class: &Class,
-        avoid: &[UpstreamIx],
-        now_ms: u64,
-    ) -> bool {
+    /// Takes or reclaims the job's own guaranteed block, or takes free accelerators outside all
+    /// blocks, or borrows from other guarantees. Work that runs outside while its own block is
+    /// lent would let later work of the organisation into a larger block than it needs.
+    fn place(&mut self, job: &JobName, class: &Class, avoid: &[UpstreamIx], now_ms: u64) -> bool {
         let count = class.accelerators;
         if let Some(holder) = &class.guaranteed
             && self.take_own(job, holder, count, avoid, now_ms)
         {
             return true;
         }
-        if !class.reclaimable {
-            return false;
-        }
-        let Some(block) = self.pool.find_block(count, View::Lendable, avoid) else { return false };
+        let open = self.pool.find_block(count, View::Open, avoid);
+        let lent = || self.pool.find_block(count, View::Lendable, avoid);
+        let block = open.or_else(|| class.reclaimable.then(lent)?);
+        let Some(block) = block else { return false };
         self.start_gang(job, &block, None, now_ms);
         true
     }
