Break up the shortest run of free upstreams first

Cause: a small job that found no partly used upstream took the wholly free one with the lowest index, often in the middle of a run that a large gang needs. Change: it takes the free upstream in the shortest run, nearest to an end of the run, among at most 32.

--- a/src/scheduler/pool.rs
+++ b/src/scheduler/pool.rs
@@ -198,6 +198,10 @@
     }
 }
 
+/// Most wholly free upstreams among which one is chosen to be broken up. Runs are at most a rack
+/// long, so that a few racks show a short one, and a whole pool would take too long.
+const WHOLE_SCAN_LIMIT: usize = 32;
+
 const VIEWS: [View; 4] = [View::Open, View::Lendable, View::Unreserved, View::Layout];
 
 /// All upstreams and racks of the data centre.
@@ -462,9 +466,39 @@
         }
         let fits = index.upstreams.range((count, 0, UpstreamIx(0))..);
         let mut fits = fits.filter(|(.., ix)| !avoid.contains(ix));
-        let (.., ix) = fits.next()?;
-        let mask = find_aligned(self.upstream(*ix).available(view), count)?;
-        Some(Block::from_iter([(*ix, mask)]))
+        let &(.., ix) = fits.next()?;
+        if self.upstream(ix).is_whole(view) {
+            let whole = std::iter::once(ix).chain(fits.map(|(.., ix)| *ix));
+            return self.break_whole(whole.take(WHOLE_SCAN_LIMIT), count, view);
+        }
+        let mask = find_aligned(self.upstream(ix).available(view), count)?;
+        Some(Block::from_iter([(ix, mask)]))
+    }
+
+    /// Chooses the wholly free upstream whose loss breaks up the smallest run of adjacent ones.
+    fn break_whole(
+        &self,
+        upstreams: impl Iterator<Item = UpstreamIx>,
+        count: u32,
+        view: View,
+    ) -> Option<Block> {
+        let whole = upstreams.filter(|ix| self.upstream(*ix).is_whole(view));
+        let ix = whole.min_by_key(|ix| self.run_cost(*ix, view))?;
+        let mask = find_aligned(self.upstream(ix).available(view), count)?;
+        Some(Block::from_iter([(ix, mask)]))
+    }
+
+    /// Returns the length of the run of wholly free upstreams around one, and how far the nearer
+    /// end of the run is, because a run is shortened least at its ends.
+    fn run_cost(&self, ix: UpstreamIx, view: View) -> (usize, usize) {
+        let (rack, position) = (&self.racks[self.rack_of(ix).get()], self.upstream(ix).position);
+        let is_whole = |position: u32| {
+            let neighbour = rack.at(position);
+            neighbour.is_some_and(|neighbour| self.upstream(neighbour).is_whole(view))
+        };
+        let before = (0..position).rev().take_while(|p| is_whole(*p)).count();
+        let after = (position + 1..RACK_POSITIONS_LIMIT).take_while(|p| is_whole(*p)).count();
+        (before + after, before.min(after))
     }
 
     /// Returns the largest shape that `view` has room for.
