Keep the baselines from waiting forever behind a faulty job

Cause: a job is not placed where it failed, and is at fault after failures on three workers. With two racks a job that needs a whole rack can fail on one worker of each and then find no place. Change: the baselines end such a job as failed.

--- a/src/scheduler/policy_run/baseline.rs
+++ b/src/scheduler/policy_run/baseline.rs
@@ -357,6 +357,16 @@
         Some(gang)
     }
 
+    /// Returns whether a job failed on a worker of every block that is large enough.
+    fn is_exhausted(&self, job: usize) -> bool {
+        let Some(failed) = self.failed_on.get(&job) else { return false };
+        let mut free = [u8::MAX; WORKERS];
+        for worker in failed {
+            free[*worker] = 0;
+        }
+        places(&free, self.scenario.jobs[job].spec.accelerators).is_empty()
+    }
+
     /// Frees the accelerators of a stopped gang and decides on its job.
     fn release(&mut self, id: u64) {
         let Some(gang) = self.free(id) else { return };
@@ -368,7 +378,7 @@
         let failures = self.failed_on.get(&gang.job).map_or(0, BTreeSet::len);
         if self.cancelled.contains(&gang.job) {
             self.ledger.end(gang.job, self.now_ms, End::Cancelled);
-        } else if failures >= JOB_FAILURE_LIMIT {
+        } else if failures >= JOB_FAILURE_LIMIT || self.is_exhausted(gang.job) {
             self.ledger.end(gang.job, self.now_ms, End::Failed);
         } else {
             self.ledger.wait(gang.job, self.now_ms);
