--- a/src/bin/cactuslatch-measure/main.rs
+++ b/src/bin/cactuslatch-measure/main.rs
@@ -6,6 +6,7 @@
 mod load;
 mod parking;
 mod path;
+mod policy;
 mod process;
 mod proxy;
 mod site;
@@ -25,11 +26,12 @@
 fn options() -> OptionParser<Run> {
     let decision = decision::args().map(|args| runner(args, decision::run));
     let path = slot("path", path::options(), path::run);
+    let policy = policy::args().map(|args| runner(args, policy::run));
     let soak = soak::args().map(|args| runner(args, soak::run));
     let parking = slot("parking", parking::options(), parking::run);
     let slopes = slot("slopes", slopes::options(), slopes::run);
     let urgent = urgent::args().map(|args| runner(args, urgent::run));
-    construct!([decision, parking, path, slopes, soak, urgent]).to_options().descr(USAGE)
+    construct!([decision, parking, path, policy, slopes, soak, urgent]).to_options().descr(USAGE)
 }
 
 /// Makes a command of a parser and the function that runs its arguments.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -31,6 +31,7 @@
 mod organisation;
 mod packing;
 mod placing;
+pub mod policy_run;
 mod pool;
 mod quarantine;
 mod queue;
--- a/src/scheduler/soak/mod.rs
+++ b/src/scheduler/soak/mod.rs
@@ -7,7 +7,7 @@
 mod network;
 mod report;
 mod truth;
-mod worker;
+pub(in crate::scheduler) mod worker;
 mod world;
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
