Let requests wait as their service document says

Cause: the document's interactive_wait_max_ms, batch_wait_max_ms and interactive_queue_max were checked but not applied; every class waited for the host's park budget. Change: a request waits for the shorter of its class's wait and the host's park budget, and each class has its own bound on the number that waits. Result: 3 of 4 cases of tests/request_path/waiting.rs fail without the change (waits of 2,004 ms instead of 300 and 900 ms) and pass with it. Conclusion: teams steer how long their callers wait.

--- a/src/bin/cactuslatch-measure/site.rs
+++ b/src/bin/cactuslatch-measure/site.rs
@@ -306,7 +306,9 @@
     format!(
         "kind: service\nservice: {service}\norganisations:\n  - name: {organisation}\n    \
          concurrency_max: 65536\n    requests_per_s: 1000000\n    \
-         guaranteed_blocks: []\nbatch_queue_max: {batch_queue_max}\ncompletion_weight: 1.0\n\
+         guaranteed_blocks: []\ninteractive_queue_max: 65536\n\
+         interactive_wait_max_ms: 60000\nbatch_wait_max_ms: 60000\n\
+         batch_queue_max: {batch_queue_max}\ncompletion_weight: 1.0\n\
          fragmentation_weight: 0.2\n"
     )
 }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -6,21 +6,25 @@
 use super::documents::InForce;
 use super::request::CallerRequest;
 use super::upstreams::{ParkRefusal, Slot};
+use crate::class::Class;
+use crate::config::ServiceDocument;
 use crate::names::UpstreamName;
 use crate::outcome::{NotRun, NotRunCause};
 
-/// Waits for a slot within the park budget and the caller's deadline.
+/// Waits for a slot within the wait of the request's class and the caller's deadline.
 pub(crate) async fn park(
     host: &EntryHost,
     request: &CallerRequest,
     in_force: &InForce,
     avoid: Option<UpstreamName>,
 ) -> Result<Slot, NotRun> {
-    let budget = Duration::from_millis(host.settings.timeouts.park_budget_ms);
-    let until = request.deadline.min(Instant::now() + budget);
-    let batch_max = in_force.document.batch_queue_max as usize;
-    let parked =
-        host.upstreams.park(&request.service, request.class, avoid, batch_max).map_err(refusal)?;
+    let limits = class_limits(&in_force.document, request.class);
+    let wait_ms = limits.wait_max_ms.min(host.settings.timeouts.park_budget_ms);
+    let until = request.deadline.min(Instant::now() + Duration::from_millis(wait_ms));
+    let parked = host
+        .upstreams
+        .park(&request.service, request.class, avoid, limits.queue_max)
+        .map_err(|cause| refusal(cause, request.class))?;
     let started = Instant::now();
     let slot = tokio::select! {
         slot = timeout_at(until, parked.slot()) => slot.ok().flatten(),
@@ -30,10 +34,31 @@
     slot.ok_or_else(|| no_capacity(request))
 }
 
-fn refusal(refusal: ParkRefusal) -> NotRun {
+/// What the service document says about waiting requests of one class.
+struct ClassLimits {
+    queue_max: usize,
+    wait_max_ms: u64,
+}
+
+const fn class_limits(document: &ServiceDocument, class: Class) -> ClassLimits {
+    match class {
+        Class::Interactive => ClassLimits {
+            queue_max: document.interactive_queue_max as usize,
+            wait_max_ms: document.interactive_wait_max_ms,
+        },
+        Class::Batch => ClassLimits {
+            queue_max: document.batch_queue_max as usize,
+            wait_max_ms: document.batch_wait_max_ms,
+        },
+    }
+}
+
+fn refusal(refusal: ParkRefusal, class: Class) -> NotRun {
     let detail = match refusal {
-        ParkRefusal::Full => "this host holds as many waiting requests as it may",
-        ParkRefusal::BatchFull => "as many batch requests wait as the service document allows",
+        ParkRefusal::Full => "this host holds as many waiting requests as it may".to_owned(),
+        ParkRefusal::ClassFull => {
+            format!("as many {class} requests wait as the service document allows")
+        }
     };
     NotRun::new(NotRunCause::NoCapacity, detail)
 }
--- a/src/entry/upstreams/table.rs
+++ b/src/entry/upstreams/table.rs
@@ -74,8 +74,8 @@
 pub(crate) enum ParkRefusal {
     /// The host holds as many waiting requests as it may.
     Full,
-    /// The service's document bounds how many batch requests wait.
-    BatchFull,
+    /// As many requests of the class wait as the service's document allows.
+    ClassFull,
 }
 
 impl Upstreams {
@@ -130,17 +130,17 @@
         service: &ServiceName,
         class: Class,
         avoid: Option<UpstreamName>,
-        batch_max: usize,
+        class_max: usize,
     ) -> Result<Parked, ParkRefusal> {
         let mut table = self.lock();
         if table.parked >= self.shared.settings.park_max {
             return Err(ParkRefusal::Full);
         }
         let waiting = table.waiting.entry(service.clone()).or_default();
-        if class == Class::Batch && waiting.len(Class::Batch) >= batch_max {
+        if waiting.len(class) >= class_max {
             waiting.drop_abandoned();
-            if waiting.len(Class::Batch) >= batch_max {
-                return Err(ParkRefusal::BatchFull);
+            if waiting.len(class) >= class_max {
+                return Err(ParkRefusal::ClassFull);
             }
         }
         let (sender, receiver) = oneshot::channel();
--- a/tests/request_path/main.rs
+++ b/tests/request_path/main.rs
@@ -15,3 +15,4 @@
 mod shares;
 mod shutdown;
 mod silence;
+mod waiting;
--- a/tests/support/path.rs
+++ b/tests/support/path.rs
@@ -31,6 +31,8 @@
     concurrency_max: 1
     requests_per_s: 1000
     guaranteed_blocks: []
+interactive_queue_max: 1024
+interactive_wait_max_ms: 2000
 batch_queue_max: 100
 completion_weight: 1.0
 fragmentation_weight: 0.2
