End the process after a broken invariant

Cause: a panic under the lock left the state in use by later calls, although an invariant was found broken in it. Conclusion: a broken invariant stops decisions at once.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -1,6 +1,6 @@
 //! State of the control process and the order in which it is journalled, changed and answered.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use tokio::sync::watch;
 use tonic::Status;
@@ -114,9 +114,13 @@
         })
     }
 
+    /// Locks the state.
+    ///
+    /// # Panics
+    /// Panics if an invariant was found broken under the lock before; the process then ends and
+    /// starts again from its journal.
     pub(super) fn lock(&self) -> MutexGuard<'_, State> {
-        // A broken invariant inside the lock leaves a state that must not be used further.
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().expect("no invariant was broken under the lock")
     }
 
     pub(super) fn now_ms(&self) -> u64 {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -106,10 +106,24 @@
             tasks.spawn(replica::run(Arc::clone(&core), writer, stop.clone()));
         }
         info!(host = %core.settings.host, epoch = core.epoch, "control serves");
-        let served = serve_rpc(core, rpc, stop).await;
-        while tasks.join_next().await.is_some() {}
-        served
+        tokio::select! {
+            served = serve_rpc(core, rpc, stop) => {
+                while tasks.join_next().await.is_some() {}
+                served
+            }
+            fault = panicked(&mut tasks) => Err(fault),
+        }
+    }
+}
+
+/// Waits for a task that panicked, after which the state must not be used further.
+async fn panicked(tasks: &mut JoinSet<()>) -> StepError {
+    while let Some(ended) = tasks.join_next().await {
+        if let Err(fault) = ended {
+            return StepError::new("keep the state", "control", fault);
+        }
     }
+    std::future::pending().await
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, StepError> {
--- a/src/control/tests/faults.rs
+++ b/src/control/tests/faults.rs
@@ -14,7 +14,7 @@
 use crate::Outcome;
 use crate::control::core::{Core, compact};
 use crate::control::fence::{FenceAnswer, FenceCall, over_http, read_reply};
-use crate::control::{put_document, read_document, requests, run};
+use crate::control::{Bound, put_document, read_document, requests, run};
 use crate::http::{ServerLimits, serve, text};
 use crate::journal::Journal;
 use crate::journal::tests::failing_after;
@@ -122,6 +122,23 @@
     control.stop().await;
 }
 
+/// Guards against decisions on a state in which an invariant was found broken.
+#[tokio::test]
+async fn a_broken_invariant_ends_the_process() {
+    let work = Work::new();
+    let bound = Bound::listen(work.core()).await.expect("the addresses are free");
+    let core = Arc::clone(&bound.core);
+    let (_stop, stopped) = watch::channel(false);
+    let served = tokio::spawn(bound.serve(stopped));
+    let broken = std::thread::spawn(move || {
+        let _state = core.lock();
+        panic!("an invariant is broken");
+    });
+    assert!(broken.join().is_err());
+    let fault = served.await.expect("the task ends").expect_err("the process ends");
+    assert_eq!(fault.step(), "keep the state");
+}
+
 /// Guards against a start that would forget records or lower the epoch.
 #[tokio::test]
 async fn a_missing_or_damaged_epoch_is_refused() {
--- a/src/journal/tests.rs
+++ b/src/journal/tests.rs
@@ -239,6 +239,27 @@
     assert_eq!(found, [(0, &b"firstsecondthirdfourth"[..])]);
 }
 
+/// Guards against a crash at any point of a snapshot.
+#[tokio::test]
+async fn a_snapshot_interrupted_anywhere_loses_nothing() {
+    let work = work();
+    write(work.path(), &["first", "second"]).await;
+    let old = fs::read(segment(work.path())).expect("the segment");
+    let path = |name: &str| work.path().join(format!("{:020}.{name}", 3));
+    fs::write(path("snapshot.tmp"), b"half").expect("an unfinished snapshot");
+    assert_eq!(read(work.path()), ["first", "second"]);
+    assert!(!path("snapshot.tmp").exists());
+    fs::write(path("log"), b"").expect("a new segment without a snapshot");
+    assert_eq!(read(work.path()), ["first", "second"]);
+    let (journal, _) = Journal::open(work.path()).expect("the journal opens");
+    journal.snapshot(joined);
+    drop(journal);
+    fs::write(segment(work.path()), old).expect("a replaced segment that was not yet removed");
+    let (_, records) = Journal::open(work.path()).expect("the journal opens");
+    assert_eq!(records.iter().map(|r| &r.payload[..]).collect::<Vec<_>>(), [b"firstsecond"]);
+    assert!(!segment(work.path()).exists());
+}
+
 /// Guards against losing records when a snapshot cannot be made.
 #[tokio::test]
 async fn a_failed_snapshot_keeps_the_records() {
