--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -110,14 +110,29 @@
             tasks.spawn(replica::run(Arc::clone(&core), writer, stop.clone()));
         }
         info!(host = %core.settings.host, epoch = core.epoch, "control serves");
-        let served = serve_rpc(core, jobs.clone(), rpc, stop).await;
-        while tasks.join_next().await.is_some() {}
+        let result = tokio::select! {
+            served = serve_rpc(core, jobs.clone(), rpc, stop) => {
+                while tasks.join_next().await.is_some() {}
+                served
+            }
+            fault = panicked(&mut tasks) => Err(fault),
+        };
         // The task holds the data folder, which a restart in the same process opens again.
         jobs.abort();
-        served
+        result
     }
 }
 
+/// Waits for a task that panicked, after which the state must not be used further.
+async fn panicked(tasks: &mut JoinSet<()>) -> StepError {
+    while let Some(ended) = tasks.join_next().await {
+        if let Err(fault) = ended {
+            return StepError::new("keep the state", "control", fault);
+        }
+    }
+    std::future::pending().await
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StepError> {
     let listener = TcpListener::bind(address).await;
     listener.map_err(|fault| StepError::new("listen", address, fault))
--- a/src/control/tests/faults.rs
+++ b/src/control/tests/faults.rs
@@ -12,9 +12,9 @@
 
 use super::work::{Running, Work, begin, document, put, read_document, today};
 use crate::Outcome;
-use crate::control::core::Core;
+use crate::control::core::{Core, compact};
 use crate::control::fence::{FenceAnswer, FenceCall, over_http, read_reply};
-use crate::control::{put_document, requests, run};
+use crate::control::{Bound, put_document, requests, run};
 use crate::http::{ServerLimits, serve, text};
 use crate::journal::Journal;
 use crate::journal::tests::failing_after;
@@ -51,7 +51,7 @@
     seen
 }
 
-/// Guards against a crash at any point of a write that takes back what was answered.
+/// Guards against a crash at any point of a write, or a snapshot, that takes back what was answered.
 #[tokio::test]
 async fn a_crash_at_any_byte_keeps_what_was_answered() {
     let work = Work::new();
@@ -88,6 +88,11 @@
         assert!(core.epoch > epoch, "the epoch only goes up");
         epoch = core.epoch;
     }
+    let core = work.core();
+    core.journal.snapshot(compact);
+    drop(core);
+    assert!(!path.exists(), "the snapshot replaces the segment");
+    assert_eq!(visible(&work.core(), &ids).await, answered[4].1);
 }
 
 /// Guards against acknowledging anything after the disk is full, or hiding the fault.
@@ -125,6 +130,27 @@
     control.stop().await;
 }
 
+/// Guards against decisions on a state in which an invariant was found broken.
+#[tokio::test]
+async fn a_broken_invariant_ends_the_process() {
+    let work = Work::new();
+    let bound = Bound::listen(work.core()).await.expect("the addresses are free");
+    let core = Arc::clone(&bound.core);
+    let (_stop, stopped) = watch::channel(false);
+    let served = tokio::spawn(bound.serve(stopped));
+    // The process reads the state once when it starts to serve.
+    for _ in 0..10 {
+        tokio::task::yield_now().await;
+    }
+    let broken = std::thread::spawn(move || {
+        let _state = core.lock();
+        panic!("an invariant is broken");
+    });
+    assert!(broken.join().is_err());
+    let fault = served.await.expect("the task ends").expect_err("the process ends");
+    assert_eq!(fault.step(), "keep the state");
+}
+
 /// Guards against a start that would forget records or lower the epoch.
 #[tokio::test]
 async fn a_missing_or_damaged_epoch_is_refused() {
