--- a/src/demo/steps.rs
+++ b/src/demo/steps.rs
@@ -19,24 +19,7 @@
 /// Requests that are in flight when an entry host is drained.
 const DRAIN_REQUESTS: usize = 16;
 
-const DOCUMENT: &str = "\
-kind: service
-service: plan
-organisations:
-  - name: plovdiv
-    concurrency_max: 200
-    requests_per_s: 5000
-    guaranteed_blocks: [8]
-  - name: varna
-    concurrency_max: 20
-    requests_per_s: 500
-    guaranteed_blocks: []
-interactive_queue_max: 1024
-interactive_wait_max_ms: 2000
-batch_queue_max: 100
-completion_weight: 1.0
-fragmentation_weight: 0.2
-";
+const DOCUMENT: &str = include_str!("../../examples/settings/demo.yaml");
 
 const RUN_PATH: &str = "/v1/services/plan/requests";
 
--- a/tests/cli/check.rs
+++ b/tests/cli/check.rs
@@ -38,6 +38,7 @@
 #[case("control.yaml", "control")]
 #[case("plan.yaml", "service")]
 #[case("check.yaml", "service")]
+#[case("demo.yaml", "service")]
 fn examples_pass(#[case] name: &str, #[case] kind: &str) {
     let file = format!("{}/examples/settings/{name}", env!("CARGO_MANIFEST_DIR"));
     let ran = Work::new().run(&["check", &file]);
