Name the right time in the demo's line about the gang job

Cause: the line named 10 s, but the core has learned its pool within 4 s of a start since its discovery time was lowered. Change: the text. Conclusion: the line agrees with the program.

--- a/src/demo/steps.rs
+++ b/src/demo/steps.rs
@@ -188,7 +188,7 @@
         millis,
         &format!(
             "a gang of 16 adjacent accelerators on 2 upstreams ran whole; it ended {millis} ms after \
-             its submission, because nothing is lent in the 10 s in which the pool becomes known"
+             its submission; after a start nothing is lent until the pool is known, 4 s later"
         ),
     );
     Ok(())
