--- /dev/null
+++ b/src/cluster/control.rs
@@ -0,0 +1,216 @@
+//! A control host: its replica of the state, and the leader's work while it leads.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use sha2::{Digest, Sha256};
+use tracing::info;
+
+use super::clock::boot_ms;
+use super::leader::Leader;
+use super::leader_client::{ClientFault, LeaderClient};
+use super::protocol::{Reply, Request};
+use super::replica::{Replica, found};
+use super::settings::ClusterSettings;
+use super::upstream_calls::UpstreamCalls;
+use super::{clock, server};
+use crate::StepError;
+use crate::journal::Journal;
+use crate::quorum::storage::{Recovered, recover};
+use crate::quorum::{Core, Log, MemberId, Membership, Message, Snapshot, Timing};
+
+/// Time limits of the replicated log across regions.
+const TIMING: Timing = Timing { election_ms: 700, heartbeat_ms: 120, replace_after_ms: 8_000 };
+
+/// Interval at which a host without a leader asks to join.
+const JOIN_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time for one request to join.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// A running control host.
+#[derive(Debug)]
+pub struct Control {
+    replica: Arc<Replica>,
+    client: LeaderClient,
+    /// Present while this host leads.
+    leader: Mutex<Option<Arc<Leader>>>,
+    settings: ClusterSettings,
+    calls: UpstreamCalls,
+    id: MemberId,
+}
+
+impl Control {
+    /// Reads the disk, opens the listener for other hosts and starts to take part.
+    ///
+    /// # Errors
+    /// Returns an error if the disk cannot be read or the address is in use.
+    pub async fn start(
+        settings: ClusterSettings,
+        calls: UpstreamCalls,
+    ) -> Result<Arc<Self>, StepError> {
+        let (journal, records) = Journal::open(&settings.data_dir)?;
+        let mut recovered = recover(&records)?;
+        drop(records);
+        let id = match recovered.identity {
+            Some(id) => id,
+            None => new_identity(&settings, &journal, &mut recovered).await?,
+        };
+        let Recovered { durable, .. } = recovered;
+        let log = &durable.log;
+        info!(
+            host = settings.host,
+            id,
+            term = durable.term,
+            first_index = log.first_index(),
+            last_index = log.last_index(),
+            members = log.membership().members.len(),
+            founding = settings.founding,
+            "control host starts"
+        );
+        let core = Core::new(id, durable, TIMING, rand::random(), boot_ms());
+        let replica = Replica::new(core, journal)?;
+        let client = LeaderClient::new(settings.seeds.clone());
+        let listener = server::listen(settings.internal).await?;
+        let control =
+            Arc::new(Self { replica, client, leader: Mutex::default(), settings, calls, id });
+        tokio::spawn(Arc::clone(&control.replica).run());
+        tokio::spawn(server::serve(Arc::clone(&control), listener));
+        tokio::spawn(Arc::clone(&control).lead_forever());
+        tokio::spawn(Arc::clone(&control).join_forever());
+        Ok(control)
+    }
+
+    pub(super) fn receive(&self, messages: Vec<Message>) {
+        self.replica.receive(messages);
+    }
+
+    /// Carries out a request if this host leads.
+    pub(super) async fn handle(&self, request: Request) -> Reply {
+        let leader = self.current_leader();
+        match leader {
+            Some(leader) if self.replica.may_read() => leader.handle(request).await,
+            _ => Reply::NotLeader { leader: self.leader_address() },
+        }
+    }
+
+    /// Carries out a request here or at the leader.
+    ///
+    /// # Errors
+    /// Tells whether a leader may have received the request.
+    pub async fn call(&self, request: Request, limit: Duration) -> Result<Reply, ClientFault> {
+        match self.handle(request.clone()).await {
+            Reply::NotLeader { .. } | Reply::Unknown => self.client.call(&request, limit).await,
+            reply => Ok(reply),
+        }
+    }
+
+    /// Tells whether this host leads.
+    #[must_use]
+    pub fn is_leading(&self) -> bool {
+        self.current_leader().is_some()
+    }
+
+    /// Passes leadership on before the process ends.
+    pub async fn hand_over(&self) {
+        let mut role = self.replica.role();
+        if !self.is_leading() || !self.replica.hand_over() {
+            return;
+        }
+        let limit = Duration::from_millis(2 * TIMING.election_ms);
+        let follows = role.wait_for(|role| role.leading_term.is_none());
+        let done = matches!(tokio::time::timeout(limit, follows).await, Ok(Ok(_)));
+        info!(done, "handed leadership over");
+    }
+
+    /// Uses other seeds from now on.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        info!(?seeds, "seeds changed");
+        self.client.set_seeds(seeds);
+    }
+
+    fn current_leader(&self) -> Option<Arc<Leader>> {
+        self.leader.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn leader_address(&self) -> Option<SocketAddr> {
+        self.replica.role().borrow().leader.filter(|leader| *leader != self.settings.internal)
+    }
+
+    /// Runs the leader's work in each term in which this host leads.
+    async fn lead_forever(self: Arc<Self>) {
+        let mut role = self.replica.role();
+        loop {
+            let term = match role.wait_for(|role| role.leading_term.is_some()).await {
+                Ok(role) => role.leading_term.unwrap_or_default(),
+                Err(_) => return,
+            };
+            let replica = Arc::clone(&self.replica);
+            let bounds = self.settings.bounds;
+            let leader = Leader::new(term, replica, self.calls.clone(), bounds, &self.settings);
+            *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(&leader));
+            let work = tokio::spawn(Arc::clone(&leader).run());
+            let ended = role.wait_for(|role| role.leading_term != Some(term)).await.is_err();
+            work.abort();
+            leader.stop();
+            *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = None;
+            if ended {
+                return;
+            }
+        }
+    }
+
+    /// Asks to belong to the quorum while this host hears from no leader as a member.
+    async fn join_forever(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(JOIN_INTERVAL).await;
+            let members: Vec<SocketAddr> = {
+                let inner = self.replica.lock();
+                let members = &inner.core.membership().members;
+                members.iter().filter_map(|member| member.address.parse().ok()).collect()
+            };
+            self.client.set_members(members);
+            let is_voter = self.replica.lock().core.membership().is_voter(self.id);
+            let hears_leader = self.replica.role().borrow().leader.is_some();
+            if is_voter && hears_leader {
+                continue;
+            }
+            let address = self.settings.internal.to_string();
+            let request = Request::Join { id: self.id, address };
+            if let Err(fault) = self.client.call(&request, JOIN_TIMEOUT).await {
+                tracing::debug!(error = %fault, "could not ask to join");
+            }
+        }
+    }
+}
+
+/// Gives an empty disk its identity and, at the first start of all, the founding members.
+async fn new_identity(
+    settings: &ClusterSettings,
+    journal: &Journal,
+    recovered: &mut Recovered,
+) -> Result<MemberId, StepError> {
+    let founder = settings.founding && settings.seeds.contains(&settings.internal);
+    let mut snapshot = Snapshot::default();
+    let id = if founder {
+        let founders = settings.seeds.iter().map(|seed| (founder_id(*seed), seed.to_string()));
+        snapshot.membership = Membership::of_voters(founders);
+        founder_id(settings.internal)
+    } else {
+        rand::random()
+    };
+    let index = found(journal, id, &snapshot)?;
+    journal.synced(index).await?;
+    recovered.durable.log = Log::new(snapshot);
+    info!(id, founder, unix_ms = clock::unix_ms(), "gave an empty disk its identity");
+    Ok(id)
+}
+
+/// Identity of a founder, which all founders derive alike.
+fn founder_id(address: SocketAddr) -> MemberId {
+    let digest = Sha256::digest(address.to_string().as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&digest[..8]);
+    u64::from_le_bytes(first)
+}
--- /dev/null
+++ b/src/cluster/leader/hold.rs
@@ -0,0 +1,290 @@
+//! Holding an upstream: extends its lease, reads its lists and records what has ended.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tracing::{debug, info, warn};
+
+use super::{Leader, TaskRun};
+use crate::cluster::clock::boot_ms;
+use crate::cluster::upstream_calls::{CallFault, HoldOrder, Lists};
+use crate::tasks::{Change, EndKind, EndRecord, Life, TaskId};
+
+/// Longest time that a call waits for an end.
+const WAIT_MS: u64 = 1_000;
+
+/// Pause after a call without an answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Pause after a newer leader was noticed, until this one learns of it.
+const FENCED_PAUSE: Duration = Duration::from_secs(2);
+
+/// Time without heartbeats and answers after which a lapsed upstream is forgotten.
+const FORGET_AFTER_MS: u64 = 20_000;
+
+/// What to do after a call.
+enum Next {
+    Again,
+    Pause(Duration),
+    End,
+}
+
+impl Leader {
+    /// Holds one life of an upstream until it is over.
+    pub(super) async fn hold_forever(self: Arc<Self>, life: Life) {
+        loop {
+            match self.hold_once(&life).await {
+                Next::Again => {}
+                Next::Pause(pause) => tokio::time::sleep(pause).await,
+                Next::End => return,
+            }
+        }
+    }
+
+    async fn hold_once(&self, life: &Life) -> Next {
+        if !self.replica.may_read() {
+            // A leader that may have been replaced must not extend leases.
+            return Next::Pause(RETRY_PAUSE);
+        }
+        let sent_ms = boot_ms();
+        let Some(order) = self.hold_order(life, sent_ms) else { return Next::End };
+        match (self.calls.hold)(order).await {
+            Ok(lists) => self.take_lists(life, &lists, sent_ms).await,
+            Err(CallFault::OtherUpstream) => {
+                warn!(upstream = %life.id, "another upstream answers at its address");
+                self.end_life(life).await
+            }
+            Err(CallFault::Fenced) => {
+                warn!(upstream = %life.id, term = self.term, "a newer leader has been there");
+                Next::Pause(FENCED_PAUSE)
+            }
+            Err(fault) => self.note_silence(life, &fault).await,
+        }
+    }
+
+    fn hold_order(&self, life: &Life, now_ms: u64) -> Option<HoldOrder> {
+        let ends_seen = {
+            let inner = self.replica.lock();
+            let upstream = inner.state.upstreams.get(&life.id)?;
+            if upstream.life() != *life {
+                return None;
+            }
+            upstream.ends_seen
+        };
+        let mut soft = self.soft();
+        let session = soft.sessions.get_mut(&life.id).filter(|session| session.life == *life)?;
+        let lease_until_ms = session.grant_lease(now_ms);
+        let wait_ms = if session.listed { WAIT_MS } else { 0 };
+        Some(HoldOrder {
+            address: Arc::clone(&session.address),
+            upstream: Arc::clone(&life.id),
+            fencing_token: self.term,
+            ends_seen,
+            lease_until_ms,
+            wait_ms,
+        })
+    }
+
+    /// Records what the lists show.
+    async fn take_lists(&self, life: &Life, lists: &Lists, sent_ms: u64) -> Next {
+        if lists.born_unix_ms.is_some_and(|born| born != life.born_unix_ms) {
+            // Its heartbeat will register the new life; the runs of this one are over then.
+            return Next::Pause(RETRY_PAUSE);
+        }
+        let now_ms = boot_ms();
+        let (settled, newly_in_touch) = {
+            let mut soft = self.soft();
+            let Some(session) = soft.sessions.get_mut(&life.id) else { return Next::End };
+            let newly = !session.in_touch(now_ms);
+            session.heard(lists.clock_ms, now_ms);
+            session.note_lists(lists, now_ms);
+            (session.settled.clone(), newly)
+        };
+        if newly_in_touch {
+            let running = lists.running.len();
+            info!(upstream = %life.id, running, ended = lists.ended.len(), "upstream in touch");
+            self.wake.notify_one();
+        }
+        let mut ends = self.listed_ends(life, lists);
+        ends.extend(self.vanished(life, lists, &settled, sent_ms));
+        self.stop_unknown(life, lists);
+        if ends.is_empty() && lists.ended.is_empty() {
+            return Next::Again;
+        }
+        let up_to = lists.ended.iter().map(|end| end.number).max().unwrap_or(0);
+        self.log_ends(life, &ends);
+        let change = Change::Ends { life: life.clone(), up_to, ends };
+        match self.replica.propose(change).await {
+            Ok(()) => Next::Again,
+            Err(_) => Next::Pause(RETRY_PAUSE),
+        }
+    }
+
+    /// Converts the listed ends and judges the upstream by them.
+    fn listed_ends(&self, life: &Life, lists: &Lists) -> Vec<EndRecord> {
+        let now_ms = boot_ms();
+        let known: HashMap<TaskId, u32> =
+            self.replica.lock().state.runs_of(life).into_iter().collect();
+        let mut ends = Vec::new();
+        for end in &lists.ended {
+            if known.get(&end.task) != Some(&end.run) {
+                continue;
+            }
+            let good = match end.how {
+                EndKind::Done => Some(true),
+                EndKind::Failed => Some(false),
+                _ => None,
+            };
+            if let Some(good) = good
+                && let Some(session) = self.soft().sessions.get_mut(&life.id)
+                && let Some(pause_ms) =
+                    session.note_outcome(end.task.job.clone(), good, now_ms)
+            {
+                warn!(upstream = %life.id, pause_ms, "upstream fails its runs and is set aside");
+            }
+            ends.push(EndRecord {
+                task: end.task.clone(),
+                run: end.run,
+                how: end.how,
+                checkpoint: Some(Arc::clone(&end.checkpoint)),
+            });
+        }
+        ends
+    }
+
+    /// Finds runs whose order was answered before the lists were read, but which they do not show.
+    fn vanished(
+        &self,
+        life: &Life,
+        lists: &Lists,
+        settled: &HashMap<TaskRun, u64>,
+        sent_ms: u64,
+    ) -> Vec<EndRecord> {
+        let listed: HashSet<(&TaskId, u32)> = lists
+            .running
+            .iter()
+            .map(|run| (&run.task, run.run))
+            .chain(lists.ended.iter().map(|end| (&end.task, end.run)))
+            .collect();
+        let recorded = self.replica.lock().state.runs_of(life);
+        let mut over = Vec::new();
+        let mut uncertain = Vec::new();
+        for (task, run) in recorded {
+            if listed.contains(&(&task, run)) {
+                continue;
+            }
+            let key = (task, run);
+            match settled.get(&key) {
+                Some(at_ms) if *at_ms < sent_ms => over.push(key),
+                Some(_) => {}
+                None => uncertain.push(key),
+            }
+        }
+        for (task, run) in uncertain {
+            // An order of a former leader may still arrive; a stop makes it void.
+            let key = (task, run);
+            let ordered = {
+                let soft = self.soft();
+                soft.starting.contains(&key) || soft.stopping.contains(&key)
+            };
+            if !ordered {
+                self.order_stop(life, key.0, key.1, "not listed");
+            }
+        }
+        let record = |(task, run): TaskRun| {
+            let how = EndKind::NotStarted;
+            EndRecord { task, run, how, checkpoint: None }
+        };
+        over.into_iter().map(record).collect()
+    }
+
+    /// Stops runs that the state does not know as running.
+    fn stop_unknown(&self, life: &Life, lists: &Lists) {
+        let known: HashMap<TaskId, u32> =
+            self.replica.lock().state.runs_of(life).into_iter().collect();
+        let ending: HashSet<(&TaskId, u32)> =
+            lists.ended.iter().map(|end| (&end.task, end.run)).collect();
+        for run in &lists.running {
+            let is_known = known.get(&run.task) == Some(&run.run);
+            let key = (run.task.clone(), run.run);
+            if !is_known && !ending.contains(&(&run.task, run.run)) {
+                let ordered = {
+                    let soft = self.soft();
+                    soft.stopping.contains(&key) || soft.starting.contains(&key)
+                };
+                if !ordered {
+                    self.order_stop(life, key.0, key.1, "not in the state");
+                }
+            }
+        }
+    }
+
+    fn log_ends(&self, life: &Life, ends: &[EndRecord]) {
+        for end in ends {
+            info!(
+                request = %end.task.job,
+                task = %end.task,
+                run = end.run,
+                upstream = %life.id,
+                how = ?end.how,
+                "run ended"
+            );
+        }
+    }
+
+    /// Decides what a call without an answer means.
+    async fn note_silence(&self, life: &Life, fault: &CallFault) -> Next {
+        let now_ms = boot_ms();
+        let (lapsed, forgotten) = {
+            let soft = self.soft();
+            let Some(session) = soft.sessions.get(&life.id) else { return Next::End };
+            let lapsed = session.lapsed(now_ms);
+            let quiet_ms = now_ms.saturating_sub(session.beat_ms);
+            (lapsed, lapsed && quiet_ms > FORGET_AFTER_MS)
+        };
+        debug!(upstream = %life.id, error = %fault, lapsed, "upstream does not answer");
+        if forgotten {
+            return self.end_life(life).await;
+        }
+        if lapsed {
+            self.lose_runs(life).await;
+        }
+        Next::Pause(RETRY_PAUSE)
+    }
+
+    /// Records that all runs of a life are over because its lease has ended.
+    async fn lose_runs(&self, life: &Life) {
+        let recorded = self.replica.lock().state.runs_of(life);
+        if recorded.is_empty() {
+            return;
+        }
+        let runs: Vec<_> = {
+            let soft = self.soft();
+            let seen = soft.sessions.get(&life.id).map(|session| &session.runs);
+            let checkpoint = |task: &TaskId| {
+                let seen = seen.and_then(|runs| runs.get(task));
+                seen.map(|seen| Arc::clone(&seen.checkpoint))
+            };
+            let lost = |(task, run): TaskRun| {
+                let checkpoint = checkpoint(&task);
+                crate::tasks::LostRun { task, run, checkpoint }
+            };
+            recorded.into_iter().map(lost).collect()
+        };
+        warn!(upstream = %life.id, runs = runs.len(), "lease of a silent upstream has ended");
+        let change = Change::Lost { life: life.clone(), runs };
+        if self.replica.propose(change).await.is_err() {
+            debug!(upstream = %life.id, "could not record lost runs");
+        }
+    }
+
+    /// Removes a life whose process is gone.
+    async fn end_life(&self, life: &Life) -> Next {
+        info!(upstream = %life.id, born_unix_ms = life.born_unix_ms, "upstream is gone");
+        match self.replica.propose(Change::Leave { life: life.clone() }).await {
+            Ok(()) => Next::End,
+            Err(_) => Next::Pause(RETRY_PAUSE),
+        }
+    }
+}
--- /dev/null
+++ b/src/cluster/leader/requests.rs
@@ -0,0 +1,323 @@
+//! Requests of callers, operators, upstreams and hosts, as the leader carries them out.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tracing::{info, warn};
+
+use super::Leader;
+use crate::cluster::clock::{boot_ms, unix_ms};
+use crate::cluster::protocol::{
+    Action, ClusterStatus, FrontCall, FrontReply, MemberStatus, OperatorReply, Reply, Request,
+};
+use crate::placement::{Admission, View, admit};
+use crate::quorum::Role;
+use crate::tasks::{
+    Change, Configuration, Heartbeat, JobId, JobSpec, Life, Queue, Upstream,
+};
+
+/// Time after which a caller may come back when a job was not accepted for want of a record.
+const NO_UPSTREAMS_RETRY_MS: u64 = 1_000;
+
+/// What a front call addresses.
+struct Target {
+    queue: Queue,
+    organisation: Option<Arc<str>>,
+    /// Rest of the path after the queue's prefix.
+    rest: String,
+}
+
+impl Leader {
+    /// Carries out one request.
+    pub(in crate::cluster) async fn handle(self: &Arc<Self>, request: Request) -> Reply {
+        match request {
+            Request::Front(call) => self.front(call).await,
+            Request::Heartbeat(beat) => self.heartbeat(beat).await,
+            Request::Deregister { id, born_unix_ms } => self.deregister(&id, born_unix_ms).await,
+            Request::SetConfiguration { configuration, raw } => {
+                self.set_configuration(configuration, raw).await
+            }
+            Request::ReadConfiguration => {
+                let raw = self.replica.lock().state.raw_configuration.clone();
+                Reply::Operator(OperatorReply::Configuration(raw))
+            }
+            Request::Join { id, address } => {
+                self.replica.join(id, address);
+                Reply::Done
+            }
+            Request::Status => Reply::Status(self.status()),
+            Request::Explain { job } => Reply::Explanation(self.explain(&job)),
+        }
+    }
+
+    async fn commit(&self, change: Change, reply: Reply) -> Reply {
+        match self.replica.propose(change).await {
+            Ok(()) => {
+                self.wake.notify_one();
+                reply
+            }
+            Err(_) => Reply::Unknown,
+        }
+    }
+
+    async fn front(&self, call: FrontCall) -> Reply {
+        let target = match self.target(&call) {
+            Ok(target) => target,
+            Err(reply) => return Reply::Front(reply),
+        };
+        if target.rest.is_empty() {
+            let pending = self.replica.lock().state.pending(&target.queue.name);
+            return Reply::Front(match call.action {
+                Action::Status => FrontReply::Pending(pending as u64),
+                _ => FrontReply::Invalid { reason: "the path names no job".to_owned() },
+            });
+        }
+        let Ok(id) = target.rest.parse::<JobId>() else {
+            return Reply::Front(match call.action {
+                Action::Status | Action::Cancel => FrontReply::NoJob,
+                _ => FrontReply::Invalid { reason: "not the identity of a job".to_owned() },
+            });
+        };
+        match call.action {
+            Action::Submit { spec } => self.submit(target, id, spec).await,
+            Action::SubmitUnreadable { reason } => {
+                info!(request = %id, reason, "submission cannot be read");
+                Reply::Front(FrontReply::Invalid { reason })
+            }
+            Action::Status => {
+                let inner = self.replica.lock();
+                let job = inner.state.jobs.get(&id);
+                Reply::Front(job.map_or(FrontReply::NoJob, |job| FrontReply::State(job.state())))
+            }
+            Action::Cancel => self.cancel(id).await,
+        }
+    }
+
+    /// Finds the queue of a call and checks its key.
+    fn target(&self, call: &FrontCall) -> Result<Target, FrontReply> {
+        let inner = self.replica.lock();
+        let configuration = inner.state.configuration.as_ref().ok_or(FrontReply::NotConfigured)?;
+        let queue = configuration.queue_at(&call.host, &call.path).ok_or(FrontReply::NoQueue)?;
+        let holder = call.key.as_deref().and_then(|key| configuration.holder_of(key));
+        if holder.is_none() && !queue.public {
+            return Err(FrontReply::BadKey);
+        }
+        Ok(Target {
+            queue: queue.clone(),
+            organisation: holder.map(|holder| Arc::clone(&holder.name)),
+            rest: call.path[queue.path_prefix.len()..].to_owned(),
+        })
+    }
+
+    async fn submit(&self, target: Target, id: JobId, spec: Arc<JobSpec>) -> Reply {
+        let Target { queue, organisation, .. } = target;
+        if self.replica.lock().state.jobs.contains_key(&id) {
+            return Reply::Front(FrontReply::Accepted);
+        }
+        if let Err(fault) = spec.check() {
+            return Reply::Front(FrontReply::Invalid { reason: fault.to_string() });
+        }
+        let (admission, configuration_version) = self.admission(&queue, &spec);
+        let tasks: u32 = spec.steps.iter().map(|step| step.tasks).sum();
+        let queue_name = Arc::clone(&queue.name);
+        match admission {
+            Admission::Later { retry_after_ms, reason } => {
+                warn!(
+                    request = %id, queue = %queue_name, tasks, reason, retry_after_ms,
+                    configuration_version, "job was not accepted"
+                );
+                Reply::Front(FrontReply::NotAccepted { retry_after_ms, reason })
+            }
+            Admission::Accepted => {
+                let change =
+                    Change::Accept { id: id.clone(), queue: queue.name, organisation, spec };
+                let reply = self.commit(change, Reply::Front(FrontReply::Accepted)).await;
+                let stored = reply != Reply::Unknown;
+                info!(
+                    request = %id, queue = %queue_name, tasks, stored, configuration_version,
+                    "job was submitted"
+                );
+                reply
+            }
+        }
+    }
+
+    fn admission(&self, queue: &Queue, spec: &JobSpec) -> (Admission, u64) {
+        let inner = self.replica.lock();
+        let version = inner.state.configuration_version();
+        let hosts = self.hosts(&inner.state, boot_ms());
+        if hosts.is_empty() {
+            let reason = "no upstream is known yet".to_owned();
+            let retry_after_ms = NO_UPSTREAMS_RETRY_MS;
+            return (Admission::Later { retry_after_ms, reason }, version);
+        }
+        let view = View {
+            state: &inner.state,
+            hosts: &hosts,
+            now_ms: inner.now_ms(),
+            unix_ms: unix_ms(),
+            stopping: &HashSet::new(),
+            progress: &HashMap::new(),
+            avoid: &HashSet::new(),
+            remote_factor: self.bounds.remote_factor,
+        };
+        (admit(&view, queue, spec), version)
+    }
+
+    async fn cancel(&self, id: JobId) -> Reply {
+        let ended = {
+            let inner = self.replica.lock();
+            let Some(job) = inner.state.jobs.get(&id) else {
+                return Reply::Front(FrontReply::NoJob);
+            };
+            job.outcome.is_some()
+        };
+        if ended {
+            return Reply::Front(FrontReply::Cancelled);
+        }
+        let change = Change::Cancel { id: id.clone() };
+        let reply = self.commit(change, Reply::Front(FrontReply::Cancelled)).await;
+        info!(request = %id, stored = (reply != Reply::Unknown), "job was cancelled");
+        reply
+    }
+
+    async fn set_configuration(&self, configuration: Arc<Configuration>, raw: Bytes) -> Reply {
+        if let Err(fault) = configuration.check() {
+            warn!(version = configuration.version, error = %fault, "configuration is invalid");
+            return Reply::Operator(OperatorReply::Invalid { reason: fault.to_string() });
+        }
+        let version = configuration.version;
+        let held = self.replica.lock().state.configuration_version();
+        if version <= held {
+            info!(version, held, "configuration is not newer and changes nothing");
+            return Reply::Operator(OperatorReply::Done);
+        }
+        let change = Change::SetConfiguration { configuration, raw };
+        let reply = self.commit(change, Reply::Operator(OperatorReply::Done)).await;
+        let stored = reply != Reply::Unknown;
+        info!(version, replaced = held, stored, "configuration was set");
+        reply
+    }
+
+    async fn heartbeat(self: &Arc<Self>, beat: Heartbeat) -> Reply {
+        let life = Life { id: Arc::clone(&beat.id), born_unix_ms: beat.born_unix_ms };
+        let (known, at_address) = {
+            let inner = self.replica.lock();
+            let upstreams = &inner.state.upstreams;
+            let known = upstreams.get(&beat.id).cloned();
+            let same = |other: &&Upstream| {
+                other.beat.address == beat.address && other.beat.id != beat.id
+            };
+            (known, upstreams.values().find(same).cloned())
+        };
+        if known.as_ref().is_some_and(|known| known.beat.born_unix_ms > beat.born_unix_ms) {
+            info!(upstream = %beat.id, "heartbeat of an earlier life is ignored");
+            return Reply::Done;
+        }
+        if let Some(other) = at_address {
+            if other.beat.born_unix_ms > beat.born_unix_ms {
+                info!(upstream = %beat.id, "heartbeat of a former upstream is ignored");
+                return Reply::Done;
+            }
+            self.replace_life(&other.life(), &beat).await;
+            if self.replica.propose(Change::Leave { life: other.life() }).await.is_err() {
+                return Reply::Unknown;
+            }
+        }
+        match known {
+            Some(known) if known.life() == life => {
+                if let Some(session) = self.soft().sessions.get_mut(&beat.id) {
+                    session.beat_ms = boot_ms();
+                }
+                if !is_news(&known.beat, &beat) {
+                    return Reply::Done;
+                }
+            }
+            Some(known) => self.replace_life(&known.life(), &beat).await,
+            None => {}
+        }
+        info!(
+            upstream = %beat.id, address = %beat.address, born_unix_ms = beat.born_unix_ms,
+            draining = beat.draining, rack = %beat.rack, "upstream is registered"
+        );
+        self.commit(Change::Register { beat }, Reply::Done).await
+    }
+
+    /// Makes sure that no late order for a former life starts anything in the new one.
+    async fn replace_life(self: &Arc<Self>, former: &Life, beat: &Heartbeat) {
+        let runs = self.replica.lock().state.runs_of(former);
+        warn!(upstream = %former.id, runs = runs.len(), "upstream has begun another life");
+        for (task, run) in runs {
+            self.fence_run(beat, task, run).await;
+        }
+    }
+
+    async fn deregister(&self, id: &Arc<str>, born_unix_ms: Option<u64>) -> Reply {
+        let known = self.replica.lock().state.upstreams.get(id).map(Upstream::life);
+        let Some(life) = known else { return Reply::Done };
+        if born_unix_ms.is_some_and(|born| born != life.born_unix_ms) {
+            return Reply::Done;
+        }
+        info!(upstream = %id, "upstream leaves");
+        self.commit(Change::Leave { life }, Reply::Done).await
+    }
+
+    fn status(&self) -> ClusterStatus {
+        let inner = self.replica.lock();
+        let now_ms = boot_ms();
+        let own = inner.core.id;
+        let progress = match inner.core.role() {
+            Role::Leader(leading) => leading.progress.clone(),
+            _ => std::collections::BTreeMap::new(),
+        };
+        let member = |member: &crate::quorum::Member| {
+            let known = progress.get(&member.id);
+            let last_index = inner.core.log().last_index();
+            let is_own = member.id == own;
+            let silent = |heard_ms: u64| now_ms.saturating_sub(heard_ms);
+            MemberStatus {
+                id: member.id,
+                address: member.address.clone(),
+                voter: member.voter,
+                matched: if is_own { last_index } else { known.map_or(0, |p| p.matched) },
+                silent_ms: if is_own { 0 } else { known.map_or(0, |p| silent(p.heard_ms)) },
+            }
+        };
+        ClusterStatus {
+            leader: self.internal.clone(),
+            term: self.term,
+            committed: inner.core.commit_index(),
+            members: inner.core.membership().members.iter().map(member).collect(),
+            configuration_version: inner.state.configuration_version(),
+            limits: inner.state.configuration.as_ref().map(|conf| conf.limits),
+        }
+    }
+
+    fn explain(&self, id: &JobId) -> Vec<String> {
+        let inner = self.replica.lock();
+        let Some(job) = inner.state.jobs.get(id) else { return vec![format!("{id}: no such job")] };
+        let mut lines = vec![format!("{id}: {:?} in queue {}", job.state(), job.queue)];
+        crate::placement::for_each_unit(job, |unit, state| {
+            let places: Vec<_> = state.members().iter().map(|member| &*member.life.id).collect();
+            lines.push(format!(
+                "{unit}: run {}, {} failed, {}",
+                state.run,
+                state.failures,
+                if places.is_empty() { "not running".to_owned() } else { places.join(" ") }
+            ));
+        });
+        lines
+    }
+}
+
+/// Tells whether a heartbeat says anything that the state must hold.
+fn is_news(known: &Heartbeat, beat: &Heartbeat) -> bool {
+    let newer = beat.sequence >= known.sequence;
+    let changed = known.draining != beat.draining
+        || known.address != beat.address
+        || known.capacity != beat.capacity
+        || known.labels != beat.labels
+        || known.service != beat.service;
+    newer && changed
+}
--- /dev/null
+++ b/src/cluster/leader_client.rs
@@ -0,0 +1,176 @@
+//! Carries requests to the leader of control, wherever it is.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, timeout_at};
+use tonic::transport::Channel;
+
+use super::codec;
+use super::protocol::{Reply, Request};
+use crate::entry::control_client::channel;
+use crate::rpc;
+use crate::rpc::cluster_client::ClusterClient;
+
+/// Time for one attempt; a commit across regions takes far less.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Pause before the next attempt after all known hosts were asked.
+const RETRY_PAUSE: Duration = Duration::from_millis(80);
+
+/// Largest message between the system's own processes.
+pub(super) const MESSAGE_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
+/// Why a request has no reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum ClientFault {
+    /// No leader has received it.
+    #[display("no leader of control is in reach")]
+    NotDelivered,
+    /// A leader may have received it and may still carry it out.
+    #[display("control did not answer in time")]
+    Unknown,
+}
+
+/// Client of the leader; clones share their connections.
+#[derive(Debug, Clone)]
+pub struct LeaderClient {
+    known: Arc<Mutex<Known>>,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    leader: Option<SocketAddr>,
+    seeds: Vec<SocketAddr>,
+    members: Vec<SocketAddr>,
+    clients: HashMap<SocketAddr, ClusterClient<Channel>>,
+    /// Rotates the host that is asked first.
+    turn: usize,
+}
+
+impl Known {
+    /// Hosts to ask: the presumed leader first.
+    fn candidates(&mut self) -> Vec<SocketAddr> {
+        let mut others: Vec<_> = self.members.iter().chain(&self.seeds).copied().collect();
+        others.sort_unstable();
+        others.dedup();
+        self.turn = self.turn.wrapping_add(1);
+        if !others.is_empty() {
+            let turn = self.turn % others.len();
+            others.rotate_left(turn);
+        }
+        let leader = self.leader;
+        let others = others.into_iter().filter(|address| Some(*address) != leader);
+        leader.into_iter().chain(others).collect()
+    }
+
+    fn client(&mut self, address: SocketAddr) -> ClusterClient<Channel> {
+        let new = || ClusterClient::new(channel(address)).max_decoding_message_size(MESSAGE_LIMIT_BYTES);
+        self.clients.entry(address).or_insert_with(new).clone()
+    }
+}
+
+impl LeaderClient {
+    /// Creates a client that knows the listeners of some control hosts.
+    #[must_use]
+    pub fn new(seeds: Vec<SocketAddr>) -> Self {
+        let known = Known { seeds, ..Known::default() };
+        Self { known: Arc::new(Mutex::new(known)) }
+    }
+
+    /// Replaces the seeds; the members learned so far stay known.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.lock().seeds = seeds;
+    }
+
+    /// Replaces the members learned from the leader.
+    pub fn set_members(&self, members: Vec<SocketAddr>) {
+        self.lock().members = members;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Asks until a leader replies or the time is over. All requests may be sent twice.
+    ///
+    /// # Errors
+    /// Tells whether a leader may have received the request.
+    pub async fn call(&self, request: &Request, limit: Duration) -> Result<Reply, ClientFault> {
+        let deadline = Instant::now() + limit;
+        let payload = codec::encode(request);
+        let mut maybe_delivered = false;
+        loop {
+            let mut candidates = self.lock().candidates();
+            candidates.reverse();
+            let mut hints = 0;
+            while let Some(address) = candidates.pop() {
+                match self.attempt(address, payload.clone(), deadline).await {
+                    Ok(Reply::NotLeader { leader }) => {
+                        self.forget_leader(address);
+                        if let Some(leader) = leader.filter(|leader| *leader != address)
+                            && hints < 2
+                        {
+                            hints += 1;
+                            candidates.push(leader);
+                        }
+                    }
+                    Ok(Reply::Unknown) => {
+                        maybe_delivered = true;
+                        self.forget_leader(address);
+                    }
+                    Ok(reply) => {
+                        self.lock().leader = Some(address);
+                        return Ok(reply);
+                    }
+                    Err(delivered) => {
+                        maybe_delivered |= delivered;
+                        self.forget_leader(address);
+                    }
+                }
+                if Instant::now() >= deadline {
+                    break;
+                }
+            }
+            if Instant::now() + RETRY_PAUSE >= deadline {
+                let unknown = maybe_delivered;
+                return Err(if unknown { ClientFault::Unknown } else { ClientFault::NotDelivered });
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn forget_leader(&self, address: SocketAddr) {
+        let mut known = self.lock();
+        if known.leader == Some(address) {
+            known.leader = None;
+        }
+    }
+
+    /// Asks one host; a fault tells whether the host may have received the request.
+    async fn attempt(
+        &self,
+        address: SocketAddr,
+        payload: bytes::Bytes,
+        deadline: Instant,
+    ) -> Result<Reply, bool> {
+        let mut client = self.lock().client(address);
+        let until = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
+        let frame = rpc::Frame { payload };
+        match timeout_at(until, client.call(frame)).await {
+            Ok(Ok(reply)) => codec::decode(&reply.into_inner().payload).map_err(|_| true),
+            Ok(Err(status)) => {
+                self.lock().clients.remove(&address);
+                let refused = status.message().contains("tcp connect error");
+                Err(!refused)
+            }
+            Err(_) => {
+                // The connection may have gone silent; the next attempt opens another one.
+                self.lock().clients.remove(&address);
+                Err(true)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/cluster/mod.rs
@@ -0,0 +1,31 @@
+//! Control as one cluster: replicated state on all control hosts, and a leader that schedules.
+//!
+//! `replica` drives the replicated log, `leader` orders upstreams about while its host leads, and
+//! [`LeaderClient`] carries requests to the leader from entry hosts and from the other control
+//! hosts.
+
+mod clock;
+pub(crate) mod codec;
+mod control;
+mod http_client;
+mod leader;
+mod leader_client;
+mod peers;
+mod protocol;
+mod replica;
+mod server;
+mod settings;
+mod upstream_calls;
+
+pub use clock::unix_ms;
+pub use control::Control;
+pub use http_client::{HttpClient, HttpFault, HttpReply};
+pub use leader_client::{ClientFault, LeaderClient};
+pub use protocol::{
+    Action, ClusterStatus, FrontCall, FrontReply, MemberStatus, OperatorReply, Reply, Request,
+};
+pub use settings::{ClusterSettings, TaskBounds};
+pub use upstream_calls::{
+    CallFault, CallFuture, HoldOrder, ListedEnd, ListedRun, Lists, OrderAnswer, Refusal, StartOrder,
+    StopOrder, UpstreamCalls,
+};
--- /dev/null
+++ b/src/cluster/peers.rs
@@ -0,0 +1,100 @@
+//! Sends messages of the replicated log to the other control hosts.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::timeout;
+
+use super::codec;
+use super::leader_client::MESSAGE_LIMIT_BYTES;
+use crate::entry::control_client::channel;
+use crate::quorum::{Membership, Message};
+use crate::rpc;
+use crate::rpc::cluster_client::ClusterClient;
+
+/// Most messages that wait for one host; the log sends again what is dropped.
+const QUEUE_MESSAGES: usize = 256;
+
+/// Most calls to one host at once.
+const CALLS_MAX: usize = 16;
+
+/// Time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Queues towards the other hosts, by address.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    queues: HashMap<String, mpsc::Sender<Message>>,
+}
+
+impl Peers {
+    /// Queues messages; those for hosts that do not keep up are dropped.
+    pub(super) fn send(&mut self, messages: Vec<Message>, membership: &Membership) {
+        for message in messages {
+            let Some(member) = membership.get(message.to) else { continue };
+            let new = || open_queue(member.address.clone());
+            let queue = self.queues.entry(member.address.clone()).or_insert_with(new);
+            // The log repeats what is lost.
+            _ = queue.try_send(message);
+        }
+    }
+}
+
+fn open_queue(address: String) -> mpsc::Sender<Message> {
+    let (sender, receiver) = mpsc::channel(QUEUE_MESSAGES);
+    match address.parse::<SocketAddr>() {
+        Ok(address) => drop(tokio::spawn(forward(address, receiver))),
+        Err(fault) => tracing::error!(address, error = %fault, "a member has no usable address"),
+    }
+    sender
+}
+
+/// Sends whatever waits in one call; several calls may be under way.
+async fn forward(address: SocketAddr, mut queue: mpsc::Receiver<Message>) {
+    let permits = Arc::new(Semaphore::new(CALLS_MAX));
+    let (failed, mut failures) = mpsc::channel(CALLS_MAX);
+    let mut client = ClusterClient::new(channel(address));
+    let mut reachable = true;
+    let mut batch = Vec::new();
+    while queue.recv_many(&mut batch, QUEUE_MESSAGES).await > 0 {
+        let mut failure = None;
+        while let Ok(outcome) = failures.try_recv() {
+            failure = Some(outcome);
+        }
+        if let Some(fault) = failure {
+            let ok = Option::is_none(&fault);
+            if ok != reachable {
+                reachable = ok;
+                note_change(address, &fault);
+            }
+            if !ok {
+                // An open connection may have gone silent while new ones work.
+                client = ClusterClient::new(channel(address));
+            }
+        }
+        let payload = codec::encode(&batch);
+        batch.clear();
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
+        let mut call = client.clone().max_decoding_message_size(MESSAGE_LIMIT_BYTES);
+        let failed = failed.clone();
+        tokio::spawn(async move {
+            let outcome = match timeout(CALL_TIMEOUT, call.step(rpc::Frame { payload })).await {
+                Ok(Ok(_)) => None,
+                Ok(Err(status)) => Some(status.message().to_owned()),
+                Err(_) => Some("no answer in time".to_owned()),
+            };
+            _ = failed.try_send(outcome);
+            drop(permit);
+        });
+    }
+}
+
+fn note_change(address: SocketAddr, fault: &Option<String>) {
+    match fault {
+        None => tracing::info!(peer = %address, "control host is in reach again"),
+        Some(fault) => tracing::warn!(peer = %address, error = fault, "control host is lost"),
+    }
+}
--- /dev/null
+++ b/src/cluster/replica.rs
@@ -0,0 +1,343 @@
+//! Drives the replicated log of one host: disk, network, time, and the state it produces.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::{Notify, oneshot, watch};
+use tracing::{error, info, warn};
+
+use super::clock::boot_ms;
+use super::codec;
+use super::peers::Peers;
+use crate::StepError;
+use crate::journal::Journal;
+use crate::quorum::{Core, Entry, Message, Output, Payload, Snapshot, storage};
+use crate::tasks::{Change, Command, State};
+
+/// Interval of the log's clock.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Entries after which the applied ones are replaced by a snapshot.
+const COMPACT_AFTER_ENTRIES: u64 = 8_000;
+
+/// What others need to know of a host's role.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct RoleView {
+    /// Term in which this host leads and has applied everything before.
+    pub(super) leading_term: Option<u64>,
+    /// Listener of the leader, if known.
+    pub(super) leader: Option<SocketAddr>,
+}
+
+/// A change was not confirmed; it may or may not be in the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("leadership was lost before the change was committed")]
+pub(super) struct NotConfirmed;
+
+/// The replicated log and state of this host.
+#[derive(Debug)]
+pub(super) struct Replica {
+    inner: Mutex<Inner>,
+    journal: Journal,
+    /// Something waits for the disk.
+    unsynced: Notify,
+    role: watch::Sender<RoleView>,
+    /// The state has changed.
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub(super) core: Core,
+    pub(super) state: State,
+    applied: u64,
+    peers: Peers,
+    waiters: BTreeMap<u64, (u64, oneshot::Sender<()>)>,
+    /// What follows once the journal is synced, in order.
+    after_sync: VecDeque<AfterSync>,
+    /// Cluster time and boot time when this host began to lead.
+    lead_base: (u64, u64),
+}
+
+#[derive(Debug)]
+struct AfterSync {
+    journal_index: u64,
+    messages: Vec<Message>,
+    /// Index and term of the log's end at that time.
+    log_end: (u64, u64),
+}
+
+impl Replica {
+    pub(super) fn new(core: Core, journal: Journal) -> Result<Arc<Self>, StepError> {
+        let snapshot = core.log().snapshot().clone();
+        let inner = Inner {
+            state: decode_state(&snapshot)?,
+            applied: snapshot.index,
+            core,
+            peers: Peers::default(),
+            waiters: BTreeMap::new(),
+            after_sync: VecDeque::new(),
+            lead_base: (0, 0),
+        };
+        Ok(Arc::new(Self {
+            inner: Mutex::new(inner),
+            journal,
+            unsynced: Notify::new(),
+            role: watch::channel(RoleView::default()).0,
+            changed: watch::channel(0).0,
+        }))
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Follows this host's role.
+    pub(super) fn role(&self) -> watch::Receiver<RoleView> {
+        self.role.subscribe()
+    }
+
+    /// Follows the index of the newest applied entry.
+    pub(super) fn changed(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Tells whether this host certainly leads at this moment.
+    pub(super) fn may_read(&self) -> bool {
+        self.lock().core.may_read(boot_ms())
+    }
+
+    /// Returns the cluster time; meaningful while this host leads.
+    pub(super) fn now_ms(&self) -> u64 {
+        self.lock().now_ms()
+    }
+
+    /// Advances the log's clock and waits for the disk, until the process ends.
+    pub(super) async fn run(self: Arc<Self>) {
+        let syncing = Arc::clone(&self);
+        tokio::join!(self.tick_forever(), syncing.sync_forever());
+    }
+
+    async fn tick_forever(&self) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.with(|inner, now_ms| inner.core.tick(now_ms));
+            if self.journal.wants_snapshot() {
+                self.journal.snapshot(storage::compact);
+            }
+        }
+    }
+
+    async fn sync_forever(&self) {
+        loop {
+            let next = self.lock().after_sync.front().map(|after| after.journal_index);
+            let Some(journal_index) = next else {
+                self.unsynced.notified().await;
+                continue;
+            };
+            if let Err(fault) = self.journal.synced(journal_index).await {
+                stop_process(&fault);
+            }
+            self.with(|inner, now_ms| inner.finish_synced(journal_index, now_ms));
+        }
+    }
+
+    /// Handles messages of another host.
+    pub(super) fn receive(&self, messages: Vec<Message>) {
+        self.with(|inner, now_ms| {
+            for message in messages {
+                inner.core.receive(message, now_ms);
+            }
+        });
+    }
+
+    /// Notes that a host wants to belong to the quorum.
+    pub(super) fn join(&self, id: u64, address: String) {
+        self.with(|inner, now_ms| inner.core.join(id, address, now_ms));
+    }
+
+    /// Passes leadership on; tells whether it is under way.
+    pub(super) fn hand_over(&self) -> bool {
+        self.with(|inner, now_ms| inner.core.hand_over(now_ms))
+    }
+
+    /// Commits a change and waits until it is applied.
+    ///
+    /// # Errors
+    /// Returns an error if this host does not lead or lost its leadership meanwhile.
+    pub(super) async fn propose(&self, change: Change) -> Result<(), NotConfirmed> {
+        let (confirm, confirmed) = oneshot::channel();
+        self.with(|inner, boot_now_ms| {
+            let command = Command { at_ms: inner.now_ms(), change };
+            let proposed = inner.core.propose(codec::encode(&command), boot_now_ms);
+            if let Some((index, term)) = proposed {
+                inner.waiters.insert(index, (term, confirm));
+            }
+        });
+        // Dropping the sender tells that the change was not confirmed.
+        confirmed.await.map_err(|_| NotConfirmed)
+    }
+
+    /// Runs a transition and carries out what follows from it.
+    fn with<T>(&self, transition: impl FnOnce(&mut Inner, u64) -> T) -> T {
+        let mut inner = self.lock();
+        let result = transition(&mut inner, boot_ms());
+        let before = inner.applied;
+        let output = inner.core.take_output();
+        self.carry_out(&mut inner, output);
+        let after = inner.applied;
+        let role = inner.role_view();
+        let led = self.role.borrow().leading_term;
+        if role.leading_term != led {
+            inner.change_role(role.leading_term);
+        }
+        drop(inner);
+        self.role.send_if_modified(|known| std::mem::replace(known, role) != role);
+        if after != before {
+            self.changed.send_replace(after);
+        }
+        result
+    }
+
+    fn carry_out(&self, inner: &mut Inner, output: Output) {
+        let Output { persist, send, send_after_sync, installed, committed } = output;
+        let wrote = !persist.is_empty();
+        for change in &persist {
+            if let Err(fault) = self.journal.enqueue(storage::record(change)) {
+                stop_process(&fault);
+            }
+        }
+        let membership = inner.core.membership().clone();
+        inner.peers.send(send, &membership);
+        if wrote || !send_after_sync.is_empty() {
+            let log = inner.core.log();
+            inner.after_sync.push_back(AfterSync {
+                journal_index: self.journal.newest(),
+                messages: send_after_sync,
+                log_end: (log.last_index(), log.last_term()),
+            });
+            self.unsynced.notify_one();
+        }
+        if let Some(snapshot) = installed {
+            inner.install(&snapshot);
+        }
+        for entry in committed {
+            inner.apply(entry);
+        }
+        if inner.applied >= inner.core.log().first_index() + COMPACT_AFTER_ENTRIES {
+            let state = codec::encode(&inner.state);
+            let applied = inner.applied;
+            inner.core.compact(applied, state);
+            let more = inner.core.take_output();
+            self.carry_out(inner, more);
+        }
+    }
+}
+
+impl Inner {
+    /// Returns the cluster time: it goes on from the newest command's and never jumps.
+    pub(super) fn now_ms(&self) -> u64 {
+        let (cluster_ms, boot_base_ms) = self.lead_base;
+        let passed_ms = boot_ms().saturating_sub(boot_base_ms);
+        self.state.now_ms.max(cluster_ms + passed_ms)
+    }
+
+    /// Address of the leader, if known.
+    fn role_view(&self) -> RoleView {
+        let ready = self.core.is_leader() && self.applied >= self.core.lead_index();
+        let leader = self.core.leader().and_then(|id| self.core.membership().get(id));
+        RoleView {
+            leading_term: ready.then(|| self.core.term()),
+            leader: leader.and_then(|member| member.address.parse().ok()),
+        }
+    }
+
+    fn change_role(&mut self, leading_term: Option<u64>) {
+        match leading_term {
+            Some(term) => {
+                self.lead_base = (self.state.now_ms, boot_ms());
+                info!(term, applied = self.applied, "this host leads");
+            }
+            None => {
+                let unconfirmed = self.waiters.len();
+                warn!(term = self.core.term(), unconfirmed, "this host no longer leads");
+                self.waiters.clear();
+            }
+        }
+    }
+
+    fn finish_synced(&mut self, journal_index: u64, now_ms: u64) {
+        while let Some(after) = self.after_sync.front() {
+            if after.journal_index > journal_index {
+                break;
+            }
+            let Some(after) = self.after_sync.pop_front() else { break };
+            let membership = self.core.membership().clone();
+            self.peers.send(after.messages, &membership);
+            self.core.synced(after.log_end.0, after.log_end.1, now_ms);
+        }
+    }
+
+    fn install(&mut self, snapshot: &Snapshot) {
+        match decode_state(snapshot) {
+            Ok(state) => {
+                self.state = state;
+                self.applied = snapshot.index;
+                info!(index = snapshot.index, "installed a snapshot of the leader");
+            }
+            Err(fault) => stop_process(&fault),
+        }
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        assert_eq!(entry.index, self.applied + 1, "entries are applied in order");
+        self.applied = entry.index;
+        if let Payload::Command(bytes) = &entry.payload {
+            match codec::decode::<Command>(bytes) {
+                Ok(command) => self.state.apply(command),
+                Err(fault) => {
+                    stop_process(&StepError::new("decode a command", entry.index, fault));
+                }
+            }
+        }
+        if let Some((term, waiter)) = self.waiters.remove(&entry.index)
+            && term == entry.term
+        {
+            // A caller that is gone has no use for the confirmation.
+            _ = waiter.send(());
+        }
+    }
+}
+
+fn decode_state(snapshot: &Snapshot) -> Result<State, StepError> {
+    if snapshot.state.is_empty() {
+        return Ok(State::default());
+    }
+    let mut state: State = codec::decode(&snapshot.state)
+        .map_err(|fault| StepError::new("decode a snapshot", snapshot.index, fault))?;
+    state.rebuild();
+    Ok(state)
+}
+
+/// Ends the process: without its disk a host can confirm nothing, and a restart reads it again.
+fn stop_process(fault: &StepError) -> ! {
+    error!(error = %fault, "the host cannot go on and stops");
+    std::process::exit(1)
+}
+
+/// Records of a new disk.
+pub(super) fn found(
+    journal: &Journal,
+    identity: u64,
+    snapshot: &Snapshot,
+) -> Result<u64, StepError> {
+    let mut index = 0;
+    for record in storage::founding_records(identity, snapshot) {
+        index = journal.enqueue(record)?;
+    }
+    Ok(index)
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,7 +3,7 @@
 mod admission;
 mod api;
 mod attempt;
-mod control_client;
+pub(crate) mod control_client;
 mod daemon;
 mod dispatch;
 mod documents;
@@ -14,7 +14,7 @@
 mod metrics;
 mod once;
 mod peers;
-mod pool;
+pub(crate) mod pool;
 mod request;
 mod retry;
 mod sync;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,7 +3,8 @@
 mod body;
 mod server;
 
-pub(crate) use server::{Received, ServerLimits, serve, serve_counted, stopped};
+pub use server::{Received, ServerLimits, serve};
+pub(crate) use server::{serve_counted, stopped};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -12,10 +13,10 @@
 use serde::Serialize;
 
 /// A response whose whole body is at hand.
-pub(crate) type FullResponse = Response<Full<Bytes>>;
+pub type FullResponse = Response<Full<Bytes>>;
 
 /// Builds a JSON response; a value that cannot be written as JSON becomes status 500.
-pub(crate) fn json(status: u16, value: &impl Serialize) -> FullResponse {
+pub fn json(status: u16, value: &impl Serialize) -> FullResponse {
     match serde_json::to_vec(value) {
         Ok(body) => with_type(status, "application/json", body.into()),
         Err(error) => with_type(500, "text/plain", error.to_string().into()),
@@ -23,7 +24,7 @@
 }
 
 /// Builds a plain text response.
-pub(crate) fn text(status: u16, body: impl Into<Bytes>) -> FullResponse {
+pub fn text(status: u16, body: impl Into<Bytes>) -> FullResponse {
     with_type(status, "text/plain; charset=utf-8", body.into())
 }
 
@@ -34,7 +35,7 @@
 }
 
 /// Builds a JSON response that reports an error.
-pub(crate) fn error(status: u16, message: &str) -> FullResponse {
+pub fn error(status: u16, message: &str) -> FullResponse {
     json(status, &ErrorBody { error: message })
 }
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -30,42 +30,46 @@
 
 /// Bounds on what one listener takes from its peers.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct ServerLimits {
+pub struct ServerLimits {
     /// Time for a peer to send a request head.
-    pub(crate) head_timeout: Duration,
+    pub head_timeout: Duration,
     /// Time for a peer to send a request body.
-    pub(crate) body_timeout: Duration,
+    pub body_timeout: Duration,
     /// Largest request body.
-    pub(crate) body_limit_bytes: usize,
+    pub body_limit_bytes: usize,
     /// Most bytes of large bodies of all requests together.
-    pub(crate) all_bodies_limit_bytes: usize,
+    pub all_bodies_limit_bytes: usize,
     /// Most connections open at once; further ones wait in the listener's backlog.
-    pub(crate) max_connections: usize,
+    pub max_connections: usize,
 }
 
 /// A request whose body has been received whole.
 #[derive(Debug)]
-pub(crate) struct Received {
-    pub(crate) method: Method,
-    pub(crate) uri: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+pub struct Received {
+    /// Method.
+    pub method: Method,
+    /// Target.
+    pub uri: Uri,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
 }
 
 impl Received {
     /// Returns a header as text, if it is present and readable.
-    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+    pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
     }
 
     /// Returns the parts of the path between slashes.
-    pub(crate) fn segments(&self) -> Vec<&str> {
+    pub fn segments(&self) -> Vec<&str> {
         self.uri.path().split('/').filter(|part| !part.is_empty()).collect()
     }
 }
 
 /// Serves requests until `stop` becomes true, then finishes those in flight.
-pub(crate) async fn serve<H, F>(
+pub async fn serve<H, F>(
     listener: TcpListener,
     limits: ServerLimits,
     stop: watch::Receiver<bool>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,21 +4,26 @@
 //! the modules, who owns which state, and what happens when each part fails.
 
 mod class;
+pub mod cluster;
 pub mod config;
 pub mod control;
 pub mod daemon_util;
 pub mod demo;
 pub mod entry;
 mod error;
-mod http;
+pub mod http;
 mod journal;
 mod key_date;
 pub mod local;
+pub mod logging;
 mod names;
 mod outcome;
+mod placement;
+mod quorum;
 mod rpc;
 pub mod scheduler;
 pub mod standin;
+pub mod tasks;
 mod upstream_http;
 
 pub use class::{Class, InvalidClass};
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,160 @@
+//! Pure decisions on waiting work: its order, where it runs, and what makes room for it.
+//!
+//! [`plan`] sees the replicated state and what the leader knows of the upstreams, and returns the
+//! runs to start and to stop. It does no input or output and reads no clock.
+
+mod admission;
+mod order;
+mod pool;
+mod preemption;
+mod room;
+#[cfg(test)]
+mod tests;
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+use crate::tasks::{Job, JobId, Life, Need, Outcome, StartRecord, State, StepSpec, UnitId};
+
+pub(crate) use admission::{Admission, admit};
+use order::{Waiting, waiting_units};
+use pool::Pool;
+use preemption::Victims;
+
+/// What the leader knows of one upstream.
+#[derive(Debug, Clone)]
+pub(crate) struct Host {
+    pub(crate) life: Life,
+    pub(crate) service: Arc<str>,
+    pub(crate) rack: Arc<str>,
+    pub(crate) labels: Vec<Arc<str>>,
+    pub(crate) capacity: Need,
+    /// In touch, not draining and not set aside.
+    pub(crate) takes_work: bool,
+    /// Least time until it leaves, if it is draining.
+    pub(crate) leaves_in_ms: Option<u64>,
+}
+
+/// What the leader has seen of a run.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Progress {
+    /// Work that a stop would lose, in milliseconds.
+    pub(crate) unsaved_ms: u64,
+}
+
+/// Everything that a decision depends on.
+#[derive(Debug)]
+pub(crate) struct View<'a> {
+    pub(crate) state: &'a State,
+    pub(crate) hosts: &'a [Host],
+    /// Cluster time.
+    pub(crate) now_ms: u64,
+    /// Time of day, for jobs with times.
+    pub(crate) unix_ms: u64,
+    /// Runs that were told to stop and whose end is not known yet.
+    pub(crate) stopping: &'a HashSet<(UnitId, u32)>,
+    pub(crate) progress: &'a HashMap<(UnitId, u32), Progress>,
+    /// Upstreams on which a unit should not be tried again soon.
+    pub(crate) avoid: &'a HashSet<(JobId, Life)>,
+    /// Factor by which work takes longer far from its data or in more than one rack.
+    pub(crate) remote_factor: u64,
+}
+
+/// What should be done now.
+#[derive(Debug, Default)]
+pub(crate) struct Plan {
+    pub(crate) starts: Vec<StartRecord>,
+    /// Runs to stop, with the cause.
+    pub(crate) stops: Vec<(UnitId, u32, StopCause)>,
+    /// Units that wait although their turn has come.
+    pub(crate) unplaced: usize,
+}
+
+/// Why a run is stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(crate) enum StopCause {
+    /// Its job has ended.
+    #[display("job ended")]
+    JobEnded,
+    /// Another member of its gang is over.
+    #[display("gang broken")]
+    GangBroken,
+    /// Work of a higher priority needs its place.
+    #[display("preempted")]
+    Preempted,
+    /// It makes no progress.
+    #[display("hangs")]
+    Hangs,
+}
+
+/// Decides what to start and stop.
+pub(crate) fn plan(view: &View<'_>) -> Plan {
+    let mut plan = Plan { stops: stops_of_ended(view), ..Plan::default() };
+    let ending: HashSet<_> = plan.stops.iter().map(|(unit, run, _)| (unit.clone(), *run)).collect();
+    let mut pool = Pool::of(view, &ending);
+    let mut victims = Victims::of(view, &ending);
+    let mut waiting = waiting_units(view);
+    waiting.sort_by(|a, b| a.rank.cmp(&b.rank));
+    for unit in &waiting {
+        place(view, &mut pool, &mut victims, unit, &mut plan);
+    }
+    plan
+}
+
+/// Stops what runs for a job that has ended, and what is left of a broken gang.
+fn stops_of_ended(view: &View<'_>) -> Vec<(UnitId, u32, StopCause)> {
+    let mut stops = Vec::new();
+    for job in view.state.jobs.values() {
+        for_each_unit(job, |id, unit| {
+            let members = unit.members();
+            if members.iter().all(|member| member.end.is_some()) {
+                return;
+            }
+            if job.outcome.is_some_and(|outcome| outcome != Outcome::Completed) {
+                stops.push((id, unit.run, StopCause::JobEnded));
+            } else if members.iter().any(|member| member.end.is_some()) {
+                stops.push((id, unit.run, StopCause::GangBroken));
+            }
+        });
+    }
+    stops
+}
+
+/// Visits the units of a job.
+pub(crate) fn for_each_unit(job: &Job, mut visit: impl FnMut(UnitId, &crate::tasks::Unit)) {
+    for (occurrence, steps) in (0_u32..).zip(&job.occurrences) {
+        for (step, state) in (0_u32..).zip(steps) {
+            for (number, unit) in (0_u32..).zip(&state.units) {
+                let id = UnitId { job: job.id.clone(), occurrence, step, unit: number };
+                visit(id, unit);
+            }
+        }
+    }
+}
+
+/// Starts a unit if there is room, or makes room for it if it may displace others.
+fn place(
+    view: &View<'_>,
+    pool: &mut Pool,
+    victims: &mut Victims,
+    unit: &Waiting<'_>,
+    plan: &mut Plan,
+) {
+    if let Some(places) = room::find(view, pool, unit) {
+        let lives = places.iter().map(|host| view.hosts[*host].life.clone()).collect();
+        pool.take(unit, &places);
+        plan.starts.push(StartRecord { unit: unit.id.clone(), run: unit.run + 1, lives });
+        return;
+    }
+    plan.unplaced += 1;
+    if unit.may_preempt {
+        let stops = preemption::make_room(view, pool, victims, unit);
+        plan.stops.extend(stops.into_iter().map(|(id, run)| (id, run, StopCause::Preempted)));
+    }
+}
+
+/// Tells whether a host may run tasks of a step at all.
+fn is_eligible(host: &Host, step: &StepSpec, service: &str) -> bool {
+    let labelled = step.label.as_ref().is_none_or(|label| host.labels.contains(label));
+    *host.service == *service && labelled
+}
--- /dev/null
+++ b/src/placement/pool.rs
@@ -0,0 +1,84 @@
+//! Free capacity of the hosts during one decision.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+use super::order::Waiting;
+use super::{View, for_each_unit};
+use crate::tasks::{JobId, Life, Need, UnitId};
+
+/// Tasks of one occurrence of a step on one host.
+type StepOnHost = (JobId, u32, u32, usize);
+
+/// Free capacity of all hosts.
+#[derive(Debug)]
+pub(super) struct Pool {
+    /// Capacity that is free now.
+    pub(super) free: Vec<Need>,
+    /// Capacity that is free once everything that was told to stop is over.
+    pub(super) soon: Vec<Need>,
+    /// Hosts of each rack.
+    pub(super) racks: BTreeMap<Arc<str>, Vec<usize>>,
+    tasks_of_step: HashMap<StepOnHost, u32>,
+}
+
+impl Pool {
+    /// Computes what is free; runs in `ending` free their capacity soon.
+    pub(super) fn of(view: &View<'_>, ending: &HashSet<(UnitId, u32)>) -> Self {
+        let by_life: HashMap<&Life, usize> =
+            view.hosts.iter().enumerate().map(|(number, host)| (&host.life, number)).collect();
+        let mut pool = Self {
+            free: view.hosts.iter().map(|host| host.capacity).collect(),
+            soon: view.hosts.iter().map(|host| host.capacity).collect(),
+            racks: BTreeMap::new(),
+            tasks_of_step: HashMap::new(),
+        };
+        for (number, host) in view.hosts.iter().enumerate() {
+            pool.racks.entry(Arc::clone(&host.rack)).or_default().push(number);
+        }
+        for job in view.state.jobs.values() {
+            for_each_unit(job, |id, unit| {
+                let need = job.spec.steps[id.step as usize].reserved();
+                let run = (id, unit.run);
+                let stops = ending.contains(&run) || view.stopping.contains(&run);
+                for member in unit.members().iter().filter(|member| member.end.is_none()) {
+                    let Some(&host) = by_life.get(&member.life) else { continue };
+                    pool.free[host].take(&need);
+                    if !stops {
+                        pool.soon[host].take(&need);
+                    }
+                    let place = (run.0.job.clone(), run.0.occurrence, run.0.step, host);
+                    *pool.tasks_of_step.entry(place).or_default() += 1;
+                }
+            });
+        }
+        pool
+    }
+
+    /// Number of tasks of a unit's step on a host.
+    pub(super) fn tasks_on(&self, unit: &UnitId, host: usize) -> u32 {
+        let place = (unit.job.clone(), unit.occurrence, unit.step, host);
+        self.tasks_of_step.get(&place).copied().unwrap_or(0)
+    }
+
+    /// Takes the capacity of a unit at its places.
+    pub(super) fn take(&mut self, unit: &Waiting<'_>, places: &[usize]) {
+        let need = unit.step.reserved();
+        for &host in places {
+            self.free[host].take(&need);
+            self.soon[host].take(&need);
+            let place = (unit.id.job.clone(), unit.id.occurrence, unit.id.step, host);
+            *self.tasks_of_step.entry(place).or_default() += 1;
+        }
+    }
+
+    /// Keeps capacity for a unit that will start there once it is free.
+    pub(super) fn reserve(&mut self, unit: &Waiting<'_>, places: &[usize]) {
+        let need = unit.step.reserved();
+        for &host in places {
+            // What is free now stays free for this unit, too.
+            self.free[host].take(&need);
+            self.soon[host].take(&need);
+        }
+    }
+}
--- /dev/null
+++ b/src/quorum/mod.rs
@@ -0,0 +1,20 @@
+//! A replicated log over the control hosts: elections, replication, membership and snapshots.
+//!
+//! [`core::Core`] is pure: it takes messages, time and the progress of the disk, and returns what to
+//! persist, what to send and what is committed. `storage` keeps its state in the journal. Safety
+//! properties are asserted in release builds too.
+
+pub(crate) mod core;
+mod election;
+mod log;
+mod membership;
+mod message;
+mod replication;
+pub(crate) mod storage;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use core::{Core, Output, Role, Timing};
+pub(crate) use log::{Log, Snapshot};
+pub(crate) use membership::{Member, MemberId, Membership};
+pub(crate) use message::{Entry, Message, Payload};
--- a/src/rpc/generated.rs
+++ b/src/rpc/generated.rs
@@ -399,6 +399,12 @@
     #[prost(uint32, tag = "2")]
     pub http_status: u32,
 }
+/// A value of the library's own types, encoded by `cluster::codec`.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Frame {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub payload: ::prost::bytes::Bytes,
+}
 /// The three outcomes of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
@@ -2014,3 +2020,368 @@
         const NAME: &'static str = SERVICE_NAME;
     }
 }
+/// Generated client implementations.
+pub mod cluster_client {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    use tonic::codegen::http::Uri;
+    /// Served by the hosts of the replicated control.
+    #[derive(Debug, Clone)]
+    pub struct ClusterClient<T> {
+        inner: tonic::client::Grpc<T>,
+    }
+    impl ClusterClient<tonic::transport::Channel> {
+        /// Attempt to create a new client by connecting to a given endpoint.
+        pub async fn connect<D>(dst: D) -> Result<Self, tonic::transport::Error>
+        where
+            D: TryInto<tonic::transport::Endpoint>,
+            D::Error: Into<StdError>,
+        {
+            let conn = tonic::transport::Endpoint::new(dst)?.connect().await?;
+            Ok(Self::new(conn))
+        }
+    }
+    impl<T> ClusterClient<T>
+    where
+        T: tonic::client::GrpcService<tonic::body::Body>,
+        T::Error: Into<StdError>,
+        T::ResponseBody: Body<Data = Bytes> + std::marker::Send + 'static,
+        <T::ResponseBody as Body>::Error: Into<StdError> + std::marker::Send,
+    {
+        pub fn new(inner: T) -> Self {
+            let inner = tonic::client::Grpc::new(inner);
+            Self { inner }
+        }
+        pub fn with_origin(inner: T, origin: Uri) -> Self {
+            let inner = tonic::client::Grpc::with_origin(inner, origin);
+            Self { inner }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> ClusterClient<InterceptedService<T, F>>
+        where
+            F: tonic::service::Interceptor,
+            T::ResponseBody: Default,
+            T: tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+                Response = http::Response<
+                    <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                >,
+            >,
+            <T as tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+            >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
+        {
+            ClusterClient::new(InterceptedService::new(inner, interceptor))
+        }
+        /// Compress requests with the given encoding.
+        ///
+        /// This requires the server to support it otherwise it might respond with an
+        /// error.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.send_compressed(encoding);
+            self
+        }
+        /// Enable decompressing responses.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.accept_compressed(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_decoding_message_size(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_encoding_message_size(limit);
+            self
+        }
+        /// Delivers messages of the replicated log.
+        pub async fn step(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Frame>,
+        ) -> std::result::Result<tonic::Response<super::Frame>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/cactuslatch.v1.Cluster/Step",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("cactuslatch.v1.Cluster", "Step"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Carries a request to the leader, and its reply.
+        pub async fn call(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Frame>,
+        ) -> std::result::Result<tonic::Response<super::Frame>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/cactuslatch.v1.Cluster/Call",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("cactuslatch.v1.Cluster", "Call"));
+            self.inner.unary(req, path, codec).await
+        }
+    }
+}
+/// Generated server implementations.
+pub mod cluster_server {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    /// Generated trait containing gRPC methods that should be implemented for use with ClusterServer.
+    #[async_trait]
+    pub trait Cluster: std::marker::Send + std::marker::Sync + 'static {
+        /// Delivers messages of the replicated log.
+        async fn step(
+            &self,
+            request: tonic::Request<super::Frame>,
+        ) -> std::result::Result<tonic::Response<super::Frame>, tonic::Status>;
+        /// Carries a request to the leader, and its reply.
+        async fn call(
+            &self,
+            request: tonic::Request<super::Frame>,
+        ) -> std::result::Result<tonic::Response<super::Frame>, tonic::Status>;
+    }
+    /// Served by the hosts of the replicated control.
+    #[derive(Debug)]
+    pub struct ClusterServer<T> {
+        inner: Arc<T>,
+        accept_compression_encodings: EnabledCompressionEncodings,
+        send_compression_encodings: EnabledCompressionEncodings,
+        max_decoding_message_size: Option<usize>,
+        max_encoding_message_size: Option<usize>,
+    }
+    impl<T> ClusterServer<T> {
+        pub fn new(inner: T) -> Self {
+            Self::from_arc(Arc::new(inner))
+        }
+        pub fn from_arc(inner: Arc<T>) -> Self {
+            Self {
+                inner,
+                accept_compression_encodings: Default::default(),
+                send_compression_encodings: Default::default(),
+                max_decoding_message_size: None,
+                max_encoding_message_size: None,
+            }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> InterceptedService<Self, F>
+        where
+            F: tonic::service::Interceptor,
+        {
+            InterceptedService::new(Self::new(inner), interceptor)
+        }
+        /// Enable decompressing requests with the given encoding.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.accept_compression_encodings.enable(encoding);
+            self
+        }
+        /// Compress responses with the given encoding, if the client supports it.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.send_compression_encodings.enable(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.max_decoding_message_size = Some(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.max_encoding_message_size = Some(limit);
+            self
+        }
+    }
+    impl<T, B> tonic::codegen::Service<http::Request<B>> for ClusterServer<T>
+    where
+        T: Cluster,
+        B: Body + std::marker::Send + 'static,
+        B::Error: Into<StdError> + std::marker::Send + 'static,
+    {
+        type Response = http::Response<tonic::body::Body>;
+        type Error = std::convert::Infallible;
+        type Future = BoxFuture<Self::Response, Self::Error>;
+        fn poll_ready(
+            &mut self,
+            _cx: &mut Context<'_>,
+        ) -> Poll<std::result::Result<(), Self::Error>> {
+            Poll::Ready(Ok(()))
+        }
+        fn call(&mut self, req: http::Request<B>) -> Self::Future {
+            match req.uri().path() {
+                "/cactuslatch.v1.Cluster/Step" => {
+                    #[allow(non_camel_case_types)]
+                    struct StepSvc<T: Cluster>(pub Arc<T>);
+                    impl<T: Cluster> tonic::server::UnaryService<super::Frame>
+                    for StepSvc<T> {
+                        type Response = super::Frame;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Frame>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Cluster>::step(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = StepSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/cactuslatch.v1.Cluster/Call" => {
+                    #[allow(non_camel_case_types)]
+                    struct CallSvc<T: Cluster>(pub Arc<T>);
+                    impl<T: Cluster> tonic::server::UnaryService<super::Frame>
+                    for CallSvc<T> {
+                        type Response = super::Frame;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Frame>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Cluster>::call(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = CallSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                _ => {
+                    Box::pin(async move {
+                        let mut response = http::Response::new(
+                            tonic::body::Body::default(),
+                        );
+                        let headers = response.headers_mut();
+                        headers
+                            .insert(
+                                tonic::Status::GRPC_STATUS,
+                                (tonic::Code::Unimplemented as i32).into(),
+                            );
+                        headers
+                            .insert(
+                                http::header::CONTENT_TYPE,
+                                tonic::metadata::GRPC_CONTENT_TYPE,
+                            );
+                        Ok(response)
+                    })
+                }
+            }
+        }
+    }
+    impl<T> Clone for ClusterServer<T> {
+        fn clone(&self) -> Self {
+            let inner = self.inner.clone();
+            Self {
+                inner,
+                accept_compression_encodings: self.accept_compression_encodings,
+                send_compression_encodings: self.send_compression_encodings,
+                max_decoding_message_size: self.max_decoding_message_size,
+                max_encoding_message_size: self.max_encoding_message_size,
+            }
+        }
+    }
+    /// Generated gRPC service name
+    pub const SERVICE_NAME: &str = "cactuslatch.v1.Cluster";
+    impl<T> tonic::server::NamedService for ClusterServer<T> {
+        const NAME: &'static str = SERVICE_NAME;
+    }
+}
--- /dev/null
+++ b/src/tasks/apply.rs
@@ -0,0 +1,238 @@
+//! Applies committed commands to the replicated state.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use smallvec::SmallVec;
+
+use super::command::{Change, Command, EndRecord, LostRun, StartRecord};
+use super::configuration::Configuration;
+use super::ids::{JobId, TaskId};
+use super::job::{Job, Member, Outcome, Phase};
+use super::spec::JobSpec;
+use super::state::State;
+use super::upstream::{EndKind, Heartbeat, Life, Upstream};
+
+impl State {
+    /// Applies one command.
+    pub(crate) fn apply(&mut self, command: Command) {
+        self.now_ms = self.now_ms.max(command.at_ms);
+        match command.change {
+            Change::SetConfiguration { configuration, raw } => self.configure(configuration, raw),
+            Change::Accept { id, queue, organisation, spec } => {
+                self.accept(id, queue, organisation, spec);
+            }
+            Change::Cancel { id } => self.cancel(&id),
+            Change::Start { starts } => starts.into_iter().for_each(|start| self.start(start)),
+            Change::Ends { life, up_to, ends } => self.take_ends(&life, up_to, ends),
+            Change::Lost { life, runs } => self.lose(&life, runs),
+            Change::Register { beat } => self.register(beat),
+            Change::Leave { life } => self.leave(&life),
+            Change::Forget { jobs } => {
+                for id in jobs {
+                    self.jobs.remove(&id);
+                }
+            }
+        }
+    }
+
+    fn configure(&mut self, configuration: Arc<Configuration>, raw: Bytes) {
+        if configuration.version <= self.configuration_version() {
+            return;
+        }
+        if let Some(former) = self.configuration.take() {
+            for queue in &former.queues {
+                self.former_queues.insert(Arc::clone(&queue.name), queue.clone());
+            }
+        }
+        let in_use = |name: &Arc<str>| self.jobs.values().any(|job| job.queue == *name);
+        let unused: Vec<_> = self.former_queues.keys().filter(|n| !in_use(n)).cloned().collect();
+        for name in unused {
+            self.former_queues.remove(&name);
+        }
+        self.configuration = Some(configuration);
+        self.raw_configuration = raw;
+    }
+
+    fn accept(
+        &mut self,
+        id: JobId,
+        queue: Arc<str>,
+        organisation: Option<Arc<str>>,
+        spec: Arc<JobSpec>,
+    ) {
+        let now_ms = self.now_ms;
+        let new = || Job::new(id.clone(), queue, organisation, spec, now_ms);
+        self.jobs.entry(id.clone()).or_insert_with(new);
+    }
+
+    fn cancel(&mut self, id: &JobId) {
+        let now_ms = self.now_ms;
+        if let Some(job) = self.jobs.get_mut(id) {
+            end_job(job, Outcome::Cancelled, now_ms);
+        }
+    }
+
+    fn start(&mut self, start: StartRecord) {
+        let Some(job) = self.jobs.get_mut(&start.unit.job) else { return };
+        if job.outcome.is_some() {
+            return;
+        }
+        let at = &start.unit;
+        let Some(unit) = job.unit_mut(at.occurrence, at.step, at.unit) else { return };
+        // A unit has one run at a time, whatever the leader believed.
+        if unit.phase != Phase::Waiting || start.run <= unit.run {
+            return;
+        }
+        for (place, life) in (0_u32..).zip(&start.lives) {
+            let runs = self.running.entry(life.clone()).or_default();
+            runs.insert(at.task(place), start.run);
+        }
+        let members: SmallVec<[Member; 1]> =
+            start.lives.into_iter().map(|life| Member { life, end: None }).collect();
+        unit.run = start.run;
+        unit.phase = Phase::Running { members };
+        job.started = true;
+    }
+
+    fn take_ends(&mut self, life: &Life, up_to: u64, ends: Vec<EndRecord>) {
+        for end in ends {
+            self.end_run(life, &end.task, end.run, end.how, end.checkpoint);
+        }
+        if let Some(upstream) = self.upstreams.get_mut(&life.id)
+            && upstream.beat.born_unix_ms == life.born_unix_ms
+        {
+            upstream.ends_seen = upstream.ends_seen.max(up_to);
+        }
+    }
+
+    fn lose(&mut self, life: &Life, runs: Vec<LostRun>) {
+        for lost in runs {
+            self.end_run(life, &lost.task, lost.run, EndKind::Lapsed, lost.checkpoint);
+        }
+    }
+
+    /// Ends one task of a run, and the run once all of its tasks are over.
+    fn end_run(
+        &mut self,
+        life: &Life,
+        task: &TaskId,
+        run: u32,
+        how: EndKind,
+        checkpoint: Option<Arc<str>>,
+    ) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let attempts_max = self.queue_of(job).map_or(1, |queue| queue.attempts_max.max(1));
+        let Some((unit_number, place)) = job.place_of(task.step, task.index) else { return };
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let lasting = job.spec.steps[task.step as usize].lasting;
+        let Some(unit) = job.unit_mut(task.occurrence, task.step, unit_number) else { return };
+        if unit.run != run {
+            return;
+        }
+        let Phase::Running { members } = &mut unit.phase else { return };
+        let Some(member) = members.get_mut(place as usize) else { return };
+        if member.life != *life || member.end.is_some() {
+            return;
+        }
+        member.end = Some(how);
+        if let Some(runs) = self.running.get_mut(life) {
+            runs.remove(task);
+            if runs.is_empty() {
+                self.running.remove(life);
+            }
+        }
+        if let Some(checkpoint) = checkpoint.filter(|checkpoint| !checkpoint.is_empty()) {
+            unit.checkpoint = checkpoint;
+        }
+        if members.iter().any(|member| member.end.is_none()) {
+            return;
+        }
+        let ended = |how| members.iter().any(|member| member.end == Some(how));
+        let (done, failed) = (ended(EndKind::Done), ended(EndKind::Failed));
+        unit.waiting_since_ms = now_ms;
+        if done && !lasting {
+            unit.phase = Phase::Done;
+            self.close_unit(task, now_ms);
+        } else {
+            unit.failures += u32::from(failed && !lasting);
+            let given_up = unit.failures >= attempts_max;
+            unit.phase = if given_up { Phase::GivenUp } else { Phase::Waiting };
+            if given_up {
+                end_job(job, Outcome::Failed, now_ms);
+            }
+        }
+    }
+
+    /// Counts a unit as done and completes the job with its last one.
+    fn close_unit(&mut self, task: &TaskId, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let step = &mut job.occurrences[task.occurrence as usize][task.step as usize];
+        assert!(step.open > 0, "{task}: a unit is done once");
+        step.open -= 1;
+        if job.occurrences.iter().flatten().all(|step| step.open == 0) {
+            end_job(job, Outcome::Completed, now_ms);
+        }
+    }
+
+    fn register(&mut self, beat: Heartbeat) {
+        let known = self.upstreams.get(&beat.id);
+        if known.is_some_and(|known| known.beat.born_unix_ms > beat.born_unix_ms) {
+            return;
+        }
+        let same = known.filter(|known| known.beat.born_unix_ms == beat.born_unix_ms);
+        let ends_seen = same.map_or(0, |known| known.ends_seen);
+        if same.is_some_and(|known| known.beat.sequence > beat.sequence) {
+            return;
+        }
+        let former = known.filter(|known| known.beat.born_unix_ms != beat.born_unix_ms);
+        if let Some(former) = former.map(Upstream::life) {
+            self.lose_all(&former);
+        }
+        self.upstreams.insert(Arc::clone(&beat.id), Upstream { beat, ends_seen });
+    }
+
+    fn leave(&mut self, life: &Life) {
+        let known = self.upstreams.get(&life.id);
+        if known.is_some_and(|known| known.beat.born_unix_ms == life.born_unix_ms) {
+            self.upstreams.remove(&life.id);
+        }
+        self.lose_all(life);
+    }
+
+    /// Ends everything that ran in a life that is over.
+    fn lose_all(&mut self, life: &Life) {
+        for (task, run) in self.runs_of(life) {
+            self.end_run(life, &task, run, EndKind::Lapsed, None);
+        }
+    }
+
+    /// Visits all tasks that may be running.
+    pub(crate) fn for_each_running(&self, mut visit: impl FnMut(TaskId, u32, &Member)) {
+        for job in self.jobs.values() {
+            for (occurrence, steps) in (0_u32..).zip(&job.occurrences) {
+                for (step, state) in (0_u32..).zip(steps) {
+                    for (number, unit) in (0_u32..).zip(&state.units) {
+                        for (place, member) in (0_u32..).zip(unit.members()) {
+                            if member.end.is_none() {
+                                let index = number + place;
+                                let job = job.id.clone();
+                                let task = TaskId { job, occurrence, step, index };
+                                visit(task, unit.run, member);
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Decides a job's outcome once.
+fn end_job(job: &mut Job, outcome: Outcome, now_ms: u64) {
+    if job.outcome.is_none() {
+        job.outcome = Some(outcome);
+        job.ended_ms = now_ms;
+    }
+}
--- /dev/null
+++ b/src/tasks/mod.rs
@@ -0,0 +1,28 @@
+//! Jobs of steps and tasks: what callers submit, and the replicated state of its execution.
+//!
+//! [`State`] changes only by applying a [`Command`], so that every control host that applies the
+//! same commands holds the same state. Decisions are made in `placement`, input and output in
+//! `cluster`.
+
+mod apply;
+mod command;
+mod configuration;
+mod ids;
+mod job;
+mod spec;
+mod state;
+#[cfg(test)]
+pub(crate) mod tests;
+mod upstream;
+
+pub(crate) use command::{Change, Command, EndRecord, LostRun, StartRecord};
+pub use configuration::{
+    Advice, Configuration, ConfigurationFault, FrontLimits, Organisation, Queue, WorkerService,
+};
+pub use ids::{InvalidTaskId, JobId, TaskId, UnitId};
+pub(crate) use job::{Job, Outcome, Phase, Unit};
+pub use job::JobState;
+pub use spec::{InvalidJob, JobSpec, Need, Repeat, StepSpec};
+pub(crate) use state::State;
+pub(crate) use upstream::{Life, Upstream};
+pub use upstream::{EndKind, Heartbeat};
