Keep room for urgent jobs, finish gangs at the first end, refuse at once without a leader

Cause: urgent jobs waited for others to be stopped (up to 0.9 s, as long as a short job may take), gangs waited for the slowest member's report, and calls without a leader were held to 80% of their deadline and answered 504, after which callers do not ask again.

The leader keeps the urgent demand of the last 20 s free (at most a quarter of the pool); a gang is done with its first done member; a request that no leader can have received is refused after 0.9 s with the time to come back; elections after 0.5 s instead of 0.7 s.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -21,7 +21,7 @@
 use crate::quorum::{Batch, Core, Log, MemberId, Membership, Snapshot, Timing};
 
 /// Time limits of the replicated log across regions.
-const TIMING: Timing = Timing { election_ms: 700, heartbeat_ms: 120, replace_after_ms: 8_000 };
+const TIMING: Timing = Timing { election_ms: 500, heartbeat_ms: 100, replace_after_ms: 8_000 };
 
 /// Interval at which a host without a leader asks to join.
 const JOIN_INTERVAL: Duration = Duration::from_millis(400);
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -18,6 +18,7 @@
 use super::replica::Replica;
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
+use crate::placement::Headroom;
 use crate::tasks::{Life, TaskId};
 use session::Session;
 
@@ -48,6 +49,7 @@
     starting: HashSet<TaskRun>,
     stopping: HashSet<TaskRun>,
     holds: HashMap<Life, AbortHandle>,
+    headroom: Headroom,
     stopped: bool,
 }
 
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -11,7 +11,7 @@
 use crate::cluster::protocol::{
     Action, ClusterStatus, FrontCall, FrontReply, MemberStatus, OperatorReply, Reply, Request,
 };
-use crate::placement::{Admission, View, admit};
+use crate::placement::{Admission, View, admit, objective_ms, work_chain_ms};
 use crate::quorum::Role;
 use crate::tasks::{Change, Configuration, Heartbeat, JobId, JobSpec, Life, Queue, Upstream};
 
@@ -118,6 +118,10 @@
         }
         let (admission, configuration_version) = self.admission(&queue, &spec);
         let tasks: u32 = spec.steps.iter().map(|step| step.tasks).sum();
+        let accelerators: u32 =
+            spec.steps.iter().map(|step| step.tasks * step.need.accelerators).sum();
+        let chain_ms = work_chain_ms(&spec);
+        let (priority, objective_ms) = (queue.priority, objective_ms(&queue, chain_ms));
         let queue_name = Arc::clone(&queue.name);
         match admission {
             Admission::Later { retry_after_ms, reason } => {
@@ -133,8 +137,8 @@
                 let reply = self.commit(change, Reply::Front(FrontReply::Accepted)).await;
                 let stored = reply != Reply::Unknown;
                 info!(
-                    request = %id, queue = %queue_name, tasks, stored, configuration_version,
-                    "job was submitted"
+                    request = %id, queue = %queue_name, priority, tasks, accelerators, chain_ms,
+                    objective_ms, stored, configuration_version, "job was submitted"
                 );
                 reply
             }
@@ -158,6 +162,7 @@
             stopping: &HashSet::new(),
             progress: &HashMap::new(),
             avoid: &HashSet::new(),
+            reserve_millihosts: 0,
         };
         (admit(&view, queue, spec), version)
     }
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -9,7 +9,7 @@
 
 use super::{Leader, TaskRun, failures};
 use crate::cluster::clock::{boot_ms, unix_ms};
-use crate::placement::{Host, Plan, Progress, StopCause, View, plan};
+use crate::placement::{Host, Plan, Progress, StopCause, View, plan, urgent_demand};
 use crate::tasks::{Change, JobId, Life, StartRecord, State, UnitId};
 
 /// Longest time between two decisions.
@@ -93,8 +93,11 @@
             stopping: &stopping,
             progress: &progress,
             avoid: &HashSet::new(),
+            reserve_millihosts: 0,
         };
-        plan(&view)
+        let demand = urgent_demand(&view);
+        let reserve = self.soft().headroom.reserve(view.now_ms, demand, hosts.len());
+        plan(&View { reserve_millihosts: reserve, ..view })
     }
 
     /// Describes the upstreams as the decisions see them.
--- a/src/cluster/leader_client.rs
+++ b/src/cluster/leader_client.rs
@@ -10,13 +10,19 @@
 
 use super::codec;
 use super::protocol::{Reply, Request};
-use crate::entry::control_client::channel;
+use crate::StepError;
+use crate::entry::control_client::endpoint;
 use crate::rpc;
 use crate::rpc::cluster_client::ClusterClient;
 
 /// Time for one attempt; a commit across regions takes far less.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time for which a request waits for a leader that it can be delivered to.
+///
+/// An election takes about as long; a caller that is told to come back finds the next leader.
+const WITHOUT_LEADER: Duration = Duration::from_millis(900);
+
 /// Pause before the next attempt after all known hosts were asked.
 const RETRY_PAUSE: Duration = Duration::from_millis(80);
 
@@ -65,12 +71,6 @@
         let others = others.into_iter().filter(|address| Some(*address) != leader);
         leader.into_iter().chain(others).collect()
     }
-
-    fn client(&mut self, address: SocketAddr) -> ClusterClient<Channel> {
-        let new =
-            || ClusterClient::new(channel(address)).max_decoding_message_size(MESSAGE_LIMIT_BYTES);
-        self.clients.entry(address).or_insert_with(new).clone()
-    }
 }
 
 impl LeaderClient {
@@ -101,6 +101,7 @@
     /// Tells whether a leader may have received the request.
     pub async fn call(&self, request: &Request, limit: Duration) -> Result<Reply, ClientFault> {
         let deadline = Instant::now() + limit;
+        let give_up = Instant::now() + limit.min(WITHOUT_LEADER);
         let payload = codec::encode(request);
         let mut maybe_delivered = false;
         loop {
@@ -135,9 +136,12 @@
                     break;
                 }
             }
-            if Instant::now() + RETRY_PAUSE >= deadline {
-                let unknown = maybe_delivered;
-                return Err(if unknown { ClientFault::Unknown } else { ClientFault::NotDelivered });
+            let now = Instant::now();
+            if !maybe_delivered && now >= give_up {
+                return Err(ClientFault::NotDelivered);
+            }
+            if now + RETRY_PAUSE >= deadline {
+                return Err(ClientFault::Unknown);
             }
             sleep(RETRY_PAUSE).await;
         }
@@ -157,21 +161,32 @@
         payload: bytes::Bytes,
         deadline: Instant,
     ) -> Result<Reply, bool> {
-        let mut client = self.lock().client(address);
         let until = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
-        let frame = rpc::Frame { payload };
-        match timeout_at(until, client.call(frame)).await {
+        let Ok(Ok(mut client)) = timeout_at(until, self.connected(address)).await else {
+            return Err(false);
+        };
+        match timeout_at(until, client.call(rpc::Frame { payload })).await {
             Ok(Ok(reply)) => codec::decode(&reply.into_inner().payload).map_err(|_| true),
-            Ok(Err(status)) => {
-                self.lock().clients.remove(&address);
-                let refused = status.message().contains("tcp connect error");
-                Err(!refused)
-            }
-            Err(_) => {
+            Ok(Err(_)) | Err(_) => {
                 // The connection may have gone silent; the next attempt opens another one.
                 self.lock().clients.remove(&address);
                 Err(true)
             }
         }
     }
+
+    /// Returns a client whose connection is open.
+    async fn connected(&self, address: SocketAddr) -> Result<ClusterClient<Channel>, StepError> {
+        let known = self.lock().clients.get(&address).cloned();
+        if let Some(client) = known {
+            return Ok(client);
+        }
+        let channel = endpoint(address)
+            .connect()
+            .await
+            .map_err(|fault| StepError::new("connect to control", address, fault))?;
+        let client = ClusterClient::new(channel).max_decoding_message_size(MESSAGE_LIMIT_BYTES);
+        self.lock().clients.insert(address, client.clone());
+        Ok(client)
+    }
 }
--- a/src/entry/control_client.rs
+++ b/src/entry/control_client.rs
@@ -19,6 +19,11 @@
 
 /// Opens a channel that connects on use and replaces silent connections.
 pub(crate) fn channel(address: SocketAddr) -> Channel {
+    endpoint(address).connect_lazy()
+}
+
+/// Describes connections to a peer that notice when the peer falls silent.
+pub(crate) fn endpoint(address: SocketAddr) -> Endpoint {
     Endpoint::from_shared(format!("http://{address}"))
         .expect("a socket address is a valid authority")
         .connect_timeout(CONNECT_TIMEOUT)
@@ -26,7 +31,6 @@
         .http2_keep_alive_interval(KEEP_ALIVE)
         .keep_alive_timeout(KEEP_ALIVE)
         .keep_alive_while_idle(true)
-        .connect_lazy()
 }
 
 /// Client of the control process; clones share one channel.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,6 +4,7 @@
 //! runs to start and to stop. It does no input or output and reads no clock.
 
 mod admission;
+mod headroom;
 mod order;
 mod pool;
 mod preemption;
@@ -17,7 +18,9 @@
 use crate::tasks::{Job, JobId, Life, Need, Outcome, StartRecord, State, StepSpec, UnitId};
 
 pub(crate) use admission::{Admission, admit};
+pub(crate) use headroom::{Headroom, urgent_demand};
 use order::{Waiting, waiting_units};
+pub(crate) use order::{objective_ms, work_chain_ms};
 use pool::Pool;
 use preemption::Victims;
 
@@ -54,6 +57,8 @@
     pub(crate) progress: &'a HashMap<(UnitId, u32), Progress>,
     /// Upstreams on which a unit should not be tried again soon.
     pub(crate) avoid: &'a HashSet<(JobId, Life)>,
+    /// Capacity that only the first priority may take, in thousandths of a host.
+    pub(crate) reserve_millihosts: u64,
 }
 
 /// What should be done now.
@@ -108,7 +113,7 @@
             }
             if job.outcome.is_some_and(|outcome| outcome != Outcome::Completed) {
                 stops.push((id, unit.run, StopCause::JobEnded));
-            } else if members.iter().any(|member| member.end.is_some()) {
+            } else if !unit.finished && members.iter().any(|member| member.end.is_some()) {
                 stops.push((id, unit.run, StopCause::GangBroken));
             }
         });
@@ -136,7 +141,8 @@
     unit: &Waiting<'_>,
     plan: &mut Plan,
 ) {
-    if let Some(places) = room::find(view, pool, unit) {
+    let within_limit = unit.queue.priority == 0 || pool.leaves_reserve(view, unit);
+    if within_limit && let Some(places) = room::find(view, pool, unit) {
         let lives = places.iter().map(|host| view.hosts[*host].life.clone()).collect();
         pool.take(unit, &places);
         plan.starts.push(StartRecord { unit: unit.id.clone(), run: unit.run + 1, lives });
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -7,6 +7,26 @@
 use super::{View, for_each_unit};
 use crate::tasks::{JobId, Life, Need, UnitId};
 
+/// Returns the share of a host that is free, by its scarcest resource.
+fn millihosts_free(free: &Need, capacity: &Need) -> u64 {
+    shares(free, capacity).into_iter().flatten().min().unwrap_or(0)
+}
+
+/// Returns the share of a host that a task takes, by its scarcest resource.
+pub(super) fn millihosts_taken(need: &Need, capacity: &Need) -> u64 {
+    shares(need, capacity).into_iter().flatten().max().unwrap_or(0)
+}
+
+/// Shares of each resource that the host has, in thousandths.
+fn shares(part: &Need, whole: &Need) -> [Option<u64>; 3] {
+    let share = |part: u32, whole: u32| (u64::from(part) * 1_000).checked_div(u64::from(whole));
+    [
+        share(part.cpu_millicores, whole.cpu_millicores),
+        share(part.memory_mb, whole.memory_mb),
+        share(part.accelerators, whole.accelerators),
+    ]
+}
+
 /// Tasks of one occurrence of a step on one host.
 type StepOnHost = (JobId, u32, u32, usize);
 
@@ -55,6 +75,25 @@
         pool
     }
 
+    /// Tells whether the first priority still has its reserve once a unit was placed.
+    pub(super) fn leaves_reserve(&self, view: &View<'_>, unit: &Waiting<'_>) -> bool {
+        if view.reserve_millihosts == 0 {
+            return true;
+        }
+        let free: u64 = view
+            .hosts
+            .iter()
+            .zip(&self.free)
+            .filter(|(host, _)| host.takes_work && host.service == unit.queue.service)
+            .map(|(host, free)| millihosts_free(free, &host.capacity))
+            .sum();
+        let Some(host) = view.hosts.iter().find(|host| host.service == unit.queue.service) else {
+            return true;
+        };
+        let task = millihosts_taken(&unit.step.reserved(), &host.capacity);
+        free >= view.reserve_millihosts + task * u64::from(unit.step.unit_size())
+    }
+
     /// Number of tasks of a unit's step on a host.
     pub(super) fn tasks_on(&self, unit: &UnitId, host: usize) -> u32 {
         let place = (unit.job.clone(), unit.occurrence, unit.step, host);
--- a/src/quorum/tests/world.rs
+++ b/src/quorum/tests/world.rs
@@ -228,7 +228,13 @@
         for host in &self.hosts {
             let core = host.core.as_ref().expect("all hosts run");
             assert!(core.membership().is_voter(host.id), "host {} did not come back", host.id);
-            assert!(core.commit_index() + 200 > newest, "host {} stays behind", host.id);
+            assert!(
+                core.commit_index() + 200 > newest,
+                "host {} stays behind at {} of {newest}: {core:?}, {:?}",
+                host.id,
+                core.commit_index(),
+                self.leader().map(|leader| self.hosts[leader].core.as_ref().map(Core::role))
+            );
         }
         let leaders =
             self.hosts.iter().filter(|host| host.core.as_ref().is_some_and(Core::is_leader));
@@ -319,14 +325,17 @@
         self.send(host, unsynced.messages);
     }
 
-    /// A host that is no voter asks the leader to join, as the shell does.
+    /// A host that is no voter or hears from no leader asks to join, as the shell does.
     fn ask_to_join(&mut self, host: usize) {
         let id = self.hosts[host].id;
         let Some(leader) = self.leader() else { return };
-        let is_voter = self.hosts[host].core.as_ref().is_some_and(|c| c.membership().is_voter(id));
+        let settled = self.hosts[host]
+            .core
+            .as_ref()
+            .is_some_and(|core| core.membership().is_voter(id) && core.leader().is_some());
         let cut = |link: &(usize, usize)| self.cuts.get(link).is_some_and(|end| *end > self.now_ms);
         let reachable = !cut(&(host, leader)) && !cut(&(leader, host));
-        if !is_voter && reachable && self.awake(leader) {
+        if !settled && reachable && self.awake(leader) {
             let now_ms = self.now_ms;
             if let Some(core) = self.hosts[leader].core.as_mut() {
                 core.join(id, address(host), now_ms);
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -146,22 +146,25 @@
         if let Some(checkpoint) = checkpoint.filter(|checkpoint| !checkpoint.is_empty()) {
             unit.checkpoint = checkpoint;
         }
-        if members.iter().any(|member| member.end.is_none()) {
-            return;
-        }
-        let ended = |how| members.iter().any(|member| member.end == Some(how));
-        let (done, failed) = (ended(EndKind::Done), ended(EndKind::Failed));
-        unit.waiting_since_ms = now_ms;
-        if done && !lasting {
+        let over = members.iter().all(|member| member.end.is_some());
+        let failed = members.iter().any(|member| member.end == Some(EndKind::Failed));
+        // The members of a gang are done together, so the first one to say so speaks for all.
+        let newly_done = how == EndKind::Done && !lasting && !unit.finished;
+        unit.finished |= newly_done;
+        let mut given_up = false;
+        if over && unit.finished {
             unit.phase = Phase::Done;
-            self.close_unit(task, now_ms);
-        } else {
+        } else if over {
             unit.failures += u32::from(failed && !lasting);
-            let given_up = unit.failures >= attempts_max;
+            given_up = unit.failures >= attempts_max;
+            unit.waiting_since_ms = now_ms;
             unit.phase = if given_up { Phase::GivenUp } else { Phase::Waiting };
-            if given_up {
-                end_job(job, Outcome::Failed, now_ms);
-            }
+        }
+        if given_up {
+            end_job(job, Outcome::Failed, now_ms);
+        }
+        if newly_done {
+            self.close_unit(task, now_ms);
         }
     }
 
--- a/src/tasks/job.rs
+++ b/src/tasks/job.rs
@@ -61,6 +61,8 @@
     /// Number of the newest run; 0 before the first.
     pub(crate) run: u32,
     pub(crate) failures: u32,
+    /// Its work is done, although some members of the gang may not have reported their end.
+    pub(crate) finished: bool,
     /// Newest checkpoint; empty if there is none.
     pub(crate) checkpoint: Arc<str>,
     /// When it last began to wait, in cluster time.
