--- /dev/null
+++ b/src/placement/tests/loads.rs
@@ -0,0 +1,106 @@
+//! Decisions under load: overload, bursts, borrowers in the way.
+
+use super::pool_view::{Inputs, decide, decide_and_start, starts};
+use crate::placement::headroom::{Demand, Headroom};
+use crate::placement::{Progress, StopCause};
+use crate::tasks::UnitId;
+use crate::tasks::tests::sample::{Sample, gang, job_id, step};
+
+fn unit(job: u64) -> UnitId {
+    UnitId { job: job_id(job), occurrence: 0, step: 0, unit: 0 }
+}
+
+/// Load: more work than the pool can do. A job that can still be on time goes before one that is
+/// late already, although that one has waited longer.
+#[test]
+fn jobs_that_can_be_on_time_go_first() {
+    let mut sample = Sample::with_hosts(1);
+    sample.accept(1, "normal", vec![step(1, 8)]);
+    sample.at(8_000);
+    sample.accept(2, "normal", vec![step(1, 8)]);
+    let plan = decide(&sample, &Inputs::default());
+    insta::assert_snapshot!(starts(&plan).join("\n"), @"0000000000000002.0.0.0 run 1: host-00");
+}
+
+/// Load: borrowers fill the pool when an urgent job arrives. The run with the least unsaved work
+/// is stopped, and only as many as needed.
+#[test]
+fn urgent_work_stops_the_least_unsaved_work() {
+    let mut sample = Sample::with_hosts(4);
+    for job in 1..=4 {
+        sample.accept(job, "batch", vec![step(1, 8)]);
+    }
+    decide_and_start(&mut sample, &Inputs::default());
+    sample.accept(9, "urgent", vec![gang(2, 8)]);
+    let mut inputs = Inputs::default();
+    for (job, unsaved_ms) in [(1, 5_000), (2, 100), (3, 4_000), (4, 200)] {
+        inputs.progress.insert((unit(job), 1), Progress { unsaved_ms });
+    }
+    let plan = decide(&sample, &inputs);
+    let mut stops: Vec<_> = plan.stops.iter().map(|(unit, ..)| unit.clone()).collect();
+    stops.sort();
+    assert_eq!(stops, [unit(2), unit(4)]);
+    assert!(plan.stops.iter().all(|(.., cause)| *cause == StopCause::Preempted));
+}
+
+/// While the stopped runs end, their place is kept for the urgent job, and nothing more is stopped.
+#[test]
+fn the_place_of_stopped_runs_is_kept() {
+    let mut sample = Sample::with_hosts(2);
+    for job in 1..=2 {
+        sample.accept(job, "batch", vec![step(1, 8)]);
+    }
+    decide_and_start(&mut sample, &Inputs::default());
+    sample.accept(9, "urgent", vec![gang(2, 8)]);
+    sample.accept(10, "batch", vec![step(1, 8)]);
+    let mut inputs = Inputs::default();
+    inputs.stopping.extend([(unit(1), 1), (unit(2), 1)]);
+    assert!(decide(&sample, &inputs).stops.is_empty());
+    sample.end(&job_id(1), 0, 1, 0, crate::tasks::EndKind::Stopped);
+    inputs.stopping.remove(&(unit(1), 1));
+    let plan = decide(&sample, &inputs);
+    assert!(plan.starts.is_empty(), "{:?}", starts(&plan));
+}
+
+/// Load: urgent jobs in bursts. Others leave free what urgent jobs took lately, and urgent jobs
+/// may take it.
+#[test]
+fn the_reserve_is_for_urgent_work_only() {
+    let mut sample = Sample::with_hosts(4);
+    for job in 1..=4 {
+        sample.accept(job, "batch", vec![step(1, 8)]);
+    }
+    let inputs = Inputs { reserve_millihosts: 2_000, ..Inputs::default() };
+    assert_eq!(decide_and_start(&mut sample, &inputs).starts.len(), 2);
+    sample.accept(9, "urgent", vec![gang(2, 8)]);
+    let plan = decide(&sample, &inputs);
+    insta::assert_snapshot!(starts(&plan).join("\n"), @"0000000000000009.0.0.0 run 1: host-02 host-03");
+    assert!(plan.stops.is_empty());
+}
+
+/// The reserve follows the peak of the last 20 s and never takes more than a quarter of the pool.
+#[test]
+fn the_reserve_follows_recent_demand() {
+    let mut headroom = Headroom::default();
+    let demand = |total| Demand { total, largest_unit: total.min(1_000) };
+    assert_eq!(headroom.reserve(0, demand(0), 48), 0);
+    assert_eq!(headroom.reserve(1_000, demand(9_000), 48), 1_000);
+    assert_eq!(headroom.reserve(2_000, demand(3_000), 48), 6_000);
+    assert_eq!(headroom.reserve(3_000, demand(0), 48), 9_000);
+    assert_eq!(headroom.reserve(4_000, demand(0), 8), 2_000);
+    assert_eq!(headroom.reserve(22_500, demand(0), 48), 0);
+}
+
+/// Load: a wave of cancellations. Everything that runs for the jobs is stopped in one decision.
+#[test]
+fn cancelled_jobs_are_stopped_at_once() {
+    let mut sample = Sample::with_hosts(8);
+    for job in 1..=8 {
+        sample.accept(job, "batch", vec![step(2, 4)]);
+    }
+    decide_and_start(&mut sample, &Inputs::default());
+    for job in 1..=8 {
+        sample.apply(crate::tasks::Change::Cancel { id: job_id(job) });
+    }
+    assert_eq!(decide(&sample, &Inputs::default()).stops.len(), 16);
+}
--- /dev/null
+++ b/src/placement/tests/pool_view.rs
@@ -0,0 +1,62 @@
+//! A state with hosts, and decisions on it.
+
+use std::collections::{HashMap, HashSet};
+
+use crate::placement::{Host, Plan, Progress, View, plan};
+use crate::tasks::tests::sample::Sample;
+use crate::tasks::{JobId, Life, UnitId};
+
+/// Inputs of a decision beside the replicated state.
+#[derive(Debug, Default)]
+pub(super) struct Inputs {
+    pub(super) stopping: HashSet<(UnitId, u32)>,
+    pub(super) progress: HashMap<(UnitId, u32), Progress>,
+    pub(super) avoid: HashSet<(JobId, Life)>,
+    pub(super) reserve_millihosts: u64,
+    /// Hosts that take no work.
+    pub(super) closed: Vec<String>,
+}
+
+pub(super) fn hosts(sample: &Sample, inputs: &Inputs) -> Vec<Host> {
+    let upstreams = sample.state.upstreams.values();
+    upstreams
+        .map(|upstream| Host {
+            life: upstream.life(),
+            service: upstream.beat.service.clone(),
+            rack: upstream.beat.rack.clone(),
+            labels: upstream.beat.labels.clone(),
+            capacity: upstream.beat.capacity,
+            takes_work: !inputs.closed.iter().any(|closed| **closed == *upstream.beat.id),
+        })
+        .collect()
+}
+
+pub(super) fn decide(sample: &Sample, inputs: &Inputs) -> Plan {
+    let hosts = hosts(sample, inputs);
+    plan(&View {
+        state: &sample.state,
+        hosts: &hosts,
+        now_ms: sample.state.now_ms,
+        unix_ms: 0,
+        stopping: &inputs.stopping,
+        progress: &inputs.progress,
+        avoid: &inputs.avoid,
+        reserve_millihosts: inputs.reserve_millihosts,
+    })
+}
+
+/// Decides and records the starts.
+pub(super) fn decide_and_start(sample: &mut Sample, inputs: &Inputs) -> Plan {
+    let plan = decide(sample, inputs);
+    sample.apply(crate::tasks::Change::Start { starts: plan.starts.clone() });
+    plan
+}
+
+/// Describes starts as `unit: hosts`.
+pub(super) fn starts(plan: &Plan) -> Vec<String> {
+    let start = |start: &crate::tasks::StartRecord| {
+        let hosts: Vec<_> = start.lives.iter().map(|life| &*life.id).collect();
+        format!("{} run {}: {}", start.unit, start.run, hosts.join(" "))
+    };
+    plan.starts.iter().map(start).collect()
+}
