--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -106,6 +106,12 @@
         }
     }
 
+    /// Returns the metrics as text.
+    #[must_use]
+    pub fn metrics_text(&self) -> String {
+        self.replica.metrics.text()
+    }
+
     /// Tells whether this host leads.
     #[must_use]
     pub fn is_leading(&self) -> bool {
--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -113,6 +113,9 @@
             return Next::Again;
         }
         let up_to = lists.ended.iter().map(|end| end.number).max().unwrap_or(0);
+        for end in &ends {
+            self.replica.metrics.run_ended(kind_name(end.how));
+        }
         log_ends(life, &ends);
         let change = Change::Ends { life: life.clone(), up_to, ends };
         match self.replica.propose(change).await {
@@ -140,6 +143,7 @@
                 && let Some(session) = self.soft().sessions.get_mut(&life.id)
                 && let Some(pause_ms) = session.note_outcome(end.task.job.clone(), good, now_ms)
             {
+                self.replica.metrics.upstream_set_aside();
                 warn!(upstream = %life.id, pause_ms, "upstream fails its runs and is set aside");
             }
             ends.push(EndRecord {
@@ -287,3 +291,15 @@
         );
     }
 }
+
+fn kind_name(how: EndKind) -> &'static str {
+    match how {
+        EndKind::Done => "done",
+        EndKind::Failed => "failed",
+        EndKind::Stopped => "stopped",
+        EndKind::Lapsed => "lapsed",
+        EndKind::Broken => "broken",
+        EndKind::Alone => "alone",
+        EndKind::NotStarted => "not started",
+    }
+}
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -1,8 +1,11 @@
 //! The leader's work during one term: holding upstreams, scheduling, orders and requests.
 
+mod advice;
 mod failures;
 mod hold;
+mod maintenance;
 mod orders;
+mod pacing;
 mod requests;
 mod scheduling;
 mod session;
@@ -18,7 +21,7 @@
 use super::replica::Replica;
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
-use crate::placement::Headroom;
+use crate::placement::{Approvals, Headroom, StepId};
 use crate::tasks::{Life, TaskId};
 use session::Session;
 
@@ -50,6 +53,13 @@
     stopping: HashSet<TaskRun>,
     holds: HashMap<Life, AbortHandle>,
     headroom: Headroom,
+    approvals: Approvals,
+    /// Pace of filling tasks that differs from full speed, and when it was set.
+    paces: HashMap<TaskRun, (u32, u64)>,
+    /// Physical hosts whose work is moving away, and since when.
+    evacuating: HashMap<Arc<str>, u64>,
+    /// Steps about which a question is under way.
+    asking: HashSet<StepId>,
     stopped: bool,
 }
 
@@ -82,7 +92,12 @@
     pub(super) async fn run(self: Arc<Self>) {
         info!(term = self.term, "leader starts its work");
         let following = Arc::clone(&self);
-        tokio::join!(self.schedule_forever(), following.follow_upstreams());
+        let maintaining = Arc::clone(&self);
+        tokio::join!(
+            self.schedule_forever(),
+            following.follow_upstreams(),
+            maintaining.maintain_forever()
+        );
     }
 
     /// Ends everything that was started for this term.
--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -8,6 +8,7 @@
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
 use crate::cluster::upstream_calls::{CallFault, OrderAnswer, Refusal, StartOrder, StopOrder};
+use crate::placement::StepId;
 use crate::tasks::{Change, EndKind, EndRecord, Life, TaskId, UnitId};
 
 /// Pause before an order without an answer is repeated.
@@ -46,6 +47,12 @@
             Started::Ended => "ended",
         };
         if let Started::Refused(refusal) = &outcome {
+            if *refusal == Refusal::Ticket {
+                let task = &key.0;
+                let (job, occurrence) = (task.job.clone(), task.occurrence);
+                let step = StepId { job, occurrence, step: task.step };
+                self.soft().approvals.forget(&step, &life);
+            }
             warn!(
                 request = %key.0.job, task = %key.0, run, upstream = %life.id, cause = %refusal,
                 "start was refused"
@@ -56,6 +63,12 @@
                 "start was ordered"
             );
         }
+        self.replica.metrics.order(match &outcome {
+            Started::Settled => "start settled",
+            Started::Refused(_) => "start refused",
+            Started::Uncertain => "start unanswered",
+            Started::Ended => "start void",
+        });
         self.soft().starting.remove(&key);
         match outcome {
             Started::Settled => self.settle(&life, key),
@@ -120,7 +133,10 @@
             }
             (Arc::clone(&job.spec.payload), Arc::clone(&unit.checkpoint))
         };
+        let step = StepId { job: task.job.clone(), occurrence: task.occurrence, step: task.step };
+        let cluster_ms = self.replica.lock().now_ms();
         let mut soft = self.soft();
+        let ticket = soft.approvals.ticket(&step, life, cluster_ms);
         let session = soft.sessions.get_mut(&life.id).filter(|session| session.life == *life)?;
         let lease_until_ms = session.grant_lease(boot_ms())?;
         Some(StartOrder {
@@ -132,7 +148,7 @@
             payload,
             lease_until_ms,
             checkpoint,
-            ticket: None,
+            ticket,
         })
     }
 
@@ -183,6 +199,7 @@
             request = %key.0.job, task = %key.0, run, upstream = %life.id, cause,
             "stop was ordered"
         );
+        self.replica.metrics.order("stop");
         let order = StopOrder {
             address,
             upstream: Arc::clone(&life.id),
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -11,9 +11,9 @@
 use crate::cluster::protocol::{
     Action, ClusterStatus, FrontCall, FrontReply, MemberStatus, OperatorReply, Reply, Request,
 };
-use crate::placement::{Admission, View, admit, objective_ms, work_chain_ms};
+use crate::placement::{Admission, Approvals, View, admit, objective_ms, work_chain_ms};
 use crate::quorum::Role;
-use crate::tasks::{Change, Configuration, Heartbeat, JobId, JobSpec, Life, Queue, Upstream};
+use crate::tasks::{Change, Configuration, Heartbeat, JobId, JobSpec, Life, Queue, Upstream, Wave};
 
 /// Time after which a caller may come back when a job was not accepted for want of a record.
 const NO_UPSTREAMS_RETRY_MS: u64 = 1_000;
@@ -40,6 +40,15 @@
                 let raw = self.replica.lock().state.raw_configuration.clone();
                 Reply::Operator(OperatorReply::Configuration(raw))
             }
+            Request::StartWave { number, machines, cap, duration_ms } => {
+                info!(wave = number, hosts = machines.len(), cap, duration_ms, "wave begins");
+                let change = Change::StartWave { number, machines, cap, duration_ms };
+                self.commit(change, Reply::Done).await
+            }
+            Request::WaveStatus { number } => {
+                let inner = self.replica.lock();
+                Reply::Wave(inner.state.waves.get(&number).map(Wave::is_completed))
+            }
             Request::Join { id, address } => {
                 self.replica.join(id, address);
                 Reply::Done
@@ -60,6 +69,12 @@
     }
 
     async fn front(&self, call: FrontCall) -> Reply {
+        let reply = self.answer_front(call).await;
+        self.replica.metrics.request(result_name(&reply));
+        reply
+    }
+
+    async fn answer_front(&self, call: FrontCall) -> Reply {
         let target = match self.target(&call) {
             Ok(target) => target,
             Err(reply) => return Reply::Front(reply),
@@ -162,6 +177,7 @@
             stopping: &HashSet::new(),
             progress: &HashMap::new(),
             avoid: &HashSet::new(),
+            approvals: &Approvals::default(),
             reserve_millihosts: 0,
         };
         (admit(&view, queue, spec), version)
@@ -322,3 +338,20 @@
         || known.service != beat.service;
     newer && changed
 }
+
+/// Name of a reply's kind for the metrics.
+fn result_name(reply: &Reply) -> &'static str {
+    let Reply::Front(reply) = reply else { return "unknown" };
+    match reply {
+        FrontReply::Accepted => "accepted",
+        FrontReply::NotAccepted { .. } => "not accepted",
+        FrontReply::State(_) => "state",
+        FrontReply::Cancelled => "cancelled",
+        FrontReply::Pending(_) => "pending",
+        FrontReply::NoJob => "no job",
+        FrontReply::NoQueue => "no queue",
+        FrontReply::BadKey => "bad key",
+        FrontReply::Invalid { .. } => "invalid",
+        FrontReply::NotConfigured => "not configured",
+    }
+}
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -43,7 +43,9 @@
     async fn pass(self: &Arc<Self>) {
         self.forget_settled();
         self.find_hanging();
+        self.pace_filling();
         let plan = self.decide();
+        self.ask(plan.questions);
         for (unit, run, cause) in &plan.stops {
             self.stop_unit(unit, *run, *cause);
         }
@@ -59,6 +61,10 @@
         let is_running = |(task, run): &TaskRun| is_running(&inner.state, task, *run);
         let mut soft = self.soft();
         soft.stopping.retain(|key| is_running(key));
+        soft.paces.retain(|key, _| is_running(key));
+        let is_open =
+            |job: &JobId| inner.state.jobs.get(job).is_some_and(|job| job.outcome.is_none());
+        soft.approvals.retain(|step| is_open(&step.job));
         for session in soft.sessions.values_mut() {
             session.settled.retain(|key, _| is_running(key));
         }
@@ -70,6 +76,7 @@
         let state = &inner.state;
         let hosts = self.hosts(state, now_ms);
         let soft = self.soft();
+        let approvals = soft.approvals.clone();
         let stopping: HashSet<(UnitId, u32)> =
             soft.stopping.iter().filter_map(|key| unit_of(state, key)).collect();
         let mut progress: HashMap<(UnitId, u32), Progress> = HashMap::new();
@@ -93,6 +100,7 @@
             stopping: &stopping,
             progress: &progress,
             avoid: &HashSet::new(),
+            approvals: &approvals,
             reserve_millihosts: 0,
         };
         let demand = urgent_demand(&view);
@@ -110,7 +118,9 @@
             let session = soft.sessions.get(&life.id).filter(|session| session.life == life);
             let ready = session.is_some_and(|s| s.listed && s.in_touch(now_ms));
             let beat = &upstream.beat;
-            let takes_work = ready && !beat.draining;
+            let evacuated =
+                beat.machine.as_ref().is_some_and(|machine| soft.evacuating.contains_key(machine));
+            let takes_work = ready && !beat.draining && !evacuated;
             let until_ms = session.map_or(0, |session| session.set_aside_until_ms);
             if until_ms > now_ms && takes_work {
                 set_aside.push((until_ms, hosts.len()));
@@ -133,7 +143,7 @@
         hosts
     }
 
-    fn stop_unit(&self, unit: &UnitId, run: u32, cause: StopCause) {
+    pub(super) fn stop_unit(&self, unit: &UnitId, run: u32, cause: StopCause) {
         let members: Vec<(u32, Life)> = {
             let inner = self.replica.lock();
             let job = inner.state.jobs.get(&unit.job);
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -31,6 +31,8 @@
 pub(super) struct SeenRun {
     pub(super) run: u32,
     pub(super) percent: u32,
+    /// Rough load figure, as listed.
+    pub(super) load: Option<u64>,
     pub(super) checkpoint: Arc<str>,
     /// When it was first listed.
     pub(super) first_ms: u64,
@@ -126,6 +128,7 @@
             let mut seen = before.cloned().unwrap_or_else(|| SeenRun {
                 run: listed.run,
                 percent: 0,
+                load: None,
                 checkpoint: Arc::from(""),
                 first_ms: now_ms,
                 advanced_ms: now_ms,
@@ -135,6 +138,7 @@
                 seen.advanced_ms = now_ms;
             }
             seen.percent = listed.percent;
+            seen.load = listed.load;
             if listed.checkpoint != seen.checkpoint {
                 seen.saved_ms = now_ms;
                 seen.checkpoint = Arc::clone(&listed.checkpoint);
--- a/src/cluster/leader_client.rs
+++ b/src/cluster/leader_client.rs
@@ -165,14 +165,12 @@
         let Ok(Ok(mut client)) = timeout_at(until, self.connected(address)).await else {
             return Err(false);
         };
-        match timeout_at(until, client.call(rpc::Frame { payload })).await {
-            Ok(Ok(reply)) => codec::decode(&reply.into_inner().payload).map_err(|_| true),
-            Ok(Err(_)) | Err(_) => {
-                // The connection may have gone silent; the next attempt opens another one.
-                self.lock().clients.remove(&address);
-                Err(true)
-            }
+        if let Ok(Ok(reply)) = timeout_at(until, client.call(rpc::Frame { payload })).await {
+            return codec::decode(&reply.into_inner().payload).map_err(|_| true);
         }
+        // The connection may have gone silent; the next attempt opens another one.
+        self.lock().clients.remove(&address);
+        Err(true)
     }
 
     /// Returns a client whose connection is open.
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -10,6 +10,7 @@
 mod http_client;
 mod leader;
 mod leader_client;
+mod metrics;
 mod peers;
 mod protocol;
 mod replica;
@@ -26,6 +27,7 @@
 };
 pub use settings::{ClusterSettings, TaskBounds};
 pub use upstream_calls::{
-    CallFault, CallFuture, HoldOrder, ListedEnd, ListedRun, Lists, OrderAnswer, Refusal,
-    StartOrder, StopOrder, UpstreamCalls,
+    AdviceAnswer, AdviceQuestion, CallFault, CallFuture, HoldOrder, ListedEnd, ListedRun, Lists,
+    OrderAnswer, PaceOrder, Refusal, StartOrder, StopOrder, UpkeepAnswer, UpkeepOrder,
+    UpstreamCalls,
 };
--- a/src/cluster/protocol.rs
+++ b/src/cluster/protocol.rs
@@ -110,6 +110,22 @@
     },
     /// Reads the configuration in force.
     ReadConfiguration,
+    /// Asks for the maintenance of physical hosts.
+    StartWave {
+        /// Number of the wave.
+        number: u64,
+        /// The hosts.
+        machines: Vec<Arc<str>>,
+        /// Most hosts that may be down at once.
+        cap: u32,
+        /// Time within which all should have been maintained.
+        duration_ms: u64,
+    },
+    /// Asks whether a wave is completed.
+    WaveStatus {
+        /// Number of the wave.
+        number: u64,
+    },
     /// Asks to belong to the quorum.
     Join {
         /// Identity of the host's disk.
@@ -172,6 +188,8 @@
     Front(FrontReply),
     /// Reply to an operator's request.
     Operator(OperatorReply),
+    /// Whether a wave is completed; `None` if there is no such wave.
+    Wave(Option<bool>),
     /// Recorded.
     Done,
     /// Reply to [`Request::Status`].
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -10,11 +10,12 @@
 
 use super::clock::boot_ms;
 use super::codec;
+use super::metrics::ClusterMetrics;
 use super::peers::Peers;
 use crate::StepError;
 use crate::journal::Journal;
 use crate::quorum::{Batch, Core, Entry, Message, Output, Payload, Snapshot, storage};
-use crate::tasks::{Change, Command, State};
+use crate::tasks::{Change, Command, JobEvent, Outcome, State};
 
 /// Interval of the log's clock.
 const TICK: Duration = Duration::from_millis(25);
@@ -46,6 +47,7 @@
     role: watch::Sender<RoleView>,
     /// The state has changed.
     changed: watch::Sender<u64>,
+    pub(super) metrics: ClusterMetrics,
 }
 
 #[derive(Debug)]
@@ -76,6 +78,7 @@
         own_address: String,
     ) -> Result<Arc<Self>, StepError> {
         let snapshot = core.log().snapshot().clone();
+        let metrics = ClusterMetrics::new(journal.metrics());
         let inner = Inner {
             state: decode_state(&snapshot)?,
             applied: snapshot.index,
@@ -91,6 +94,7 @@
             unsynced: Notify::new(),
             role: watch::channel(RoleView::default()).0,
             changed: watch::channel(0).0,
+            metrics,
         }))
     }
 
@@ -170,6 +174,7 @@
     /// # Errors
     /// Returns an error if this host does not lead or lost its leadership meanwhile.
     pub(super) async fn propose(&self, change: Change) -> Result<(), NotConfirmed> {
+        let begun_ms = boot_ms();
         let (confirm, confirmed) = oneshot::channel();
         self.with(|inner, boot_now_ms| {
             let command = Command { at_ms: inner.now_ms(), change };
@@ -179,7 +184,9 @@
             }
         });
         // Dropping the sender tells that the change was not confirmed.
-        confirmed.await.map_err(|_| NotConfirmed)
+        confirmed.await.map_err(|_| NotConfirmed)?;
+        self.metrics.committed(boot_ms().saturating_sub(begun_ms));
+        Ok(())
     }
 
     /// Runs a transition and carries out what follows from it.
@@ -195,7 +202,17 @@
         if role.leading_term != led {
             inner.change_role(role.leading_term);
         }
+        let log = (role.leading_term.is_some(), inner.core.term(), inner.core.commit_index());
+        let events = inner.state.take_events();
         drop(inner);
+        if after != before || role.leading_term != led {
+            self.metrics.log_state(log.0, log.1, log.2);
+        }
+        if log.0 {
+            for event in &events {
+                self.note_job(event);
+            }
+        }
         self.role.send_if_modified(|known| std::mem::replace(known, role) != role);
         if after != before {
             self.changed.send_replace(after);
@@ -203,6 +220,23 @@
         result
     }
 
+    /// Logs and counts what happened to a job; only the leader does.
+    fn note_job(&self, event: &JobEvent) {
+        let organisation = event.organisation.as_deref().unwrap_or_default();
+        let (queue, after_ms) = (&*event.queue, event.after_ms);
+        let Some(outcome) = event.outcome else {
+            self.metrics.job_started(organisation, queue, after_ms);
+            return;
+        };
+        let outcome = match outcome {
+            Outcome::Completed => "completed",
+            Outcome::Failed => "failed",
+            Outcome::Cancelled => "cancelled",
+        };
+        self.metrics.job_ended(organisation, queue, outcome, after_ms);
+        info!(request = %event.id, queue, organisation, outcome, after_ms, "job ended");
+    }
+
     fn carry_out(&self, inner: &mut Inner, output: Output) {
         let Output { persist, send, send_after_sync, installed, committed } = output;
         let wrote = !persist.is_empty();
--- a/src/cluster/settings.rs
+++ b/src/cluster/settings.rs
@@ -12,6 +12,10 @@
     pub stop_timeout_ms: u64,
     /// Factor by which work takes longer far from its data or across racks.
     pub remote_factor: u64,
+    /// Time for which no other leader orders the maintenance of a physical host after this one.
+    pub order_lease_ms: u64,
+    /// Time that the maintenance of a physical host takes.
+    pub maintenance_ms: u64,
     /// Time for which the state of an ended job is kept.
     pub keep_state_ms: u64,
 }
--- a/src/cluster/upstream_calls.rs
+++ b/src/cluster/upstream_calls.rs
@@ -1,5 +1,6 @@
 //! Orders to upstreams, as functions that an adapter supplies.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -47,6 +48,67 @@
     pub run: u32,
 }
 
+/// Sets the share of its full speed at which a task works.
+#[derive(Debug, Clone)]
+pub struct PaceOrder {
+    /// Address of the upstream.
+    pub address: Arc<str>,
+    /// Identity of the upstream.
+    pub upstream: Arc<str>,
+    /// Token of the leader.
+    pub fencing_token: u64,
+    /// Task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub run: u32,
+    /// Share, from 0 to 100.
+    pub percent: u32,
+}
+
+/// Asks which upstreams may run a step.
+#[derive(Debug, Clone)]
+pub struct AdviceQuestion {
+    /// Step, as `JOB.OCCURRENCE.STEP`.
+    pub step: String,
+    /// Identities of the upstreams in question.
+    pub upstreams: Vec<Arc<str>>,
+    /// Time to wait for the answer.
+    pub limit_ms: u64,
+}
+
+/// Answer to an [`AdviceQuestion`].
+#[derive(Debug, Clone, Default)]
+pub struct AdviceAnswer {
+    /// Tickets of the approved upstreams.
+    pub approved: BTreeMap<Arc<str>, Arc<str>>,
+    /// Time for which the tickets hold, if the service says so.
+    pub valid_ms: Option<u64>,
+}
+
+/// Takes a physical host down for maintenance.
+#[derive(Debug, Clone)]
+pub struct UpkeepOrder {
+    /// Physical host.
+    pub machine: Arc<str>,
+    /// Number of the wave that asked for it.
+    pub wave: u64,
+    /// Token of the leader.
+    pub fencing_token: u64,
+}
+
+/// Answer to an [`UpkeepOrder`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpkeepAnswer {
+    /// The maintenance has begun, now or before.
+    Begun,
+    /// The host is not up or is leaving; ask again later.
+    Busy,
+    /// There is no such host, or it does not belong to the wave.
+    NotWanted,
+    /// Too many calls; ask again later.
+    Throttled,
+}
+
 /// Extends the lease of an upstream and reads its lists.
 #[derive(Debug, Clone)]
 pub struct HoldOrder {
@@ -181,6 +243,12 @@
     pub stop: Call<StopOrder, OrderAnswer>,
     /// Extends the lease and reads the lists.
     pub hold: Call<HoldOrder, Lists>,
+    /// Sets the pace of one task.
+    pub pace: Call<PaceOrder, OrderAnswer>,
+    /// Asks the advising service.
+    pub advise: Call<AdviceQuestion, AdviceAnswer>,
+    /// Takes a physical host down for maintenance.
+    pub upkeep: Call<UpkeepOrder, UpkeepAnswer>,
 }
 
 impl fmt::Debug for UpstreamCalls {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,13 +4,16 @@
 //! runs to start and to stop. It does no input or output and reads no clock.
 
 mod admission;
+mod approvals;
 mod headroom;
 mod order;
+mod pacing;
 mod pool;
 mod preemption;
 mod room;
 #[cfg(test)]
 mod tests;
+mod upkeep;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -18,11 +21,14 @@
 use crate::tasks::{Job, JobId, Life, Need, Outcome, StartRecord, State, StepSpec, UnitId};
 
 pub(crate) use admission::{Admission, admit};
+pub(crate) use approvals::{Approvals, Question, StepId, without_asked};
 pub(crate) use headroom::{Headroom, urgent_demand};
 use order::{Waiting, waiting_units};
 pub(crate) use order::{objective_ms, work_chain_ms};
+pub(crate) use pacing::next_pace;
 use pool::Pool;
 use preemption::Victims;
+pub(crate) use upkeep::{Candidate, open_places, order as order_candidates, patience_ms};
 
 /// What the leader knows of one upstream.
 #[derive(Debug, Clone)]
@@ -57,6 +63,8 @@
     pub(crate) progress: &'a HashMap<(UnitId, u32), Progress>,
     /// Upstreams on which a unit should not be tried again soon.
     pub(crate) avoid: &'a HashSet<(JobId, Life)>,
+    /// Approvals for queues that need them.
+    pub(crate) approvals: &'a Approvals,
     /// Capacity that only the first priority may take, in thousandths of a host.
     pub(crate) reserve_millihosts: u64,
 }
@@ -67,6 +75,8 @@
     pub(crate) starts: Vec<StartRecord>,
     /// Runs to stop, with the cause.
     pub(crate) stops: Vec<(UnitId, u32, StopCause)>,
+    /// Questions without whose answer a unit cannot be placed.
+    pub(crate) questions: Vec<Question>,
     /// Units that wait although their turn has come.
     pub(crate) unplaced: usize,
 }
@@ -83,6 +93,9 @@
     /// Work of a higher priority needs its place.
     #[display("preempted")]
     Preempted,
+    /// Its host goes down for maintenance.
+    #[display("maintenance")]
+    Maintenance,
     /// It makes no progress.
     #[display("hangs")]
     Hangs,
@@ -149,12 +162,24 @@
         return;
     }
     plan.unplaced += 1;
+    ask_for_approvals(view, pool, unit, plan);
     if unit.may_preempt {
         let stops = preemption::make_room(view, pool, victims, unit);
         plan.stops.extend(stops.into_iter().map(|(id, run)| (id, run, StopCause::Preempted)));
     }
 }
 
+/// Asks about further upstreams if the unit's queue needs approvals.
+fn ask_for_approvals(view: &View<'_>, pool: &Pool, unit: &Waiting<'_>, plan: &mut Plan) {
+    let Some(advice) = unit.queue.advice else { return };
+    let step = StepId::of(&unit.id);
+    if plan.questions.iter().any(|question| question.step == step) {
+        return;
+    }
+    let about = (unit.step, &*unit.queue.service, advice.valid_ms);
+    plan.questions.extend(approvals::question(view, &pool.free, &unit.id, about));
+}
+
 /// Tells whether a host may run tasks of a step at all.
 fn is_eligible(host: &Host, step: &StepSpec, service: &str) -> bool {
     let labelled = step.label.as_ref().is_none_or(|label| host.labels.contains(label));
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -7,6 +7,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use smallvec::SmallVec;
+
 use super::{View, for_each_unit};
 use crate::tasks::{Configuration, Job, JobSpec, Need, Phase, Queue, StepSpec, UnitId};
 
@@ -71,13 +73,16 @@
     for job in open {
         let Some(queue) = view.state.queue_of(job) else { continue };
         let is_covered = queue.priority == 0 && guarantees.covers(job);
-        let timeliness = Timeliness::of(view, job, queue);
+        let occurrences = 0..job.spec.occurrences();
+        let timeliness: SmallVec<[Timeliness; 1]> =
+            occurrences.map(|occurrence| Timeliness::of(view, job, queue, occurrence)).collect();
         for_each_unit(job, |id, unit| {
             let (occurrence, step) = (id.occurrence as usize, id.step as usize);
             let due = job.spec.due_unix_ms(id.occurrence) <= view.unix_ms;
             if unit.phase != Phase::Waiting || !due || !job.is_ready(occurrence, step) {
                 return;
             }
+            let timeliness = timeliness[occurrence];
             let rank = Rank {
                 priority: queue.priority,
                 not_guaranteed: !is_covered,
@@ -102,13 +107,16 @@
 }
 
 impl Timeliness {
-    fn of(view: &View<'_>, job: &Job, queue: &Queue) -> Self {
-        if job.spec.repeat.is_some() || job.spec.is_lasting() {
+    fn of(view: &View<'_>, job: &Job, queue: &Queue, occurrence: u32) -> Self {
+        if job.spec.is_lasting() {
             return Self::OnTime;
         }
         let objective_ms = objective_ms(queue, work_chain_ms(&job.spec));
-        let age_ms = view.now_ms.saturating_sub(job.accepted_ms);
-        let expected_ms = age_ms + remaining_chain_ms(job);
+        let age_ms = match job.spec.due_unix_ms(occurrence) {
+            0 => view.now_ms.saturating_sub(job.accepted_ms),
+            due_unix_ms => view.unix_ms.saturating_sub(due_unix_ms),
+        };
+        let expected_ms = age_ms + remaining_chain_ms(job, occurrence);
         if expected_ms <= objective_ms {
             Self::OnTime
         } else if expected_ms <= objective_ms * USEFUL_FACTOR {
@@ -120,8 +128,8 @@
 }
 
 /// Returns the longest chain of steps that are not done.
-fn remaining_chain_ms(job: &Job) -> u64 {
-    let steps = &job.occurrences[0];
+fn remaining_chain_ms(job: &Job, occurrence: u32) -> u64 {
+    let steps = &job.occurrences[occurrence as usize];
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
     for (spec, state) in job.spec.steps.iter().zip(steps) {
         let begin = spec.after.iter().map(|before| ends[*before as usize]).max().unwrap_or(0);
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -6,8 +6,8 @@
 
 use super::order::Waiting;
 use super::pool::Pool;
-use super::{View, is_eligible};
-use crate::tasks::Need;
+use super::{StepId, View, is_eligible};
+use crate::tasks::{Life, Need};
 
 /// Finds a host for each task of the unit, or nothing if not all of them fit.
 pub(super) fn find(view: &View<'_>, pool: &Pool, unit: &Waiting<'_>) -> Option<Vec<usize>> {
@@ -36,9 +36,14 @@
 /// Returns the groups of hosts among which a unit has to choose one.
 pub(super) fn groups(view: &View<'_>, pool: &Pool, unit: &Waiting<'_>) -> Vec<Vec<usize>> {
     let step = unit.step;
+    let step_id = StepId::of(&unit.id);
+    let approved = |life: &Life| {
+        let free = unit.queue.advice.is_none();
+        free || view.approvals.ticket(&step_id, life, view.now_ms).is_some()
+    };
     let usable = |host: &usize| {
         let host = &view.hosts[*host];
-        host.takes_work && is_eligible(host, step, &unit.queue.service)
+        host.takes_work && is_eligible(host, step, &unit.queue.service) && approved(&host.life)
     };
     let in_rack = |hosts: &Vec<usize>| hosts.iter().copied().filter(usable).collect::<Vec<_>>();
     if let Some(rack) = &step.data_rack {
--- a/src/placement/tests/pool_view.rs
+++ b/src/placement/tests/pool_view.rs
@@ -1,8 +1,9 @@
 //! A state with hosts, and decisions on it.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 
-use crate::placement::{Host, Plan, Progress, View, plan};
+use crate::placement::{Approvals, Host, Plan, Progress, View, plan};
 use crate::tasks::tests::sample::Sample;
 use crate::tasks::{JobId, Life, UnitId};
 
@@ -12,6 +13,7 @@
     pub(super) stopping: HashSet<(UnitId, u32)>,
     pub(super) progress: HashMap<(UnitId, u32), Progress>,
     pub(super) avoid: HashSet<(JobId, Life)>,
+    pub(super) approvals: Approvals,
     pub(super) reserve_millihosts: u64,
     /// Hosts that take no work.
     pub(super) closed: Vec<String>,
@@ -22,8 +24,8 @@
     upstreams
         .map(|upstream| Host {
             life: upstream.life(),
-            service: upstream.beat.service.clone(),
-            rack: upstream.beat.rack.clone(),
+            service: Arc::clone(&upstream.beat.service),
+            rack: Arc::clone(&upstream.beat.rack),
             labels: upstream.beat.labels.clone(),
             capacity: upstream.beat.capacity,
             takes_work: !inputs.closed.iter().any(|closed| **closed == *upstream.beat.id),
@@ -41,6 +43,7 @@
         stopping: &inputs.stopping,
         progress: &inputs.progress,
         avoid: &inputs.avoid,
+        approvals: &inputs.approvals,
         reserve_millihosts: inputs.reserve_millihosts,
     })
 }
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -10,8 +10,9 @@
 use super::ids::{JobId, TaskId};
 use super::job::{Job, Member, Outcome, Phase};
 use super::spec::JobSpec;
-use super::state::State;
+use super::state::{JobEvent, State};
 use super::upstream::{EndKind, Heartbeat, Life, Upstream};
+use super::wave::{MachineState, Wave};
 
 impl State {
     /// Applies one command.
@@ -28,6 +29,20 @@
             Change::Lost { life, runs } => self.lose(&life, runs),
             Change::Register { beat } => self.register(beat),
             Change::Leave { life } => self.leave(&life),
+            Change::StartWave { number, machines, cap, duration_ms } => {
+                let started_ms = self.now_ms;
+                let waiting = machines.into_iter().map(|machine| (machine, MachineState::Waiting));
+                let machines = waiting.collect();
+                let wave = Wave { machines, cap, duration_ms, started_ms };
+                self.waves.entry(number).or_insert(wave);
+            }
+            Change::Maintain { wave, machine, state } => {
+                if let Some(wave) = self.waves.get_mut(&wave)
+                    && let Some(known) = wave.machines.get_mut(&machine)
+                {
+                    *known = state;
+                }
+            }
             Change::Forget { jobs } => {
                 for id in jobs {
                     self.jobs.remove(&id);
@@ -69,7 +84,7 @@
     fn cancel(&mut self, id: &JobId) {
         let now_ms = self.now_ms;
         if let Some(job) = self.jobs.get_mut(id) {
-            end_job(job, Outcome::Cancelled, now_ms);
+            self.events.extend(end_job(job, Outcome::Cancelled, now_ms));
         }
     }
 
@@ -92,7 +107,11 @@
             start.lives.into_iter().map(|life| Member { life, end: None }).collect();
         unit.run = start.run;
         unit.phase = Phase::Running { members };
-        job.started = true;
+        if !job.started {
+            job.started = true;
+            let event = event_of(job, self.now_ms);
+            self.events.push(event);
+        }
     }
 
     fn take_ends(&mut self, life: &Life, up_to: u64, ends: Vec<EndRecord>) {
@@ -161,7 +180,7 @@
             unit.phase = if given_up { Phase::GivenUp } else { Phase::Waiting };
         }
         if given_up {
-            end_job(job, Outcome::Failed, now_ms);
+            self.events.extend(end_job(job, Outcome::Failed, now_ms));
         }
         if newly_done {
             self.close_unit(task, now_ms);
@@ -175,7 +194,7 @@
         assert!(step.open > 0, "{task}: a unit is done once");
         step.open -= 1;
         if job.occurrences.iter().flatten().all(|step| step.open == 0) {
-            end_job(job, Outcome::Completed, now_ms);
+            self.events.extend(end_job(job, Outcome::Completed, now_ms));
         }
     }
 
@@ -233,9 +252,21 @@
 }
 
 /// Decides a job's outcome once.
-fn end_job(job: &mut Job, outcome: Outcome, now_ms: u64) {
-    if job.outcome.is_none() {
-        job.outcome = Some(outcome);
-        job.ended_ms = now_ms;
+fn end_job(job: &mut Job, outcome: Outcome, now_ms: u64) -> Option<JobEvent> {
+    if job.outcome.is_some() {
+        return None;
+    }
+    job.outcome = Some(outcome);
+    job.ended_ms = now_ms;
+    Some(event_of(job, now_ms))
+}
+
+fn event_of(job: &Job, now_ms: u64) -> JobEvent {
+    JobEvent {
+        id: job.id.clone(),
+        queue: Arc::clone(&job.queue),
+        organisation: job.organisation.clone(),
+        outcome: job.outcome,
+        after_ms: now_ms.saturating_sub(job.accepted_ms),
     }
 }
--- a/src/tasks/command.rs
+++ b/src/tasks/command.rs
@@ -10,6 +10,7 @@
 use super::ids::{JobId, TaskId, UnitId};
 use super::spec::JobSpec;
 use super::upstream::{EndKind, Heartbeat, Life};
+use super::wave::MachineState;
 
 /// A run that is to be started.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -58,6 +59,10 @@
     Register { beat: Heartbeat },
     /// Removes an upstream that has left or was lost.
     Leave { life: Life },
+    /// Begins a wave unless it is known.
+    StartWave { number: u64, machines: Vec<Arc<str>>, cap: u32, duration_ms: u64 },
+    /// Records how far a physical host of a wave is.
+    Maintain { wave: u64, machine: Arc<str>, state: MachineState },
     /// Drops jobs whose state was kept long enough.
     Forget { jobs: Vec<JobId> },
 }
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -14,6 +14,7 @@
 #[cfg(test)]
 pub(crate) mod tests;
 mod upstream;
+mod wave;
 
 pub(crate) use command::{Change, Command, EndRecord, LostRun, StartRecord};
 pub use configuration::{
@@ -23,6 +24,7 @@
 pub use job::JobState;
 pub(crate) use job::{Job, Outcome, Phase, Unit};
 pub use spec::{InvalidJob, JobSpec, Need, Repeat, StepSpec};
-pub(crate) use state::State;
+pub(crate) use state::{JobEvent, State};
 pub use upstream::{EndKind, Heartbeat};
 pub(crate) use upstream::{Life, Upstream};
+pub(crate) use wave::{MachineState, Wave};
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -8,8 +8,21 @@
 
 use super::configuration::{Configuration, Queue};
 use super::ids::{JobId, TaskId};
-use super::job::{Job, Unit};
+use super::job::{Job, Outcome, Unit};
 use super::upstream::{Life, Upstream};
+use super::wave::Wave;
+
+/// Something that happened to a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct JobEvent {
+    pub(crate) id: JobId,
+    pub(crate) queue: Arc<str>,
+    pub(crate) organisation: Option<Arc<str>>,
+    /// Absent for the first start.
+    pub(crate) outcome: Option<Outcome>,
+    /// Time since the job was accepted.
+    pub(crate) after_ms: u64,
+}
 
 /// Everything that control hosts agree on.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -23,12 +36,22 @@
     pub(crate) upstreams: BTreeMap<Arc<str>, Upstream>,
     /// Queues of jobs whose queue was removed from the configuration.
     pub(crate) former_queues: BTreeMap<Arc<str>, Queue>,
+    /// Waves of maintenance by their number.
+    pub(crate) waves: BTreeMap<u64, Wave>,
+    /// What has happened to jobs since the shell last asked.
+    #[serde(skip)]
+    pub(super) events: Vec<JobEvent>,
     /// Tasks that may be running in each life and their runs; derived from the jobs.
     #[serde(skip)]
     pub(super) running: HashMap<Life, BTreeMap<TaskId, u32>>,
 }
 
 impl State {
+    /// Takes what has happened to jobs since the last call.
+    pub(crate) fn take_events(&mut self) -> Vec<JobEvent> {
+        std::mem::take(&mut self.events)
+    }
+
     /// Rebuilds what is derived from the rest, after decoding.
     pub(crate) fn rebuild(&mut self) {
         let mut running: HashMap<Life, BTreeMap<TaskId, u32>> = HashMap::new();
