--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -11,8 +11,8 @@
 use crate::cluster::upstream_calls::{CallFault, HoldOrder, Lists};
 use crate::tasks::{Change, EndKind, EndRecord, Life, TaskId};
 
-/// Longest time that a call waits for an end.
-const WAIT_MS: u64 = 1_000;
+/// Longest time that a call waits for an end; each call has its price.
+const WAIT_MS: u64 = 2_000;
 
 /// Pause after a call without an answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -103,8 +103,11 @@
                     return if unanswered { Started::Uncertain } else { Started::Refused(refusal) };
                 }
                 Err(CallFault::OtherUpstream) => return Started::Ended,
-                Err(CallFault::NotSent { .. }) => {}
-                Err(CallFault::NoAnswer { .. }) => unanswered = true,
+                Err(CallFault::NotSent { .. }) => self.doubt(life),
+                Err(CallFault::NoAnswer { .. }) => {
+                    unanswered = true;
+                    self.doubt(life);
+                }
             }
             if boot_ms().saturating_sub(begun_ms) > START_GIVE_UP_MS {
                 return if unanswered {
@@ -161,6 +164,16 @@
         }
     }
 
+    /// Gives an upstream no new work until it answers again.
+    fn doubt(&self, life: &Life) {
+        let mut soft = self.soft();
+        if let Some(session) = soft.sessions.get_mut(&life.id)
+            && session.life == *life
+        {
+            session.doubt();
+        }
+    }
+
     /// Notes that an order has a definite answer.
     fn settle(&self, life: &Life, key: TaskRun) {
         let mut soft = self.soft();
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -14,7 +14,7 @@
 const LAPSE_MARGIN_MS: u64 = 300;
 
 /// Time without an answer after which an upstream gets no new work, in milliseconds.
-const SILENT_AFTER_MS: u64 = 2_300;
+const SILENT_AFTER_MS: u64 = 3_300;
 
 /// Outcomes of runs that are kept for judging an upstream.
 const RECENT_OUTCOMES: usize = 6;
@@ -63,6 +63,8 @@
     /// Counts how often it was set aside since it last succeeded.
     set_aside_times: u32,
     lease_max_ms: u64,
+    /// An order had no answer since the last contact.
+    doubtful: bool,
     /// Last heartbeat.
     pub(super) beat_ms: u64,
 }
@@ -82,6 +84,7 @@
             set_aside_until_ms: 0,
             set_aside_times: 0,
             lease_max_ms,
+            doubtful: false,
             beat_ms: now_ms,
         }
     }
@@ -101,6 +104,7 @@
     pub(super) fn heard(&mut self, clock_ms: u64, now_ms: u64) {
         // Answers on different connections may overtake each other.
         if self.contact.is_none_or(|contact| contact.clock_ms <= clock_ms) {
+            self.doubtful = false;
             self.contact = Some(Contact { clock_ms, at_ms: now_ms });
         }
     }
@@ -110,8 +114,14 @@
         self.contact.map(|contact| now_ms.saturating_sub(contact.at_ms))
     }
 
+    /// Notes that an order had no answer, so that nothing more is sent there for now.
+    pub(super) fn doubt(&mut self) {
+        self.doubtful = true;
+    }
+
     pub(super) fn in_touch(&self, now_ms: u64) -> bool {
-        self.silent_ms(now_ms).is_some_and(|silent_ms| silent_ms < SILENT_AFTER_MS)
+        !self.doubtful
+            && self.silent_ms(now_ms).is_some_and(|silent_ms| silent_ms < SILENT_AFTER_MS)
     }
 
     /// Tells whether everything that ran under a lease is certainly over.
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -208,7 +208,8 @@
         if after != before || role.leading_term != led {
             self.metrics.log_state(log.0, log.1, log.2);
         }
-        if log.0 {
+        // What a restart or an election applies again was told by an earlier leader.
+        if log.0 && led.is_some() {
             for event in &events {
                 self.note_job(event);
             }
--- a/src/quorum/core.rs
+++ b/src/quorum/core.rs
@@ -14,7 +14,8 @@
 #[expect(clippy::struct_field_names, reason = "fields carry their unit")]
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Timing {
-    /// Time without a leader after which a host may stand for election; up to twice that at random.
+    /// Time without a leader after which a host may stand for election; up to half as long again at
+    /// random.
     pub(crate) election_ms: u64,
     /// Time between two heartbeats of a leader.
     pub(crate) heartbeat_ms: u64,
@@ -355,7 +356,7 @@
         self.random ^= self.random << 13;
         self.random ^= self.random >> 7;
         self.random ^= self.random << 17;
-        let spread = self.random % self.timing.election_ms.max(1);
+        let spread = self.random % (self.timing.election_ms / 2).max(1);
         self.election_due_ms = now_ms + self.timing.election_ms + spread;
     }
 }
