Find gangs that stand still, and stop the others of a gang at once

Cause: workers hang, and runs of gangs were not watched; and a gang whose member's start was not answered waited until its patience ended (one run ended 'alone').

Ruled out: waiting for room (the start was ordered at once), a slow leader (commits took 0.05 s).

All members of a hanging gang are stopped, its job is kept away from these workers for 15 s, and a worker on which two jobs hung is set aside.

--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -9,6 +9,8 @@
 mod requests;
 mod scheduling;
 mod session;
+#[cfg(test)]
+mod tests;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
@@ -22,7 +24,7 @@
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
 use crate::placement::{Approvals, Headroom, StepId};
-use crate::tasks::{Life, TaskId};
+use crate::tasks::{JobId, Life, TaskId};
 use session::Session;
 
 /// One run of one task.
@@ -53,6 +55,8 @@
     stopping: HashSet<TaskRun>,
     holds: HashMap<Life, AbortHandle>,
     headroom: Headroom,
+    /// Upstreams on which a job made no progress, and until when it is kept away from them.
+    avoid: HashMap<(JobId, Life), u64>,
     approvals: Approvals,
     /// Pace of filling tasks that differs from full speed, and when it was set.
     paces: HashMap<TaskRun, (u32, u64)>,
--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -32,13 +32,12 @@
 impl Leader {
     /// Orders one task of a recorded run to start.
     pub(super) fn order_start(self: &Arc<Self>, unit: &UnitId, run: u32, place: u32, life: &Life) {
-        let task = unit.task(place);
-        let work = Arc::clone(self).start_task(task, run, life.clone());
+        let work = Arc::clone(self).start_task(unit.clone(), place, run, life.clone());
         self.spawn(work);
     }
 
-    async fn start_task(self: Arc<Self>, task: TaskId, run: u32, life: Life) {
-        let key = (task, run);
+    async fn start_task(self: Arc<Self>, unit: UnitId, place: u32, run: u32, life: Life) {
+        let key = (unit.task(place), run);
         let outcome = self.try_start(&key, &life).await;
         let how = match &outcome {
             Started::Settled => "settled",
@@ -70,6 +69,10 @@
             Started::Ended => "start void",
         });
         self.soft().starting.remove(&key);
+        if matches!(outcome, Started::Refused(_) | Started::Uncertain) {
+            // The others would only wait for this one until their patience ends.
+            self.stop_others(&unit, key.1, place);
+        }
         match outcome {
             Started::Settled => self.settle(&life, key),
             Started::Refused(_) => self.record_not_started(&life, key).await,
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -7,6 +7,7 @@
 use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
+use super::failures::{Hanging, unit_of};
 use super::{Leader, TaskRun, failures};
 use crate::cluster::clock::{boot_ms, unix_ms};
 use crate::placement::{Host, Plan, Progress, StopCause, View, plan, urgent_demand};
@@ -62,6 +63,8 @@
         let mut soft = self.soft();
         soft.stopping.retain(|key| is_running(key));
         soft.paces.retain(|key, _| is_running(key));
+        let now_ms = boot_ms();
+        soft.avoid.retain(|_, until_ms| now_ms < *until_ms);
         let is_open =
             |job: &JobId| inner.state.jobs.get(job).is_some_and(|job| job.outcome.is_none());
         soft.approvals.retain(|step| is_open(&step.job));
@@ -77,6 +80,7 @@
         let hosts = self.hosts(state, now_ms);
         let soft = self.soft();
         let approvals = soft.approvals.clone();
+        let avoid: HashSet<(JobId, Life)> = soft.avoid.keys().cloned().collect();
         let stopping: HashSet<(UnitId, u32)> =
             soft.stopping.iter().filter_map(|key| unit_of(state, key)).collect();
         let mut progress: HashMap<(UnitId, u32), Progress> = HashMap::new();
@@ -99,7 +103,7 @@
             unix_ms: unix_ms(),
             stopping: &stopping,
             progress: &progress,
-            avoid: &HashSet::new(),
+            avoid: &avoid,
             approvals: &approvals,
             reserve_millihosts: 0,
         };
@@ -143,23 +147,36 @@
         hosts
     }
 
+    /// Orders all tasks of a run to stop.
     pub(super) fn stop_unit(&self, unit: &UnitId, run: u32, cause: StopCause) {
-        let members: Vec<(u32, Life)> = {
-            let inner = self.replica.lock();
-            let job = inner.state.jobs.get(&unit.job);
-            let Some(state) = job.and_then(|j| j.unit(unit.occurrence, unit.step, unit.unit))
-            else {
-                return;
-            };
-            let open = (0_u32..).zip(state.members()).filter(|(_, member)| member.end.is_none());
-            open.map(|(place, member)| (place, member.life.clone())).collect()
-        };
-        let cause = cause.to_string();
-        for (place, life) in members {
-            self.order_stop(&life, unit.task(place), run, &cause);
+        for (place, life) in self.open_members(unit, run) {
+            self.order_stop(&life, unit.task(place), run, &cause.to_string());
         }
     }
 
+    /// Orders the other members of a gang to stop.
+    pub(super) fn stop_others(&self, unit: &UnitId, run: u32, place: u32) {
+        let cause = StopCause::GangBroken.to_string();
+        for (other, life) in self.open_members(unit, run) {
+            if other != place {
+                self.order_stop(&life, unit.task(other), run, &cause);
+            }
+        }
+    }
+
+    /// Lists the tasks of a run that may be running, by their place.
+    fn open_members(&self, unit: &UnitId, run: u32) -> Vec<(u32, Life)> {
+        let inner = self.replica.lock();
+        let job = inner.state.jobs.get(&unit.job);
+        let Some(state) = job.and_then(|job| job.unit(unit.occurrence, unit.step, unit.unit))
+        else {
+            return Vec::new();
+        };
+        let open = (0_u32..).zip(state.members()).filter(|(_, member)| member.end.is_none());
+        let members = open.map(|(place, member)| (place, member.life.clone()));
+        if state.run == run { members.collect() } else { Vec::new() }
+    }
+
     /// Records runs, and orders them once the record is safe.
     async fn start_units(self: &Arc<Self>, starts: Vec<StartRecord>) {
         for start in &starts {
@@ -187,44 +204,34 @@
         }
     }
 
-    /// Stops runs that make no progress and sets their upstreams aside.
+    /// Stops runs that make no progress, and judges their upstreams by them.
+    ///
+    /// Which member of a gang hangs is not known, so the job is kept away from all of its hosts;
+    /// the one that hangs is found by the next job that hangs there.
     fn find_hanging(&self) {
         let now_ms = boot_ms();
-        let mut hanging: Vec<(Life, TaskRun, u64)> = Vec::new();
-        {
+        let mut blamed: HashSet<(UnitId, u32, Life)> = HashSet::new();
+        let hanging = {
             let inner = self.replica.lock();
             let soft = self.soft();
-            for session in soft.sessions.values().filter(|session| session.in_touch(now_ms)) {
-                for (task, seen) in &session.runs {
-                    let Some((job, unit, _)) = inner.state.find(task) else { continue };
-                    let step = &job.spec.steps[task.step as usize];
-                    let limit_ms = failures::hang_after_ms(step.estimate_ms);
-                    let still_ms = now_ms.saturating_sub(seen.advanced_ms);
-                    let current = unit.is_running() && unit.run == seen.run;
-                    // Members of one gang stand still together; which one hangs is not known.
-                    let judged = !step.lasting && !step.gang && current;
-                    if judged && still_ms > limit_ms {
-                        hanging.push((session.life.clone(), (task.clone(), seen.run), still_ms));
-                    }
-                }
-            }
-        }
-        for (life, (task, run), still_ms) in hanging {
-            let key = (task, run);
-            if self.soft().stopping.contains(&key) {
+            failures::hanging(&inner.state, soft.sessions.values(), &soft.stopping, now_ms)
+        };
+        for Hanging { unit, run, life, still_ms } in hanging {
+            if !blamed.insert((unit.clone(), run, life.clone())) {
                 continue;
             }
-            let pause_ms = {
+            let set_aside_ms = {
                 let mut soft = self.soft();
+                soft.avoid.insert((unit.job.clone(), life.clone()), now_ms + failures::AVOID_MS);
                 soft.sessions
                     .get_mut(&life.id)
-                    .and_then(|session| session.note_outcome(key.0.job.clone(), false, now_ms))
+                    .and_then(|session| session.note_outcome(unit.job.clone(), false, now_ms))
             };
             warn!(
-                request = %key.0.job, task = %key.0, run, upstream = %life.id, still_ms,
-                set_aside_ms = pause_ms, "run makes no progress"
+                request = %unit.job, unit = %unit, run, upstream = %life.id, still_ms,
+                set_aside_ms, "run makes no progress"
             );
-            self.order_stop(&life, key.0, key.1, &StopCause::Hangs.to_string());
+            self.stop_unit(&unit, run, StopCause::Hangs);
         }
     }
 
@@ -266,12 +273,3 @@
     let job = state.jobs.get(&task.job);
     job.and_then(|job| job.spec.steps.get(task.step as usize)).is_some_and(|step| step.checkpoints)
 }
-
-/// Returns the unit and run of a task that is running.
-fn unit_of(state: &State, (task, run): &TaskRun) -> Option<(UnitId, u32)> {
-    let job = state.jobs.get(&task.job)?;
-    let (unit, _) = job.place_of(task.step, task.index)?;
-    let current = job.unit(task.occurrence, task.step, unit)?;
-    let id = UnitId { job: task.job.clone(), occurrence: task.occurrence, step: task.step, unit };
-    (current.run == *run && current.is_running()).then_some((id, *run))
-}
--- /dev/null
+++ b/src/cluster/leader/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of what the leader believes of upstreams.
+
+mod hanging;
+mod sessions;
--- a/src/logging.rs
+++ b/src/logging/mod.rs
@@ -3,6 +3,9 @@
 //! A thread of its own writes the lines. Lines that it cannot take are dropped and counted, and
 //! each kind of line has a budget a second, so that a flood of one kind hides no other.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -3,3 +3,4 @@
 mod loads;
 mod places;
 mod pool_view;
+mod services;
