Read the lists of a leaving worker to the end, and let a done run count whenever it is reported

Cause: the news that an upstream leaves was committed before the end that its list had shown, so the run counted as lost. Ruled out: a lapsed lease (it was in touch), a second life, a stop (none was ordered for the task).

The holding loop now records what a leaving upstream lists until it no longer answers, and a done run counts although it counted as lost before. The test an_overtaken_report_of_a_done_run_counts fails on the former code.

Gangs: members that have done their part wait at 100 percent and do not hang.

Also: leases are not extended for an upstream that has been silent for 3.5 s, since its work could then never start elsewhere; heartbeats of services that the configuration does not name register nothing.

--- a/src/cluster/leader/failures.rs
+++ b/src/cluster/leader/failures.rs
@@ -41,6 +41,7 @@
     pub(super) run: u32,
     pub(super) life: Life,
     pub(super) still_ms: u64,
+    pub(super) percent: u32,
 }
 
 /// Lists the runs that stand still, with each of their hosts.
@@ -60,10 +61,12 @@
             let Some((job, ..)) = state.find(task) else { continue };
             let step = &job.spec.steps[task.step as usize];
             let still_ms = now_ms.saturating_sub(seen.advanced_ms);
-            let over_limit = still_ms > hang_after_ms(step.estimate_ms);
+            // A member of a gang that has done its part waits for the others.
+            let works = seen.percent < 100;
+            let over_limit = works && still_ms > hang_after_ms(step.estimate_ms);
             if over_limit && !step.lasting && !stopping.contains(&key) {
                 let life = session.life.clone();
-                hanging.push(Hanging { unit, run, life, still_ms });
+                hanging.push(Hanging { unit, run, life, still_ms, percent: seen.percent });
             }
         }
     }
--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -14,6 +14,12 @@
 /// Longest time that a call waits for an end; each call has its price.
 const WAIT_MS: u64 = 2_000;
 
+/// Time without an answer for which leases are still extended.
+const EXTEND_UNTIL_SILENT_MS: u64 = 3_500;
+
+/// Pause between looks at an upstream that leaves, until it no longer answers.
+const LEAVING_PAUSE: Duration = Duration::from_millis(100);
+
 /// Pause after a call without an answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -59,10 +65,17 @@
                 warn!(upstream = %life.id, term = self.term, "a newer leader has been there");
                 Next::Pause(FENCED_PAUSE)
             }
+            Err(_) if self.is_leaving(life) => self.end_life(life).await,
             Err(fault) => self.note_silence(life, &fault).await,
         }
     }
 
+    /// Tells whether the upstream has said that it leaves now.
+    fn is_leaving(&self, life: &Life) -> bool {
+        let soft = self.soft();
+        soft.sessions.get(&life.id).is_some_and(|session| session.leaving)
+    }
+
     fn hold_order(&self, life: &Life, now_ms: u64) -> Option<HoldOrder> {
         let ends_seen = {
             let inner = self.replica.lock();
@@ -74,8 +87,11 @@
         };
         let mut soft = self.soft();
         let session = soft.sessions.get_mut(&life.id).filter(|session| session.life == *life)?;
-        let lease_until_ms = session.grant_lease(now_ms);
-        let wait_ms = if session.listed { WAIT_MS } else { 0 };
+        let silent = session.silent_ms(now_ms).is_some_and(|ms| ms > EXTEND_UNTIL_SILENT_MS);
+        // Leases that go on growing without an answer would never let lost work start elsewhere.
+        let lease_until_ms = if silent { None } else { session.grant_lease(now_ms) };
+        let look_only = !session.listed || session.leaving;
+        let wait_ms = if look_only { 0 } else { WAIT_MS };
         Some(HoldOrder {
             address: Arc::clone(&session.address),
             upstream: Arc::clone(&life.id),
@@ -109,8 +125,9 @@
         let mut ends = self.listed_ends(life, lists);
         ends.extend(self.vanished(life, lists, &settled, sent_ms));
         self.stop_unknown(life, lists);
+        let next = if self.is_leaving(life) { Next::Pause(LEAVING_PAUSE) } else { Next::Again };
         if ends.is_empty() && lists.ended.is_empty() {
-            return Next::Again;
+            return next;
         }
         let up_to = lists.ended.iter().map(|end| end.number).max().unwrap_or(0);
         for end in &ends {
@@ -119,7 +136,7 @@
         log_ends(life, &ends);
         let change = Change::Ends { life: life.clone(), up_to, ends };
         match self.replica.propose(change).await {
-            Ok(()) => Next::Again,
+            Ok(()) => next,
             Err(_) => Next::Pause(RETRY_PAUSE),
         }
     }
@@ -127,11 +144,13 @@
     /// Converts the listed ends and judges the upstream by them.
     fn listed_ends(&self, life: &Life, lists: &Lists) -> Vec<EndRecord> {
         let now_ms = boot_ms();
-        let known: HashMap<TaskId, u32> =
-            self.replica.lock().state.runs_of(life).into_iter().collect();
+        let is_newest = |task: &TaskId, run: u32| {
+            let inner = self.replica.lock();
+            inner.state.find(task).is_some_and(|(_, unit, _)| unit.run == run)
+        };
         let mut ends = Vec::new();
         for end in &lists.ended {
-            if known.get(&end.task) != Some(&end.run) {
+            if !is_newest(&end.task, end.run) {
                 continue;
             }
             let good = match end.how {
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -228,6 +228,10 @@
                 |other: &&Upstream| other.beat.address == beat.address && other.beat.id != beat.id;
             (known, upstreams.values().find(same).cloned())
         };
+        if !self.is_known_service(&beat.service) {
+            info!(upstream = %beat.id, service = %beat.service, "heartbeat of an unknown service");
+            return Reply::Done;
+        }
         if known.as_ref().is_some_and(|known| known.beat.born_unix_ms > beat.born_unix_ms) {
             info!(upstream = %beat.id, "heartbeat of an earlier life is ignored");
             return Reply::Done;
@@ -261,6 +265,14 @@
         self.commit(Change::Register { beat }, Reply::Done).await
     }
 
+    /// Tells whether the configuration names a service; before the first one, all are known.
+    fn is_known_service(&self, name: &str) -> bool {
+        let inner = self.replica.lock();
+        inner.state.configuration.as_ref().is_none_or(|configuration| {
+            configuration.services.iter().any(|service| &*service.name == name)
+        })
+    }
+
     /// Makes sure that no late order for a former life starts anything in the new one.
     async fn replace_life(self: &Arc<Self>, former: &Life, beat: &Heartbeat) {
         let runs = self.replica.lock().state.runs_of(former);
@@ -277,7 +289,16 @@
             return Reply::Done;
         }
         info!(upstream = %id, "upstream leaves");
-        self.commit(Change::Leave { life }, Reply::Done).await
+        // What it has done until now may still be on its way, so the holding loop reads its lists
+        // until it no longer answers.
+        let held = match self.soft().sessions.get_mut(id) {
+            Some(session) if session.life == life => {
+                session.leaving = true;
+                true
+            }
+            _ => false,
+        };
+        if held { Reply::Done } else { self.commit(Change::Leave { life }, Reply::Done).await }
     }
 
     fn status(&self) -> ClusterStatus {
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -216,7 +216,7 @@
             let soft = self.soft();
             failures::hanging(&inner.state, soft.sessions.values(), &soft.stopping, now_ms)
         };
-        for Hanging { unit, run, life, still_ms } in hanging {
+        for Hanging { unit, run, life, still_ms, percent } in hanging {
             if !blamed.insert((unit.clone(), run, life.clone())) {
                 continue;
             }
@@ -228,7 +228,7 @@
                     .and_then(|session| session.note_outcome(unit.job.clone(), false, now_ms))
             };
             warn!(
-                request = %unit.job, unit = %unit, run, upstream = %life.id, still_ms,
+                request = %unit.job, unit = %unit, run, upstream = %life.id, still_ms, percent,
                 set_aside_ms, "run makes no progress"
             );
             self.stop_unit(&unit, run, StopCause::Hangs);
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -65,6 +65,8 @@
     lease_max_ms: u64,
     /// An order had no answer since the last contact.
     doubtful: bool,
+    /// It has said that it leaves; once it no longer answers, it is gone.
+    pub(super) leaving: bool,
     /// Last heartbeat.
     pub(super) beat_ms: u64,
 }
@@ -85,6 +87,7 @@
             set_aside_times: 0,
             lease_max_ms,
             doubtful: false,
+            leaving: false,
             beat_ms: now_ms,
         }
     }
@@ -121,6 +124,7 @@
 
     pub(super) fn in_touch(&self, now_ms: u64) -> bool {
         !self.doubtful
+            && !self.leaving
             && self.silent_ms(now_ms).is_some_and(|silent_ms| silent_ms < SILENT_AFTER_MS)
     }
 
--- a/src/cluster/leader/tests/hanging.rs
+++ b/src/cluster/leader/tests/hanging.rs
@@ -42,6 +42,17 @@
     assert!(hanging(&sample.state, sessions.iter(), &HashSet::new(), 3_400).is_empty());
 }
 
+/// Members of a gang end together, so one that has done its part stands still at 100 percent.
+#[test]
+fn a_member_that_waits_for_the_others_does_not_hang() {
+    let mut sample = Sample::with_hosts(2);
+    let job = sample.accept(1, "urgent", vec![gang(2, 8)]);
+    sample.start(&job, 0, 1, &[0, 1]);
+    let runs = |percent| vec![listed(&job, 0, percent)];
+    let sessions = [session(0, &[(1_000, runs(100)), (2_500, runs(100)), (4_000, runs(100))])];
+    assert!(hanging(&sample.state, sessions.iter(), &HashSet::new(), 4_100).is_empty());
+}
+
 /// A run that advances, however slowly, does not hang; nor does one that is being stopped.
 #[test]
 fn slow_or_stopping_runs_do_not_hang() {
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -150,6 +150,13 @@
         if unit.run != run {
             return;
         }
+        if unit.phase == Phase::Waiting && how == EndKind::Done && !lasting {
+            // The run counted as lost, but its report had only been overtaken.
+            unit.finished = true;
+            unit.phase = Phase::Done;
+            self.close_unit(task, now_ms);
+            return;
+        }
         let Phase::Running { members } = &mut unit.phase else { return };
         let Some(member) = members.get_mut(place as usize) else { return };
         if member.life != *life || member.end.is_some() {
--- a/src/tasks/tests/upstreams.rs
+++ b/src/tasks/tests/upstreams.rs
@@ -2,7 +2,7 @@
 
 use super::sample::{Sample, beat, life, step};
 use crate::cluster::codec;
-use crate::tasks::{Change, Heartbeat, Life, State};
+use crate::tasks::{Change, EndKind, Heartbeat, JobState, Life, State};
 
 /// What ran in a former life of an upstream is over with it.
 #[test]
@@ -15,6 +15,20 @@
     assert!(!sample.state.jobs[&job].unit(0, 0, 0).unwrap().is_running());
 }
 
+/// The report of a run's end and the news that its upstream has left overtake each other; a run
+/// that was done must not start again.
+#[test]
+fn an_overtaken_report_of_a_done_run_counts() {
+    let mut sample = Sample::with_hosts(2);
+    let job = sample.accept(1, "normal", vec![step(1, 1)]);
+    sample.start(&job, 0, 1, &[0]);
+    sample.apply(Change::Leave { life: life(0) });
+    sample.end(&job, 0, 1, 0, EndKind::Done);
+    sample.start(&job, 0, 2, &[1]);
+    assert!(sample.state.runs_of(&life(1)).is_empty());
+    assert_eq!(sample.state.jobs[&job].state(), JobState::Completed);
+}
+
 /// A heartbeat that was held up must not bring a former life or state back.
 #[test]
 fn late_heartbeats_change_nothing() {
