--- a/src/cluster/leader_client.rs
+++ b/src/cluster/leader_client.rs
@@ -7,6 +7,7 @@
 
 use tokio::time::{Instant, sleep, timeout_at};
 use tonic::transport::Channel;
+use tracing::{info, warn};
 
 use super::codec;
 use super::protocol::{Reply, Request};
@@ -124,7 +125,7 @@
                         self.forget_leader(address);
                     }
                     Ok(reply) => {
-                        self.lock().leader = Some(address);
+                        self.found_leader(address);
                         return Ok(reply);
                     }
                     Err(delivered) => {
@@ -147,10 +148,18 @@
         }
     }
 
+    fn found_leader(&self, address: SocketAddr) {
+        let before = self.lock().leader.replace(address);
+        if before != Some(address) {
+            info!(leader = %address, "leader of control found");
+        }
+    }
+
     fn forget_leader(&self, address: SocketAddr) {
         let mut known = self.lock();
         if known.leader == Some(address) {
             known.leader = None;
+            warn!(leader = %address, "leader of control lost");
         }
     }
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod cancel;
 mod check;
+mod cluster;
 mod demo;
 mod documents;
 mod drain;
@@ -13,6 +14,7 @@
 mod sign_off;
 mod status;
 mod submit;
+mod trace;
 mod upstreams;
 mod util;
 
@@ -44,11 +46,13 @@
     let explain = slot("explain", explain::options(), explain::run);
     let documents = slot("documents", documents::options(), documents::run);
     let upstreams = slot("upstreams", upstreams::options(), upstreams::run);
+    let cluster = slot("cluster", cluster::options(), cluster::run);
+    let trace = slot("trace", trace::options(), trace::run);
     let drain = slot("drain", drain::options(), drain::run);
     let health = slot("health", health::options(), health::run);
     construct!([
         check, demo, send, request, sign_off, submit, status, cancel, explain, documents,
-        upstreams, drain, health
+        upstreams, drain, health, cluster, trace
     ])
     .to_options()
     .descr(USAGE)
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -8,4 +8,5 @@
 mod jobs;
 mod operate;
 mod send;
+mod trace;
 mod work;
