--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -154,7 +154,8 @@
     unit: &Waiting<'_>,
     plan: &mut Plan,
 ) {
-    let within_limit = unit.queue.priority == 0 || pool.leaves_reserve(view, unit);
+    let exempt = unit.queue.priority == 0 || unit.step.lasting;
+    let within_limit = exempt || pool.leaves_reserve(view, unit);
     if within_limit && let Some(places) = room::find(view, pool, unit) {
         let lives = places.iter().map(|host| view.hosts[*host].life.clone()).collect();
         pool.take(unit, &places);
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -20,9 +20,30 @@
     Hopeless,
 }
 
+/// Kinds of work that go before others whatever their queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Band {
+    /// First priority.
+    Urgent,
+    /// Tasks that run until they are cancelled: each moment away is service lost.
+    Lasting,
+    Other,
+}
+
+impl Band {
+    fn of(queue: &Queue, step: &StepSpec) -> Self {
+        match (queue.priority, step.lasting) {
+            (0, _) => Self::Urgent,
+            (_, true) => Self::Lasting,
+            (_, false) => Self::Other,
+        }
+    }
+}
+
 /// Place in the order; lower ones go first.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
+    band: Band,
     priority: u32,
     not_guaranteed: bool,
     timeliness: Timeliness,
@@ -84,6 +105,7 @@
             }
             let timeliness = timeliness[occurrence];
             let rank = Rank {
+                band: Band::of(queue, &job.spec.steps[step]),
                 priority: queue.priority,
                 not_guaranteed: !is_covered,
                 timeliness,
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -94,6 +94,16 @@
         free >= view.reserve_millihosts + task * u64::from(unit.step.unit_size())
     }
 
+    /// Tells whether less than half of a service's capacity is in use.
+    pub(super) fn is_mostly_free(&self, view: &View<'_>, service: &str) -> bool {
+        let hosts = view.hosts.iter().zip(&self.free);
+        let of_service = hosts.filter(|(host, _)| host.takes_work && *host.service == *service);
+        let (free, all) = of_service.fold((0, 0), |(free, all), (host, left)| {
+            (free + left.weight(), all + host.capacity.weight())
+        });
+        free * 2 > all
+    }
+
     /// Number of tasks of a unit's step on a host.
     pub(super) fn tasks_on(&self, unit: &UnitId, host: usize) -> u32 {
         let place = (unit.job.clone(), unit.occurrence, unit.step, host);
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -11,6 +11,9 @@
 use super::{View, for_each_unit};
 use crate::tasks::{Need, UnitId};
 
+/// Work that the stop of a lasting task counts as, in milliseconds: about the time it is away.
+const LASTING_LOSS_MS: u64 = 10_000;
+
 /// A run that may be stopped.
 #[derive(Debug, Clone)]
 struct Victim {
@@ -56,7 +59,8 @@
                 let members = state.members().iter().filter(|member| member.end.is_none());
                 let hosts: Vec<_> =
                     members.filter_map(|member| by_life.get(&member.life).copied()).collect();
-                let unsaved_ms = view.progress.get(&run).map_or(0, |seen| seen.unsaved_ms);
+                let seen_ms = view.progress.get(&run).map_or(0, |seen| seen.unsaved_ms);
+                let unsaved_ms = if step.lasting { LASTING_LOSS_MS } else { seen_ms };
                 let lost = unsaved_ms * step.need.weight() / 1000 * hosts.len() as u64;
                 let need = step.reserved();
                 let priority = queue.priority;
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -33,6 +33,9 @@
 /// Time after which a unit takes a place far from its data, as a share of its estimate.
 const FAR_AFTER_ESTIMATES: u64 = 2;
 
+/// Time for which a unit waits for its best place while most of the pool is free, in milliseconds.
+const PATIENCE_WITH_ROOM_MS: u64 = 1_500;
+
 /// Returns the groups of hosts among which a unit has to choose one.
 pub(super) fn groups(view: &View<'_>, pool: &Pool, unit: &Waiting<'_>) -> Vec<Vec<usize>> {
     let step = unit.step;
@@ -48,7 +51,14 @@
     let in_rack = |hosts: &Vec<usize>| hosts.iter().copied().filter(usable).collect::<Vec<_>>();
     if let Some(rack) = &step.data_rack {
         let near = pool.racks.get(rack).map(in_rack).unwrap_or_default();
-        let patient = unit.waited_ms < FAR_AFTER_ESTIMATES * step.estimate_ms;
+        let patience_ms = if step.lasting {
+            0
+        } else if pool.is_mostly_free(view, &unit.queue.service) {
+            PATIENCE_WITH_ROOM_MS
+        } else {
+            FAR_AFTER_ESTIMATES * step.estimate_ms
+        };
+        let patient = unit.waited_ms < patience_ms;
         if patient && could_ever_fit(view, unit, &near) {
             return vec![near];
         }
@@ -56,7 +66,9 @@
     let racks: Vec<_> =
         pool.racks.values().map(in_rack).filter(|hosts| !hosts.is_empty()).collect();
     let whole = racks.iter().filter(|hosts| could_ever_fit(view, unit, hosts)).count();
-    if step.same_rack && step.tasks > 1 && whole > 0 {
+    let must_run =
+        unit.waited_ms >= PATIENCE_WITH_ROOM_MS && pool.is_mostly_free(view, &unit.queue.service);
+    if step.same_rack && step.tasks > 1 && whole > 0 && !must_run {
         return racks;
     }
     vec![racks.into_iter().flatten().collect()]
--- a/src/placement/tests/loads.rs
+++ b/src/placement/tests/loads.rs
@@ -3,8 +3,8 @@
 use super::pool_view::{Inputs, decide, decide_and_start, starts};
 use crate::placement::headroom::{Demand, Headroom};
 use crate::placement::{Progress, StopCause};
-use crate::tasks::UnitId;
 use crate::tasks::tests::sample::{Sample, gang, job_id, step};
+use crate::tasks::{StepSpec, UnitId};
 
 fn unit(job: u64) -> UnitId {
     UnitId { job: job_id(job), occurrence: 0, step: 0, unit: 0 }
@@ -78,6 +78,33 @@
     assert!(plan.stops.is_empty());
 }
 
+/// Load: urgent jobs displace lasting tasks while the reserve is full. A lasting task starts again
+/// as soon as there is room, before other work and in spite of the reserve.
+#[test]
+fn lasting_tasks_start_again_first() {
+    let mut sample = Sample::with_hosts(2);
+    sample.accept(1, "normal", vec![step(1, 8)]);
+    sample.accept(2, "batch", vec![StepSpec { lasting: true, ..step(1, 8) }]);
+    let inputs = Inputs { reserve_millihosts: 2_000, ..Inputs::default() };
+    let plan = decide(&sample, &inputs);
+    insta::assert_snapshot!(starts(&plan).join("\n"), @"0000000000000002.0.0.0 run 1: host-00");
+}
+
+/// Load: an urgent job needs a host. The short work goes, not the task that serves on.
+#[test]
+fn lasting_tasks_are_displaced_last() {
+    let mut sample = Sample::with_hosts(2);
+    sample.accept(1, "batch", vec![StepSpec { lasting: true, ..step(1, 8) }]);
+    sample.accept(2, "batch", vec![step(1, 8)]);
+    decide_and_start(&mut sample, &Inputs::default());
+    sample.accept(9, "urgent", vec![step(1, 8)]);
+    let mut inputs = Inputs::default();
+    inputs.progress.insert((unit(1), 1), Progress { unsaved_ms: 0 });
+    inputs.progress.insert((unit(2), 1), Progress { unsaved_ms: 3_000 });
+    let plan = decide(&sample, &inputs);
+    assert_eq!(plan.stops, [(unit(2), 1, StopCause::Preempted)]);
+}
+
 /// The reserve follows the peak of the last 20 s and never takes more than a quarter of the pool.
 #[test]
 fn the_reserve_follows_recent_demand() {
--- a/src/placement/tests/places.rs
+++ b/src/placement/tests/places.rs
@@ -59,6 +59,24 @@
     assert_eq!(decide(&sample, &Inputs::default()).starts.len(), 1);
 }
 
+/// While most of the pool is free, nothing waits long for its best place, and lasting tasks not at
+/// all.
+#[test]
+fn nothing_waits_long_for_its_best_place_in_an_empty_pool() {
+    let mut sample = Sample::with_hosts(32);
+    for host in 8..16 {
+        let job = sample.accept(100 + u64::from(host), "batch", vec![step(1, 8)]);
+        sample.start(&job, 0, 1, &[host]);
+    }
+    let near = StepSpec { data_rack: Some("rack-1".into()), ..step(1, 1) };
+    sample.accept(1, "normal", vec![near.clone()]);
+    sample.accept(2, "normal", vec![StepSpec { lasting: true, ..near }]);
+    let plan = decide(&sample, &Inputs::default());
+    insta::assert_snapshot!(starts(&plan).join("\n"), @"0000000000000002.0.0.0 run 1: host-00");
+    sample.at(1_600);
+    assert_eq!(decide(&sample, &Inputs::default()).starts.len(), 2);
+}
+
 /// A host that takes no work, or on which the job has failed before, is passed over.
 #[test]
 fn closed_and_avoided_hosts_get_nothing() {
