--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tracing::{debug, info, warn};
 
 use super::{Leader, TaskRun};
@@ -55,7 +56,36 @@
         }
         let sent_ms = boot_ms();
         let Some(order) = self.hold_order(life, sent_ms) else { return Next::End };
-        match (self.calls.hold)(order).await {
+        let Some(look_now) = self.look_now(life) else { return Next::End };
+        let waits = order.wait_ms > 0;
+        let lists = tokio::select! {
+            lists = (self.calls.hold)(order) => lists,
+            () = look_now.notified(), if waits => return self.look_at_once(life).await,
+        };
+        self.take_answer(life, lists, sent_ms).await
+    }
+
+    /// Looks without waiting for an end.
+    async fn look_at_once(&self, life: &Life) -> Next {
+        let sent_ms = boot_ms();
+        let Some(mut order) = self.hold_order(life, sent_ms) else { return Next::End };
+        order.wait_ms = 0;
+        let lists = (self.calls.hold)(order).await;
+        self.take_answer(life, lists, sent_ms).await
+    }
+
+    fn look_now(&self, life: &Life) -> Option<Arc<Notify>> {
+        let soft = self.soft();
+        soft.sessions.get(&life.id).map(|session| Arc::clone(&session.look_now))
+    }
+
+    async fn take_answer(
+        &self,
+        life: &Life,
+        answer: Result<Lists, CallFault>,
+        sent_ms: u64,
+    ) -> Next {
+        match answer {
             Ok(lists) => self.take_lists(life, &lists, sent_ms).await,
             Err(CallFault::OtherUpstream) => {
                 warn!(upstream = %life.id, "another upstream answers at its address");
--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -187,6 +187,15 @@
         }
     }
 
+    /// Looks at once at an upstream that does not list a stopped run: the run is over then.
+    fn look_if_unlisted(&self, life: &Life, (task, run): &TaskRun) {
+        let soft = self.soft();
+        let Some(session) = soft.sessions.get(&life.id) else { return };
+        if session.runs.get(task).is_none_or(|seen| seen.run != *run) {
+            session.look_now.notify_one();
+        }
+    }
+
     async fn record_not_started(&self, life: &Life, key: TaskRun) {
         let (task, run) = key;
         let end = EndRecord { task, run, how: EndKind::NotStarted, checkpoint: None };
@@ -238,6 +247,7 @@
                         if let Some(leader) = shared.upgrade() {
                             leader.heard(&life, clock_ms);
                             leader.settle(&life, key.clone());
+                            leader.look_if_unlisted(&life, &key);
                         }
                         break;
                     }
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -3,6 +3,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
+use tokio::sync::Notify;
+
 use super::TaskRun;
 use crate::cluster::upstream_calls::Lists;
 use crate::tasks::{JobId, Life, TaskId};
@@ -67,6 +69,8 @@
     doubtful: bool,
     /// It has said that it leaves; once it no longer answers, it is gone.
     pub(super) leaving: bool,
+    /// Ends the wait of the current look, because its outcome is needed now.
+    pub(super) look_now: Arc<Notify>,
     /// Last heartbeat.
     pub(super) beat_ms: u64,
 }
@@ -88,6 +92,7 @@
             lease_max_ms,
             doubtful: false,
             leaving: false,
+            look_now: Arc::default(),
             beat_ms: now_ms,
         }
     }
