--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -1,6 +1,5 @@
-//! Holding an upstream: extends its lease, reads its lists and records what has ended.
+//! Holding an upstream: extends its lease, reads its lists, and notices when it falls silent.
 
-use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,7 +9,7 @@
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
 use crate::cluster::upstream_calls::{CallFault, HoldOrder, Lists};
-use crate::tasks::{Change, EndKind, EndRecord, Life, TaskId};
+use crate::tasks::{Change, Life, TaskId};
 
 /// Longest time that a call waits for an end; each call has its price.
 const WAIT_MS: u64 = 2_000;
@@ -18,11 +17,8 @@
 /// Time without an answer for which leases are still extended.
 const EXTEND_UNTIL_SILENT_MS: u64 = 3_500;
 
-/// Pause between looks at an upstream that leaves, until it no longer answers.
-const LEAVING_PAUSE: Duration = Duration::from_millis(100);
-
 /// Pause after a call without an answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// Pause after a newer leader was noticed, until this one learns of it.
 const FENCED_PAUSE: Duration = Duration::from_secs(2);
@@ -31,7 +27,7 @@
 const FORGET_AFTER_MS: u64 = 20_000;
 
 /// What to do after a call.
-enum Next {
+pub(super) enum Next {
     Again,
     Pause(Duration),
     End,
@@ -101,7 +97,7 @@
     }
 
     /// Tells whether the upstream has said that it leaves now.
-    fn is_leaving(&self, life: &Life) -> bool {
+    pub(super) fn is_leaving(&self, life: &Life) -> bool {
         let soft = self.soft();
         soft.sessions.get(&life.id).is_some_and(|session| session.leaving)
     }
@@ -132,146 +128,6 @@
         })
     }
 
-    /// Records what the lists show.
-    async fn take_lists(&self, life: &Life, lists: &Lists, sent_ms: u64) -> Next {
-        if lists.born_unix_ms.is_some_and(|born| born != life.born_unix_ms) {
-            // Its heartbeat will register the new life; the runs of this one are over then.
-            return Next::Pause(RETRY_PAUSE);
-        }
-        let now_ms = boot_ms();
-        let (settled, newly_in_touch) = {
-            let mut soft = self.soft();
-            let Some(session) = soft.sessions.get_mut(&life.id) else { return Next::End };
-            let newly = !session.in_touch(now_ms);
-            session.heard(lists.clock_ms, now_ms);
-            session.note_lists(lists, now_ms);
-            (session.settled.clone(), newly)
-        };
-        if newly_in_touch {
-            let running = lists.running.len();
-            info!(upstream = %life.id, running, ended = lists.ended.len(), "upstream in touch");
-            self.wake.notify_one();
-        }
-        let mut ends = self.listed_ends(life, lists);
-        ends.extend(self.vanished(life, lists, &settled, sent_ms));
-        self.stop_unknown(life, lists);
-        let next = if self.is_leaving(life) { Next::Pause(LEAVING_PAUSE) } else { Next::Again };
-        if ends.is_empty() && lists.ended.is_empty() {
-            return next;
-        }
-        let up_to = lists.ended.iter().map(|end| end.number).max().unwrap_or(0);
-        for end in &ends {
-            self.replica.metrics.run_ended(kind_name(end.how));
-        }
-        log_ends(life, &ends);
-        let change = Change::Ends { life: life.clone(), up_to, ends };
-        match self.replica.propose(change).await {
-            Ok(()) => next,
-            Err(_) => Next::Pause(RETRY_PAUSE),
-        }
-    }
-
-    /// Converts the listed ends and judges the upstream by them.
-    fn listed_ends(&self, life: &Life, lists: &Lists) -> Vec<EndRecord> {
-        let now_ms = boot_ms();
-        let is_newest = |task: &TaskId, run: u32| {
-            let inner = self.replica.lock();
-            inner.state.find(task).is_some_and(|(_, unit, _)| unit.run == run)
-        };
-        let mut ends = Vec::new();
-        for end in &lists.ended {
-            if !is_newest(&end.task, end.run) {
-                continue;
-            }
-            let good = match end.how {
-                EndKind::Done => Some(true),
-                EndKind::Failed => Some(false),
-                _ => None,
-            };
-            if let Some(good) = good
-                && let Some(session) = self.soft().sessions.get_mut(&life.id)
-                && let Some(pause_ms) = session.note_outcome(end.task.job.clone(), good, now_ms)
-            {
-                self.replica.metrics.upstream_set_aside();
-                warn!(upstream = %life.id, pause_ms, "upstream fails its runs and is set aside");
-            }
-            ends.push(EndRecord {
-                task: end.task.clone(),
-                run: end.run,
-                how: end.how,
-                checkpoint: Some(Arc::clone(&end.checkpoint)),
-            });
-        }
-        ends
-    }
-
-    /// Finds runs whose order was answered before the lists were read, but which they do not show.
-    fn vanished(
-        &self,
-        life: &Life,
-        lists: &Lists,
-        settled: &HashMap<TaskRun, u64>,
-        sent_ms: u64,
-    ) -> Vec<EndRecord> {
-        let listed: HashSet<(&TaskId, u32)> = lists
-            .running
-            .iter()
-            .map(|run| (&run.task, run.run))
-            .chain(lists.ended.iter().map(|end| (&end.task, end.run)))
-            .collect();
-        let recorded = self.replica.lock().state.runs_of(life);
-        let mut over = Vec::new();
-        let mut uncertain = Vec::new();
-        for (task, run) in recorded {
-            if listed.contains(&(&task, run)) {
-                continue;
-            }
-            let key = (task, run);
-            match settled.get(&key) {
-                Some(at_ms) if *at_ms < sent_ms => over.push(key),
-                Some(_) => {}
-                None => uncertain.push(key),
-            }
-        }
-        for (task, run) in uncertain {
-            // An order of a former leader may still arrive; a stop makes it void.
-            let key = (task, run);
-            let ordered = {
-                let soft = self.soft();
-                soft.starting.contains(&key) || soft.stopping.contains(&key)
-            };
-            if !ordered {
-                self.order_stop(life, key.0, key.1, "not listed");
-            }
-        }
-        let record = |(task, run): TaskRun| {
-            let how = EndKind::NotStarted;
-            EndRecord { task, run, how, checkpoint: None }
-        };
-        over.into_iter().map(record).collect()
-    }
-
-    /// Stops runs that the state does not know as running.
-    fn stop_unknown(&self, life: &Life, lists: &Lists) {
-        let known: HashMap<TaskId, u32> =
-            self.replica.lock().state.runs_of(life).into_iter().collect();
-        let ending: HashSet<(&TaskId, u32)> =
-            lists.ended.iter().map(|end| (&end.task, end.run)).collect();
-        for run in &lists.running {
-            let is_known = known.get(&run.task) == Some(&run.run);
-            let key = (run.task.clone(), run.run);
-            if !is_known && !ending.contains(&(&run.task, run.run)) {
-                let ordered = {
-                    let soft = self.soft();
-                    soft.stopping.contains(&key) || soft.starting.contains(&key)
-                };
-                if !ordered {
-                    self.order_stop(life, key.0, key.1, "not in the state");
-                }
-            }
-        }
-    }
-
     /// Decides what a call without an answer means.
     async fn note_silence(&self, life: &Life, fault: &CallFault) -> Next {
         let now_ms = boot_ms();
@@ -327,28 +183,3 @@
         }
     }
 }
-
-fn log_ends(life: &Life, ends: &[EndRecord]) {
-    for end in ends {
-        info!(
-            request = %end.task.job,
-            task = %end.task,
-            run = end.run,
-            upstream = %life.id,
-            how = ?end.how,
-            "run ended"
-        );
-    }
-}
-
-fn kind_name(how: EndKind) -> &'static str {
-    match how {
-        EndKind::Done => "done",
-        EndKind::Failed => "failed",
-        EndKind::Stopped => "stopped",
-        EndKind::Lapsed => "lapsed",
-        EndKind::Broken => "broken",
-        EndKind::Alone => "alone",
-        EndKind::NotStarted => "not started",
-    }
-}
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod failures;
 mod hold;
+mod lists;
 mod maintenance;
 mod orders;
 mod pacing;
--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -273,7 +273,7 @@
     }
 }
 
-/// Time for which a run is fenced on the new life of an upstream.
+/// Tries to stop a run on the new life of an upstream before the life is registered anyway.
 const FENCE_TRIES: usize = 5;
 
 impl Leader {
--- a/src/quorum/mod.rs
+++ b/src/quorum/mod.rs
@@ -9,6 +9,7 @@
 mod log;
 mod membership;
 mod message;
+mod reconfiguration;
 mod replication;
 pub(crate) mod storage;
 #[cfg(test)]
