--- a/src/cluster/leader_client.rs
+++ b/src/cluster/leader_client.rs
@@ -1,10 +1,11 @@
 //! Carries requests to the leader of control, wherever it is.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::time::{Instant, sleep, timeout_at};
 use tonic::transport::Channel;
 use tracing::{info, warn};
@@ -27,6 +28,9 @@
 /// Pause before the next attempt after all known hosts were asked.
 const RETRY_PAUSE: Duration = Duration::from_millis(80);
 
+/// Hosts that are asked in one round because another one named them as the leader.
+const HINTS_MAX: u32 = 2;
+
 /// Largest message between the system's own processes.
 pub(super) const MESSAGE_LIMIT_BYTES: usize = 64 * 1024 * 1024;
 
@@ -106,36 +110,9 @@
         let payload = codec::encode(request);
         let mut maybe_delivered = false;
         loop {
-            let mut candidates = self.lock().candidates();
-            candidates.reverse();
-            let mut hints = 0;
-            while let Some(address) = candidates.pop() {
-                match self.attempt(address, payload.clone(), deadline).await {
-                    Ok(Reply::NotLeader { leader }) => {
-                        self.forget_leader(address);
-                        if let Some(leader) = leader.filter(|leader| *leader != address)
-                            && hints < 2
-                        {
-                            hints += 1;
-                            candidates.push(leader);
-                        }
-                    }
-                    Ok(Reply::Unknown) => {
-                        maybe_delivered = true;
-                        self.forget_leader(address);
-                    }
-                    Ok(reply) => {
-                        self.found_leader(address);
-                        return Ok(reply);
-                    }
-                    Err(delivered) => {
-                        maybe_delivered |= delivered;
-                        self.forget_leader(address);
-                    }
-                }
-                if Instant::now() >= deadline {
-                    break;
-                }
+            match self.ask_all(&payload, deadline).await {
+                Ok(reply) => return Ok(reply),
+                Err(delivered) => maybe_delivered |= delivered,
             }
             let next = Instant::now() + RETRY_PAUSE;
             if !maybe_delivered && next >= give_up {
@@ -148,6 +125,41 @@
         }
     }
 
+    /// Asks each known host once, and those that they name as the leader.
+    ///
+    /// Without a reply, tells whether a leader may have received the request.
+    async fn ask_all(&self, payload: &Bytes, deadline: Instant) -> Result<Reply, bool> {
+        let mut candidates = VecDeque::from(self.lock().candidates());
+        let mut hints_left = HINTS_MAX;
+        let mut maybe_delivered = false;
+        while let Some(address) = candidates.pop_front() {
+            let hint = match self.attempt(address, payload.clone(), deadline).await {
+                Ok(Reply::NotLeader { leader }) => leader.filter(|leader| *leader != address),
+                Ok(Reply::Unknown) => {
+                    maybe_delivered = true;
+                    None
+                }
+                Ok(reply) => {
+                    self.found_leader(address);
+                    return Ok(reply);
+                }
+                Err(delivered) => {
+                    maybe_delivered |= delivered;
+                    None
+                }
+            };
+            self.forget_leader(address);
+            if let Some(leader) = hint.filter(|_| hints_left > 0) {
+                hints_left -= 1;
+                candidates.push_front(leader);
+            }
+            if Instant::now() >= deadline {
+                break;
+            }
+        }
+        Err(maybe_delivered)
+    }
+
     fn found_leader(&self, address: SocketAddr) {
         let before = self.lock().leader.replace(address);
         if before != Some(address) {
@@ -167,7 +179,7 @@
     async fn attempt(
         &self,
         address: SocketAddr,
-        payload: bytes::Bytes,
+        payload: Bytes,
         deadline: Instant,
     ) -> Result<Reply, bool> {
         let until = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
--- a/src/cmd/util.rs
+++ b/src/cmd/util.rs
@@ -5,8 +5,8 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use bpaf::{Parser, construct, long};
-use cactuslatch::StepError;
+use bpaf::{OptionParser, Parser, construct, long, positional};
+use cactuslatch::{JobName, StepError};
 use eyre::eyre;
 use serde_json::Value;
 
@@ -219,3 +219,17 @@
     out.push_str(line.trim_end());
     out.push('\n');
 }
+
+/// Arguments of a command about one job.
+#[derive(Debug, Clone)]
+pub(crate) struct JobArgs {
+    pub(crate) remote: Remote,
+    pub(crate) job: JobName,
+}
+
+/// Parses the arguments of a command about one job.
+pub(crate) fn job_options(usage: &'static str, footer: &'static str) -> OptionParser<JobArgs> {
+    let remote = remote();
+    let job = positional::<JobName>("JOB").help("Name of the job");
+    construct!(JobArgs { remote, job }).to_options().descr(usage).footer(footer)
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -19,6 +19,7 @@
 mod documents;
 mod event;
 mod explain;
+mod free_index;
 mod gang;
 mod homes;
 mod invariants;
--- a/src/scheduler/pool.rs
+++ b/src/scheduler/pool.rs
@@ -6,9 +6,10 @@
 
 use super::Mask;
 use super::event::{Announcement, GangId};
+use super::free_index::FreeIndex;
 use super::limits::{RACK_POSITIONS_LIMIT, UPSTREAM_ACCELERATORS_LIMIT, UPSTREAM_SHAPE_LIMIT};
 use super::organisation::CellId;
-use super::rack::{Block, Rack, View, find_aligned, mask_at, room};
+use super::rack::{Block, Rack, View, find_aligned, mask_at};
 use crate::names::{RackName, UpstreamName};
 
 /// Index of an upstream in the pool.
@@ -161,43 +162,6 @@
     Invalid,
 }
 
-/// Key of an upstream in the index by room: room, free accelerators, upstream.
-type RoomKey = (u32, u32, UpstreamIx);
-
-/// Index of free capacity under one view.
-#[derive(Debug, Default)]
-struct FreeIndex {
-    upstreams: BTreeSet<RoomKey>,
-    upstream_keys: Vec<Option<RoomKey>>,
-    racks: BTreeSet<(u32, RackIx)>,
-    rack_keys: Vec<u32>,
-}
-
-impl FreeIndex {
-    fn set_upstream(&mut self, ix: UpstreamIx, free: Mask) {
-        let key = (free != 0).then(|| (room(free), free.count_ones(), ix));
-        if self.upstream_keys.len() <= ix.get() {
-            self.upstream_keys.resize(ix.get() + 1, None);
-        }
-        let old = std::mem::replace(&mut self.upstream_keys[ix.get()], key);
-        if old != key {
-            old.map(|k| self.upstreams.remove(&k));
-            key.map(|k| self.upstreams.insert(k));
-        }
-    }
-
-    fn set_rack(&mut self, ix: RackIx, run: u32) {
-        if self.rack_keys.len() <= ix.get() {
-            self.rack_keys.resize(ix.get() + 1, 0);
-        }
-        let old = std::mem::replace(&mut self.rack_keys[ix.get()], run);
-        if old != run {
-            self.racks.remove(&(old, ix));
-            self.racks.insert((run, ix));
-        }
-    }
-}
-
 /// Most wholly free upstreams among which one is chosen to be broken up. Runs are at most a rack
 /// long, so that a few racks show a short one, and a whole pool would take too long.
 const WHOLE_SCAN_LIMIT: usize = 32;
