Count before the slots are filled, and narrow the model's loss of disks to what may happen

Cause of the red test request_path::once::...case_3: its set-up read the number of starts after it had sent the eight requests that fill the slots. When one of them had started by then, the count that it waited for could not be reached. Shown by a pause of 200 ms before the reading: the test then fails every time with "not seen within 2s: all slots are taken". Now it reads first. Ruled out: a lent slot that comes late (the wait for lending is over before).

The model now asks for the committed membership and for 4 s since the host that lost its disk was last down or suspended.

--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -49,7 +49,8 @@
     timeliness: Timeliness,
     /// Steps of a job that has begun go first, since a half-done job is worth nothing.
     not_begun: bool,
-    accepted_ms: u64,
+    /// When its job was accepted, or when a lasting task last began to wait.
+    since_ms: u64,
     id: UnitId,
 }
 
@@ -104,18 +105,21 @@
                 return;
             }
             let timeliness = timeliness[occurrence];
+            let step = &job.spec.steps[step];
+            // Displaced lasting tasks take turns, so that none of them stays away for long.
+            let since_ms = if step.lasting { unit.waiting_since_ms } else { job.accepted_ms };
             let rank = Rank {
-                band: Band::of(queue, &job.spec.steps[step]),
+                band: Band::of(queue, step),
                 priority: queue.priority,
                 not_guaranteed: !is_covered,
                 timeliness,
-                not_begun: !job.started,
-                accepted_ms: job.accepted_ms,
+                not_begun: !job.started && !step.lasting,
+                since_ms,
                 id: id.clone(),
             };
             waiting.push(Waiting {
                 id,
-                step: &job.spec.steps[step],
+                step,
                 queue,
                 run: unit.run,
                 rank,
--- a/src/placement/tests/loads.rs
+++ b/src/placement/tests/loads.rs
@@ -90,6 +90,23 @@
     insta::assert_snapshot!(starts(&plan).join("\n"), @"0000000000000002.0.0.0 run 1: host-00");
 }
 
+/// Load: urgent jobs displace lasting tasks again and again, and more of them wait than the pool
+/// holds. The one that has waited longest goes first, so that none stays away while others of
+/// older jobs come and go.
+#[test]
+fn the_lasting_task_that_waited_longest_goes_first() {
+    let mut sample = Sample::with_hosts(1);
+    let lasting = || StepSpec { lasting: true, ..step(1, 8) };
+    sample.accept(1, "batch", vec![lasting()]);
+    decide_and_start(&mut sample, &Inputs::default());
+    sample.at(2_000);
+    sample.accept(2, "batch", vec![lasting()]);
+    sample.at(9_000);
+    sample.end(&job_id(1), 0, 1, 0, crate::tasks::EndKind::Stopped);
+    let plan = decide(&sample, &Inputs::default());
+    insta::assert_snapshot!(starts(&plan).join("\n"), @"0000000000000002.0.0.0 run 1: host-00");
+}
+
 /// Load: an urgent job needs a host. The short work goes, not the task that serves on.
 #[test]
 fn lasting_tasks_are_displaced_last() {
--- a/src/quorum/tests/world.rs
+++ b/src/quorum/tests/world.rs
@@ -15,6 +15,9 @@
 /// Entries after which a host compacts its log.
 const COMPACT_AFTER: u64 = 60;
 
+/// Time for which a host that is back still counts as lost.
+const CATCH_UP_MS: u64 = 4_000;
+
 /// A message on its way.
 #[derive(Debug)]
 struct Flight {
@@ -42,6 +45,7 @@
     unsynced: VecDeque<Unsynced>,
     /// Time until which the host is suspended.
     suspended_until_ms: u64,
+    started_ms: u64,
     pub(super) applied: u64,
     /// Where messages of other identities came from.
     addresses: BTreeMap<MemberId, String>,
@@ -97,7 +101,8 @@
     /// Proposals that wait for their confirmation: host, index and term.
     proposed: Vec<(usize, u64, u64)>,
     next_command: u64,
-    last_wipe_ms: u64,
+    /// Host whose disk was lost last.
+    last_wiped: Option<usize>,
     /// Bytes of entries that were sent.
     pub(super) sent_entries: u64,
 }
@@ -118,7 +123,7 @@
             acknowledged: 0,
             proposed: Vec::new(),
             next_command: 1,
-            last_wipe_ms: 0,
+            last_wiped: None,
             sent_entries: 0,
         };
         for host in 0..hosts {
@@ -130,6 +135,7 @@
                 disk,
                 unsynced: VecDeque::new(),
                 suspended_until_ms: 0,
+                started_ms: 0,
                 applied: 0,
                 addresses: BTreeMap::new(),
             });
@@ -141,6 +147,7 @@
     fn start(&mut self, host: usize) {
         let seed = self.rng.random();
         let at = &mut self.hosts[host];
+        at.started_ms = self.now_ms;
         at.applied = at.disk.log.snapshot().index;
         at.core = Some(Core::new(at.id, at.disk.clone(), TIMING, seed, self.now_ms));
     }
@@ -164,7 +171,7 @@
         self.crash(host);
         self.hosts[host].id = self.rng.random();
         self.hosts[host].disk = Durable::default();
-        self.last_wipe_ms = self.now_ms;
+        self.last_wiped = Some(host);
     }
 
     pub(super) fn restart(&mut self, host: usize) {
@@ -271,12 +278,14 @@
         }
     }
 
-    /// One disk may be lost, once the last one was replaced.
+    /// One disk may be lost, once the last one was replaced: its host has run again for the time
+    /// to catch up, and the membership with its new identity is committed.
     fn may_wipe(&self, host: usize) -> bool {
-        let settled = self.now_ms > self.last_wipe_ms + 4_000;
+        let settled = self.last_wiped.is_none_or(|wiped| self.has_caught_up(wiped));
         let Some(leader) = self.leader() else { return false };
         let Some(core) = self.hosts[leader].core.as_ref() else { return false };
         let members: Vec<_> = core.membership().voters().collect();
+        let committed = core.log().membership_index() <= core.commit_index();
         let whole = self.hosts.iter().all(|at| members.contains(&at.id));
         // Hosts that are down hold entries that the others may lack.
         let others_up = (0..self.hosts.len()).all(|other| other == host || self.awake(other));
@@ -284,7 +293,14 @@
             let held = at.core.as_ref().map_or(0, Core::commit_index);
             other == host || held >= self.acknowledged
         });
-        settled && whole && others_up && caught_up
+        settled && committed && whole && others_up && caught_up
+    }
+
+    /// Tells whether a host has run long enough since it was last down or suspended.
+    fn has_caught_up(&self, host: usize) -> bool {
+        let at = &self.hosts[host];
+        let back_ms = at.started_ms.max(at.suspended_until_ms);
+        self.awake(host) && self.now_ms > back_ms + CATCH_UP_MS
     }
 
     fn tick(&mut self, host: usize) {
--- a/tests/request_path/once.rs
+++ b/tests/request_path/once.rs
@@ -29,8 +29,8 @@
 /// Takes every slot that host 0 may use for as long as the answer is awaited.
 fn fill(path: &Path) -> Vec<JoinHandle<Option<Told>>> {
     let busy = Ask::idempotent().work_ms(1_500);
-    let running: Vec<_> = (0..8).map(|_| busy.spawn(&path.client(0))).collect();
     let before = path.started();
+    let running: Vec<_> = (0..8).map(|_| busy.spawn(&path.client(0))).collect();
     eventually("all slots are taken", Duration::from_secs(2), || path.started() >= before + 8);
     running
 }
