Let lasting tasks take turns under overload, and guaranteed jobs keep theirs

Ruled out: hosts set aside (none), waits for the data's rack, stops that take long (95 of 100 within 0.91 s), orders without an answer.

Guaranteed jobs now keep the order of their acceptance.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -93,6 +93,9 @@
     /// Work of a higher priority needs its place.
     #[display("preempted")]
     Preempted,
+    /// Another lasting task that was away for long takes its turn.
+    #[display("turn taken")]
+    TurnTaken,
     /// Its host goes down for maintenance.
     #[display("maintenance")]
     Maintenance,
@@ -167,6 +170,8 @@
     if unit.may_preempt {
         let stops = preemption::make_room(view, pool, victims, unit);
         plan.stops.extend(stops.into_iter().map(|(id, run)| (id, run, StopCause::Preempted)));
+    } else if let Some((id, run)) = preemption::take_turn(view, pool, victims, unit) {
+        plan.stops.push((id, run, StopCause::TurnTaken));
     }
 }
 
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -23,7 +23,9 @@
 /// Kinds of work that go before others whatever their queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Band {
-    /// First priority.
+    /// First priority under a guarantee: each job has to begin within a bound, late or not.
+    Guaranteed,
+    /// First priority otherwise.
     Urgent,
     /// Tasks that run until they are cancelled: each moment away is service lost.
     Lasting,
@@ -31,13 +33,19 @@
 }
 
 impl Band {
-    fn of(queue: &Queue, step: &StepSpec) -> Self {
+    fn of(queue: &Queue, step: &StepSpec, is_covered: bool) -> Self {
         match (queue.priority, step.lasting) {
+            _ if is_covered => Self::Guaranteed,
             (0, _) => Self::Urgent,
             (_, true) => Self::Lasting,
             (_, false) => Self::Other,
         }
     }
+
+    /// Units wait in turn here, whatever their jobs can still reach for their callers.
+    fn is_in_turn(self) -> bool {
+        matches!(self, Self::Guaranteed | Self::Lasting)
+    }
 }
 
 /// Place in the order; lower ones go first.
@@ -45,7 +53,6 @@
 pub(crate) struct Rank {
     band: Band,
     priority: u32,
-    not_guaranteed: bool,
     timeliness: Timeliness,
     /// Steps of a job that has begun go first, since a half-done job is worth nothing.
     not_begun: bool,
@@ -108,12 +115,13 @@
             let step = &job.spec.steps[step];
             // Displaced lasting tasks take turns, so that none of them stays away for long.
             let since_ms = if step.lasting { unit.waiting_since_ms } else { job.accepted_ms };
+            let band = Band::of(queue, step, is_covered);
+            let in_turn = band.is_in_turn();
             let rank = Rank {
-                band: Band::of(queue, step),
+                band,
                 priority: queue.priority,
-                not_guaranteed: !is_covered,
-                timeliness,
-                not_begun: !job.started && !step.lasting,
+                timeliness: if in_turn { Timeliness::OnTime } else { timeliness },
+                not_begun: !in_turn && !job.started,
                 since_ms,
                 id: id.clone(),
             };
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use super::order::Waiting;
-use super::{View, for_each_unit};
+use super::room::tasks_that_fit;
+use super::{View, for_each_unit, is_eligible};
 use crate::tasks::{JobId, Life, Need, UnitId};
 
 /// Returns the share of a host that is free, by its scarcest resource.
@@ -37,6 +38,8 @@
     pub(super) free: Vec<Need>,
     /// Capacity that is free once everything that was told to stop is over.
     pub(super) soon: Vec<Need>,
+    /// The same together with what is kept for waiting units: capacity that changes hands.
+    unused: Vec<Need>,
     /// Hosts of each rack.
     pub(super) racks: BTreeMap<Arc<str>, Vec<usize>>,
     tasks_of_step: HashMap<StepOnHost, u32>,
@@ -50,6 +53,7 @@
         let mut pool = Self {
             free: view.hosts.iter().map(|host| host.capacity).collect(),
             soon: view.hosts.iter().map(|host| host.capacity).collect(),
+            unused: Vec::new(),
             racks: BTreeMap::new(),
             tasks_of_step: HashMap::new(),
         };
@@ -72,6 +76,7 @@
                 }
             });
         }
+        pool.unused.clone_from(&pool.soon);
         pool
     }
 
@@ -104,6 +109,16 @@
         free * 2 > all
     }
 
+    /// Counts the tasks of a step for which there is capacity that changes hands.
+    pub(super) fn tasks_in_unused(&self, view: &View<'_>, unit: &Waiting<'_>) -> u32 {
+        let need = unit.step.reserved();
+        let hosts = view.hosts.iter().zip(&self.unused);
+        let eligible = hosts.filter(|(host, _)| {
+            host.takes_work && is_eligible(host, unit.step, &unit.queue.service)
+        });
+        eligible.map(|(_, unused)| tasks_that_fit(&need, unused)).sum()
+    }
+
     /// Number of tasks of a unit's step on a host.
     pub(super) fn tasks_on(&self, unit: &UnitId, host: usize) -> u32 {
         let place = (unit.job.clone(), unit.occurrence, unit.step, host);
@@ -116,11 +131,18 @@
         for &host in places {
             self.free[host].take(&need);
             self.soon[host].take(&need);
+            self.unused[host].take(&need);
             let place = (unit.id.job.clone(), unit.id.occurrence, unit.id.step, host);
             *self.tasks_of_step.entry(place).or_default() += 1;
         }
     }
 
+    /// Notes that a run on a host is being stopped.
+    pub(super) fn vacate(&mut self, host: usize, need: &Need) {
+        self.soon[host].give(need);
+        self.unused[host].give(need);
+    }
+
     /// Keeps capacity for a unit that will start there once it is free.
     pub(super) fn reserve(&mut self, unit: &Waiting<'_>, places: &[usize]) {
         let need = unit.step.reserved();
--- a/src/placement/tests/loads.rs
+++ b/src/placement/tests/loads.rs
@@ -62,6 +62,25 @@
     assert!(plan.starts.is_empty(), "{:?}", starts(&plan));
 }
 
+/// Load: one urgent job after the other under a guarantee. Each of them has to begin in time, so one
+/// that is late for its caller keeps its turn, and what is being freed for it.
+#[test]
+fn guaranteed_jobs_keep_their_turn() {
+    let mut sample = Sample::with_hosts(2);
+    for job in 1..=2 {
+        sample.accept(job, "batch", vec![step(1, 8)]);
+    }
+    decide_and_start(&mut sample, &Inputs::default());
+    sample.accept(8, "urgent", vec![StepSpec { estimate_ms: 1_000, ..gang(2, 8) }]);
+    sample.at(2_500);
+    sample.accept(9, "urgent", vec![step(1, 8)]);
+    let mut inputs = Inputs::default();
+    inputs.stopping.insert((unit(2), 1));
+    sample.end(&job_id(1), 0, 1, 0, crate::tasks::EndKind::Stopped);
+    let plan = decide(&sample, &inputs);
+    assert!(plan.starts.is_empty(), "{:?}", starts(&plan));
+}
+
 /// Load: urgent jobs in bursts. Others leave free what urgent jobs took lately, and urgent jobs
 /// may take it.
 #[test]
@@ -107,6 +126,32 @@
     insta::assert_snapshot!(starts(&plan).join("\n"), @"0000000000000002.0.0.0 run 1: host-00");
 }
 
+/// Load: more lasting tasks than the pool holds, and room is being made for an urgent job. A lasting
+/// task that has been away for long takes the turn of one that has run for long, once.
+#[test]
+fn lasting_tasks_take_turns_while_capacity_changes_hands() {
+    let mut sample = Sample::with_hosts(6);
+    let lasting = |tasks| StepSpec { lasting: true, ..step(tasks, 8) };
+    sample.accept(1, "batch", vec![lasting(6)]);
+    decide_and_start(&mut sample, &Inputs::default());
+    sample.accept(2, "batch", vec![lasting(2)]);
+    sample.at(7_000);
+    let mut inputs = Inputs::default();
+    for (number, ran_ms) in (0..).zip([5_500, 6_000, 7_000, 8_000, 1_000, 1_000]) {
+        let run = (UnitId { unit: number, ..unit(1) }, 1);
+        inputs.progress.insert(run, Progress { unsaved_ms: ran_ms });
+    }
+    assert!(decide(&sample, &inputs).stops.is_empty(), "a full pool stays as it is");
+    sample.accept(9, "urgent", vec![gang(2, 8)]);
+    let stops = decide(&sample, &inputs).stops;
+    let stops: Vec<_> = stops.iter().map(|(unit, _, cause)| format!("{unit}: {cause}")).collect();
+    insta::assert_snapshot!(stops.join("\n"), @r"
+    0000000000000001.0.0.0: preempted
+    0000000000000001.0.0.1: preempted
+    0000000000000001.0.0.3: turn taken
+    ");
+}
+
 /// Load: an urgent job needs a host. The short work goes, not the task that serves on.
 #[test]
 fn lasting_tasks_are_displaced_last() {
