Give jobs of steps an interface of the project's own: hosts, upstreams, commands, demo

Now the library has its own HTTP interface (task_api: settings in YAML, callers, operators, orders to upstreams), a daemon (cactuslatch-cluster), a stand-in that runs tasks under leases and fencing tokens (standin/tasks, and as a process), `cactuslatch steps`, and a step of the demo that kills the leader while a job runs. The orders use the library's types as JSON, so there is one copy of each. Ruled out: the existing gang interface for such jobs (it stages and commits members, and names are dates); a second wire type for each order.

Shown by tests/steps.rs on three hosts: a job of steps runs once though it is sent twice; a killed leader loses nothing; work of a lost upstream starts elsewhere and nothing done runs again; a cancelled job stops.

The own upstreams have no advice, pace, maintenance or capacity of their own to guard; docs/steps.md says what they keep.

--- a/src/cluster/upstream_calls.rs
+++ b/src/cluster/upstream_calls.rs
@@ -5,13 +5,15 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::tasks::{EndKind, TaskId};
 
 /// An order in flight.
 pub type CallFuture<T> = Pin<Box<dyn Future<Output = Result<T, CallFault>> + Send>>;
 
 /// Starts one task.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct StartOrder {
     /// Address of the upstream.
     pub address: Arc<str>,
@@ -34,7 +36,7 @@
 }
 
 /// Stops one task.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct StopOrder {
     /// Address of the upstream.
     pub address: Arc<str>,
@@ -110,7 +112,7 @@
 }
 
 /// Extends the lease of an upstream and reads its lists.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HoldOrder {
     /// Address of the upstream.
     pub address: Arc<str>,
@@ -127,7 +129,7 @@
 }
 
 /// Answer to a start or stop.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderAnswer {
     /// Carried out, now or before.
     Done {
@@ -139,7 +141,7 @@
 }
 
 /// Why an upstream refused an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
 pub enum Refusal {
     /// It has seen a higher fencing token.
     #[display("fence")]
@@ -165,7 +167,7 @@
 }
 
 /// A run in an upstream's list.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedRun {
     /// Task.
     pub task: TaskId,
@@ -180,7 +182,7 @@
 }
 
 /// An end in an upstream's list.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedEnd {
     /// Number of the end, from 1 in each life.
     pub number: u64,
@@ -195,7 +197,7 @@
 }
 
 /// What an upstream runs and what has ended there.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lists {
     /// The upstream's clock.
     pub clock_ms: u64,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -13,6 +13,7 @@
 mod send;
 mod sign_off;
 mod status;
+mod steps;
 mod submit;
 mod trace;
 mod upstreams;
@@ -47,12 +48,13 @@
     let documents = slot("documents", documents::options(), documents::run);
     let upstreams = slot("upstreams", upstreams::options(), upstreams::run);
     let cluster = slot("cluster", cluster::options(), cluster::run);
+    let steps = slot("steps", steps::options(), steps::run);
     let trace = slot("trace", trace::options(), trace::run);
     let drain = slot("drain", drain::options(), drain::run);
     let health = slot("health", health::options(), health::run);
     construct!([
         check, demo, send, request, sign_off, submit, status, cancel, explain, documents,
-        upstreams, drain, health, cluster, trace
+        upstreams, drain, health, steps, cluster, trace
     ])
     .to_options()
     .descr(USAGE)
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -1,5 +1,7 @@
-//! The demo: a whole installation on loopback, requests and a gang job, a document that changes.
+//! The demo: a whole installation on loopback, requests and a gang job, a job of steps, a document that
+//! changes.
 
+mod step_job;
 mod steps;
 
 use std::path::Path;
@@ -64,6 +66,7 @@
     steps::idempotent_requests(&cluster, &report).await?;
     steps::request_once(&cluster, &report).await?;
     steps::gang_job(&cluster, &report).await?;
+    step_job::run(&folder.join("steps"), &report).await?;
     steps::change_document(&cluster, &report).await?;
     steps::leaving_upstream(&mut cluster, &report).await?;
     steps::drain_under_load(&mut cluster, &report).await?;
--- a/src/demo/steps.rs
+++ b/src/demo/steps.rs
@@ -24,7 +24,7 @@
 const RUN_PATH: &str = "/v1/services/plan/requests";
 
 /// Sends a call from a thread on which it may block.
-async fn call(
+pub(super) async fn call(
     client: &Client,
     method: &'static str,
     path: String,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 mod rpc;
 pub mod scheduler;
 pub mod standin;
+pub mod task_api;
 pub mod tasks;
 mod upstream_http;
 
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -3,7 +3,9 @@
 mod addresses;
 mod client;
 mod cluster;
+mod tasks;
 
 pub use addresses::AddressBlock;
 pub use client::{Client, Reply};
 pub use cluster::{LocalCluster, LocalDataCentre, LocalSettings, SERVICE, TEAM_SECRET};
+pub use tasks::{LocalTasks, QUEUE_KEY};
--- /dev/null
+++ b/src/local/tasks.rs
@@ -0,0 +1,150 @@
+//! Hosts of the replicated control and stand-ins that run tasks, on loopback in one process.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use super::addresses::AddressBlock;
+use super::client::Client;
+use crate::error::StepError;
+use crate::standin::tasks::{self, RunningTaskStandin, TaskStandinSettings};
+use crate::task_api::{RunningControl, TaskControlSettings};
+
+/// Key of the organisation in the example configuration.
+pub const QUEUE_KEY: &str = "example-key-of-plovdiv";
+
+/// First host number of the stand-ins within the block of addresses.
+const FIRST_STANDIN: u8 = 100;
+
+/// Accelerators of a stand-in.
+const ACCELERATORS: u32 = 8;
+
+/// Longest lease of a stand-in: what a lost one runs starts elsewhere after this time.
+const LEASE_MAX_MS: u64 = 2_000;
+
+/// A running installation.
+#[derive(Debug)]
+pub struct LocalTasks {
+    block: AddressBlock,
+    folder: PathBuf,
+    controls: Vec<Option<RunningControl>>,
+    standins: Vec<Option<RunningTaskStandin>>,
+}
+
+impl LocalTasks {
+    /// Starts control hosts and stand-ins; the stand-ins stand in one rack.
+    ///
+    /// # Errors
+    /// Returns an error if an address or the folder cannot be used.
+    pub async fn start(folder: &Path, controls: u8, standins: u8) -> Result<Self, StepError> {
+        let mut local = Self {
+            block: AddressBlock::take()?,
+            folder: folder.to_owned(),
+            controls: (0..controls).map(|_| None).collect(),
+            standins: Vec::new(),
+        };
+        for host in 0..controls {
+            local.start_control(host, true).await?;
+        }
+        for number in 0..standins {
+            let standin = tasks::start(local.standin_settings(number)).await?;
+            local.standins.push(Some(standin));
+        }
+        Ok(local)
+    }
+
+    /// Starts a control host that does not run.
+    ///
+    /// # Errors
+    /// Returns an error if an address or the folder cannot be used.
+    pub async fn start_control(&mut self, host: u8, founding: bool) -> Result<(), StepError> {
+        let settings = self.control_settings(host, founding)?;
+        let running = RunningControl::start(settings).await?;
+        self.controls[usize::from(host)] = Some(running);
+        Ok(())
+    }
+
+    fn control_settings(&self, host: u8, founding: bool) -> Result<TaskControlSettings, StepError> {
+        let name = format!("control-{host}");
+        let named = |error| StepError::new("name a control host", &name, error);
+        let hosts = 0_u8..;
+        Ok(TaskControlSettings {
+            host: name.parse().map_err(named)?,
+            address: self.block.work(host),
+            internal_address: self.block.peer(host),
+            seeds: hosts.take(self.controls.len()).map(|host| self.block.peer(host)).collect(),
+            founding,
+            data_folder: self.folder.join(&name),
+            lease_max_ms: LEASE_MAX_MS,
+            stop_timeout_ms: 500,
+            keep_state_ms: 60_000,
+        })
+    }
+
+    fn standin_settings(&self, number: u8) -> TaskStandinSettings {
+        TaskStandinSettings {
+            name: format!("standin-{number}").parse().expect("a valid name"),
+            address: self.block.work(FIRST_STANDIN + number),
+            service: "plan".parse().expect("a valid name"),
+            rack: "rack-1".parse().expect("a valid name"),
+            accelerators: ACCELERATORS,
+            control_hosts: self.control_addresses(),
+        }
+    }
+
+    /// Returns the addresses of the control hosts for callers.
+    #[must_use]
+    pub fn control_addresses(&self) -> Vec<SocketAddr> {
+        let hosts = 0_u8..;
+        hosts.take(self.controls.len()).map(|host| self.block.work(host)).collect()
+    }
+
+    /// Returns a client of the first control host that runs.
+    ///
+    /// # Panics
+    /// Panics if no control host runs.
+    #[must_use]
+    pub fn client(&self) -> Client {
+        let mut running = self.controls.iter().flatten();
+        Client::new(running.next().expect("a control host runs").address())
+    }
+
+    /// Returns the control host that leads, if one does.
+    #[must_use]
+    pub fn leader(&self) -> Option<u8> {
+        let leads = |control: &Option<RunningControl>| {
+            control.as_ref().is_some_and(RunningControl::is_leading)
+        };
+        let place = self.controls.iter().position(leads)?;
+        u8::try_from(place).ok()
+    }
+
+    /// Kills a control host.
+    pub fn kill_control(&mut self, host: u8) {
+        if let Some(control) = self.controls[usize::from(host)].take() {
+            control.kill();
+        }
+    }
+
+    /// Kills a stand-in with all that it runs.
+    pub fn kill_standin(&mut self, number: u8) {
+        if let Some(standin) = self.standins[usize::from(number)].take() {
+            standin.kill();
+        }
+    }
+
+    /// Returns how many tasks have started on the stand-ins that run.
+    #[must_use]
+    pub fn started(&self) -> u32 {
+        self.standins.iter().flatten().map(RunningTaskStandin::started).sum()
+    }
+
+    /// Ends everything in order.
+    pub async fn stop(self) {
+        for standin in self.standins.into_iter().flatten() {
+            standin.leave().await;
+        }
+        for control in self.controls.into_iter().flatten() {
+            control.stop().await;
+        }
+    }
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -8,6 +8,7 @@
 mod attempts;
 mod gangs;
 mod server;
+pub mod tasks;
 
 #[cfg(test)]
 pub(crate) use gangs::{Gangs, Room};
--- /dev/null
+++ b/src/standin/tasks.rs
@@ -0,0 +1,8 @@
+//! A stand-in that runs tasks of jobs of steps, on orders of the replicated control.
+
+mod board;
+mod server;
+#[cfg(test)]
+mod tests;
+
+pub use server::{RunningTaskStandin, TaskStandinSettings, start};
--- /dev/null
+++ b/src/standin/tasks/server.rs
@@ -0,0 +1,249 @@
+//! The listener of a stand-in that runs tasks, and its heartbeats.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Method, Request};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+use tracing::warn;
+
+use super::board::{Board, Fenced};
+use crate::cluster::{HoldOrder, HttpClient, Lists, StartOrder, StopOrder, unix_ms};
+use crate::error::StepError;
+use crate::http::{FullResponse, Received, ServerLimits, error, json, serve};
+use crate::names::{RackName, ServiceName, UpstreamName};
+use crate::task_api::{HOLD_PATH, Leave, START_PATH, STOP_PATH, UPSTREAM_HEADER};
+use crate::tasks::{Heartbeat, Need};
+
+/// Interval of the heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for control to take a heartbeat.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Interval at which a waiting hold looks for ends.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Longest time that a hold waits.
+const WAIT_MAX_MS: u64 = 2_000;
+
+const LIMITS: ServerLimits = ServerLimits {
+    head_timeout: Duration::from_mins(1),
+    body_timeout: Duration::from_secs(5),
+    body_limit_bytes: 1024 * 1024,
+    all_bodies_limit_bytes: 16 * 1024 * 1024,
+    max_connections: 256,
+};
+
+/// Settings of a stand-in.
+#[derive(Debug, Clone)]
+pub struct TaskStandinSettings {
+    /// Name under which it reports itself.
+    pub name: UpstreamName,
+    /// Address at which it takes orders; port 0 picks a free one.
+    pub address: SocketAddr,
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Rack in which it stands.
+    pub rack: RackName,
+    /// Number of its accelerators.
+    pub accelerators: u32,
+    /// Control hosts to which it reports itself.
+    pub control_hosts: Vec<SocketAddr>,
+}
+
+/// Processors and memory that a stand-in has for each accelerator.
+const CPU_MILLICORES: u32 = 8_000;
+const MEMORY_MB: u32 = 16_000;
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct RunningTaskStandin {
+    shared: Arc<Shared>,
+    stop: watch::Sender<bool>,
+    reporting: JoinHandle<()>,
+    serving: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: TaskStandinSettings,
+    address: SocketAddr,
+    born: Instant,
+    born_unix_ms: u64,
+    board: Mutex<Board>,
+    client: HttpClient,
+}
+
+/// Starts a stand-in.
+///
+/// # Errors
+/// Returns an error if its address cannot be listened on.
+pub async fn start(settings: TaskStandinSettings) -> Result<RunningTaskStandin, StepError> {
+    let failed = |error| StepError::new("open the stand-in's listener", settings.address, error);
+    let listener = TcpListener::bind(settings.address).await.map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    let shared = Arc::new(Shared {
+        address,
+        settings,
+        born: Instant::now(),
+        born_unix_ms: unix_ms(),
+        board: Mutex::default(),
+        client: HttpClient::default(),
+    });
+    let (stop, stopped) = watch::channel(false);
+    let serving_shared = Arc::clone(&shared);
+    let handler = move |received| handle(Arc::clone(&serving_shared), received);
+    let serving = tokio::spawn(serve(listener, LIMITS, stopped, handler));
+    let reporting = tokio::spawn(Arc::clone(&shared).report_forever());
+    Ok(RunningTaskStandin { shared, stop, reporting, serving })
+}
+
+impl RunningTaskStandin {
+    /// Returns how many tasks have started here.
+    #[must_use]
+    pub fn started(&self) -> u32 {
+        self.shared.board().started()
+    }
+
+    /// Leaves in order: reports that it goes, and ends with all that it runs.
+    pub async fn leave(self) {
+        self.reporting.abort();
+        let leave = Leave { born_unix_ms: self.shared.born_unix_ms };
+        self.shared.tell_control("leave", &leave).await;
+        self.stop.send_replace(true);
+        self.serving.abort();
+    }
+
+    /// Ends at once, as a process that crashes.
+    pub fn kill(self) {
+        self.reporting.abort();
+        self.serving.abort();
+    }
+}
+
+impl Shared {
+    fn board(&self) -> MutexGuard<'_, Board> {
+        self.board.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn clock_ms(&self) -> u64 {
+        u64::try_from(self.born.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    async fn report_forever(self: Arc<Self>) {
+        let mut sequence = 0;
+        loop {
+            sequence += 1;
+            self.tell_control("heartbeat", &self.heartbeat(sequence)).await;
+            sleep(HEARTBEAT_INTERVAL).await;
+        }
+    }
+
+    fn heartbeat(&self, sequence: u64) -> Heartbeat {
+        let settings = &self.settings;
+        let rack: Arc<str> = settings.rack.to_string().into();
+        Heartbeat {
+            id: settings.name.to_string().into(),
+            born_unix_ms: self.born_unix_ms,
+            sequence,
+            service: settings.service.to_string().into(),
+            address: self.address.to_string().into(),
+            data_centre: Arc::from(""),
+            machine: None,
+            draining: false,
+            drain_remaining_ms: 0,
+            capacity: Need {
+                cpu_millicores: settings.accelerators * CPU_MILLICORES,
+                memory_mb: settings.accelerators * MEMORY_MB,
+                accelerators: settings.accelerators,
+            },
+            labels: vec![Arc::clone(&rack)],
+            rack,
+        }
+    }
+
+    /// Sends a report to the first control host that takes it.
+    async fn tell_control(&self, what: &str, report: &impl Serialize) {
+        let path = format!("/v1/upstreams/{}/{what}", self.settings.name);
+        let body = match serde_json::to_vec(report) {
+            Ok(body) => Bytes::from(body),
+            Err(fault) => return warn!(error = %fault, "report cannot be written"),
+        };
+        for host in &self.settings.control_hosts {
+            let request = Request::builder()
+                .method(Method::POST)
+                .uri(&path)
+                .header(hyper::header::HOST, host.to_string())
+                .header(CONTENT_TYPE, "application/json")
+                .body(Full::new(body.clone()));
+            let Ok(request) = request else { return };
+            let reply = self.client.call(*host, request, HEARTBEAT_TIMEOUT).await;
+            if reply.is_ok_and(|reply| reply.status == 200) {
+                return;
+            }
+        }
+        warn!(upstream = %self.settings.name, what, "no control host took the report");
+    }
+}
+
+async fn handle(shared: Arc<Shared>, received: Received) -> FullResponse {
+    if received.method != Method::POST {
+        return error(405, "only POST is known");
+    }
+    if received.header(UPSTREAM_HEADER) != Some(&*shared.settings.name.to_string()) {
+        return error(421, "another upstream is meant");
+    }
+    match received.uri.path() {
+        START_PATH => order::<StartOrder, _>(&received, |order| {
+            json(200, &shared.board().start(&order, shared.clock_ms()))
+        }),
+        STOP_PATH => order::<StopOrder, _>(&received, |order| {
+            json(200, &shared.board().stop(&order, shared.clock_ms()))
+        }),
+        HOLD_PATH => match serde_json::from_slice(&received.body) {
+            Ok(order) => hold(&shared, order).await,
+            Err(fault) => error(400, &fault.to_string()),
+        },
+        _ => error(404, "no such interface"),
+    }
+}
+
+fn order<T: DeserializeOwned, F: FnOnce(T) -> FullResponse>(
+    received: &Received,
+    carry_out: F,
+) -> FullResponse {
+    match serde_json::from_slice(&received.body) {
+        Ok(order) => carry_out(order),
+        Err(fault) => error(400, &fault.to_string()),
+    }
+}
+
+/// Answers with both lists, at once if there is an end, or after the wait.
+async fn hold(shared: &Shared, order: HoldOrder) -> FullResponse {
+    let wait = Duration::from_millis(order.wait_ms.min(WAIT_MAX_MS));
+    let asked = Instant::now();
+    loop {
+        let (lists, last_number) = {
+            let mut board = shared.board();
+            (board.hold(&order, shared.clock_ms()), board.last_number())
+        };
+        match lists {
+            Err(Fenced) => return error(409, "a newer leader has been here"),
+            Ok(lists) if last_number > order.ends_seen || asked.elapsed() >= wait => {
+                let born_unix_ms = Some(shared.born_unix_ms);
+                return json(200, &Lists { born_unix_ms, ..lists });
+            }
+            Ok(_) => sleep(POLL_INTERVAL).await,
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/tasks/tests.rs
@@ -0,0 +1,101 @@
+//! Rules of orders that a stand-in keeps.
+
+use super::board::{Board, Fenced};
+use crate::cluster::{HoldOrder, OrderAnswer, Refusal, StartOrder, StopOrder};
+use crate::tasks::{EndKind, TaskId};
+
+const LEASE_UNTIL_MS: u64 = 1_000;
+
+fn task() -> TaskId {
+    "0000000000000001.0.0.0".parse().unwrap()
+}
+
+fn start(run: u32, fencing_token: u64) -> StartOrder {
+    StartOrder {
+        address: "".into(),
+        upstream: "standin".into(),
+        fencing_token,
+        task: task(),
+        run,
+        payload: "{\"work_ms\": 600}".into(),
+        lease_until_ms: LEASE_UNTIL_MS,
+        checkpoint: "".into(),
+        ticket: None,
+    }
+}
+
+fn stop(run: u32) -> StopOrder {
+    StopOrder {
+        address: "".into(),
+        upstream: "standin".into(),
+        fencing_token: 1,
+        task: task(),
+        run,
+    }
+}
+
+fn hold(fencing_token: u64, ends_seen: u64, lease_until_ms: Option<u64>) -> HoldOrder {
+    let (address, upstream) = ("".into(), "standin".into());
+    HoldOrder { address, upstream, fencing_token, ends_seen, lease_until_ms, wait_ms: 0 }
+}
+
+fn ends(board: &mut Board, now_ms: u64) -> Vec<(u64, EndKind)> {
+    let lists = board.hold(&hold(1, 0, None), now_ms).unwrap();
+    lists.ended.iter().map(|end| (end.number, end.how)).collect()
+}
+
+/// A start that arrives after the stop of its run must not run.
+#[test]
+fn a_stop_makes_a_late_start_void() {
+    let mut board = Board::default();
+    board.stop(&stop(2), 0);
+    assert_eq!(board.start(&start(2, 1), 1), OrderAnswer::Refused(Refusal::Old));
+    assert_eq!(board.start(&start(3, 1), 2), OrderAnswer::Done { clock_ms: 2 });
+}
+
+/// A former leader's orders do nothing.
+#[test]
+fn lower_tokens_are_refused() {
+    let mut board = Board::default();
+    board.hold(&hold(5, 0, None), 0).unwrap();
+    assert_eq!(board.start(&start(1, 4), 0), OrderAnswer::Refused(Refusal::Fence));
+    assert_eq!(board.hold(&hold(4, 0, None), 0), Err(Fenced));
+}
+
+#[test]
+fn a_repeated_start_stays_one_run() {
+    let mut board = Board::default();
+    board.start(&start(1, 1), 0);
+    assert_eq!(board.start(&start(1, 1), 100), OrderAnswer::Done { clock_ms: 100 });
+    assert_eq!(board.started(), 1);
+    assert_eq!(ends(&mut board, 700), [(1, EndKind::Done)]);
+}
+
+/// Work must not go on without a lease, whatever it has left to do.
+#[test]
+fn work_ends_with_its_lease() {
+    let mut board = Board::default();
+    let slow = StartOrder { payload: "{\"work_ms\": 5000}".into(), ..start(1, 1) };
+    board.start(&slow, 0);
+    assert_eq!(ends(&mut board, LEASE_UNTIL_MS), [(1, EndKind::Lapsed)]);
+}
+
+/// Ends are listed until they are recorded.
+#[test]
+fn recorded_ends_are_forgotten() {
+    let mut board = Board::default();
+    board.start(&start(1, 1), 0);
+    assert_eq!(ends(&mut board, 700).len(), 1);
+    assert!(board.hold(&hold(1, 1, None), 700).unwrap().ended.is_empty());
+}
+
+#[test]
+fn a_checkpoint_shortens_the_next_run() {
+    let mut board = Board::default();
+    board.start(&start(1, 1), 0);
+    board.stop(&stop(1), 550);
+    let stopped = board.hold(&hold(1, 0, None), 550).unwrap().ended.remove(0);
+    board.start(&StartOrder { checkpoint: stopped.checkpoint, ..start(2, 1) }, 600);
+    let ended = ends(&mut board, 700);
+    assert_eq!(ended, [(1, EndKind::Stopped), (2, EndKind::Done)]);
+}
--- /dev/null
+++ b/src/task_api/daemon.rs
@@ -0,0 +1,103 @@
+//! A host of the replicated control with its own listener.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tracing::info;
+
+use super::settings::TaskControlSettings;
+use super::{http, orders};
+use crate::StepError;
+use crate::cluster::Control;
+use crate::http::{Received, ServerLimits, serve};
+
+/// Time for calls in flight when the host stops.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// Limits of the listener.
+const LIMITS: ServerLimits = ServerLimits {
+    head_timeout: Duration::from_mins(1),
+    body_timeout: Duration::from_secs(5),
+    body_limit_bytes: 4 * 1024 * 1024,
+    all_bodies_limit_bytes: 64 * 1024 * 1024,
+    max_connections: 2_000,
+};
+
+/// A running host. It has a runtime of its own, so that its end leaves nothing behind.
+#[derive(Debug)]
+pub struct RunningControl {
+    control: Arc<Control>,
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+    runtime: Runtime,
+}
+
+impl RunningControl {
+    /// Reads the disk, opens the listeners and takes part from now on.
+    ///
+    /// # Errors
+    /// Returns an error if the disk cannot be read or an address is in use.
+    pub async fn start(settings: TaskControlSettings) -> Result<Self, StepError> {
+        let failed = |step: &'static str| {
+            let host = settings.host.to_string();
+            move |error: std::io::Error| StepError::new(step, host, error)
+        };
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .map_err(failed("start the runtime"))?;
+        let address = settings.address;
+        let (cluster, listening) = (settings.cluster(), failed("open the listener"));
+        let (stop, stopped) = watch::channel(false);
+        let starting = runtime.spawn(async move {
+            let listener = TcpListener::bind(address).await.map_err(listening)?;
+            let control = Control::start(cluster, orders::calls()).await?;
+            let handling = Arc::clone(&control);
+            let handler = move |received: Received| http::handle(Arc::clone(&handling), received);
+            let serving = tokio::spawn(serve(listener, LIMITS, stopped, handler));
+            Ok::<_, StepError>((control, serving))
+        });
+        let started = starting.await.map_err(|error| StepError::new("start", "host", error));
+        match started.and_then(|started| started) {
+            Ok((control, serving)) => Ok(Self { control, address, stop, serving, runtime }),
+            Err(error) => {
+                runtime.shutdown_background();
+                Err(error)
+            }
+        }
+    }
+
+    /// Returns the address for callers, operators and upstreams.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Tells whether this host leads.
+    #[must_use]
+    pub fn is_leading(&self) -> bool {
+        self.control.is_leading()
+    }
+
+    /// Hands leadership over, finishes the calls in flight and ends.
+    pub async fn stop(self) {
+        info!(leads = self.control.is_leading(), "control host stops");
+        self.control.hand_over().await;
+        self.stop.send_replace(true);
+        let finished = tokio::time::timeout(DRAIN, self.serving).await.is_ok();
+        info!(finished, "control host has stopped");
+        self.runtime.shutdown_background();
+    }
+
+    /// Ends at once, as a killed process does.
+    pub fn kill(self) {
+        self.runtime.shutdown_background();
+    }
+}
--- /dev/null
+++ b/src/task_api/documents.rs
@@ -0,0 +1,154 @@
+//! Configurations and jobs as operators and callers write them, in YAML or JSON.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+
+use crate::tasks::{Configuration, FrontLimits, JobSpec, Need, Organisation, Queue, WorkerService};
+
+/// Defaults of a queue.
+const TIMEOUT_MS: u64 = 3_000;
+const ATTEMPTS_MAX: u32 = 3;
+const SLACK_PERMILLE: u64 = 2_000;
+
+/// Limits of the callers' listener.
+const LIMITS: FrontLimits = FrontLimits {
+    header_bytes: 16 * 1024,
+    body_bytes: 1024 * 1024,
+    header_timeout_ms: 5_000,
+    idle_timeout_ms: 60_000,
+};
+
+/// A document cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("{reason}")]
+pub struct InvalidDocument {
+    /// The fault, for its writer.
+    reason: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ConfigurationDocument {
+    version: u64,
+    queues: Vec<QueueDocument>,
+    services: Vec<ServiceDocument>,
+    organisations: Vec<OrganisationDocument>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct QueueDocument {
+    name: Arc<str>,
+    service: Arc<str>,
+    priority: u32,
+    #[serde(default = "timeout_ms")]
+    timeout_ms: u64,
+    #[serde(default)]
+    target_ms: u64,
+    #[serde(default = "attempts_max")]
+    attempts_max: u32,
+    #[serde(default = "slack_permille")]
+    slack_permille: u64,
+    #[serde(default)]
+    public: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ServiceDocument {
+    name: Arc<str>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OrganisationDocument {
+    name: Arc<str>,
+    keys: Vec<Arc<str>>,
+    #[serde(default)]
+    guaranteed_accelerators: u32,
+}
+
+fn timeout_ms() -> u64 {
+    TIMEOUT_MS
+}
+
+fn attempts_max() -> u32 {
+    ATTEMPTS_MAX
+}
+
+fn slack_permille() -> u64 {
+    SLACK_PERMILLE
+}
+
+/// Path under which the jobs of a queue are found.
+pub(super) fn queue_path(queue: &str) -> String {
+    format!("/v1/queues/{queue}/jobs/")
+}
+
+impl From<QueueDocument> for Queue {
+    fn from(queue: QueueDocument) -> Self {
+        Self {
+            host: Arc::from(""),
+            path_prefix: queue_path(&queue.name).into(),
+            name: queue.name,
+            timeout_ms: queue.timeout_ms,
+            target_ms: queue.target_ms,
+            priority: queue.priority,
+            service: queue.service,
+            attempts_max: queue.attempts_max,
+            slack_permille: queue.slack_permille,
+            public: queue.public,
+            advice: None,
+        }
+    }
+}
+
+impl From<ServiceDocument> for WorkerService {
+    fn from(service: ServiceDocument) -> Self {
+        Self { name: service.name, guards_capacity: false, standby: false }
+    }
+}
+
+impl From<OrganisationDocument> for Organisation {
+    fn from(organisation: OrganisationDocument) -> Self {
+        let accelerators = organisation.guaranteed_accelerators;
+        Self {
+            name: organisation.name,
+            keys: organisation.keys,
+            priority: 0,
+            guaranteed: Need { accelerators, ..Need::default() },
+        }
+    }
+}
+
+/// Reads a configuration.
+///
+/// # Errors
+/// Returns an error if the text has unknown or missing keys or contradicts itself.
+pub fn read_configuration(text: &str) -> Result<Configuration, InvalidDocument> {
+    let document: ConfigurationDocument = read(text)?;
+    let configuration = Configuration {
+        version: document.version,
+        queues: document.queues.into_iter().map(Queue::from).collect(),
+        services: document.services.into_iter().map(WorkerService::from).collect(),
+        organisations: document.organisations.into_iter().map(Organisation::from).collect(),
+        limits: LIMITS,
+    };
+    configuration.check().map_err(|fault| InvalidDocument { reason: fault.to_string() })?;
+    Ok(configuration)
+}
+
+/// Reads a job.
+///
+/// # Errors
+/// Returns an error if the text has unknown keys, or the job could never run.
+pub fn read_job(text: &str) -> Result<JobSpec, InvalidDocument> {
+    let job: JobSpec = read(text)?;
+    job.check().map_err(|fault| InvalidDocument { reason: fault.to_string() })?;
+    Ok(job)
+}
+
+fn read<T: for<'a> Deserialize<'a>>(text: &str) -> Result<T, InvalidDocument> {
+    marked_yaml::from_yaml(0, text).map_err(|fault| InvalidDocument { reason: fault.to_string() })
+}
--- /dev/null
+++ b/src/task_api/http.rs
@@ -0,0 +1,171 @@
+//! Calls of callers, operators and upstreams, and their answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::header::{AUTHORIZATION, HeaderValue, RETRY_AFTER};
+use serde::Serialize;
+use tracing::{info, warn};
+
+use super::documents::{read_configuration, read_job};
+use super::orders::Leave;
+use crate::cluster::{
+    Action, ClientFault, Control, FrontCall, FrontReply, OperatorReply, Reply, Request,
+};
+use crate::http::{FullResponse, Received, error, json, text};
+use crate::tasks::{Heartbeat, JobState};
+
+/// Time for a call whose caller states none.
+const DEFAULT_TIMEOUT_MS: u64 = 3_000;
+
+/// Longest time that a caller may state.
+const TIMEOUT_MAX_MS: u64 = 60_000;
+
+/// Header with the time that a caller waits.
+const TIMEOUT_HEADER: &str = "Cactuslatch-Timeout-Ms";
+
+/// Time after which a caller may come back when no leader is in reach.
+const NO_LEADER_RETRY_MS: u64 = 1_000;
+
+#[derive(Debug, Serialize)]
+struct StateBody {
+    state: &'static str,
+}
+
+#[derive(Debug, Serialize)]
+struct WaitingBody {
+    waiting_jobs: u64,
+}
+
+/// Answers one call.
+pub(super) async fn handle(control: Arc<Control>, received: Received) -> FullResponse {
+    let method = received.method.clone();
+    let path = received.uri.path().to_owned();
+    let limit = timeout_of(&received);
+    let request = match request_of(&received) {
+        Ok(Some(request)) => request,
+        Ok(None) if path == "/metrics" => return text(200, control.metrics_text()),
+        Ok(None) => return error(404, "no such interface"),
+        Err(reason) => {
+            warn!(%method, path, reason, "call cannot be used");
+            return error(422, &reason);
+        }
+    };
+    let is_report = matches!(request, Request::Heartbeat(_));
+    let response = respond(control.call(request, limit).await);
+    let status = response.status().as_u16();
+    if status >= 400 {
+        warn!(%method, path, status, "call was not served");
+    } else if method != Method::GET && !is_report {
+        info!(%method, path, status, "call was served");
+    }
+    response
+}
+
+fn timeout_of(received: &Received) -> Duration {
+    let stated = received.header(TIMEOUT_HEADER).and_then(|text| text.parse().ok());
+    Duration::from_millis(stated.unwrap_or(DEFAULT_TIMEOUT_MS).clamp(1, TIMEOUT_MAX_MS))
+}
+
+/// Translates a call; `None` if there is no such interface.
+fn request_of(received: &Received) -> Result<Option<Request>, String> {
+    let body = || std::str::from_utf8(&received.body).map_err(|fault| fault.to_string());
+    let request = match (received.method.as_str(), received.segments().as_slice()) {
+        ("PUT", ["v1", "configuration"]) => {
+            let configuration = read_configuration(body()?).map_err(|fault| fault.to_string())?;
+            let raw = received.body.clone();
+            Request::SetConfiguration { configuration: Arc::new(configuration), raw }
+        }
+        ("GET", ["v1", "configuration"]) => Request::ReadConfiguration,
+        ("POST", ["v1", "upstreams", id, "heartbeat"]) => {
+            let beat: Heartbeat =
+                serde_json::from_slice(&received.body).map_err(|fault| fault.to_string())?;
+            if &*beat.id != *id {
+                return Err(format!("the heartbeat of {} names {id} in its path", beat.id));
+            }
+            Request::Heartbeat(beat)
+        }
+        ("POST", ["v1", "upstreams", id, "leave"]) => {
+            let leave: Leave =
+                serde_json::from_slice(&received.body).map_err(|fault| fault.to_string())?;
+            Request::Deregister { id: (*id).into(), born_unix_ms: Some(leave.born_unix_ms) }
+        }
+        (method, ["v1", "queues", _, "jobs", ..]) => {
+            let Some(action) = action_of(method, body()?)? else { return Ok(None) };
+            let bearer = received.header(AUTHORIZATION.as_str());
+            let key = bearer.and_then(|text| text.strip_prefix("Bearer ")).map(str::to_owned);
+            let path = received.uri.path().to_owned();
+            Request::Front(FrontCall { host: String::new(), path, key, action })
+        }
+        _ => return Ok(None),
+    };
+    Ok(Some(request))
+}
+
+fn action_of(method: &str, body: &str) -> Result<Option<Action>, String> {
+    Ok(match method {
+        "POST" => {
+            let spec = read_job(body).map_err(|fault| fault.to_string())?;
+            Some(Action::Submit { spec: Arc::new(spec) })
+        }
+        "GET" => Some(Action::Status),
+        "DELETE" => Some(Action::Cancel),
+        _ => None,
+    })
+}
+
+fn respond(reply: Result<Reply, ClientFault>) -> FullResponse {
+    match reply {
+        Ok(Reply::Front(reply)) => front_response(reply),
+        Ok(Reply::Operator(OperatorReply::Configuration(raw))) if raw.is_empty() => {
+            error(404, "there is no configuration yet")
+        }
+        Ok(Reply::Operator(OperatorReply::Configuration(raw))) => text(200, raw),
+        Ok(Reply::Operator(OperatorReply::Invalid { reason })) => error(422, &reason),
+        Ok(Reply::Operator(OperatorReply::Done) | Reply::Done) => {
+            json(200, &StateBody { state: "stored" })
+        }
+        Ok(_) => error(502, "control sent a reply of another kind"),
+        Err(ClientFault::NotDelivered) => {
+            let response = error(503, "no leader of control is in reach; nothing was accepted");
+            with_retry_after(response, NO_LEADER_RETRY_MS)
+        }
+        Err(ClientFault::Unknown) => error(504, "control did not answer in time; ask again"),
+    }
+}
+
+fn front_response(reply: FrontReply) -> FullResponse {
+    match reply {
+        FrontReply::Accepted => json(202, &StateBody { state: "accepted" }),
+        FrontReply::Cancelled => json(200, &StateBody { state: "cancelled or ended" }),
+        FrontReply::NotAccepted { retry_after_ms, reason } => {
+            with_retry_after(error(503, &reason), retry_after_ms)
+        }
+        FrontReply::State(state) => json(200, &StateBody { state: state_name(state) }),
+        FrontReply::Pending(waiting_jobs) => json(200, &WaitingBody { waiting_jobs }),
+        FrontReply::NoJob => error(404, "no such job, or it ended long ago"),
+        FrontReply::NoQueue => error(404, "no such queue"),
+        FrontReply::BadKey => error(401, "the key in the header Authorization is unknown"),
+        FrontReply::Invalid { reason } => error(422, &reason),
+        FrontReply::NotConfigured => {
+            with_retry_after(error(503, "there is no configuration yet"), NO_LEADER_RETRY_MS)
+        }
+    }
+}
+
+fn state_name(state: JobState) -> &'static str {
+    match state {
+        JobState::Queued => "queued",
+        JobState::Active => "active",
+        JobState::Completed => "completed",
+        JobState::Failed => "failed",
+        JobState::Cancelled => "cancelled",
+    }
+}
+
+fn with_retry_after(mut response: FullResponse, retry_after_ms: u64) -> FullResponse {
+    let seconds = retry_after_ms.div_ceil(1_000).max(1);
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+    response
+}
--- /dev/null
+++ b/src/task_api/settings.rs
@@ -0,0 +1,126 @@
+//! Settings of a host of the replicated control, in YAML.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+
+use crate::cluster::{ClusterSettings, TaskBounds};
+use crate::names::HostName;
+
+/// Bounds that hold unless the settings say otherwise.
+const LEASE_MAX_MS: u64 = 10_000;
+const STOP_TIMEOUT_MS: u64 = 1_000;
+const KEEP_STATE_MS: u64 = 3_600_000;
+
+/// Factor by which work takes longer far from its data, for the order of placement.
+const REMOTE_FACTOR: u64 = 3;
+
+/// Settings of a host.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TaskControlSettings {
+    /// Name of the host, for logs.
+    pub host: HostName,
+    /// Listener for callers, operators and upstreams.
+    pub address: SocketAddr,
+    /// Listener for the other control hosts.
+    pub internal_address: SocketAddr,
+    /// Internal addresses of the control hosts that found the installation; later only hints.
+    pub seeds: Vec<SocketAddr>,
+    /// True at the very first start of the whole installation.
+    #[serde(default)]
+    pub founding: bool,
+    /// Folder of the journal.
+    pub data_folder: PathBuf,
+    /// Longest lease that the upstreams grant.
+    #[serde(default = "lease_max_ms")]
+    pub lease_max_ms: u64,
+    /// Longest time that an upstream takes to stop a task.
+    #[serde(default = "stop_timeout_ms")]
+    pub stop_timeout_ms: u64,
+    /// Time for which the state of an ended job is kept.
+    #[serde(default = "keep_state_ms")]
+    pub keep_state_ms: u64,
+}
+
+fn lease_max_ms() -> u64 {
+    LEASE_MAX_MS
+}
+
+fn stop_timeout_ms() -> u64 {
+    STOP_TIMEOUT_MS
+}
+
+fn keep_state_ms() -> u64 {
+    KEEP_STATE_MS
+}
+
+/// Why settings cannot be used.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+pub enum InvalidSettings {
+    /// The file cannot be read.
+    #[display("cannot read {}: {source}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The file is no YAML of the expected form.
+    #[display("{}: {reason}", path.display())]
+    Malformed {
+        /// The file.
+        path: PathBuf,
+        /// The fault.
+        reason: String,
+    },
+}
+
+impl TaskControlSettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// Returns an error if the file cannot be read, has unknown keys, or contradicts itself.
+    pub fn read(path: &Path) -> Result<Self, InvalidSettings> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| InvalidSettings::Unreadable { path: path.to_owned(), source })?;
+        let malformed =
+            |reason: String| InvalidSettings::Malformed { path: path.to_owned(), reason };
+        let settings: Self =
+            marked_yaml::from_yaml(0, &text).map_err(|fault| malformed(fault.to_string()))?;
+        settings.check().map_err(|reason| malformed(reason.to_owned()))?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), &'static str> {
+        if self.address == self.internal_address {
+            return Err("address and internal_address must differ");
+        }
+        if self.seeds.is_empty() {
+            return Err("seeds must name at least one control host");
+        }
+        if self.lease_max_ms == 0 || self.stop_timeout_ms == 0 {
+            return Err("lease_max_ms and stop_timeout_ms must be greater than 0");
+        }
+        Ok(())
+    }
+
+    pub(super) fn cluster(&self) -> ClusterSettings {
+        ClusterSettings {
+            host: self.host.to_string(),
+            internal: self.internal_address,
+            seeds: self.seeds.clone(),
+            founding: self.founding,
+            data_dir: self.data_folder.clone(),
+            bounds: TaskBounds {
+                lease_max_ms: self.lease_max_ms,
+                stop_timeout_ms: self.stop_timeout_ms,
+                remote_factor: REMOTE_FACTOR,
+                order_lease_ms: self.lease_max_ms,
+                maintenance_ms: 0,
+                keep_state_ms: self.keep_state_ms,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/task_api/tests.rs
@@ -0,0 +1,61 @@
+//! Documents and settings of the own interface.
+
+use rstest::rstest;
+
+use super::{TaskControlSettings, read_configuration, read_job};
+
+const QUEUES: &str = include_str!("../../examples/steps/queues.yaml");
+const JOB: &str = include_str!("../../examples/steps/job.yaml");
+
+#[test]
+fn the_examples_can_be_read() {
+    let configuration = read_configuration(QUEUES).unwrap();
+    let queues: Vec<_> = configuration.queues.iter().map(|queue| &*queue.path_prefix).collect();
+    assert_eq!(queues, ["/v1/queues/urgent/jobs/", "/v1/queues/nightly/jobs/"]);
+    let job = read_job(JOB).unwrap();
+    assert_eq!(job.steps.len(), 2);
+    assert!(job.steps[1].gang && job.steps[1].after.as_slice() == [0]);
+}
+
+#[test]
+fn the_example_settings_can_be_read() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/steps/host.yaml");
+    let settings = TaskControlSettings::read(path.as_ref()).unwrap();
+    assert_eq!((settings.seeds.len(), settings.founding), (3, true));
+}
+
+/// Guards against a misspelt key that is taken for an absent one.
+#[rstest]
+#[case::key_of_a_step("steps: [{tasks: 1, gangs: true}]")]
+#[case::key_of_a_need("steps: [{tasks: 1, need: {gpu: 1}}]")]
+#[case::no_steps("payload: x")]
+#[case::step_after_itself("steps: [{tasks: 1, after: [0]}]")]
+#[case::no_tasks("steps: [{gang: true}]")]
+fn jobs_with_faults_are_refused(#[case] text: &str) {
+    read_job(text).expect_err("a fault");
+}
+
+#[rstest]
+#[case::unknown_service(&QUEUES.replace("service: plan", "service: other"))]
+#[case::unknown_key(&QUEUES.replace("target_ms", "target"))]
+#[case::no_version(&QUEUES.replace("version: 1", ""))]
+fn configurations_with_faults_are_refused(#[case] text: &str) {
+    read_configuration(text).expect_err("a fault");
+}
+
+#[rstest]
+#[case::unknown_key("more: 1", "more")]
+#[case::same_address("internal_address: 127.0.0.1:7300", "must differ")]
+#[case::no_lease("lease_max_ms: 0", "greater than 0")]
+fn settings_with_faults_are_refused(#[case] line: &str, #[case] told: &str) {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("settings.yaml");
+    let internal = if line.contains("internal") { "" } else { "internal_address: 127.0.0.1:7301" };
+    let text = format!(
+        "host: north-1\naddress: 127.0.0.1:7300\n{internal}\nseeds: [\"127.0.0.1:7301\"]\n\
+         data_folder: data\n{line}\n"
+    );
+    std::fs::write(&path, text).unwrap();
+    let fault = TaskControlSettings::read(&path).expect_err("a fault").to_string();
+    assert!(fault.contains(told), "{fault}");
+}
--- a/src/tasks/spec.rs
+++ b/src/tasks/spec.rs
@@ -13,6 +13,7 @@
 
 /// Capacity that a task takes, or that an upstream has.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Need {
     /// Thousandths of a processor core.
     pub cpu_millicores: u32,
@@ -49,6 +50,7 @@
 #[expect(clippy::struct_excessive_bools, reason = "independent properties that callers set")]
 /// One step: equal tasks that start together once the steps before are done.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct StepSpec {
     /// Number of tasks.
     pub tasks: u32,
@@ -104,6 +106,7 @@
 
 /// Runs all steps several times, each at its time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Repeat {
     /// Number of occurrences.
     pub times: u32,
@@ -115,6 +118,7 @@
 
 /// A job as submitted.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct JobSpec {
     /// Text handed to each task.
     pub payload: Arc<str>,
--- a/tests/cli/help.rs
+++ b/tests/cli/help.rs
@@ -20,7 +20,12 @@
         "documents history",
         "upstreams",
         "drain",
-        "health"
+        "health",
+        "steps",
+        "steps configure",
+        "steps submit",
+        "steps status",
+        "steps cancel"
     )]
     command: &str,
 ) {
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -8,5 +8,6 @@
 mod jobs;
 mod operate;
 mod send;
+mod steps;
 mod trace;
 mod work;
