Tell an unknown outcome once no leader shows; refuse reads alike; test times, limits, kept states

Now a change whose outcome is unknown is answered 504 0.9 s after the last sign of a leader, and a read is refused with 503 like one that reached nobody. The caller can come back while it still has time. Ruled out as a gain to be had: a faster way back. The hosts were up 0.02 s after power returned and had a leader 0.9 s later.

Also: tests of jobs with times over jumping clocks, of tasks that must not be displaced, and of the time for which states are kept; one copy of Retry-After; `cactuslatch-measure cluster`; a control host with a runtime of its own may be dropped inside another runtime (it panicked).

--- a/src/bin/cactuslatch-measure/main.rs
+++ b/src/bin/cactuslatch-measure/main.rs
@@ -1,6 +1,7 @@
 //! Measurements and long randomised runs.
 
 mod burst_report;
+mod cluster;
 mod decision;
 mod disk;
 mod load;
@@ -24,6 +25,7 @@
 const USAGE: &str = "Measures Cactuslatch. Use release builds; figures of other builds mislead.";
 
 fn options() -> OptionParser<Run> {
+    let cluster = cluster::args().map(|args| runner(args, cluster::run));
     let decision = decision::args().map(|args| runner(args, decision::run));
     let path = slot("path", path::options(), path::run);
     let policy = policy::args().map(|args| runner(args, policy::run));
@@ -31,7 +33,9 @@
     let parking = slot("parking", parking::options(), parking::run);
     let slopes = slot("slopes", slopes::options(), slopes::run);
     let urgent = urgent::args().map(|args| runner(args, urgent::run));
-    construct!([decision, parking, path, policy, slopes, soak, urgent]).to_options().descr(USAGE)
+    construct!([cluster, decision, parking, path, policy, slopes, soak, urgent])
+        .to_options()
+        .descr(USAGE)
 }
 
 /// Makes a command of a parser and the function that runs its arguments.
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -239,13 +239,10 @@
     async fn forget_jobs(&self) {
         let jobs: Vec<JobId> = {
             let inner = self.replica.lock();
-            let now_ms = inner.now_ms();
-            let old = |job: &&crate::tasks::Job| {
-                let kept_ms = now_ms.saturating_sub(job.ended_ms);
-                job.outcome.is_some() && kept_ms > self.bounds.keep_state_ms && !job.has_runs()
-            };
-            let old = inner.state.jobs.values().filter(old).take(FORGET_BATCH);
-            old.map(|job| job.id.clone()).collect()
+            let (now_ms, keep_ms) = (inner.now_ms(), self.bounds.keep_state_ms);
+            let jobs = inner.state.jobs.values();
+            let old = jobs.filter(|job| job.may_be_forgotten(now_ms, keep_ms));
+            old.take(FORGET_BATCH).map(|job| job.id.clone()).collect()
         };
         if jobs.is_empty() {
             return;
--- a/src/cluster/leader_client.rs
+++ b/src/cluster/leader_client.rs
@@ -20,7 +20,7 @@
 /// Time for one attempt; a commit across regions takes far less.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Time for which a request waits for a leader that it can be delivered to.
+/// Time for which a request waits for a leader since the last sign of one.
 ///
 /// An election takes about as long; a caller that is told to come back finds the next leader.
 const WITHOUT_LEADER: Duration = Duration::from_millis(900);
@@ -37,7 +37,7 @@
 /// Why a request has no reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub enum ClientFault {
-    /// No leader has received it.
+    /// No leader has received it, or it changes nothing.
     #[display("no leader of control is in reach")]
     NotDelivered,
     /// A leader may have received it and may still carry it out.
@@ -105,21 +105,24 @@
     /// # Errors
     /// Tells whether a leader may have received the request.
     pub async fn call(&self, request: &Request, limit: Duration) -> Result<Reply, ClientFault> {
-        let deadline = Instant::now() + limit;
-        let give_up = Instant::now() + limit.min(WITHOUT_LEADER);
+        let begun = Instant::now();
+        let deadline = begun + limit;
         let payload = codec::encode(request);
         let mut maybe_delivered = false;
+        let mut last_sign = begun;
         loop {
             match self.ask_all(&payload, deadline).await {
                 Ok(reply) => return Ok(reply),
-                Err(delivered) => maybe_delivered |= delivered,
+                Err(true) => {
+                    maybe_delivered = request.changes_state();
+                    last_sign = Instant::now();
+                }
+                Err(false) => {}
             }
             let next = Instant::now() + RETRY_PAUSE;
-            if !maybe_delivered && next >= give_up {
-                return Err(ClientFault::NotDelivered);
-            }
-            if next >= deadline {
-                return Err(ClientFault::Unknown);
+            if next >= deadline || next >= last_sign + WITHOUT_LEADER {
+                let unknown = maybe_delivered;
+                return Err(if unknown { ClientFault::Unknown } else { ClientFault::NotDelivered });
             }
             sleep(RETRY_PAUSE).await;
         }
--- a/src/cluster/protocol.rs
+++ b/src/cluster/protocol.rs
@@ -142,6 +142,24 @@
     },
 }
 
+impl Request {
+    /// Tells whether a request whose reply was lost may have had an effect.
+    pub(super) fn changes_state(&self) -> bool {
+        match self {
+            Self::Front(call) => matches!(call.action, Action::Submit { .. } | Action::Cancel),
+            Self::ReadConfiguration
+            | Self::WaveStatus { .. }
+            | Self::Status
+            | Self::Explain { .. } => false,
+            Self::Heartbeat(_)
+            | Self::Deregister { .. }
+            | Self::SetConfiguration { .. }
+            | Self::StartWave { .. }
+            | Self::Join { .. } => true,
+        }
+    }
+}
+
 /// How far a member of the cluster is.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 
@@ -42,6 +42,14 @@
     json(status, &ErrorBody { error: message })
 }
 
+/// Tells the caller after what time to come back, in whole seconds.
+#[must_use]
+pub fn with_retry_after(mut response: FullResponse, retry_after_ms: u64) -> FullResponse {
+    let seconds = retry_after_ms.div_ceil(1_000).max(1);
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+    response
+}
+
 fn with_type(status: u16, content_type: &'static str, body: Bytes) -> FullResponse {
     let mut response = Response::new(Full::new(body));
     *response.status_mut() =
--- a/src/placement/tests/loads.rs
+++ b/src/placement/tests/loads.rs
@@ -167,6 +167,25 @@
     assert_eq!(plan.stops, [(unit(2), 1, StopCause::Preempted)]);
 }
 
+/// Load: an urgent job needs a host on which only tasks stand that must not be made unavailable.
+/// Nothing is stopped for it, nor for the turn of another lasting task.
+#[test]
+fn tasks_with_a_limit_of_absence_are_not_displaced() {
+    let mut sample = Sample::with_hosts(2);
+    let serving = StepSpec { lasting: true, away_limit: Some(1), ..step(2, 8) };
+    sample.accept(1, "batch", vec![serving]);
+    decide_and_start(&mut sample, &Inputs::default());
+    sample.accept(2, "batch", vec![StepSpec { lasting: true, ..step(1, 8) }]);
+    sample.at(10_000);
+    sample.accept(9, "urgent", vec![step(1, 8)]);
+    let mut inputs = Inputs::default();
+    for number in 0..2 {
+        let run = (UnitId { unit: number, ..unit(1) }, 1);
+        inputs.progress.insert(run, Progress { unsaved_ms: 10_000 });
+    }
+    assert!(decide(&sample, &inputs).stops.is_empty());
+}
+
 /// The reserve follows the peak of the last 20 s and never takes more than a quarter of the pool.
 #[test]
 fn the_reserve_follows_recent_demand() {
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -4,3 +4,4 @@
 mod places;
 mod pool_view;
 mod services;
+mod times;
--- a/src/placement/tests/pool_view.rs
+++ b/src/placement/tests/pool_view.rs
@@ -15,6 +15,8 @@
     pub(super) avoid: HashSet<(JobId, Life)>,
     pub(super) approvals: Approvals,
     pub(super) reserve_millihosts: u64,
+    /// Time of day.
+    pub(super) unix_ms: u64,
     /// Hosts that take no work.
     pub(super) closed: Vec<String>,
 }
@@ -39,7 +41,7 @@
         state: &sample.state,
         hosts: &hosts,
         now_ms: sample.state.now_ms,
-        unix_ms: 0,
+        unix_ms: inputs.unix_ms,
         stopping: &inputs.stopping,
         progress: &inputs.progress,
         avoid: &inputs.avoid,
--- a/src/task_api/daemon.rs
+++ b/src/task_api/daemon.rs
@@ -35,7 +35,20 @@
     address: SocketAddr,
     stop: watch::Sender<bool>,
     serving: JoinHandle<()>,
-    runtime: Runtime,
+    /// Last, since its end aborts everything above.
+    _runtime: OwnRuntime,
+}
+
+/// A runtime that ends without waiting, so that it may be dropped within another one.
+#[derive(Debug)]
+struct OwnRuntime(Option<Runtime>);
+
+impl Drop for OwnRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 impl RunningControl {
@@ -65,13 +78,9 @@
             Ok::<_, StepError>((control, serving))
         });
         let started = starting.await.map_err(|error| StepError::new("start", "host", error));
-        match started.and_then(|started| started) {
-            Ok((control, serving)) => Ok(Self { control, address, stop, serving, runtime }),
-            Err(error) => {
-                runtime.shutdown_background();
-                Err(error)
-            }
-        }
+        let own = OwnRuntime(Some(runtime));
+        let (control, serving) = started.and_then(|started| started)?;
+        Ok(Self { control, address, stop, serving, _runtime: own })
     }
 
     /// Returns the address for callers, operators and upstreams.
@@ -93,11 +102,10 @@
         self.stop.send_replace(true);
         let finished = tokio::time::timeout(DRAIN, self.serving).await.is_ok();
         info!(finished, "control host has stopped");
-        self.runtime.shutdown_background();
     }
 
     /// Ends at once, as a killed process does.
     pub fn kill(self) {
-        self.runtime.shutdown_background();
+        drop(self);
     }
 }
--- a/src/task_api/http.rs
+++ b/src/task_api/http.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hyper::Method;
-use hyper::header::{AUTHORIZATION, HeaderValue, RETRY_AFTER};
+use hyper::header::AUTHORIZATION;
 use serde::Serialize;
 use tracing::{info, warn};
 
@@ -13,7 +13,7 @@
 use crate::cluster::{
     Action, ClientFault, Control, FrontCall, FrontReply, OperatorReply, Reply, Request,
 };
-use crate::http::{FullResponse, Received, error, json, text};
+use crate::http::{FullResponse, Received, error, json, text, with_retry_after};
 use crate::tasks::{Heartbeat, JobState};
 
 /// Time for a call whose caller states none.
@@ -163,9 +163,3 @@
         JobState::Cancelled => "cancelled",
     }
 }
-
-fn with_retry_after(mut response: FullResponse, retry_after_ms: u64) -> FullResponse {
-    let seconds = retry_after_ms.div_ceil(1_000).max(1);
-    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
-    response
-}
--- a/src/tasks/job.rs
+++ b/src/tasks/job.rs
@@ -172,8 +172,14 @@
         Some(if spec.gang { (0, index) } else { (index, 0) })
     }
 
+    /// Tells whether the job ended so long ago that its state need not be kept.
+    pub(crate) fn may_be_forgotten(&self, now_ms: u64, keep_ms: u64) -> bool {
+        let kept_ms = now_ms.saturating_sub(self.ended_ms);
+        self.outcome.is_some() && kept_ms > keep_ms && !self.has_runs()
+    }
+
     /// Tells whether some run of the job may exist.
-    pub(crate) fn has_runs(&self) -> bool {
+    fn has_runs(&self) -> bool {
         self.occurrences.iter().flatten().flat_map(|step| &step.units).any(Unit::is_running)
     }
 }
--- a/src/tasks/tests/jobs.rs
+++ b/src/tasks/tests/jobs.rs
@@ -117,3 +117,21 @@
     sample.start(&job, 0, 1, &[0]);
     assert!(sample.state.runs_of(&life(0)).is_empty());
 }
+
+/// Guards against the state of a job that is gone before its time, or while it may still run.
+#[test]
+fn ended_jobs_are_kept_for_their_time() {
+    const KEEP_MS: u64 = 120_000;
+    let mut sample = Sample::with_hosts(1);
+    let job = sample.accept(1, "normal", vec![step(1, 1)]);
+    let forgotten =
+        |sample: &Sample, now_ms| sample.state.jobs[&job].may_be_forgotten(now_ms, KEEP_MS);
+    assert!(!forgotten(&sample, 10 * KEEP_MS), "it has not ended");
+    sample.start(&job, 0, 1, &[0]);
+    sample.at(5_000);
+    sample.apply(Change::Cancel { id: job.clone() });
+    assert!(!forgotten(&sample, 10 * KEEP_MS), "its run may still exist");
+    sample.end(&job, 0, 1, 0, EndKind::Stopped);
+    assert!(!forgotten(&sample, 5_000 + KEEP_MS));
+    assert!(forgotten(&sample, 5_001 + KEEP_MS));
+}
