Give turns of lasting tasks a file of their own, and bound the work to find one

Cause: the search for the run whose turn is taken copied the free capacity of all hosts for every candidate; with hundreds of hosts and tasks that is most of a decision. What a decision carries from unit to unit is a struct with a method instead of five arguments.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -13,6 +13,7 @@
 mod room;
 #[cfg(test)]
 mod tests;
+mod turns;
 mod upkeep;
 
 use std::collections::{HashMap, HashSet};
@@ -28,6 +29,7 @@
 pub(crate) use pacing::next_pace;
 use pool::Pool;
 use preemption::Victims;
+use turns::Turns;
 pub(crate) use upkeep::{Candidate, open_places, order as order_candidates, patience_ms};
 
 /// What the leader knows of one upstream.
@@ -106,16 +108,52 @@
 
 /// Decides what to start and stop.
 pub(crate) fn plan(view: &View<'_>) -> Plan {
-    let mut plan = Plan { stops: stops_of_ended(view), ..Plan::default() };
-    let ending: HashSet<_> = plan.stops.iter().map(|(unit, run, _)| (unit.clone(), *run)).collect();
-    let mut pool = Pool::of(view, &ending);
-    let mut victims = Victims::of(view, &ending);
+    let stops = stops_of_ended(view);
+    let ending: HashSet<_> = stops.iter().map(|(unit, run, _)| (unit.clone(), *run)).collect();
+    let victims = Victims::of(view, &ending);
+    let mut decision = Decision {
+        pool: Pool::of(view, &ending),
+        turns: Turns::of(&victims),
+        victims,
+        plan: Plan { stops, ..Plan::default() },
+    };
     let mut waiting = waiting_units(view);
     waiting.sort_by(|a, b| a.rank.cmp(&b.rank));
     for unit in &waiting {
-        place(view, &mut pool, &mut victims, unit, &mut plan);
+        decision.place(view, unit);
+    }
+    decision.plan
+}
+
+/// A plan in the making, and what it leaves for the units behind.
+struct Decision {
+    pool: Pool,
+    victims: Victims,
+    turns: Turns,
+    plan: Plan,
+}
+
+impl Decision {
+    /// Starts a unit if there is room, or makes room for it if it may displace others.
+    fn place(&mut self, view: &View<'_>, unit: &Waiting<'_>) {
+        let Self { pool, victims, turns, plan } = self;
+        let exempt = unit.queue.priority == 0 || unit.step.lasting;
+        let within_limit = exempt || pool.leaves_reserve(view, unit);
+        if within_limit && let Some(places) = room::find(view, pool, unit) {
+            let lives = places.iter().map(|host| view.hosts[*host].life.clone()).collect();
+            pool.take(unit, &places);
+            plan.starts.push(StartRecord { unit: unit.id.clone(), run: unit.run + 1, lives });
+            return;
+        }
+        plan.unplaced += 1;
+        ask_for_approvals(view, pool, unit, plan);
+        if unit.may_preempt {
+            let stops = preemption::make_room(view, pool, victims, unit);
+            plan.stops.extend(stops.into_iter().map(|(id, run)| (id, run, StopCause::Preempted)));
+        } else if let Some((id, run)) = turns.take(view, pool, victims, unit) {
+            plan.stops.push((id, run, StopCause::TurnTaken));
+        }
     }
-    plan
 }
 
 /// Stops what runs for a job that has ended, and what is left of a broken gang.
@@ -149,32 +187,6 @@
     }
 }
 
-/// Starts a unit if there is room, or makes room for it if it may displace others.
-fn place(
-    view: &View<'_>,
-    pool: &mut Pool,
-    victims: &mut Victims,
-    unit: &Waiting<'_>,
-    plan: &mut Plan,
-) {
-    let exempt = unit.queue.priority == 0 || unit.step.lasting;
-    let within_limit = exempt || pool.leaves_reserve(view, unit);
-    if within_limit && let Some(places) = room::find(view, pool, unit) {
-        let lives = places.iter().map(|host| view.hosts[*host].life.clone()).collect();
-        pool.take(unit, &places);
-        plan.starts.push(StartRecord { unit: unit.id.clone(), run: unit.run + 1, lives });
-        return;
-    }
-    plan.unplaced += 1;
-    ask_for_approvals(view, pool, unit, plan);
-    if unit.may_preempt {
-        let stops = preemption::make_room(view, pool, victims, unit);
-        plan.stops.extend(stops.into_iter().map(|(id, run)| (id, run, StopCause::Preempted)));
-    } else if let Some((id, run)) = preemption::take_turn(view, pool, victims, unit) {
-        plan.stops.push((id, run, StopCause::TurnTaken));
-    }
-}
-
 /// Asks about further upstreams if the unit's queue needs approvals.
 fn ask_for_approvals(view: &View<'_>, pool: &Pool, unit: &Waiting<'_>, plan: &mut Plan) {
     let Some(advice) = unit.queue.advice else { return };
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -15,27 +15,18 @@
 /// Work that the stop of a lasting task counts as, in milliseconds: about the time it is away.
 const LASTING_LOSS_MS: u64 = 10_000;
 
-/// Time for which a lasting task stays away before it takes the turn of another one.
-const AWAY_MAX_MS: u64 = 6_500;
-
-/// Time that a lasting task runs before another one may take its turn.
-const TURN_MS: u64 = 5_000;
-
-/// One of this many lasting tasks may change turns at one time.
-const TURNS_SHARE: usize = 12;
-
 /// A run that may be stopped.
 #[derive(Debug, Clone)]
-struct Victim {
-    unit: UnitId,
-    run: u32,
-    priority: u32,
-    need: Need,
-    hosts: Vec<usize>,
+pub(super) struct Victim {
+    pub(super) unit: UnitId,
+    pub(super) run: u32,
+    pub(super) priority: u32,
+    pub(super) need: Need,
+    pub(super) hosts: Vec<usize>,
     /// Unsaved work of all its tasks, in core-milliseconds.
     lost: u64,
     /// Time that a lasting task has run.
-    turn_ms: Option<u64>,
+    pub(super) turn_ms: Option<u64>,
 }
 
 /// Runs that may be stopped, by host.
@@ -44,8 +35,6 @@
     all: Vec<Victim>,
     on_host: Vec<Vec<usize>>,
     taken: HashSet<usize>,
-    /// Lasting tasks that may still take the turn of another one.
-    turns_left: usize,
 }
 
 impl Victims {
@@ -57,7 +46,6 @@
             all: Vec::new(),
             on_host: vec![Vec::new(); view.hosts.len()],
             taken: HashSet::new(),
-            turns_left: 0,
         };
         for job in view.state.jobs.values() {
             let Some(queue) = view.state.queue_of(job) else { continue };
@@ -84,8 +72,6 @@
                 victims.add(Victim { unit, run, priority, need, hosts, lost, turn_ms });
             });
         }
-        let lasting = victims.all.iter().filter(|victim| victim.turn_ms.is_some());
-        victims.turns_left = lasting.count().div_ceil(TURNS_SHARE);
         victims
     }
 
@@ -96,6 +82,26 @@
         }
         self.all.push(victim);
     }
+
+    /// Lists the runs that are still open to be stopped, with their numbers.
+    pub(super) fn open(&self) -> impl Iterator<Item = (usize, &Victim)> {
+        let all = self.all.iter().enumerate();
+        all.filter(|(number, _)| !self.taken.contains(number))
+    }
+
+    pub(super) fn get(&self, number: usize) -> &Victim {
+        &self.all[number]
+    }
+
+    /// Takes a run to be stopped, so that its capacity is free soon.
+    pub(super) fn take(&mut self, number: usize, pool: &mut Pool) -> &Victim {
+        self.taken.insert(number);
+        let victim = &self.all[number];
+        for &host in &victim.hosts {
+            pool.vacate(host, &victim.need);
+        }
+        victim
+    }
 }
 
 /// Reserves room for the unit and returns the runs to stop for it.
@@ -113,67 +119,13 @@
     let options = groups(view, pool, unit);
     let choices = options.iter().filter_map(|hosts| choose(view, pool, victims, unit, hosts));
     let Some(choice) = choices.min_by_key(|choice| choice.lost) else { return Vec::new() };
-    for &number in &choice.stopped {
-        let victim = &victims.all[number];
-        for &host in &victim.hosts {
-            pool.vacate(host, &victim.need);
-        }
-        victims.taken.insert(number);
+    let mut stops = Vec::with_capacity(choice.stopped.len());
+    for number in choice.stopped {
+        let victim = victims.take(number, pool);
+        stops.push((victim.unit.clone(), victim.run));
     }
     pool.reserve(unit, &choice.places);
-    let stopped = choice.stopped.iter().map(|number| &victims.all[*number]);
-    stopped.map(|victim| (victim.unit.clone(), victim.run)).collect()
-}
-
-/// Lets a lasting task that has been away for long take the place of one that has run for long.
-///
-/// Load: more lasting tasks than the pool holds, and urgent jobs that displace them all the time,
-/// so that capacity changes hands but is kept for others. In a pool that is just full, a change of
-/// turns would only cost work.
-pub(super) fn take_turn(
-    view: &View<'_>,
-    pool: &mut Pool,
-    victims: &mut Victims,
-    unit: &Waiting<'_>,
-) -> Option<(UnitId, u32)> {
-    let is_away = unit.step.lasting && unit.waited_ms >= AWAY_MAX_MS;
-    if !is_away || victims.turns_left == 0 || pool.tasks_in_unused(view, unit) < 2 {
-        return None;
-    }
-    let soon = pool.soon.clone();
-    if let Some(places) = find_in(view, pool, &soon, unit) {
-        pool.reserve(unit, &places);
-        victims.turns_left -= 1;
-        return None;
-    }
-    let usable: Vec<usize> = groups(view, pool, unit).into_iter().flatten().collect();
-    let open = victims.all.iter().enumerate().filter(|(number, victim)| {
-        let had_turn = victim.turn_ms.is_some_and(|turn_ms| turn_ms >= TURN_MS);
-        let equal = victim.priority >= unit.queue.priority;
-        let fits = || makes_room(view, pool, victim, unit, &usable);
-        had_turn && equal && !victims.taken.contains(number) && fits()
-    });
-    let (number, _) = open.max_by_key(|(_, victim)| victim.turn_ms)?;
-    victims.taken.insert(number);
-    victims.turns_left -= 1;
-    let victim = &victims.all[number];
-    pool.vacate(victim.hosts[0], &victim.need);
-    pool.reserve(unit, &victim.hosts);
-    Some((victim.unit.clone(), victim.run))
-}
-
-/// Tells whether a unit of one task fits on the host of a single victim once that one is gone.
-fn makes_room(
-    view: &View<'_>,
-    pool: &Pool,
-    victim: &Victim,
-    unit: &Waiting<'_>,
-    usable: &[usize],
-) -> bool {
-    let &[host] = victim.hosts.as_slice() else { return false };
-    let mut free = pool.soon.clone();
-    free[host].give(&victim.need);
-    usable.contains(&host) && tasks_for_host(view, pool, &free, unit, host) > 0
+    stops
 }
 
 /// Places for a unit and what has to be stopped for them.
