Wait for the end of a killed control host before it is started again

Cause: `cactuslatch-measure cluster` restarted a host right after it was killed and failed with "another process uses this data folder" or "Address already in use": the runtime was told to end but not waited for. The end now waits for the tasks, as the exit of a real process does.

--- a/src/bin/cactuslatch-measure/cluster.rs
+++ b/src/bin/cactuslatch-measure/cluster.rs
@@ -188,7 +188,7 @@
     let mut times = Histogram::<u64>::new(3)?;
     for _ in 0..KILLS {
         let leader = local.leader().context("no host leads")?;
-        local.kill_control(leader);
+        local.kill_control(leader).await;
         let begun = Instant::now();
         configure_until_stored(local, version).await?;
         times.record(u64::try_from(begun.elapsed().as_millis())?)?;
@@ -202,7 +202,7 @@
 async fn restart(local: &mut LocalTasks, folder: &Path) -> Result<(u128, u64)> {
     let leader = local.leader().context("no host leads")?;
     let host = u8::from(leader == 0);
-    local.kill_control(host);
+    local.kill_control(host).await;
     let begun = Instant::now();
     local.start_control(host, false).await?;
     let restart_ms = begun.elapsed().as_millis();
--- a/src/demo/step_job.rs
+++ b/src/demo/step_job.rs
@@ -27,7 +27,7 @@
     store(&local, "submit job of steps", "POST", JOB_PATH, JOB, 202).await?;
     let leader = local.leader();
     if let Some(leader) = leader {
-        local.kill_control(leader);
+        local.kill_control(leader).await;
     }
     let took = wait_until("job of steps", JOB_LIMIT, async || {
         let reply = call(&local, "GET", JOB_PATH, "").await;
--- a/src/local/tasks.rs
+++ b/src/local/tasks.rs
@@ -119,9 +119,9 @@
     }
 
     /// Kills a control host.
-    pub fn kill_control(&mut self, host: u8) {
+    pub async fn kill_control(&mut self, host: u8) {
         if let Some(control) = self.controls[usize::from(host)].take() {
-            control.kill();
+            control.kill().await;
         }
     }
 
--- a/src/task_api/daemon.rs
+++ b/src/task_api/daemon.rs
@@ -7,8 +7,8 @@
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
-use tracing::info;
+use tokio::task::{JoinHandle, spawn_blocking};
+use tracing::{info, warn};
 
 use super::settings::TaskControlSettings;
 use super::{http, orders};
@@ -19,6 +19,9 @@
 /// Time for calls in flight when the host stops.
 const DRAIN: Duration = Duration::from_secs(2);
 
+/// Time for the tasks of a host to end.
+const END_LIMIT: Duration = Duration::from_secs(5);
+
 /// Limits of the listener.
 const LIMITS: ServerLimits = ServerLimits {
     head_timeout: Duration::from_mins(1),
@@ -35,14 +38,24 @@
     address: SocketAddr,
     stop: watch::Sender<bool>,
     serving: JoinHandle<()>,
-    /// Last, since its end aborts everything above.
-    _runtime: OwnRuntime,
+    runtime: OwnRuntime,
 }
 
 /// A runtime that ends without waiting, so that it may be dropped within another one.
 #[derive(Debug)]
 struct OwnRuntime(Option<Runtime>);
 
+impl OwnRuntime {
+    /// Ends all tasks and waits until they have let go of their files and addresses.
+    async fn end(mut self) {
+        let Some(runtime) = self.0.take() else { return };
+        let ending = spawn_blocking(move || runtime.shutdown_timeout(END_LIMIT));
+        if let Err(error) = ending.await {
+            warn!(%error, "the runtime of a control host did not end in order");
+        }
+    }
+}
+
 impl Drop for OwnRuntime {
     fn drop(&mut self) {
         if let Some(runtime) = self.0.take() {
@@ -80,7 +93,7 @@
         let started = starting.await.map_err(|error| StepError::new("start", "host", error));
         let own = OwnRuntime(Some(runtime));
         let (control, serving) = started.and_then(|started| started)?;
-        Ok(Self { control, address, stop, serving, _runtime: own })
+        Ok(Self { control, address, stop, serving, runtime: own })
     }
 
     /// Returns the address for callers, operators and upstreams.
@@ -101,11 +114,15 @@
         self.control.hand_over().await;
         self.stop.send_replace(true);
         let finished = tokio::time::timeout(DRAIN, self.serving).await.is_ok();
+        drop(self.control);
+        self.runtime.end().await;
         info!(finished, "control host has stopped");
     }
 
     /// Ends at once, as a killed process does.
-    pub fn kill(self) {
-        drop(self);
+    pub async fn kill(self) {
+        let Self { control, runtime, .. } = self;
+        drop(control);
+        runtime.end().await;
     }
 }
--- a/tests/steps.rs
+++ b/tests/steps.rs
@@ -89,7 +89,7 @@
     let long = JOB.replace("300}", "1500}");
     site.submit(1, &long).await;
     let leader = site.local.leader().expect("one host leads");
-    site.local.kill_control(leader);
+    site.local.kill_control(leader).await;
     site.reaches(1, "completed").await;
     assert_eq!(site.local.started(), 6, "work went on under its leases");
     site.local.start_control(leader, false).await.unwrap();
