--- a/src/bin/cactuslatch-cluster.rs
+++ b/src/bin/cactuslatch-cluster.rs
@@ -23,10 +23,12 @@
     if let Err(error) = logging::init() {
         return daemon_util::failed(&error);
     }
-    match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+    let exit = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime.block_on(run(settings)),
         Err(error) => daemon_util::failed(&error),
-    }
+    };
+    logging::flush();
+    exit
 }
 
 async fn run(settings: TaskControlSettings) -> ExitCode {
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -358,6 +358,7 @@
 /// Ends the process: without its disk a host can confirm nothing, and a restart reads it again.
 fn stop_process(fault: &StepError) -> ! {
     error!(error = %fault, "the host cannot go on and stops");
+    crate::logging::flush();
     std::process::exit(1)
 }
 
--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -10,7 +10,7 @@
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use tracing::callsite::Identifier;
@@ -26,6 +26,10 @@
 /// Lines that wait for the writing thread.
 const QUEUE_LINES: usize = 2_000;
 
+/// Longest wait for the last lines when the process ends; a reader that does not read is not waited
+/// for any longer.
+const FLUSH_LIMIT: Duration = Duration::from_millis(300);
+
 /// Time over which a budget holds.
 const BUDGET_SPAN: Duration = Duration::from_secs(1);
 
@@ -36,6 +40,32 @@
     queue_full: AtomicU64,
 }
 
+/// Work for the writing thread.
+#[derive(Debug)]
+enum Entry {
+    Line(Vec<u8>),
+    /// Told once everything before has been written.
+    Flush(SyncSender<()>),
+}
+
+/// The log of this process, once there is one.
+static LINES: OnceLock<SyncSender<Entry>> = OnceLock::new();
+
+/// Waits until the lines so far are written, for a process that is about to end.
+pub fn flush() {
+    if let Some(lines) = LINES.get() {
+        flush_lines(lines);
+    }
+}
+
+fn flush_lines(lines: &SyncSender<Entry>) {
+    let (written, all) = sync_channel(1);
+    if lines.try_send(Entry::Flush(written)).is_ok() {
+        // Without an answer in time the last lines are lost, as those of a killed process are.
+        _ = all.recv_timeout(FLUSH_LIMIT);
+    }
+}
+
 /// Writes log lines to standard output from now on; `RUST_LOG` sets the level.
 ///
 /// # Errors
@@ -44,6 +74,7 @@
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
     let dropped = Arc::new(Dropped::default());
     let lines = start_writer(io::stdout(), Arc::clone(&dropped))?;
+    let lines = LINES.get_or_init(|| lines).clone();
     let writer = Writer { lines, dropped: Arc::clone(&dropped) };
     let layer = tracing_subscriber::fmt::layer()
         .json()
@@ -57,19 +88,27 @@
 }
 
 /// Starts the thread that writes lines and reports what was dropped.
-pub(crate) fn start_writer(
+fn start_writer(
     out: impl Write + Send + 'static,
     dropped: Arc<Dropped>,
-) -> io::Result<SyncSender<Vec<u8>>> {
+) -> io::Result<SyncSender<Entry>> {
     let (lines, queue) = sync_channel(QUEUE_LINES);
     let work = move || write_lines(out, &queue, &dropped);
     std::thread::Builder::new().name("log".into()).spawn(work)?;
     Ok(lines)
 }
 
-fn write_lines(mut out: impl Write, queue: &Receiver<Vec<u8>>, dropped: &Dropped) {
+fn write_lines(mut out: impl Write, queue: &Receiver<Entry>, dropped: &Dropped) {
     let mut reported = (0, 0);
-    while let Ok(line) = queue.recv() {
+    while let Ok(entry) = queue.recv() {
+        let line = match entry {
+            Entry::Line(line) => line,
+            Entry::Flush(written) => {
+                // Whoever asked may have stopped waiting.
+                _ = written.try_send(());
+                continue;
+            }
+        };
         // Nobody is left to be told that the log cannot be written.
         _ = out.write_all(&line);
         let now = (
@@ -91,13 +130,13 @@
 /// Hands whole lines to the writing thread.
 #[derive(Debug, Clone)]
 struct Writer {
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<Entry>,
     dropped: Arc<Dropped>,
 }
 
 impl Write for Writer {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        if self.lines.try_send(buf.to_vec()).is_err() {
+        if self.lines.try_send(Entry::Line(buf.to_vec())).is_err() {
             self.dropped.queue_full.fetch_add(1, Ordering::Relaxed);
         }
         Ok(buf.len())
--- a/src/logging/tests.rs
+++ b/src/logging/tests.rs
@@ -9,7 +9,9 @@
 use tracing_subscriber::Layer;
 use tracing_subscriber::layer::SubscriberExt;
 
-use super::{Budget, Dropped, LINES_PER_KIND_AND_SECOND, QUEUE_LINES, Writer, start_writer};
+use super::{
+    Budget, Dropped, LINES_PER_KIND_AND_SECOND, QUEUE_LINES, Writer, flush_lines, start_writer,
+};
 
 /// An output that blocks until it is released.
 struct Blocked {
@@ -81,3 +83,42 @@
     assert_eq!(text.lines().filter(|line| line.contains("other")).count(), 1);
     assert_eq!(dropped.over_budget.load(Ordering::Relaxed), 300);
 }
+
+/// An output that takes its time.
+struct Slow(Kept);
+
+impl Write for Slow {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(20));
+        self.0.write(buf)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a process that ends before the line with the cause of its end is written.
+#[test]
+fn a_flush_waits_for_the_last_line() {
+    let kept = Kept::default();
+    let lines = start_writer(Slow(kept.clone()), Arc::default()).unwrap();
+    let mut writer = Writer { lines: lines.clone(), dropped: Arc::default() };
+    for line in ["first\n", "second\n", "the cause\n"] {
+        writer.write_all(line.as_bytes()).unwrap();
+    }
+    flush_lines(&lines);
+    assert_eq!(*kept.0.lock().unwrap(), b"first\nsecond\nthe cause\n");
+}
+
+/// Guards against a process that cannot end because nobody reads its log.
+#[test]
+fn a_flush_does_not_wait_for_a_blocked_reader() {
+    let (_release, held) = channel();
+    let lines = start_writer(Blocked { release: held }, Arc::default()).unwrap();
+    let mut writer = Writer { lines: lines.clone(), dropped: Arc::default() };
+    writer.write_all(b"line\n").unwrap();
+    let begun = Instant::now();
+    flush_lines(&lines);
+    assert!(begun.elapsed() < Duration::from_secs(2));
+}
