--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -11,9 +11,9 @@
 mod pool;
 mod preemption;
 mod room;
+mod rotation;
 #[cfg(test)]
 mod tests;
-mod turns;
 mod upkeep;
 
 use std::collections::{HashMap, HashSet};
@@ -29,7 +29,7 @@
 pub(crate) use pacing::next_pace;
 use pool::Pool;
 use preemption::Victims;
-use turns::Turns;
+use rotation::Rotation;
 pub(crate) use upkeep::{Candidate, open_places, order as order_candidates, patience_ms};
 
 /// What the leader knows of one upstream.
@@ -95,9 +95,9 @@
     /// Work of a higher priority needs its place.
     #[display("preempted")]
     Preempted,
-    /// Another lasting task that was away for long takes its turn.
-    #[display("turn taken")]
-    TurnTaken,
+    /// Another lasting task that has waited for long replaces it.
+    #[display("rotated")]
+    Rotated,
     /// Its host goes down for maintenance.
     #[display("maintenance")]
     Maintenance,
@@ -113,7 +113,7 @@
     let victims = Victims::of(view, &ending);
     let mut decision = Decision {
         pool: Pool::of(view, &ending),
-        turns: Turns::of(&victims),
+        rotation: Rotation::of(&victims),
         victims,
         plan: Plan { stops, ..Plan::default() },
     };
@@ -129,14 +129,14 @@
 struct Decision {
     pool: Pool,
     victims: Victims,
-    turns: Turns,
+    rotation: Rotation,
     plan: Plan,
 }
 
 impl Decision {
     /// Starts a unit if there is room, or makes room for it if it may displace others.
     fn place(&mut self, view: &View<'_>, unit: &Waiting<'_>) {
-        let Self { pool, victims, turns, plan } = self;
+        let Self { pool, victims, rotation, plan } = self;
         let exempt = unit.queue.priority == 0 || unit.step.lasting;
         let within_limit = exempt || pool.leaves_reserve(view, unit);
         if within_limit && let Some(places) = room::find(view, pool, unit) {
@@ -150,8 +150,8 @@
         if unit.may_preempt {
             let stops = preemption::make_room(view, pool, victims, unit);
             plan.stops.extend(stops.into_iter().map(|(id, run)| (id, run, StopCause::Preempted)));
-        } else if let Some((id, run)) = turns.take(view, pool, victims, unit) {
-            plan.stops.push((id, run, StopCause::TurnTaken));
+        } else if let Some((id, run)) = rotation.replace(view, pool, victims, unit) {
+            plan.stops.push((id, run, StopCause::Rotated));
         }
     }
 }
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -42,8 +42,8 @@
         }
     }
 
-    /// Units wait in turn here, whatever their jobs can still reach for their callers.
-    fn is_in_turn(self) -> bool {
+    /// Units wait first come first served here, whatever their jobs can still reach for their callers.
+    fn is_fifo(self) -> bool {
         matches!(self, Self::Guaranteed | Self::Lasting)
     }
 }
@@ -113,15 +113,15 @@
             }
             let timeliness = timeliness[occurrence];
             let step = &job.spec.steps[step];
-            // Displaced lasting tasks take turns, so that none of them stays away for long.
+            // Round-robin, so that no displaced lasting task stays away for long.
             let since_ms = if step.lasting { unit.waiting_since_ms } else { job.accepted_ms };
             let band = Band::of(queue, step, is_covered);
-            let in_turn = band.is_in_turn();
+            let is_fifo = band.is_fifo();
             let rank = Rank {
                 band,
                 priority: queue.priority,
-                timeliness: if in_turn { Timeliness::OnTime } else { timeliness },
-                not_begun: !in_turn && !job.started,
+                timeliness: if is_fifo { Timeliness::OnTime } else { timeliness },
+                not_begun: !is_fifo && !job.started,
                 since_ms,
                 id: id.clone(),
             };
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -26,7 +26,7 @@
     /// Unsaved work of all its tasks, in core-milliseconds.
     lost: u64,
     /// Time that a lasting task has run.
-    pub(super) turn_ms: Option<u64>,
+    pub(super) ran_ms: Option<u64>,
 }
 
 /// Runs that may be stopped, by host.
@@ -67,9 +67,9 @@
                 let lost = unsaved_ms * step.need.weight() / 1000 * hosts.len() as u64;
                 let need = step.reserved();
                 let priority = queue.priority;
-                let turn_ms = step.lasting.then_some(seen_ms);
+                let ran_ms = step.lasting.then_some(seen_ms);
                 let (unit, run) = run;
-                victims.add(Victim { unit, run, priority, need, hosts, lost, turn_ms });
+                victims.add(Victim { unit, run, priority, need, hosts, lost, ran_ms });
             });
         }
         victims
@@ -186,7 +186,7 @@
         .collect();
     candidates.sort_by_key(|number| {
         let victim = &victims.all[*number];
-        (victim.lost, Reverse(victim.priority), Reverse(victim.turn_ms), *number)
+        (victim.lost, Reverse(victim.priority), Reverse(victim.ran_ms), *number)
     });
     let mut candidates = candidates.into_iter();
     let mut slots: Vec<Slot> = Vec::new();
--- a/src/placement/turns.rs
+++ b/src/placement/rotation.rs
@@ -1,8 +1,8 @@
-//! Turns among lasting tasks.
+//! Round-robin among lasting tasks.
 //!
 //! Load: more lasting tasks than the pool holds, and urgent jobs that displace them all the time, so
-//! that capacity changes hands but is kept for others. In a pool that is just full, a change of
-//! turns would only cost work.
+//! that capacity changes hands but is kept for others. In a pool that is just full, rotation would
+//! only cost work.
 
 use std::cmp::Reverse;
 
@@ -13,34 +13,34 @@
 use super::room::{find_in, groups, tasks_for_host};
 use crate::tasks::UnitId;
 
-/// Time for which a lasting task stays away before it takes the turn of another one.
-const AWAY_MAX_MS: u64 = 6_500;
+/// Time for which a lasting task waits before it replaces another one.
+const WAIT_MAX_MS: u64 = 6_500;
 
-/// Time that a lasting task runs before another one may take its turn.
-const TURN_MS: u64 = 5_000;
+/// Time that a lasting task runs before another one may replace it.
+const TIME_SLICE_MS: u64 = 5_000;
 
-/// One of this many lasting tasks may change turns at one time.
-const TURNS_SHARE: usize = 12;
+/// One of this many lasting tasks may be replaced at one time.
+const ROTATION_SHARE: usize = 12;
 
-/// Tasks for which capacity has to change hands before turns are changed.
+/// Tasks for which capacity has to change hands before tasks are rotated.
 const TASKS_IN_UNUSED_MIN: u32 = 2;
 
-/// Bound on the turns that change at one time.
+/// Bound on the tasks that are replaced at one time.
 #[derive(Debug)]
-pub(super) struct Turns {
+pub(super) struct Rotation {
     left: usize,
 }
 
-impl Turns {
+impl Rotation {
     pub(super) fn of(victims: &Victims) -> Self {
-        let lasting = victims.open().filter(|(_, victim)| victim.turn_ms.is_some());
-        Self { left: lasting.count().div_ceil(TURNS_SHARE) }
+        let lasting = victims.open().filter(|(_, victim)| victim.ran_ms.is_some());
+        Self { left: lasting.count().div_ceil(ROTATION_SHARE) }
     }
 
-    /// Lets a lasting task that has been away for long take the place of one that has run for long.
+    /// Lets a lasting task that has waited for long replace one that has run for long.
     ///
     /// Returns the run to stop, if one has to be stopped now.
-    pub(super) fn take(
+    pub(super) fn replace(
         &mut self,
         view: &View<'_>,
         pool: &mut Pool,
@@ -48,18 +48,18 @@
         unit: &Waiting<'_>,
     ) -> Option<(UnitId, u32)> {
         let is_single = unit.step.unit_size() == 1;
-        let is_away = unit.step.lasting && is_single && unit.waited_ms >= AWAY_MAX_MS;
-        if !is_away || self.left == 0 || pool.tasks_in_unused(view, unit) < TASKS_IN_UNUSED_MIN {
+        let has_waited = unit.step.lasting && is_single && unit.waited_ms >= WAIT_MAX_MS;
+        if !has_waited || self.left == 0 || pool.tasks_in_unused(view, unit) < TASKS_IN_UNUSED_MIN {
             return None;
         }
         let soon = pool.soon.clone();
         if let Some(places) = find_in(view, pool, &soon, unit) {
-            // The run whose turn it takes is being stopped.
+            // The run that it replaces is being stopped.
             pool.reserve(unit, &places);
             self.left -= 1;
             return None;
         }
-        let number = longest_turn(view, pool, victims, unit)?;
+        let number = longest_running(view, pool, victims, unit)?;
         self.left -= 1;
         let victim = victims.take(number, pool);
         pool.reserve(unit, &victim.hosts);
@@ -67,8 +67,8 @@
     }
 }
 
-/// Finds the run with the longest turn in whose place the unit fits.
-fn longest_turn(
+/// Finds the lasting task that has run longest and in whose place the unit fits.
+fn longest_running(
     view: &View<'_>,
     pool: &Pool,
     victims: &Victims,
@@ -78,10 +78,10 @@
     let mut candidates: Vec<(u64, usize)> = victims
         .open()
         .filter(|(_, victim)| victim.priority >= unit.queue.priority)
-        .filter_map(|(number, victim)| Some((victim.turn_ms?, number)))
-        .filter(|(turn_ms, _)| *turn_ms >= TURN_MS)
+        .filter_map(|(number, victim)| Some((victim.ran_ms?, number)))
+        .filter(|(ran_ms, _)| *ran_ms >= TIME_SLICE_MS)
         .collect();
-    candidates.sort_unstable_by_key(|(turn_ms, number)| (Reverse(*turn_ms), *number));
+    candidates.sort_unstable_by_key(|(ran_ms, number)| (Reverse(*ran_ms), *number));
     let mut free = pool.soon.clone();
     let mut fits_instead_of = |number: usize| {
         let victim = victims.get(number);
--- a/src/placement/tests/loads.rs
+++ b/src/placement/tests/loads.rs
@@ -63,9 +63,9 @@
 }
 
 /// Load: one urgent job after the other under a guarantee. Each of them has to begin in time, so one
-/// that is late for its caller keeps its turn, and what is being freed for it.
+/// that is late for its caller keeps its place, and what is being freed for it.
 #[test]
-fn guaranteed_jobs_keep_their_turn() {
+fn guaranteed_jobs_keep_their_place() {
     let mut sample = Sample::with_hosts(2);
     for job in 1..=2 {
         sample.accept(job, "batch", vec![step(1, 8)]);
@@ -127,9 +127,9 @@
 }
 
 /// Load: more lasting tasks than the pool holds, and room is being made for an urgent job. A lasting
-/// task that has been away for long takes the turn of one that has run for long, once.
+/// task that has waited for long replaces one that has run for long, once.
 #[test]
-fn lasting_tasks_take_turns_while_capacity_changes_hands() {
+fn lasting_tasks_rotate_while_capacity_changes_hands() {
     let mut sample = Sample::with_hosts(6);
     let lasting = |tasks| StepSpec { lasting: true, ..step(tasks, 8) };
     sample.accept(1, "batch", vec![lasting(6)]);
@@ -148,7 +148,7 @@
     insta::assert_snapshot!(stops.join("\n"), @r"
     0000000000000001.0.0.0: preempted
     0000000000000001.0.0.1: preempted
-    0000000000000001.0.0.3: turn taken
+    0000000000000001.0.0.3: rotated
     ");
 }
 
@@ -168,7 +168,7 @@
 }
 
 /// Load: an urgent job needs a host on which only tasks stand that must not be made unavailable.
-/// Nothing is stopped for it, nor for the turn of another lasting task.
+/// Nothing is stopped for it, nor for another lasting task.
 #[test]
 fn tasks_with_a_limit_of_absence_are_not_displaced() {
     let mut sample = Sample::with_hosts(2);
