--- a/src/cluster/leader_client.rs
+++ b/src/cluster/leader_client.rs
@@ -121,8 +121,9 @@
             }
             let next = Instant::now() + RETRY_PAUSE;
             if next >= deadline || next >= last_sign + WITHOUT_LEADER {
-                let unknown = maybe_delivered;
-                return Err(if unknown { ClientFault::Unknown } else { ClientFault::NotDelivered });
+                let fault =
+                    if maybe_delivered { ClientFault::Unknown } else { ClientFault::NotDelivered };
+                return Err(fault);
             }
             sleep(RETRY_PAUSE).await;
         }
