--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 mod outcome;
 mod placement;
 mod quorum;
+pub mod replay;
 mod rpc;
 pub mod scheduler;
 pub mod standin;
