Give connections to upstreams a budget, and read the lists when a start has no answer

Cause: a leader opened a connection for each long poll and up to eight more for the orders to each upstream, without a limit over all of them; past the limit of descriptors every connect failed and counted as the upstream's silence, so that its work was started elsewhere. Stops come first, then leases, then starts; long polls leave an eighth for orders; idle connections are closed, the oldest first; an upstream that runs nothing is polled at intervals while connections are scarce. A call that got no connection is told apart and says nothing of the upstream.

Start without an answer. Cause, shown by the new test work_whose_start_was_not_answered_runs_once (long work: runs 1, 2 and 3 of a task in 20 s, job never done): the start was given up after 1.5 s and the work was stopped although the upstream's lists showed that it ran. Now the lists are read at once, and a run that they show is started. Ruled out: the same with short work, with holds that are silent for 3 s of a 4 s lease, with stops whose answer is lost, with two submissions at once, with a late heartbeat of an upstream that has left: these tests passed before the change, too.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -108,6 +108,7 @@
     /// Returns the metrics in the Prometheus text format.
     #[must_use]
     pub fn metrics_text(&self) -> String {
+        self.replica.metrics.set_connections(self.calls.budget.in_use());
         self.replica.metrics.text()
     }
 
--- a/src/cluster/http_client.rs
+++ b/src/cluster/http_client.rs
@@ -1,15 +1,17 @@
-//! HTTP/1.1 client with pooled connections and a timeout for each call.
+//! HTTP/1.1 client with pooled connections, a budget for all of them and a timeout for each call.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
+use super::budget::{ConnectionBudget, ConnectionPermit, ConnectionUse};
+use crate::StepError;
 use crate::entry::pool::{Connection, Pool, PoolTimes, open};
 
 /// Size limit of a response body.
@@ -24,6 +26,15 @@
     idle_probe: Duration::from_mins(10),
 };
 
+/// Time for which a call waits for a connection of the budget.
+const PERMIT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Number of idle connections that are closed at once when the budget is used up.
+const EVICTED_AT_ONCE: usize = 16;
+
+/// Budget of a client that is created without one.
+const DEFAULT_BUDGET: usize = 512;
+
 /// A complete response.
 #[derive(Debug, Clone)]
 pub struct HttpReply {
@@ -33,6 +44,17 @@
     pub body: Bytes,
 }
 
+/// Error codes of a connect call for which there is no descriptor: the process's limit, the host's
+/// limit, and the local ports.
+const OUT_OF_DESCRIPTORS: [i32; 3] = [
+    rustix::io::Errno::MFILE.raw_os_error(),
+    rustix::io::Errno::NFILE.raw_os_error(),
+    rustix::io::Errno::ADDRNOTAVAIL.raw_os_error(),
+];
+
+/// Connection pools by address.
+type Pools = HashMap<SocketAddr, Pool>;
+
 /// Why a call has no response.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub enum HttpFault {
@@ -42,6 +64,10 @@
         /// Error message.
         reason: String,
     },
+    /// This process has no connection to spare, so nothing was sent. It says nothing about the
+    /// address.
+    #[display("no connection to spare")]
+    NoConnection,
     /// The request was sent and may have been received.
     #[display("no complete response: {reason}")]
     NoAnswer {
@@ -50,13 +76,33 @@
     },
 }
 
-/// HTTP client with one connection pool per address; clones share the pools.
-#[derive(Debug, Clone, Default)]
+/// HTTP client with one connection pool per address; clones share the pools and the budget.
+#[derive(Debug, Clone)]
 pub struct HttpClient {
-    pools: Arc<Mutex<HashMap<SocketAddr, Pool>>>,
+    pools: Arc<Mutex<Pools>>,
+    budget: ConnectionBudget,
+    connection_use: ConnectionUse,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new(ConnectionBudget::new(DEFAULT_BUDGET), ConnectionUse::Start)
+    }
 }
 
 impl HttpClient {
+    /// Creates a client whose connections count against a budget.
+    #[must_use]
+    pub fn new(budget: ConnectionBudget, connection_use: ConnectionUse) -> Self {
+        Self { pools: Arc::default(), budget, connection_use }
+    }
+
+    /// Returns a client with the same pools for calls of another urgency.
+    #[must_use]
+    pub fn for_use(&self, connection_use: ConnectionUse) -> Self {
+        Self { connection_use, ..self.clone() }
+    }
+
     /// Sends a request and reads the complete response.
     ///
     /// A connection whose call timed out is closed, so that the next call neither reads a late
@@ -74,7 +120,11 @@
         let no_answer = |reason: String| HttpFault::NoAnswer { reason };
         match timeout(limit, exchange(&mut connection, request)).await {
             Ok(Ok(reply)) => {
-                self.with_pool(address, |pool| pool.put(connection, &POOL_TIMES));
+                // Otherwise a request that waits might get no connection for as long as this one
+                // is used again and again.
+                if !self.budget.has_waiting() {
+                    self.with_pool(address, |pool| pool.put(connection, &POOL_TIMES));
+                }
                 Ok(reply)
             }
             Ok(Err(reason)) => Err(no_answer(reason)),
@@ -84,34 +134,75 @@
 
     /// Closes the idle connections of an address.
     pub fn forget(&self, address: SocketAddr) {
-        self.pools.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+        self.lock().remove(&address);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Pools> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn with_pool<T>(&self, address: SocketAddr, work: impl FnOnce(&mut Pool) -> T) -> T {
-        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        work(pools.entry(address).or_default())
+        work(self.lock().entry(address).or_default())
     }
 
     async fn connection(&self, address: SocketAddr) -> Result<Connection, HttpFault> {
         let not_sent = |reason: String| HttpFault::NotSent { reason };
-        let (idle, permit) = self.with_pool(address, |pool| {
-            let idle = pool.take(&POOL_TIMES);
-            let permit =
-                if idle.is_none() { pool.open().try_acquire(CONNECTIONS_MAX) } else { None };
-            (idle, permit)
-        });
+        let idle = self.with_pool(address, |pool| pool.take(&POOL_TIMES));
         if let Some(mut connection) = idle
             && connection.sender.ready().await.is_ok()
         {
             return Ok(connection);
         }
-        let permit = match permit {
-            Some(permit) => Some(permit),
-            None => self.with_pool(address, |pool| pool.open().try_acquire(CONNECTIONS_MAX)),
+        let of_address = self.with_pool(address, |pool| pool.open().try_acquire(CONNECTIONS_MAX));
+        let of_address =
+            of_address.ok_or_else(|| not_sent("all connections are in use".to_owned()))?;
+        let of_budget = self.permit().await.ok_or(HttpFault::NoConnection)?;
+        let permits = (of_address, of_budget);
+        open(address, permits, &POOL_TIMES).await.map_err(|fault| {
+            if is_out_of_descriptors(&fault) {
+                HttpFault::NoConnection
+            } else {
+                not_sent(fault.to_string())
+            }
+        })
+    }
+
+    /// Takes a permit of the budget; idle connections make room for it.
+    async fn permit(&self) -> Option<ConnectionPermit> {
+        if let Some(permit) = self.budget.try_acquire(self.connection_use) {
+            return Some(permit);
+        }
+        self.evict_idle();
+        let waiting = self.budget.acquire(self.connection_use);
+        timeout(PERMIT_TIMEOUT, waiting).await.ok().flatten()
+    }
+
+    /// Closes some idle connections, those that have been idle for longest first.
+    fn evict_idle(&self) {
+        let mut pools = self.lock();
+        let mut idle: Vec<Instant> = pools.values().flat_map(Pool::idle_since).collect();
+        idle.sort_unstable();
+        let Some(used_at) = idle.get(EVICTED_AT_ONCE.min(idle.len()).saturating_sub(1)).copied()
+        else {
+            return;
         };
-        let permit = permit.ok_or_else(|| not_sent("all connections are in use".to_owned()))?;
-        open(address, permit, &POOL_TIMES).await.map_err(|fault| not_sent(fault.to_string()))
+        for pool in pools.values_mut() {
+            pool.close_idle_since(used_at);
+        }
+    }
+}
+
+/// Returns whether a connection failed because this process or host has no more descriptors.
+fn is_out_of_descriptors(fault: &StepError) -> bool {
+    let mut source = std::error::Error::source(fault);
+    while let Some(cause) = source {
+        let code = cause.downcast_ref::<std::io::Error>().and_then(std::io::Error::raw_os_error);
+        if code.is_some_and(|code| OUT_OF_DESCRIPTORS.contains(&code)) {
+            return true;
+        }
+        source = cause.source();
     }
+    false
 }
 
 async fn exchange(
--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -26,6 +26,9 @@
 /// Pause after an upstream has reported a newer leader, until this one steps down.
 const FENCED_PAUSE: Duration = Duration::from_secs(2);
 
+/// Pause between reads of the lists of an upstream that runs nothing, while connections are scarce.
+const IDLE_POLL_PAUSE: Duration = Duration::from_secs(2);
+
 /// Time without heartbeats after which an upstream whose leases have ended is removed.
 const REMOVE_SILENT_AFTER_MS: u64 = 20_000;
 
@@ -33,6 +36,8 @@
 pub(super) enum NextStep {
     Again,
     Pause(Duration),
+    /// Pauses while the upstream runs nothing and its connection is needed elsewhere.
+    PauseIdle,
     End,
 }
 
@@ -43,11 +48,25 @@
             match self.hold_once(&incarnation).await {
                 NextStep::Again => {}
                 NextStep::Pause(pause) => tokio::time::sleep(pause).await,
+                NextStep::PauseIdle => self.pause_idle(&incarnation).await,
                 NextStep::End => return,
             }
         }
     }
 
+    /// Pauses until the next read of the lists is due or requested.
+    async fn pause_idle(&self, incarnation: &Incarnation) {
+        let Some(read_now) = self.read_now(incarnation) else { return };
+        // A timeout ends the pause as well.
+        _ = tokio::time::timeout(IDLE_POLL_PAUSE, read_now.notified()).await;
+    }
+
+    /// Returns whether the upstream is polled at intervals, since it runs nothing and connections
+    /// are scarce. Its heartbeats show meanwhile that it is alive.
+    fn polls_at_intervals(&self, incarnation: &Incarnation) -> bool {
+        self.calls.budget.is_scarce() && !self.replica.lock().state.has_runs(incarnation)
+    }
+
     async fn hold_once(&self, incarnation: &Incarnation) -> NextStep {
         if !self.replica.is_confirmed_leader() {
             // A leader that may have been replaced must not extend leases.
@@ -85,7 +104,10 @@
         sent_ms: u64,
     ) -> NextStep {
         match answer {
-            Ok(lists) => self.process_lists(incarnation, &lists, sent_ms).await,
+            Ok(lists) => match self.process_lists(incarnation, &lists, sent_ms).await {
+                NextStep::Again if self.polls_at_intervals(incarnation) => NextStep::PauseIdle,
+                next => next,
+            },
             Err(CallFault::OtherUpstream) => {
                 warn!(upstream = %incarnation.id, "another upstream answers at its address");
                 self.remove_upstream(incarnation).await
@@ -97,6 +119,8 @@
                 );
                 NextStep::Pause(FENCED_PAUSE)
             }
+            // The upstream was not asked, so it is not silent.
+            Err(CallFault::NoConnection) => NextStep::Pause(RETRY_PAUSE),
             Err(_) if self.is_leaving(incarnation) => self.remove_upstream(incarnation).await,
             Err(fault) => self.handle_silence(incarnation, &fault).await,
         }
@@ -117,6 +141,7 @@
             }
             upstream.ends_seen
         };
+        let polls_at_intervals = self.polls_at_intervals(incarnation);
         let mut term_state = self.term_state();
         let session = term_state
             .sessions
@@ -125,7 +150,7 @@
         let silent = session.silent_ms(now_ms).is_some_and(|ms| ms > EXTEND_LEASE_SILENCE_MAX_MS);
         // If leases were extended without end, the work of a silent upstream could never restart.
         let lease_until_ms = if silent { None } else { session.grant_lease(now_ms) };
-        let no_wait = !session.lists_read || session.leaving;
+        let no_wait = !session.lists_read || session.leaving || polls_at_intervals;
         let wait_ms = if no_wait { 0 } else { LONG_POLL_MS };
         Some(HoldOrder {
             address: Arc::clone(&session.address),
--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -126,12 +126,19 @@
                     };
                 }
                 Err(CallFault::OtherUpstream) => return StartOutcome::Abandoned,
+                // The upstream was not asked, so it has left nothing unanswered.
+                Err(CallFault::NoConnection) => {}
                 Err(CallFault::NotSent { .. }) => self.record_unanswered_order(incarnation),
                 Err(CallFault::NoAnswer { .. }) => {
                     unanswered = true;
                     self.record_unanswered_order(incarnation);
+                    self.read_if_unlisted(incarnation, key);
                 }
             }
+            if unanswered && self.lists_run(incarnation, key) {
+                // Only the answer was lost.
+                return StartOutcome::Settled;
+            }
             if boot_ms().saturating_sub(begun_ms) > START_GIVE_UP_MS {
                 return if unanswered {
                     StartOutcome::Uncertain
@@ -210,9 +217,10 @@
         }
     }
 
-    /// Reads the lists at once if the upstream did not list a stopped run.
+    /// Reads the lists at once if the upstream did not list a run.
     ///
-    /// The run has ended if the new lists do not show it either.
+    /// New lists show whether a start without an answer was carried out, and whether a stopped run
+    /// has ended.
     fn read_if_unlisted(&self, incarnation: &Incarnation, (task, run): &TaskRun) {
         let term_state = self.term_state();
         let Some(session) = term_state.sessions.get(&incarnation.id) else { return };
@@ -221,6 +229,17 @@
         }
     }
 
+    /// Returns whether the newest lists of the upstream contain a run.
+    fn lists_run(&self, incarnation: &Incarnation, (task, run): &TaskRun) -> bool {
+        let term_state = self.term_state();
+        let session = term_state.sessions.get(&incarnation.id);
+        session.is_some_and(|session| {
+            let observed = session.runs.get(task);
+            session.incarnation == *incarnation
+                && observed.is_some_and(|run_seen| run_seen.run == *run)
+        })
+    }
+
     async fn record_not_started(&self, incarnation: &Incarnation, key: TaskRun) {
         let (task, run) = key;
         let end = EndRecord { task, run, how: EndKind::NotStarted, checkpoint: None };
@@ -291,7 +310,11 @@
                     Ok(OrderAnswer::Refused(refusal)) => {
                         warn!(upstream = %incarnation.id, cause = %refusal, "stop was refused");
                     }
-                    Err(CallFault::NotSent { .. } | CallFault::NoAnswer { .. }) => {}
+                    Err(
+                        CallFault::NoConnection
+                        | CallFault::NotSent { .. }
+                        | CallFault::NoAnswer { .. },
+                    ) => {}
                 }
                 let Some(leader) = shared.upgrade() else { break };
                 if !leader.has_session(&incarnation) {
--- a/src/cluster/leader_client.rs
+++ b/src/cluster/leader_client.rs
@@ -109,7 +109,7 @@
     pub async fn call(&self, request: &Request, limit: Duration) -> Result<Reply, ClientFault> {
         let begun = Instant::now();
         let deadline = begun + limit;
-        let payload = codec::encode(request);
+        let payload = codec::encode_message(request);
         let mut maybe_delivered = false;
         let mut last_contact = begun;
         loop {
@@ -193,7 +193,7 @@
             return Err(false);
         };
         if let Ok(Ok(reply)) = timeout_at(until, client.call(rpc::Frame { payload })).await {
-            return codec::decode(&reply.into_inner().payload).map_err(|_| true);
+            return codec::decode_message(&reply.into_inner().payload).map_err(|_| true);
         }
         // The connection may be dead; the next attempt opens a new one.
         self.lock().clients.remove(&address);
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -9,6 +9,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use super::budget::BudgetUse;
+
 /// Label of metrics that are counted by kind.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct KindLabels {
@@ -38,6 +40,7 @@
     term: Gauge,
     committed: Gauge,
     set_aside: Counter,
+    connections: Family<KindLabels, Gauge>,
 }
 
 fn duration_histogram() -> Histogram {
@@ -60,6 +63,7 @@
             term: Gauge::default(),
             committed: Gauge::default(),
             set_aside: Counter::default(),
+            connections: Family::default(),
         }
     }
 }
@@ -87,6 +91,8 @@
         to.register("term", "Term of the log", self.term.clone());
         to.register("committed_index", "Newest committed entry", self.committed.clone());
         to.register("set_aside", "Upstreams set aside", self.set_aside.clone());
+        let connections = self.connections.clone();
+        to.register("upstream_connections", "Connections to upstreams, by state", connections);
     }
 
     pub(super) fn job_started(&self, organisation: &str, queue: &str, after_ms: u64) {
@@ -133,6 +139,14 @@
         self.committed.set(i64::try_from(committed).unwrap_or(i64::MAX));
     }
 
+    /// Sets the gauges of the connections to upstreams.
+    pub(super) fn set_connections(&self, in_use: BudgetUse) {
+        for (kind, count) in [("open", in_use.open), ("waiting", in_use.waiting)] {
+            let gauge = self.connections.get_or_create(&KindLabels { kind });
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(super) fn text(&self) -> String {
         let mut out = String::new();
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -4,6 +4,7 @@
 //! host leads, and [`LeaderClient`] sends requests to the leader from entry hosts and from the other
 //! control hosts.
 
+mod budget;
 mod clock;
 pub(crate) mod codec;
 mod control;
@@ -20,6 +21,7 @@
 mod tests;
 mod upstream_calls;
 
+pub use budget::{ConnectionBudget, ConnectionUse};
 pub use clock::unix_ms;
 pub use control::Control;
 pub use http_client::{HttpClient, HttpFault, HttpReply};
--- a/src/cluster/peers.rs
+++ b/src/cluster/peers.rs
@@ -94,7 +94,7 @@
             }
         }
         let messages = std::mem::take(&mut batch);
-        let payload = codec::encode(&Batch { from_address: own_address.clone(), messages });
+        let payload = codec::encode_message(&Batch { from_address: own_address.clone(), messages });
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
         let mut call = client.clone().max_decoding_message_size(MESSAGE_LIMIT_BYTES);
         let outcome_sender = outcome_sender.clone();
--- a/src/cluster/server.rs
+++ b/src/cluster/server.rs
@@ -28,7 +28,7 @@
         &self,
         request: tonic::Request<rpc::Frame>,
     ) -> Result<Response<rpc::Frame>, Status> {
-        let batch = codec::decode(&request.get_ref().payload)
+        let batch = codec::decode_message(&request.get_ref().payload)
             .map_err(|fault| Status::invalid_argument(fault.to_string()))?;
         self.control.receive(batch);
         Ok(Response::new(rpc::Frame::default()))
@@ -38,10 +38,10 @@
         &self,
         request: tonic::Request<rpc::Frame>,
     ) -> Result<Response<rpc::Frame>, Status> {
-        let request = codec::decode(&request.get_ref().payload)
+        let request = codec::decode_message(&request.get_ref().payload)
             .map_err(|fault| Status::invalid_argument(fault.to_string()))?;
         let reply = self.control.handle(request).await;
-        Ok(Response::new(rpc::Frame { payload: codec::encode(&reply) }))
+        Ok(Response::new(rpc::Frame { payload: codec::encode_message(&reply) }))
     }
 }
 
--- /dev/null
+++ b/src/cluster/tests/fake_worker.rs
@@ -0,0 +1,313 @@
+//! A control host alone in its cluster, and upstreams whose answers a test scripts.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use crate::cluster::clock::boot_ms;
+use crate::cluster::{
+    AdviceAnswer, CallFault, ClusterSettings, ConnectionBudget, Control, HoldOrder, ListedEnd,
+    ListedRun, MaintenanceAnswer, OrderAnswer, Refusal, Reply, Request, StartOrder, StopOrder,
+    TaskBounds, TaskLists, UpstreamCalls,
+};
+use crate::tasks::tests::sample::{configuration, heartbeat};
+use crate::tasks::{EndKind, TaskId};
+
+/// Longest time that a test waits for something.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// How the next calls to an upstream go wrong.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum Fault {
+    #[default]
+    None,
+    /// The call is not carried out, and no answer arrives.
+    Silent,
+    /// The call is carried out, and its answer is lost.
+    AnswerLost,
+    /// The caller has no connection to spare.
+    NoConnection,
+}
+
+/// What an upstream runs and what it was told.
+#[derive(Debug, Default)]
+struct Upstream {
+    token: u64,
+    lease_until_ms: u64,
+    running: BTreeMap<TaskId, (u32, Instant)>,
+    /// Highest run of each task that has ended or was stopped here.
+    closed: BTreeMap<TaskId, u32>,
+    ends: Vec<ListedEnd>,
+    ends_so_far: u64,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    upstreams: BTreeMap<Arc<str>, Upstream>,
+    holds: BTreeMap<Arc<str>, Fault>,
+    starts: Fault,
+    stops: Fault,
+    /// Starts that were carried out, with the upstream.
+    started: Vec<(TaskId, u32, Arc<str>)>,
+    work: Duration,
+}
+
+/// Upstreams that run tasks for a given time.
+#[derive(Debug, Clone, Default)]
+pub(super) struct FakeUpstreams(Arc<Mutex<Shared>>);
+
+impl FakeUpstreams {
+    pub(super) fn new(work: Duration) -> Self {
+        let fake = Self::default();
+        fake.lock().work = work;
+        fake
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets how an upstream's hold calls go.
+    pub(super) fn set_holds(&self, upstream: &str, fault: Fault) {
+        self.lock().holds.insert(upstream.into(), fault);
+    }
+
+    /// Sets how all start calls go.
+    pub(super) fn set_starts(&self, fault: Fault) {
+        self.lock().starts = fault;
+    }
+
+    /// Sets how all stop calls go.
+    pub(super) fn set_stops(&self, fault: Fault) {
+        self.lock().stops = fault;
+    }
+
+    /// Returns the starts that were carried out, with their upstreams.
+    pub(super) fn started(&self) -> Vec<(TaskId, u32, Arc<str>)> {
+        self.lock().started.clone()
+    }
+
+    /// Returns how many runs of a task are in execution on all upstreams together.
+    pub(super) fn running(&self) -> usize {
+        let mut shared = self.lock();
+        let work = shared.work;
+        shared
+            .upstreams
+            .values_mut()
+            .map(|upstream| {
+                upstream.end_due(work);
+                upstream.running.len()
+            })
+            .sum()
+    }
+
+    pub(super) fn calls(&self) -> UpstreamCalls {
+        let (starts, stops, holds) = (self.clone(), self.clone(), self.clone());
+        UpstreamCalls {
+            start: Arc::new(move |order| {
+                let answer = starts.start(&order);
+                Box::pin(async move { answer })
+            }),
+            stop: Arc::new(move |order| {
+                let answer = stops.stop(&order);
+                Box::pin(async move { answer })
+            }),
+            hold: Arc::new(move |order| {
+                let fake = holds.clone();
+                Box::pin(async move {
+                    // Short polls keep the tests short.
+                    tokio::time::sleep(Duration::from_millis(order.wait_ms.min(100))).await;
+                    fake.hold(&order)
+                })
+            }),
+            pace: Arc::new(|_| Box::pin(async { Ok(OrderAnswer::Refused(Refusal::Invalid)) })),
+            advise: Arc::new(|_| Box::pin(async { Ok(AdviceAnswer::default()) })),
+            maintain: Arc::new(|_| Box::pin(async { Ok(MaintenanceAnswer::NotWanted) })),
+            budget: ConnectionBudget::new(64),
+        }
+    }
+
+    fn start(&self, order: &StartOrder) -> Result<OrderAnswer, CallFault> {
+        let mut shared = self.lock();
+        let fault = shared.starts;
+        not_carried_out(fault)?;
+        let upstream = shared.upstreams.entry(Arc::clone(&order.upstream)).or_default();
+        upstream.check_token(order.fencing_token)?;
+        let closed = upstream.closed.get(&order.task).copied().unwrap_or(0);
+        if order.run <= closed {
+            return Ok(OrderAnswer::Refused(Refusal::StaleRun));
+        }
+        upstream.lease_until_ms = upstream.lease_until_ms.max(order.lease_until_ms);
+        let running = upstream.running.get(&order.task).map(|(run, _)| *run);
+        if running != Some(order.run) {
+            upstream.running.insert(order.task.clone(), (order.run, Instant::now()));
+            let start = (order.task.clone(), order.run, Arc::clone(&order.upstream));
+            shared.started.push(start);
+        }
+        answer(fault, OrderAnswer::Done { clock_ms: boot_ms() })
+    }
+
+    fn stop(&self, order: &StopOrder) -> Result<OrderAnswer, CallFault> {
+        let mut shared = self.lock();
+        let fault = shared.stops;
+        not_carried_out(fault)?;
+        let upstream = shared.upstreams.entry(Arc::clone(&order.upstream)).or_default();
+        upstream.check_token(order.fencing_token)?;
+        upstream.end(&order.task, order.run, EndKind::Stopped);
+        answer(fault, OrderAnswer::Done { clock_ms: boot_ms() })
+    }
+
+    fn hold(&self, order: &HoldOrder) -> Result<TaskLists, CallFault> {
+        let mut shared = self.lock();
+        let fault = shared.holds.get(&order.upstream).copied().unwrap_or_default();
+        let work = shared.work;
+        not_carried_out(fault)?;
+        let upstream = shared.upstreams.entry(Arc::clone(&order.upstream)).or_default();
+        upstream.check_token(order.fencing_token)?;
+        upstream.end_due(work);
+        if let Some(until_ms) = order.lease_until_ms {
+            upstream.lease_until_ms = upstream.lease_until_ms.max(until_ms);
+        }
+        upstream.ends.retain(|end| end.number > order.ends_seen);
+        let percent = |begun: &Instant| {
+            let done = begun.elapsed().as_millis() * 100 / work.as_millis().max(1);
+            u32::try_from(done).unwrap_or(100).min(100)
+        };
+        let listed = |(task, (run, begun)): (&TaskId, &(u32, Instant))| ListedRun {
+            task: task.clone(),
+            run: *run,
+            checkpoint: "".into(),
+            percent: percent(begun),
+            load: None,
+        };
+        let lists = TaskLists {
+            clock_ms: boot_ms(),
+            born_unix_ms: None,
+            running: upstream.running.iter().map(listed).collect(),
+            ended: upstream.ends.clone(),
+            unreadable: 0,
+        };
+        answer(fault, lists)
+    }
+}
+
+impl Upstream {
+    fn check_token(&mut self, token: u64) -> Result<(), CallFault> {
+        if token < self.token {
+            return Err(CallFault::Fenced);
+        }
+        self.token = token;
+        Ok(())
+    }
+
+    /// Ends the runs whose work is done or whose lease is over.
+    fn end_due(&mut self, work: Duration) {
+        let lapsed = self.lease_until_ms < boot_ms();
+        let due: Vec<_> = self
+            .running
+            .iter()
+            .filter(|(_, (_, begun))| lapsed || begun.elapsed() >= work)
+            .map(|(task, (run, _))| (task.clone(), *run))
+            .collect();
+        for (task, run) in due {
+            self.end(&task, run, if lapsed { EndKind::Lapsed } else { EndKind::Done });
+        }
+    }
+
+    fn end(&mut self, task: &TaskId, run: u32, how: EndKind) {
+        let closed = self.closed.entry(task.clone()).or_default();
+        *closed = run.max(*closed);
+        if self.running.get(task).is_some_and(|(running, _)| *running <= run) {
+            self.running.remove(task);
+            self.ends_so_far += 1;
+            let number = self.ends_so_far;
+            let end = ListedEnd { number, task: task.clone(), run, how, checkpoint: "".into() };
+            self.ends.push(end);
+        }
+    }
+}
+
+/// Returns the error of a call that does not reach the upstream.
+fn not_carried_out(fault: Fault) -> Result<(), CallFault> {
+    match fault {
+        Fault::Silent => Err(CallFault::NoAnswer { reason: "silent".to_owned() }),
+        Fault::NoConnection => Err(CallFault::NoConnection),
+        Fault::None | Fault::AnswerLost => Ok(()),
+    }
+}
+
+/// Returns the answer of a call that was carried out, unless it is lost.
+fn answer<T>(fault: Fault, answer: T) -> Result<T, CallFault> {
+    match fault {
+        Fault::AnswerLost => Err(CallFault::NoAnswer { reason: "lost".to_owned() }),
+        _ => Ok(answer),
+    }
+}
+
+/// A control host that leads a cluster of its own, with registered upstreams.
+pub(super) struct TestControl {
+    pub(super) control: Arc<Control>,
+    _folder: tempfile::TempDir,
+}
+
+impl TestControl {
+    /// Starts the host and registers upstreams under the sample's names.
+    pub(super) async fn start(fake: &FakeUpstreams, upstreams: u32, lease_max_ms: u64) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let settings = settings(folder.path(), lease_max_ms).await;
+        let control = Control::start(settings, fake.calls()).await.unwrap();
+        let test = Self { control, _folder: folder };
+        let set = Request::SetConfiguration {
+            configuration: Arc::new(configuration(1)),
+            raw: "version 1".into(),
+        };
+        test.call_until_answered(set).await;
+        for host in 0..upstreams {
+            test.call_until_answered(Request::Heartbeat(heartbeat(host))).await;
+        }
+        test
+    }
+
+    /// Repeats a request until the leader answers it.
+    pub(super) async fn call_until_answered(&self, request: Request) -> Reply {
+        let begun = Instant::now();
+        loop {
+            match self.control.call(request.clone(), Duration::from_secs(2)).await {
+                Ok(reply) => return reply,
+                Err(fault) => assert!(begun.elapsed() < TIMEOUT, "{fault}"),
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+async fn settings(folder: &Path, lease_max_ms: u64) -> ClusterSettings {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let internal_address = listener.local_addr().unwrap();
+    drop(listener);
+    ClusterSettings {
+        host: "control".to_owned(),
+        internal_address,
+        seeds: vec![internal_address],
+        founding: true,
+        data_dir: folder.to_owned(),
+        bounds: TaskBounds {
+            lease_max_ms,
+            stop_timeout_ms: 200,
+            remote_factor: 3,
+            order_lease_ms: 3_000,
+            maintenance_ms: 2_000,
+            keep_state_ms: 60_000,
+        },
+    }
+}
+
+/// Waits until a check holds.
+pub(super) async fn wait_until(what: &str, check: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !check() {
+        assert!(begun.elapsed() < TIMEOUT, "not seen within {TIMEOUT:?}: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/src/cluster/tests.rs
+++ b/src/cluster/tests/mod.rs
@@ -10,6 +10,11 @@
 
 use super::{ClientFault, LeaderClient, Request};
 
+mod budget;
+mod fake_worker;
+mod messages;
+mod promises;
+
 async fn call(address: SocketAddr, limit: Duration) -> ClientFault {
     let client = LeaderClient::new(vec![address]);
     client.call(&Request::Status, limit).await.expect_err("no host leads")
--- /dev/null
+++ b/src/cluster/tests/promises.rs
@@ -0,0 +1,135 @@
+//! What must hold for running work when calls to upstreams go wrong.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use super::fake_worker::{FakeUpstreams, Fault, TestControl, wait_until};
+use crate::cluster::{Action, FrontCall, FrontReply, Reply, Request};
+use crate::tasks::tests::sample::{heartbeat, job_id, spec, step};
+use crate::tasks::{JobSpec, JobState};
+
+/// Lease of the upstreams in these tests.
+const LEASE_MS: u64 = 4_000;
+
+fn call(number: u64, action: Action) -> Request {
+    Request::Front(FrontCall {
+        host: "jobs.example".to_owned(),
+        path: format!("/normal/{}", job_id(number)),
+        key: Some("key-of-north".to_owned()),
+        action,
+    })
+}
+
+fn single_task() -> Arc<JobSpec> {
+    Arc::new(spec(vec![step(1, 8)]))
+}
+
+async fn submit(test: &TestControl, number: u64) {
+    let reply =
+        test.call_until_answered(call(number, Action::Submit { spec: single_task() })).await;
+    assert_eq!(reply, Reply::Front(FrontReply::Accepted));
+}
+
+/// Waits until a job is completed; at no time may more than one run be in execution.
+async fn wait_until_completed(test: &TestControl, fake: &FakeUpstreams, number: u64) {
+    let begun = Instant::now();
+    loop {
+        assert!(fake.running() <= 1, "two runs of one task: {:?}", fake.started());
+        let reply = test.call_until_answered(call(number, Action::Status)).await;
+        if reply == Reply::Front(FrontReply::State(JobState::Completed)) {
+            return;
+        }
+        assert!(begun.elapsed() < Duration::from_secs(20), "{reply:?}, {:?}", fake.started());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against running work that is started elsewhere or given up because its upstream was
+/// silent for less than its lease, or because this process had no connection to ask it.
+#[rstest]
+#[case::silent(Fault::Silent, 3_000)]
+#[case::answers_lost(Fault::AnswerLost, 3_000)]
+#[case::no_connection(Fault::NoConnection, 3_000)]
+#[tokio::test(flavor = "multi_thread")]
+async fn work_of_a_silent_upstream_goes_on(#[case] fault: Fault, #[case] silent_ms: u64) {
+    let fake = FakeUpstreams::new(Duration::from_millis(3_500));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    submit(&test, 1).await;
+    wait_until("the task runs", || fake.running() == 1).await;
+    let upstream = Arc::clone(&fake.started()[0].2);
+    fake.set_holds(&upstream, fault);
+    tokio::time::sleep(Duration::from_millis(silent_ms)).await;
+    fake.set_holds(&upstream, Fault::None);
+    wait_until_completed(&test, &fake, 1).await;
+    assert_eq!(fake.started().len(), 1, "{:?}", fake.started());
+}
+
+/// Guards against work that runs again, or is thrown away, because the answer to its start was lost:
+/// the upstream's lists show that it runs.
+#[rstest]
+#[case::short_work(300)]
+#[case::long_work(4_000)]
+#[tokio::test(flavor = "multi_thread")]
+async fn work_whose_start_was_not_answered_runs_once(#[case] work_ms: u64) {
+    let fake = FakeUpstreams::new(Duration::from_millis(work_ms));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    fake.set_starts(Fault::AnswerLost);
+    submit(&test, 1).await;
+    wait_until_completed(&test, &fake, 1).await;
+    assert_eq!(fake.started().len(), 1, "{:?}", fake.started());
+}
+
+/// Guards against a second run beside one whose start and stop were carried out without an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unanswered_stop_does_not_start_the_work_twice() {
+    let fake = FakeUpstreams::new(Duration::from_millis(500));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    fake.set_starts(Fault::Silent);
+    fake.set_stops(Fault::AnswerLost);
+    submit(&test, 1).await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    fake.set_starts(Fault::None);
+    fake.set_stops(Fault::None);
+    wait_until_completed(&test, &fake, 1).await;
+    assert_eq!(fake.started().len(), 1, "{:?}", fake.started());
+}
+
+/// Guards against a submission that is told "not accepted" or stored twice when it is sent again
+/// while the first one is being stored.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_submission_that_is_sent_twice_at_once_is_one_job() {
+    let fake = FakeUpstreams::new(Duration::from_millis(300));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    let (first, second) = tokio::join!(submit(&test, 1), submit(&test, 1));
+    assert_eq!((first, second), ((), ()));
+    wait_until_completed(&test, &fake, 1).await;
+    assert_eq!(fake.started().len(), 1, "{:?}", fake.started());
+}
+
+/// Guards against new work for an upstream that has left, when a heartbeat that was sent before
+/// arrives late.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_has_left_gets_no_work_after_a_late_heartbeat() {
+    let fake = FakeUpstreams::new(Duration::from_millis(300));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    let gone = heartbeat(0);
+    let mut draining = gone.clone();
+    (draining.draining, draining.sequence) = (true, 2);
+    test.call_until_answered(Request::Heartbeat(draining)).await;
+    let leave =
+        Request::Deregister { id: Arc::clone(&gone.id), born_unix_ms: Some(gone.born_unix_ms) };
+    test.call_until_answered(leave).await;
+    fake.set_holds(&gone.id, Fault::Silent);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    test.call_until_answered(Request::Heartbeat(gone.clone())).await;
+    for number in 1..=4 {
+        submit(&test, number).await;
+    }
+    for number in 1..=4 {
+        wait_until_completed(&test, &fake, number).await;
+    }
+    let on_gone = fake.started().into_iter().filter(|(.., upstream)| *upstream == gone.id);
+    assert_eq!(on_gone.count(), 0);
+}
--- a/src/cluster/upstream_calls.rs
+++ b/src/cluster/upstream_calls.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::budget::ConnectionBudget;
 use crate::tasks::{EndKind, TaskId};
 
 /// An order in flight.
@@ -225,6 +226,10 @@
         /// Error message.
         reason: String,
     },
+    /// This process has no connection to spare, so nothing was sent. It says nothing about the
+    /// upstream.
+    #[display("no connection to spare")]
+    NoConnection,
     /// No answer arrived, or it could not be decoded; the order may still be carried out later.
     #[display("no answer: {reason}")]
     NoAnswer {
@@ -256,6 +261,8 @@
     pub advise: Call<AdviceRequest, AdviceAnswer>,
     /// Takes a physical host down for maintenance.
     pub maintain: Call<MaintenanceOrder, MaintenanceAnswer>,
+    /// Connections that the functions may open to upstreams.
+    pub budget: ConnectionBudget,
 }
 
 impl fmt::Debug for UpstreamCalls {
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -90,6 +90,16 @@
         }
     }
 
+    /// Returns when each idle connection was last used.
+    pub(crate) fn idle_since(&self) -> impl Iterator<Item = Instant> {
+        self.idle.iter().map(|connection| connection.used_at)
+    }
+
+    /// Closes the idle connections that were not used after `used_at`.
+    pub(crate) fn close_idle_since(&mut self, used_at: Instant) {
+        self.idle.retain(|connection| connection.used_at > used_at);
+    }
+
     /// Closes all idle connections.
     pub(crate) fn close_idle(&mut self) {
         self.idle.clear();
@@ -114,10 +124,10 @@
     }
 }
 
-/// Opens a connection within the connect timeout.
+/// Opens a connection within the connect timeout; it holds the permit until it is closed.
 pub(crate) async fn open(
     address: SocketAddr,
-    permit: OpenPermit,
+    permit: impl Send + 'static,
     times: &PoolTimes,
 ) -> Result<Connection, StepError> {
     let failed = |source: Box<dyn std::error::Error + Send + Sync>| {
--- a/src/task_api/orders.rs
+++ b/src/task_api/orders.rs
@@ -12,8 +12,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cluster::{
-    AdviceAnswer, CallFault, HoldOrder, HttpClient, HttpFault, HttpReply, MaintenanceAnswer,
-    OrderAnswer, Refusal, TaskLists, UpstreamCalls,
+    AdviceAnswer, CallFault, ConnectionBudget, ConnectionUse, HoldOrder, HttpClient, HttpFault,
+    HttpReply, MaintenanceAnswer, OrderAnswer, Refusal, TaskLists, UpstreamCalls,
 };
 
 /// Path of a start order.
@@ -32,6 +32,9 @@
 /// Timeout of an order to extend the lease, in addition to the wait that it requests.
 const HOLD_MARGIN: Duration = Duration::from_millis(900);
 
+/// Maximum number of connections to upstreams.
+const CONNECTIONS_MAX: usize = 1_024;
+
 /// Request of an upstream to be deregistered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaveRequest {
@@ -41,10 +44,10 @@
 
 /// Builds the functions that send orders to upstreams.
 pub(super) fn upstream_calls() -> UpstreamCalls {
-    let orders = HttpClient::default();
-    // Upstreams delay their answers to these orders, so they use connections of their own.
-    let holds = HttpClient::default();
-    let stops = orders.clone();
+    let budget = ConnectionBudget::new(CONNECTIONS_MAX);
+    let orders = HttpClient::new(budget.clone(), ConnectionUse::Start);
+    let holds = orders.for_use(ConnectionUse::Lease);
+    let stops = orders.for_use(ConnectionUse::Stop);
     UpstreamCalls {
         start: Arc::new(move |order| {
             let client = orders.clone();
@@ -65,6 +68,7 @@
         pace: Arc::new(|_| Box::pin(async { Ok(OrderAnswer::Refused(Refusal::Invalid)) })),
         advise: Arc::new(|_| Box::pin(async { Ok(AdviceAnswer::default()) })),
         maintain: Arc::new(|_| Box::pin(async { Ok(MaintenanceAnswer::NotWanted) })),
+        budget,
     }
 }
 
@@ -109,6 +113,7 @@
         .map_err(|fault| not_sent(fault.to_string()))?;
     let reply = client.call(address, request, limit).await.map_err(|fault| match fault {
         HttpFault::NotSent { reason } => CallFault::NotSent { reason },
+        HttpFault::NoConnection => CallFault::NoConnection,
         HttpFault::NoAnswer { reason } => CallFault::NoAnswer { reason },
     })?;
     decode_reply(&reply)
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -67,6 +67,11 @@
         runs.map(|(task, run)| (task.clone(), *run)).collect()
     }
 
+    /// Returns whether some task may be running on an upstream.
+    pub(crate) fn has_runs(&self, incarnation: &Incarnation) -> bool {
+        self.running.get(incarnation).is_some_and(|runs| !runs.is_empty())
+    }
+
     /// Returns the version of the current configuration; 0 before the first.
     pub(crate) fn configuration_version(&self) -> u64 {
         self.configuration.as_ref().map_or(0, |configuration| configuration.version)
