Refuse jobs and ignore lists whose figures make no sense

Cause, each shown by a test that failed first: four steps of 2^31 tasks repeated 2^31 times are 2^64 tasks, which passed the check for 100,000 tasks and would have filled the memory; estimates and due times without a bound overflow sums of the leader; an upstream whose lists show a clock near its end got work that no lease could be granted for, again and again, while the others had nothing to do. Such jobs are refused as invalid; an answer with a clock of over a hundred years counts as no answer. Ruled out: lists with unknown tasks, runs and ends of the largest numbers alone, which did no harm. The unused parameter of Guarantees::of is gone.

--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use tracing::{debug, info, warn};
 
+use super::session::is_possible_clock;
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
 use crate::cluster::upstream_calls::{CallFault, HoldOrder, TaskLists};
@@ -104,6 +105,10 @@
         sent_ms: u64,
     ) -> NextStep {
         match answer {
+            Ok(lists) if !is_possible_clock(lists.clock_ms) => {
+                let reason = format!("its clock shows {} ms", lists.clock_ms);
+                self.handle_silence(incarnation, &CallFault::NoAnswer { reason }).await
+            }
             Ok(lists) => match self.process_lists(incarnation, &lists, sent_ms).await {
                 NextStep::Again if self.polls_at_intervals(incarnation) => NextStep::PauseIdle,
                 next => next,
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -138,9 +138,8 @@
         }
         let (admission, configuration_version) =
             self.admission(&queue, organisation.as_deref(), (&id, &spec));
-        let tasks: u32 = spec.steps.iter().map(|step| step.tasks).sum();
-        let accelerators: u32 =
-            spec.steps.iter().map(|step| step.tasks * step.need.accelerators).sum();
+        let tasks: u64 = spec.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        let accelerators = spec.accelerators();
         let critical_path_ms = critical_path_ms(&spec);
         let (priority, objective_ms) = (queue.priority, objective_ms(&queue, critical_path_ms));
         let queue_name = Arc::clone(&queue.name);
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -18,6 +18,9 @@
 /// Time without an answer after which an upstream gets no new work.
 const SILENT_AFTER_MS: u64 = 3_300;
 
+/// Latest time of an upstream's clock that is believed: a hundred years after its start.
+const CLOCK_MAX_MS: u64 = 100 * 366 * 24 * 3_600 * 1_000;
+
 /// Number of recent outcomes by which an upstream is judged.
 const RECENT_OUTCOMES: usize = 6;
 
@@ -110,16 +113,19 @@
     /// `None` until the upstream's clock is known.
     pub(super) fn grant_lease(&mut self, now_ms: u64) -> Option<u64> {
         let contact = self.contact?;
-        let until_ms =
-            contact.clock_ms + now_ms.saturating_sub(contact.received_ms) + self.lease_max_ms;
-        let longest_ms = longest_duration_ms(until_ms - contact.clock_ms);
+        let granted_ms = now_ms.saturating_sub(contact.received_ms) + self.lease_max_ms;
+        let until_ms = contact.clock_ms + granted_ms;
+        let longest_ms = longest_duration_ms(granted_ms);
         self.leases_end_ms =
             self.leases_end_ms.max(contact.received_ms + longest_ms + LAPSE_MARGIN_MS);
         Some(until_ms)
     }
 
-    /// Records an answer of the upstream.
+    /// Records an answer of the upstream; one with an impossible time counts as none.
     pub(super) fn record_contact(&mut self, clock_ms: u64, now_ms: u64) {
+        if !is_possible_clock(clock_ms) {
+            return;
+        }
         // Answers on different connections may overtake each other.
         if self.contact.is_none_or(|contact| contact.clock_ms <= clock_ms) {
             self.order_unanswered = false;
@@ -223,6 +229,11 @@
     }
 }
 
+/// Returns whether an upstream's clock may show this time.
+pub(super) fn is_possible_clock(clock_ms: u64) -> bool {
+    clock_ms <= CLOCK_MAX_MS
+}
+
 /// Returns the longest real time in which an upstream's clock advances by a span.
 fn longest_duration_ms(span_ms: u64) -> u64 {
     (span_ms * 1_000).div_ceil(SLOWEST_CLOCK_PERMILLE)
--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -11,7 +11,7 @@
     ListedRun, MaintenanceAnswer, OrderAnswer, Refusal, Reply, Request, StartOrder, StopOrder,
     TaskBounds, TaskLists, UpstreamCalls,
 };
-use crate::tasks::tests::sample::{configuration, heartbeat};
+use crate::tasks::tests::sample::{configuration, heartbeat, job_id};
 use crate::tasks::{EndKind, TaskId};
 
 /// Longest time that a test waits for something.
@@ -28,6 +28,8 @@
     AnswerLost,
     /// The caller has no connection to spare.
     NoConnection,
+    /// The answer is well-formed, and its figures make no sense.
+    Absurd,
 }
 
 /// What an upstream runs and what it was told.
@@ -163,6 +165,9 @@
         let fault = shared.holds.get(&order.upstream).copied().unwrap_or_default();
         let work = shared.work;
         not_carried_out(fault)?;
+        if fault == Fault::Absurd {
+            return Ok(absurd_lists());
+        }
         let upstream = shared.upstreams.entry(Arc::clone(&order.upstream)).or_default();
         upstream.check_token(order.fencing_token)?;
         upstream.end_due(work);
@@ -228,12 +233,33 @@
     }
 }
 
+/// Returns lists of tasks that nobody submitted, with the largest figures that can be encoded.
+fn absurd_lists() -> TaskLists {
+    let task = TaskId { job: job_id(99), occurrence: u32::MAX, step: u32::MAX, index: u32::MAX };
+    let run = ListedRun {
+        task: task.clone(),
+        run: u32::MAX,
+        checkpoint: "".into(),
+        percent: u32::MAX,
+        load: Some(u64::MAX),
+    };
+    let (how, checkpoint) = (EndKind::Done, "".into());
+    let end = ListedEnd { number: u64::MAX, task, run: u32::MAX, how, checkpoint };
+    TaskLists {
+        clock_ms: u64::MAX,
+        born_unix_ms: None,
+        running: vec![run],
+        ended: vec![end],
+        unreadable: usize::MAX,
+    }
+}
+
 /// Returns the error of a call that does not reach the upstream.
 fn not_carried_out(fault: Fault) -> Result<(), CallFault> {
     match fault {
         Fault::Silent => Err(CallFault::NoAnswer { reason: "silent".to_owned() }),
         Fault::NoConnection => Err(CallFault::NoConnection),
-        Fault::None | Fault::AnswerLost => Ok(()),
+        Fault::None | Fault::AnswerLost | Fault::Absurd => Ok(()),
     }
 }
 
--- a/src/cluster/tests/promises.rs
+++ b/src/cluster/tests/promises.rs
@@ -8,7 +8,7 @@
 use super::fake_worker::{FakeUpstreams, Fault, TestControl, wait_until};
 use crate::cluster::{Action, FrontCall, FrontReply, Reply, Request};
 use crate::tasks::tests::sample::{heartbeat, job_id, spec, step};
-use crate::tasks::{JobSpec, JobState};
+use crate::tasks::{JobSpec, JobState, Repeat, StepSpec};
 
 /// Lease of the upstreams in these tests.
 const LEASE_MS: u64 = 4_000;
@@ -46,6 +46,18 @@
     }
 }
 
+async fn wait_until_state(test: &TestControl, number: u64, state: JobState) {
+    let begun = Instant::now();
+    loop {
+        let reply = test.call_until_answered(call(number, Action::Status)).await;
+        if reply == Reply::Front(FrontReply::State(state)) {
+            return;
+        }
+        assert!(begun.elapsed() < Duration::from_secs(20), "{reply:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Guards against running work that is started elsewhere or given up because its upstream was
 /// silent for less than its lease, or because this process had no connection to ask it.
 #[rstest]
@@ -133,3 +145,34 @@
     let on_gone = fake.started().into_iter().filter(|(.., upstream)| *upstream == gone.id);
     assert_eq!(on_gone.count(), 0);
 }
+
+/// Guards against a host that fails because the figures in an upstream's lists make no sense: the
+/// other upstreams go on working.
+#[tokio::test(flavor = "multi_thread")]
+async fn absurd_lists_of_one_upstream_disturb_no_other() {
+    let fake = FakeUpstreams::new(Duration::from_millis(300));
+    fake.set_holds("host-00", Fault::Absurd);
+    let test = TestControl::start(&fake, 3, LEASE_MS).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for number in 1..=6 {
+        submit(&test, number).await;
+    }
+    for number in 1..=6 {
+        wait_until_state(&test, number, JobState::Completed).await;
+    }
+}
+
+/// Guards against a job that ends the process or fills its memory: one with absurd figures is
+/// refused, and the next one runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_absurd_job_is_refused_and_disturbs_nobody() {
+    let fake = FakeUpstreams::new(Duration::from_millis(300));
+    let test = TestControl::start(&fake, 1, LEASE_MS).await;
+    let repeat = Repeat { times: 1 << 31, first_unix_ms: u64::MAX, interval_ms: u64::MAX };
+    let endless = StepSpec { tasks: u32::MAX, estimate_ms: u64::MAX, ..step(1, 8) };
+    let absurd = JobSpec { repeat: Some(repeat), ..spec(vec![endless.clone(), endless]) };
+    let reply = test.call_until_answered(call(9, Action::Submit { spec: Arc::new(absurd) })).await;
+    assert!(matches!(reply, Reply::Front(FrontReply::Invalid { .. })), "{reply:?}");
+    submit(&test, 1).await;
+    wait_until_completed(&test, &fake, 1).await;
+}
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -98,7 +98,7 @@
 /// Returns the units that are ready to run, in no particular order.
 pub(super) fn waiting_units<'a>(view: &View<'a>) -> Vec<WaitingUnit<'a>> {
     let Some(configuration) = &view.state.configuration else { return Vec::new() };
-    let mut guarantees = Guarantees::of(view, configuration);
+    let mut guarantees = Guarantees::of(configuration);
     let mut waiting = Vec::new();
     let mut open: Vec<&Job> =
         view.state.jobs.values().filter(|job| job.outcome.is_none()).collect();
@@ -189,9 +189,8 @@
         open && of_organisation && view.state.queue_of(job).is_some_and(|q| q.priority == 0)
     };
     let open = view.state.jobs.values().filter(is_urgent);
-    let claimed: u32 = open.map(|job| open_steps_resources(job).accelerators).sum();
-    let needed: u32 = spec.steps.iter().map(|step| step.tasks * step.need.accelerators).sum();
-    claimed + needed <= guaranteed
+    let claimed: u64 = open.map(|job| u64::from(open_steps_resources(job).accelerators)).sum();
+    claimed + spec.accelerators() <= u64::from(guaranteed)
 }
 
 /// Returns the length of the critical path through the steps that are not done.
@@ -212,7 +211,7 @@
 }
 
 impl Guarantees {
-    fn of(_view: &View<'_>, configuration: &Configuration) -> Self {
+    fn of(configuration: &Configuration) -> Self {
         let organisations = configuration.organisations.iter();
         let remaining_accelerators =
             organisations.map(|org| (Arc::clone(&org.name), org.guaranteed.accelerators)).collect();
--- a/src/tasks/spec.rs
+++ b/src/tasks/spec.rs
@@ -11,6 +11,12 @@
 /// Maximum number of tasks of one job over all steps and occurrences.
 const TASK_LIMIT: u64 = 100_000;
 
+/// Longest estimated run time of a task, and longest interval between occurrences: a year.
+const DURATION_LIMIT_MS: u64 = 366 * 24 * 3_600 * 1_000;
+
+/// Latest time at which a job may first be due, about the year 2500.
+const FIRST_DUE_LIMIT_UNIX_MS: u64 = 530 * DURATION_LIMIT_MS;
+
 /// Resources that a task takes, or that an upstream has.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -149,6 +155,12 @@
             .map_or(0, |repeat| repeat.first_unix_ms + u64::from(occurrence) * repeat.interval_ms)
     }
 
+    /// Returns the accelerators of all tasks of one occurrence together.
+    pub(crate) fn accelerators(&self) -> u64 {
+        let of_step = |step: &StepSpec| u64::from(step.tasks) * u64::from(step.need.accelerators);
+        self.steps.iter().map(of_step).sum()
+    }
+
     /// Returns whether some step runs until the job is cancelled.
     pub(crate) fn is_lasting(&self) -> bool {
         self.steps.iter().any(|step| step.lasting)
@@ -167,7 +179,7 @@
             return fault("the job has no steps".to_owned());
         }
         let in_steps: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
-        if in_steps * u64::from(self.occurrences()) > TASK_LIMIT {
+        if in_steps.saturating_mul(u64::from(self.occurrences())) > TASK_LIMIT {
             return fault(format!("the job has more than {TASK_LIMIT} tasks"));
         }
         for (number, step) in (0_u32..).zip(&self.steps) {
@@ -177,6 +189,17 @@
             if step.after.iter().any(|after| *after >= number) {
                 return fault(format!("step {number} depends on a step that is not before it"));
             }
+            if step.estimate_ms > DURATION_LIMIT_MS {
+                return fault(format!("step {number} is estimated to take over a year"));
+            }
+        }
+        if let Some(repeat) = &self.repeat {
+            if repeat.interval_ms > DURATION_LIMIT_MS {
+                return fault("the job repeats at intervals of over a year".to_owned());
+            }
+            if repeat.first_unix_ms > FIRST_DUE_LIMIT_UNIX_MS {
+                return fault("the job is first due after the year 2500".to_owned());
+            }
         }
         Ok(())
     }
--- a/src/tasks/tests/jobs.rs
+++ b/src/tasks/tests/jobs.rs
@@ -2,8 +2,8 @@
 
 use rstest::rstest;
 
-use super::sample::{Sample, gang, incarnation, step};
-use crate::tasks::{Change, EndKind, JobState, Phase};
+use super::sample::{Sample, gang, incarnation, spec, step};
+use crate::tasks::{Change, EndKind, JobSpec, JobState, Phase, Repeat, StepSpec};
 
 /// Guards against a resent submission that starts the job again.
 #[test]
@@ -137,3 +137,21 @@
     assert!(!may_be_dropped(&sample, 5_000 + RETENTION_MS));
     assert!(may_be_dropped(&sample, 5_001 + RETENTION_MS));
 }
+
+/// Guards against a job whose figures overflow a sum, so that it passes the checks and fills the
+/// memory: the task count is 2 to the power of 64 here.
+#[rstest]
+#[case::tasks_overflow(1 << 31, 0, 0, 1 << 31)]
+#[case::endless_tasks(1, u64::MAX, 0, 1)]
+#[case::due_in_the_far_future(1, 0, u64::MAX, 2)]
+fn absurd_jobs_are_refused(
+    #[case] tasks: u32,
+    #[case] estimate_ms: u64,
+    #[case] first_unix_ms: u64,
+    #[case] times: u32,
+) {
+    let wide = StepSpec { tasks, estimate_ms, ..step(1, 1) };
+    let repeat = Some(Repeat { times, first_unix_ms, interval_ms: 1_000 });
+    let job = JobSpec { repeat, ..spec(vec![wide; 4]) };
+    assert!(job.check().is_err());
+}
