Pace what a leader of many upstreams does for each change

Former leaders kept idle connections to all upstreams for ten minutes. Now an unchanged heartbeat is one look-up, changes within 10 ms are followed together, a decision takes at most a fifth of the time, and idle connections are closed at the end of a term.

--- a/src/cluster/http_client.rs
+++ b/src/cluster/http_client.rs
@@ -137,6 +137,11 @@
         self.lock().remove(&address);
     }
 
+    /// Closes the idle connections of all addresses.
+    pub fn forget_all(&self) {
+        self.lock().clear();
+    }
+
     fn lock(&self) -> MutexGuard<'_, Pools> {
         self.pools.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -15,6 +15,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, JoinSet};
@@ -28,6 +29,9 @@
 use crate::tasks::{Incarnation, JobId, TaskId};
 use session::Session;
 
+/// Delay after a change of the state until sessions follow it.
+const SESSIONS_DELAY: Duration = Duration::from_millis(10);
+
 /// One run of one task.
 pub(super) type TaskRun = (TaskId, u32);
 
@@ -112,6 +116,7 @@
     pub(super) fn stop(&self) {
         self.term_state().stopped = true;
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner).abort_all();
+        (self.calls.close_idle)();
         info!(term = self.term, "leader ends its work");
     }
 
@@ -134,6 +139,8 @@
             if changed.changed().await.is_err() {
                 return;
             }
+            // Several changes are handled together, since each look walks all upstreams.
+            tokio::time::sleep(SESSIONS_DELAY).await;
         }
     }
 
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -237,14 +237,20 @@
     async fn heartbeat(self: &Arc<Self>, heartbeat: Heartbeat) -> Reply {
         let incarnation =
             Incarnation { id: Arc::clone(&heartbeat.id), born_unix_ms: heartbeat.born_unix_ms };
-        let (known, at_address) = {
+        let known = self.replica.lock().state.upstreams.get(&heartbeat.id).cloned();
+        let is_unchanged = known.as_ref().is_some_and(|known| {
+            known.incarnation() == incarnation && !changes_state(&known.heartbeat, &heartbeat)
+        });
+        if is_unchanged {
+            self.record_heartbeat(&heartbeat.id);
+            return Reply::Done;
+        }
+        let at_address = {
             let inner = self.replica.lock();
-            let upstreams = &inner.state.upstreams;
-            let known = upstreams.get(&heartbeat.id).cloned();
             let is_other_at_address = |other: &&Upstream| {
                 other.heartbeat.address == heartbeat.address && other.heartbeat.id != heartbeat.id
             };
-            (known, upstreams.values().find(is_other_at_address).cloned())
+            inner.state.upstreams.values().find(is_other_at_address).cloned()
         };
         if !self.is_known_service(&heartbeat.service) {
             info!(
@@ -275,12 +281,7 @@
         }
         match known {
             Some(known) if known.incarnation() == incarnation => {
-                if let Some(session) = self.term_state().sessions.get_mut(&heartbeat.id) {
-                    session.last_heartbeat_ms = boot_ms();
-                }
-                if !changes_state(&known.heartbeat, &heartbeat) {
-                    return Reply::Done;
-                }
+                self.record_heartbeat(&heartbeat.id);
             }
             Some(known) => self.fence_former_runs(&known.incarnation(), &heartbeat).await,
             None => {}
@@ -293,6 +294,13 @@
         self.commit(Change::RegisterUpstream { heartbeat }, Reply::Done).await
     }
 
+    /// Records that an upstream is alive.
+    fn record_heartbeat(&self, id: &Arc<str>) {
+        if let Some(session) = self.term_state().sessions.get_mut(id) {
+            session.last_heartbeat_ms = boot_ms();
+        }
+    }
+
     /// Returns whether the configuration names a service, or true before the first configuration.
     fn is_known_service(&self, name: &str) -> bool {
         let inner = self.replica.lock();
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tracing::{debug, info, warn};
 
 use super::failures::{HangingRun, unit_of};
@@ -21,6 +21,10 @@
 /// Delay before a decision, so that several changes are handled together.
 const PASS_DELAY: Duration = Duration::from_millis(10);
 
+/// Delay before the next decision, as a multiple of the time that the latest one took. With many
+/// upstreams a decision takes long, and leases, heartbeats and calls need the processor as well.
+const PASS_DELAY_FACTOR: u32 = 4;
+
 /// Pause after a command that was not confirmed as committed.
 const UNCONFIRMED_PAUSE: Duration = Duration::from_millis(100);
 
@@ -33,21 +37,25 @@
 impl Leader {
     /// Runs a scheduling pass after each change, and at the latest after [`PASS_INTERVAL`].
     pub(super) async fn schedule_forever(self: &Arc<Self>) {
+        let mut decided_in = Duration::ZERO;
         loop {
             // A timeout also starts the next pass.
             _ = timeout(PASS_INTERVAL, self.wake.notified()).await;
-            tokio::time::sleep(PASS_DELAY).await;
+            tokio::time::sleep(pass_delay(decided_in)).await;
             if self.replica.is_confirmed_leader() {
-                self.run_pass().await;
+                decided_in = self.run_pass().await;
             }
         }
     }
 
-    async fn run_pass(self: &Arc<Self>) {
+    /// Decides and carries the decision out; returns the time that the decision itself took.
+    async fn run_pass(self: &Arc<Self>) -> Duration {
+        let begun = Instant::now();
         self.drop_ended_run_state();
         self.stop_hanging_runs();
         self.pace_filling();
         let plan = self.decide();
+        let decided_in = begun.elapsed();
         self.request_approvals(plan.approval_requests);
         for (unit, run, cause) in &plan.stops {
             self.stop_unit(unit, *run, *cause);
@@ -56,6 +64,7 @@
             self.start_units(plan.starts).await;
         }
         self.drop_ended_jobs().await;
+        decided_in
     }
 
     /// Drops the state kept for runs and jobs that have ended.
@@ -286,6 +295,11 @@
     }
 }
 
+/// Returns the delay before a decision when the latest one took the given time.
+pub(super) fn pass_delay(decided_in: Duration) -> Duration {
+    (decided_in * PASS_DELAY_FACTOR).clamp(PASS_DELAY, PASS_INTERVAL)
+}
+
 fn task_runs(start: &StartRecord) -> Vec<TaskRun> {
     let members = (0_u32..).zip(&start.incarnations);
     members.map(|(member_index, _)| (start.unit.task(member_index), start.run)).collect()
--- a/src/cluster/leader/tests/mod.rs
+++ b/src/cluster/leader/tests/mod.rs
@@ -1,4 +1,5 @@
-//! Tests of sessions with upstreams and of the detection of hanging runs.
+//! Tests of sessions with upstreams, of the detection of hanging runs and of the pace of decisions.
 
 mod hanging;
+mod passes;
 mod sessions;
--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -126,6 +126,7 @@
             pace: Arc::new(|_| Box::pin(async { Ok(OrderAnswer::Refused(Refusal::Invalid)) })),
             advise: Arc::new(|_| Box::pin(async { Ok(AdviceAnswer::default()) })),
             maintain: Arc::new(|_| Box::pin(async { Ok(MaintenanceAnswer::NotWanted) })),
+            close_idle: Arc::new(|| {}),
             budget: ConnectionBudget::new(64),
         }
     }
--- a/src/cluster/upstream_calls.rs
+++ b/src/cluster/upstream_calls.rs
@@ -261,6 +261,8 @@
     pub advise: Call<AdviceRequest, AdviceAnswer>,
     /// Takes a physical host down for maintenance.
     pub maintain: Call<MaintenanceOrder, MaintenanceAnswer>,
+    /// Closes the idle connections to upstreams, at the end of a leader's term.
+    pub close_idle: Arc<dyn Fn() + Send + Sync>,
     /// Connections that the functions may open to upstreams.
     pub budget: ConnectionBudget,
 }
--- a/src/task_api/orders.rs
+++ b/src/task_api/orders.rs
@@ -48,6 +48,7 @@
     let orders = HttpClient::new(budget.clone(), ConnectionUse::Start);
     let holds = orders.for_use(ConnectionUse::Lease);
     let stops = orders.for_use(ConnectionUse::Stop);
+    let all = orders.clone();
     UpstreamCalls {
         start: Arc::new(move |order| {
             let client = orders.clone();
@@ -68,6 +69,7 @@
         pace: Arc::new(|_| Box::pin(async { Ok(OrderAnswer::Refused(Refusal::Invalid)) })),
         advise: Arc::new(|_| Box::pin(async { Ok(AdviceAnswer::default()) })),
         maintain: Arc::new(|_| Box::pin(async { Ok(MaintenanceAnswer::NotWanted) })),
+        close_idle: Arc::new(move || all.forget_all()),
         budget,
     }
 }
