Accept a returning caller when there is no backlog

Cause, found by reading: a refused caller's objective counts from its first submission, so one that came back after that time was refused for ever, although the pool was free. Without a backlog it is accepted. A job is also marked as being stored in the same step that accepts it, since two submissions on a runtime with several threads could be decided between the two. The decision is split into forecast and acceptance.

--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -154,7 +154,6 @@
             Admission::Accepted { forecast_ms } => {
                 let change =
                     Change::Accept { id: id.clone(), queue: queue.name, organisation, spec };
-                self.term_state().admissions.begin_storing(&id);
                 let reply = self.commit(change, Reply::Front(FrontReply::Accepted)).await;
                 self.term_state().admissions.end_storing(&id);
                 let stored = reply != Reply::Unknown;
--- a/src/placement/admission.rs
+++ b/src/placement/admission.rs
@@ -8,6 +8,7 @@
 //! does their work, and a new caller does not take the place that was promised to an earlier one.
 
 use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
 
 use super::forecast::Backlog;
 use super::order::{critical_path_ms, is_covered, useful_ms};
@@ -42,12 +43,20 @@
     /// When the caller submitted the job first; the job's objective counts from then.
     first_ms: u64,
     at_ms: u64,
-    service: std::sync::Arc<str>,
+    service: Arc<str>,
     priority: u32,
     /// Time in which the whole pool does the job's work.
     work_ms: u64,
 }
 
+/// When a job would be done.
+#[derive(Debug, Clone, Copy)]
+struct Forecast {
+    done_after_ms: u64,
+    /// Time by which the result would come too late to be of use.
+    excess_ms: u64,
+}
+
 /// State of the admission of jobs; it belongs to one leader and is not replicated.
 #[derive(Debug, Default)]
 pub(crate) struct Admissions {
@@ -66,6 +75,8 @@
     }
 
     /// Decides whether a job is admitted to a queue.
+    ///
+    /// From an acceptance until [`Admissions::end_storing`], the job is not refused.
     pub(crate) fn decide(
         &mut self,
         view: &View<'_>,
@@ -79,47 +90,65 @@
         if let Some(reason) = unplaceable(view, queue, spec) {
             return Admission::RetryLater { retry_after_ms: NO_HOST_RETRY_MS, reason };
         }
-        let is_timed = spec.repeat.is_some() || spec.is_lasting();
-        let is_guaranteed = queue.priority == 0 && is_covered(view, organisation, spec);
         let promised = self.returns.remove(id);
-        let Some(wait_ms) = self.backlog.wait_ms(queue) else {
-            return Admission::Accepted { forecast_ms: None };
+        let Some(forecast) = self.forecast(view, queue, spec, promised.as_ref()) else {
+            return self.accept(queue, (id, spec), None);
         };
-        let own_turn_ms = promised.as_ref().map(|promised| promised.at_ms);
-        let first_ms = promised.map_or(view.now_ms, |promised| promised.first_ms);
-        let wait_ms = wait_ms + self.promised_ms(queue, own_turn_ms);
-        let forecast_ms = wait_ms + critical_path_ms(spec);
-        let waited_ms = view.now_ms.saturating_sub(first_ms);
-        let excess_ms = (waited_ms + forecast_ms).saturating_sub(useful_ms(queue, spec));
-        if excess_ms == 0 || is_timed || is_guaranteed {
-            self.backlog.add(queue, spec);
-            return Admission::Accepted { forecast_ms: Some(forecast_ms) };
+        let cannot_wait = spec.repeat.is_some() || spec.is_lasting();
+        let is_guaranteed = queue.priority == 0 && is_covered(view, organisation, spec);
+        if forecast.excess_ms == 0 || cannot_wait || is_guaranteed {
+            return self.accept(queue, (id, spec), Some(forecast.done_after_ms));
         }
-        let retry_after_ms = excess_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
+        let retry_after_ms = forecast.excess_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
         let promised = Return {
-            first_ms,
+            first_ms: promised.map_or(view.now_ms, |promised| promised.first_ms),
             at_ms: view.now_ms + retry_after_ms,
-            service: std::sync::Arc::clone(&queue.service),
+            service: Arc::clone(&queue.service),
             priority: queue.priority,
             work_ms: self.backlog.work_ms(queue, spec),
         };
         self.returns.insert(id.clone(), promised);
         let reason = format!(
-            "it would be done in {forecast_ms} ms, which is {excess_ms} ms after it is of use"
+            "it would be done in {} ms, which is {} ms after it is of use",
+            forecast.done_after_ms, forecast.excess_ms
         );
         Admission::RetryLater { retry_after_ms, reason }
     }
 
-    /// Records that the acceptance of a job is being stored.
-    pub(crate) fn begin_storing(&mut self, id: &JobId) {
-        self.storing.insert(id.clone());
-    }
-
     /// Records that the acceptance of a job is stored, or that this leader cannot store it.
     pub(crate) fn end_storing(&mut self, id: &JobId) {
         self.storing.remove(id);
     }
 
+    fn accept(
+        &mut self,
+        queue: &Queue,
+        (id, spec): (&JobId, &JobSpec),
+        forecast_ms: Option<u64>,
+    ) -> Admission {
+        self.backlog.add(queue, spec);
+        self.storing.insert(id.clone());
+        Admission::Accepted { forecast_ms }
+    }
+
+    /// Returns when the job would be done; `None` if no host of its service takes work.
+    fn forecast(
+        &self,
+        view: &View<'_>,
+        queue: &Queue,
+        spec: &JobSpec,
+        promised: Option<&Return>,
+    ) -> Option<Forecast> {
+        let own_turn_ms = promised.map(|promised| promised.at_ms);
+        let wait_ms = self.backlog.wait_ms(queue)? + self.promised_ms(queue, own_turn_ms);
+        let done_after_ms = wait_ms + critical_path_ms(spec);
+        let first_ms = promised.map_or(view.now_ms, |promised| promised.first_ms);
+        // Without a backlog nothing is gained by a refusal, however long the caller has waited.
+        let waited_ms = if wait_ms == 0 { 0 } else { view.now_ms.saturating_sub(first_ms) };
+        let excess_ms = (waited_ms + done_after_ms).saturating_sub(useful_ms(queue, spec));
+        Some(Forecast { done_after_ms, excess_ms })
+    }
+
     /// Returns the time that the pool needs for the jobs of callers who return earlier.
     fn promised_ms(&self, queue: &Queue, own_turn_ms: Option<u64>) -> u64 {
         let is_earlier = |promised: &&Return| {
--- a/src/placement/tests/admissions.rs
+++ b/src/placement/tests/admissions.rs
@@ -138,12 +138,30 @@
     assert!(submit(&sample, &mut admissions, "normal", (11, &whole_pool())).is_some(), "too late");
 }
 
+/// Guards against a refusal with capacity free: a caller that was refused long ago, and whose job is
+/// late already, is accepted once the backlog is done.
+#[test]
+fn a_caller_is_accepted_once_the_backlog_is_done() {
+    let (mut sample, mut admissions) = backlog(20);
+    let told_ms = submit(&sample, &mut admissions, "normal", (30, &whole_pool()));
+    for job in 1..=20 {
+        sample.apply(crate::tasks::Change::Cancel { id: job_id(job) });
+    }
+    sample.at(told_ms.expect("refused"));
+    with_view(&sample, |view| admissions.update(view));
+    assert_eq!(submit(&sample, &mut admissions, "normal", (30, &whole_pool())), None);
+}
+
 /// Guards against a refusal that is not true: while a job's acceptance is being stored, a repeated
 /// submission of it is not refused.
 #[test]
 fn a_job_that_is_being_stored_is_not_refused() {
-    let (sample, mut admissions) = backlog(6);
-    admissions.begin_storing(&job_id(9));
+    let (mut sample, mut admissions) = backlog(0);
+    assert_eq!(submit(&sample, &mut admissions, "normal", (9, &whole_pool())), None);
+    for job in 1..=6 {
+        sample.accept(job, "normal", vec![step(4, 8)]);
+    }
+    with_view(&sample, |view| admissions.update(view));
     assert_eq!(submit(&sample, &mut admissions, "normal", (9, &whole_pool())), None);
     admissions.end_storing(&job_id(9));
     assert!(submit(&sample, &mut admissions, "normal", (9, &whole_pool())).is_some());
