Answer unchanged heartbeats on every control host

Every heartbeat was passed to the leader; when it does not answer within a second, the upstream calls the next host, with a new connection, so that a leader that falls behind gets more load. Now a host that follows a live leader answers a heartbeat itself if its replica holds the upstream just so; changes, other incarnations and hosts without a leader go to the leader as before.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -19,6 +19,7 @@
 use crate::journal::Journal;
 use crate::quorum::storage::{Recovered, recover};
 use crate::quorum::{Batch, Core, Log, MemberId, Membership, Snapshot, Timing};
+use crate::tasks::Heartbeat;
 
 /// Timing of the replicated log, for hosts in several regions.
 const TIMING: Timing = Timing { election_ms: 500, heartbeat_ms: 100, replace_after_ms: 8_000 };
@@ -99,12 +100,27 @@
     /// # Errors
     /// Returns an error that states whether a leader may have received the request.
     pub async fn call(&self, request: Request, limit: Duration) -> Result<Reply, ClientFault> {
+        if let Request::Heartbeat(heartbeat) = &request
+            && self.knows_as_is(heartbeat)
+        {
+            return Ok(Reply::Done);
+        }
         match self.handle(request.clone()).await {
             Reply::NotLeader { .. } | Reply::Unknown => self.client.call(&request, limit).await,
             reply => Ok(reply),
         }
     }
 
+    /// Returns whether this host follows a leader and its replica holds the upstream as its heartbeat
+    /// describes it, so that the leader need not hear of it. With many upstreams the leader could not
+    /// answer all heartbeats in time; upstreams would repeat them at other hosts and add to the load.
+    fn knows_as_is(&self, heartbeat: &Heartbeat) -> bool {
+        let inner = self.replica.lock();
+        let known = inner.state.upstreams.get(&heartbeat.id);
+        inner.core.follows_live_leader(boot_ms())
+            && known.is_some_and(|known| known.is_described_by(heartbeat))
+    }
+
     /// Returns the metrics in the Prometheus text format.
     #[must_use]
     pub fn metrics_text(&self) -> String {
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -237,10 +237,7 @@
         let incarnation =
             Incarnation { id: Arc::clone(&heartbeat.id), born_unix_ms: heartbeat.born_unix_ms };
         let known = self.replica.lock().state.upstreams.get(&heartbeat.id).cloned();
-        let is_unchanged = known.as_ref().is_some_and(|known| {
-            known.incarnation() == incarnation && !changes_state(&known.heartbeat, &heartbeat)
-        });
-        if is_unchanged {
+        if known.as_ref().is_some_and(|known| known.is_described_by(&heartbeat)) {
             self.record_heartbeat(&heartbeat.id);
             return Reply::Done;
         }
@@ -395,18 +392,6 @@
     }
 }
 
-/// Returns whether a heartbeat that is not older than the recorded one changes one of the fields
-/// for which an upstream is registered again.
-fn changes_state(known: &Heartbeat, heartbeat: &Heartbeat) -> bool {
-    let newer = heartbeat.sequence >= known.sequence;
-    let changed = known.draining != heartbeat.draining
-        || known.address != heartbeat.address
-        || known.capacity != heartbeat.capacity
-        || known.labels != heartbeat.labels
-        || known.service != heartbeat.service;
-    newer && changed
-}
-
 /// Returns the metric label of a reply.
 fn result_name(reply: &Reply) -> &'static str {
     let Reply::Front(reply) = reply else { return "unknown" };
--- a/src/quorum/core.rs
+++ b/src/quorum/core.rs
@@ -208,6 +208,12 @@
         }
     }
 
+    /// Returns whether this host follows a leader that it has heard of within an election timeout.
+    pub(crate) fn follows_live_leader(&self, now_ms: u64) -> bool {
+        let follows = matches!(self.role, Role::Follower { leader: Some(_) });
+        follows && now_ms < self.leader_contact_ms + self.timing.election_ms
+    }
+
     /// Takes the output of the transitions since the last call.
     pub(crate) fn take_output(&mut self) -> Output {
         self.collect_committed();
--- a/src/quorum/tests/steps.rs
+++ b/src/quorum/tests/steps.rs
@@ -90,3 +90,21 @@
     let lease_holds = world.hosts[leader].core.as_ref().unwrap().is_confirmed_leader(world.now_ms);
     assert!(!lease_holds, "the lease holds {} ms after the cut", world.now_ms - cut_ms);
 }
+
+/// Guards against a host that answers for the leader while it is cut off from it.
+#[test]
+fn only_a_follower_that_hears_of_its_leader_follows_a_live_one() {
+    let (mut world, leader) = cluster_with_entries(5);
+    let (near, cut_off) = ((leader + 1) % 3, (leader + 2) % 3);
+    let follows = |world: &World, host: usize| {
+        world.hosts[host].core.as_ref().unwrap().follows_live_leader(world.now_ms)
+    };
+    assert!(follows(&world, near) && follows(&world, cut_off));
+    assert!(!follows(&world, leader), "a leader does not follow");
+    for peer in [leader, near] {
+        world.cut(peer, cut_off, 6_000);
+        world.cut(cut_off, peer, 6_000);
+    }
+    run(&mut world, 2_000);
+    assert!(follows(&world, near) && !follows(&world, cut_off));
+}
--- a/src/tasks/tests/upstreams.rs
+++ b/src/tasks/tests/upstreams.rs
@@ -1,5 +1,7 @@
 //! Incarnations of upstreams and their runs.
 
+use rstest::rstest;
+
 use super::sample::{Sample, heartbeat, incarnation, step};
 use crate::cluster::codec;
 use crate::tasks::{Change, EndKind, Heartbeat, Incarnation, JobState, State};
@@ -74,3 +76,23 @@
     let other = Incarnation { born_unix_ms: 1, ..incarnation(0) };
     assert!(copy.runs_of(&other).is_empty());
 }
+
+/// Guards against heartbeats that are stored again and again, and against one that is taken for
+/// known although it tells of a change or of another incarnation. Late ones change nothing.
+#[rstest]
+#[case::again(2, 1_000, false, true)]
+#[case::drains(2, 1_000, true, false)]
+#[case::late(0, 1_000, true, true)]
+#[case::restarted(2, 2_000, false, false)]
+#[case::former(2, 500, false, false)]
+fn a_heartbeat_that_tells_nothing_new_is_told_apart(
+    #[case] sequence: u64,
+    #[case] born_unix_ms: u64,
+    #[case] draining: bool,
+    #[case] is_described: bool,
+) {
+    let sample = Sample::with_hosts(1);
+    let next = Heartbeat { sequence, born_unix_ms, draining, ..heartbeat(0) };
+    let known = &sample.state.upstreams[&next.id];
+    assert_eq!(known.is_described_by(&next), is_described);
+}
--- a/src/tasks/upstream.rs
+++ b/src/tasks/upstream.rs
@@ -77,4 +77,18 @@
             born_unix_ms: self.heartbeat.born_unix_ms,
         }
     }
+
+    /// Returns whether a heartbeat is of this incarnation and calls for no change of its record.
+    pub(crate) fn is_described_by(&self, heartbeat: &Heartbeat) -> bool {
+        let known = &self.heartbeat;
+        let is_older = heartbeat.sequence < known.sequence;
+        let is_same = known.draining == heartbeat.draining
+            && known.address == heartbeat.address
+            && known.capacity == heartbeat.capacity
+            && known.labels == heartbeat.labels
+            && known.service == heartbeat.service;
+        let is_incarnation =
+            known.id == heartbeat.id && known.born_unix_ms == heartbeat.born_unix_ms;
+        is_incarnation && (is_older || is_same)
+    }
 }
