--- a/src/tasks/tests/upstreams.rs
+++ b/src/tasks/tests/upstreams.rs
@@ -92,7 +92,7 @@
     #[case] is_described: bool,
 ) {
     let sample = Sample::with_hosts(1);
-    let next = Heartbeat { sequence, born_unix_ms, draining, ..heartbeat(0) };
+    let next = Heartbeat { born_unix_ms, sequence, draining, ..heartbeat(0) };
     let known = &sample.state.upstreams[&next.id];
     assert_eq!(known.is_described_by(&next), is_described);
 }
