Wait for a connection in one step

Cause, found by reading: a request that found no connection looked again under another lock before it waited, so on a runtime with several threads a connection freed in between did not wake it, and it failed after a second although connections were free. It now looks and waits under one lock. A permit whose request gave up is dropped, which passes it on, instead of being forgotten.

--- a/src/cluster/budget.rs
+++ b/src/cluster/budget.rs
@@ -86,65 +86,33 @@
         !self.lock().waiting.is_empty()
     }
 
-    /// Takes a permit if one is free and no more urgent request waits.
+    /// Takes a permit if one is free and no request of this urgency or a higher one waits.
     pub(crate) fn try_acquire(&self, connection_use: ConnectionUse) -> Option<ConnectionPermit> {
-        let mut inner = self.lock();
-        let first = inner.waiting.first_key_value();
-        let is_first = first.is_none_or(|((waiting_use, _), _)| connection_use < *waiting_use);
-        if !is_first || !inner.has_room_for(connection_use) {
-            return None;
-        }
-        inner.open += 1;
-        drop(inner);
-        Some(ConnectionPermit(self.clone()))
+        self.lock().try_open(connection_use).then(|| ConnectionPermit(self.clone()))
     }
 
     /// Waits for a permit; the wait ends without one if the future is dropped.
     pub(crate) async fn acquire(&self, connection_use: ConnectionUse) -> Option<ConnectionPermit> {
-        if let Some(permit) = self.try_acquire(connection_use) {
-            return Some(permit);
-        }
-        let (sender, receiver) = oneshot::channel();
-        {
+        let receiver = {
             let mut inner = self.lock();
-            inner.requests += 1;
-            let number = inner.requests;
-            inner.waiting.insert((connection_use, number), sender);
-            if !std::mem::replace(&mut inner.exhausted, true) {
-                warn!(
-                    limit = inner.limit,
-                    open = inner.open,
-                    "connections to upstreams are used up"
-                );
+            if inner.try_open(connection_use) {
+                return Some(ConnectionPermit(self.clone()));
             }
-        }
+            inner.wait(connection_use)
+        };
         receiver.await.ok()
     }
 
+    /// Hands a closed connection's permit to the most urgent request that waits.
     fn release(&self) {
-        let mut inner = self.lock();
-        inner.open -= 1;
-        let mut next = inner.take_next_waiting();
-        if inner.waiting.is_empty() && next.is_none() && inner.exhausted {
-            inner.exhausted = false;
-            info!(
-                limit = inner.limit,
-                open = inner.open,
-                "connections to upstreams are free again"
-            );
-        }
-        drop(inner);
-        while let Some(sender) = next {
-            match sender.send(ConnectionPermit(self.clone())) {
-                Ok(()) => return,
-                // The request no longer waits, so the permit goes to the next one.
-                Err(permit) => {
-                    std::mem::forget(permit);
-                    let mut inner = self.lock();
-                    inner.open -= 1;
-                    next = inner.take_next_waiting();
-                }
-            }
+        let next = {
+            let mut inner = self.lock();
+            inner.open -= 1;
+            inner.take_next_waiting()
+        };
+        if let Some(next) = next {
+            // If the request no longer waits, the permit comes back, and its drop passes it on.
+            _ = next.send(ConnectionPermit(self.clone()));
         }
     }
 }
@@ -159,9 +127,34 @@
         self.open + kept_free < self.limit
     }
 
+    /// Counts a connection if there is room for it and no request that comes first waits.
+    fn try_open(&mut self, connection_use: ConnectionUse) -> bool {
+        let first = self.waiting.first_key_value();
+        let is_first = first.is_none_or(|((waiting_use, _), _)| connection_use < *waiting_use);
+        let opens = is_first && self.has_room_for(connection_use);
+        self.open += usize::from(opens);
+        opens
+    }
+
+    /// Adds a request that waits for a connection.
+    fn wait(&mut self, connection_use: ConnectionUse) -> oneshot::Receiver<ConnectionPermit> {
+        let (sender, receiver) = oneshot::channel();
+        self.requests += 1;
+        self.waiting.insert((connection_use, self.requests), sender);
+        if !std::mem::replace(&mut self.exhausted, true) {
+            let (limit, open) = (self.limit, self.open);
+            warn!(limit, open, "connections to upstreams are used up");
+        }
+        receiver
+    }
+
     /// Takes the most urgent waiting request that there is room for, and counts its connection.
     fn take_next_waiting(&mut self) -> Option<oneshot::Sender<ConnectionPermit>> {
         self.waiting.retain(|_, sender| !sender.is_closed());
+        if self.waiting.is_empty() && std::mem::take(&mut self.exhausted) {
+            let (limit, open) = (self.limit, self.open);
+            info!(limit, open, "connections to upstreams are free again");
+        }
         let next = self.waiting.keys().find(|(waiting_use, _)| self.has_room_for(*waiting_use));
         let next = *next?;
         self.open += 1;
