--- a/src/placement/tests/loads.rs
+++ b/src/placement/tests/loads.rs
@@ -104,12 +104,15 @@
 }
 
 /// Guards against large gangs that never start because they had to leave the whole reserve free,
-/// while single tasks may fill the pool up to it.
+/// while single tasks may fill the pool up to it; and against gangs that always go into the reserve,
+/// so that single tasks never start.
 #[test]
-fn a_gang_may_take_a_part_of_the_reserve() {
+fn a_gang_that_has_waited_may_take_a_part_of_the_reserve() {
     let mut sample = Sample::with_hosts(4);
     sample.accept(1, "normal", vec![gang(3, 8)]);
     let inputs = Inputs { reserve_millihosts: 2_000, ..Inputs::default() };
+    assert!(decide(&sample, &inputs).starts.is_empty());
+    sample.at(4_000);
     assert_eq!(decide_and_start(&mut sample, &inputs).starts.len(), 1);
     sample.accept(2, "normal", vec![step(1, 8)]);
     assert!(decide(&sample, &inputs).starts.is_empty());
