--- a/src/placement/headroom.rs
+++ b/src/placement/headroom.rs
@@ -1,8 +1,8 @@
 //! Capacity that is kept free for jobs of priority 0.
 //!
 //! Urgent jobs arrive in bursts while other work fills the pool. Stopping other runs takes about as
-//! long as an urgent job may take altogether, so capacity for the recent peak demand stays free. The
-//! share is bounded, since work of other queues is late while capacity is idle.
+//! long as an urgent job may take altogether, so a little capacity stays free for the next one. More
+//! would keep large gangs and single tasks waiting while it is idle.
 
 use std::collections::VecDeque;
 
@@ -14,7 +14,7 @@
 const DEMAND_WINDOW_MS: u64 = 20_000;
 
 /// Largest share of the pool that is kept free.
-const RESERVE_MAX_PERMILLE: u64 = 100;
+const RESERVE_MAX_PERMILLE: u64 = 25;
 
 /// Demand of jobs of priority 0 at one time, in thousandths of a host.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -113,9 +113,6 @@
     }
 
     /// Returns whether the reserve for priority 0 stays free if the unit is placed.
-    ///
-    /// A gang that has waited for as long as it runs may take a part of the reserve. If it always
-    /// had to leave all of it, small units would keep the rest of the pool too full for it.
     pub(super) fn leaves_reserve(&self, view: &View<'_>, unit: &WaitingUnit<'_>) -> bool {
         if view.reserve_millihosts == 0 {
             return true;
@@ -131,9 +128,7 @@
             return true;
         };
         let task = millihosts_taken(&unit.step.reserved(), &host.capacity);
-        let may_take_reserve = unit.waited_ms >= unit.step.estimate_ms;
-        let tasks = if may_take_reserve { 1 } else { unit.step.unit_size() };
-        free >= view.reserve_millihosts + task * u64::from(tasks)
+        free >= view.reserve_millihosts + task * u64::from(unit.step.unit_size())
     }
 
     /// Returns whether less than half of a service's capacity is in use.
