Share the limit of useful results between placement and the replays

Cause: the same constant stood twice, so a change of one would have made the replays judge by another limit than the decisions. The value is the same; no test is changed.

--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -78,7 +78,7 @@
 }
 
 /// A result is of use until this multiple of the job's objective.
-const USEFUL_OBJECTIVE_FACTOR: u64 = 3;
+pub(crate) const USEFUL_OBJECTIVE_FACTOR: u64 = 3;
 
 /// Returns the length of the critical path through the steps, by estimated run times.
 pub(crate) fn critical_path_ms(spec: &JobSpec) -> u64 {
--- a/src/replay/figures.rs
+++ b/src/replay/figures.rs
@@ -7,9 +7,7 @@
 use super::load::{KINDS, MIX, Request};
 use super::run::Record;
 use super::scenario::Scenario;
-
-/// A result is of use until this multiple of the job's objective.
-const USEFUL_OBJECTIVE_FACTOR: u64 = 3;
+use crate::placement::USEFUL_OBJECTIVE_FACTOR;
 
 /// Smallest and largest value of a job, as multiples of the mean of its kind.
 const VALUE_BASE: f64 = 0.3;
