Log each run that is lost with its upstream

What callers saw: nothing yet; an engineer who reads the lines of a task that crashes its upstreams sees two placements and nothing between them. 'upstream was restarted or replaced' told how many runs ended, not which, after how long, nor whether the upstream had announced its end.

Now one line a run names the task, the run, the upstream, how it was lost (crashed, left, lease ended, silent) and for how long the run was seen alive; runs_ended counts them by that cause. No decision depends on it yet.

--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use tracing::{debug, info, warn};
 
+use super::losses::Loss;
 use super::session::is_possible_clock;
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
@@ -115,7 +116,8 @@
             },
             Err(CallFault::OtherUpstream) => {
                 warn!(upstream = %incarnation.id, "another upstream answers at its address");
-                self.remove_upstream(incarnation).await
+                let loss = self.loss_by_replacement(incarnation);
+                self.remove_upstream(incarnation, loss).await
             }
             Err(CallFault::Fenced) => {
                 warn!(
@@ -126,7 +128,9 @@
             }
             // The upstream was not asked, so it is not silent.
             Err(CallFault::NoConnection) => NextStep::Pause(RETRY_PAUSE),
-            Err(_) if self.is_leaving(incarnation) => self.remove_upstream(incarnation).await,
+            Err(_) if self.is_leaving(incarnation) => {
+                self.remove_upstream(incarnation, Loss::Left).await
+            }
             Err(fault) => self.handle_silence(incarnation, &fault).await,
         }
     }
@@ -181,7 +185,7 @@
         };
         debug!(upstream = %incarnation.id, error = %fault, lapsed, "upstream does not answer");
         if remove {
-            return self.remove_upstream(incarnation).await;
+            return self.remove_upstream(incarnation, Loss::Silent).await;
         }
         if lapsed {
             self.record_lost_runs(incarnation).await;
@@ -195,6 +199,7 @@
         if recorded.is_empty() {
             return;
         }
+        self.report_lost_runs(incarnation, &recorded, Loss::LeaseEnded);
         let runs: Vec<_> = {
             let term_state = self.term_state();
             let observed = term_state.sessions.get(&incarnation.id).map(|session| &session.runs);
@@ -219,11 +224,13 @@
     }
 
     /// Removes an upstream that has left, was replaced or did not answer for too long.
-    async fn remove_upstream(&self, incarnation: &Incarnation) -> NextStep {
+    async fn remove_upstream(&self, incarnation: &Incarnation, loss: Loss) -> NextStep {
         info!(
-            upstream = %incarnation.id, born_unix_ms = incarnation.born_unix_ms,
+            upstream = %incarnation.id, born_unix_ms = incarnation.born_unix_ms, cause = %loss,
             "upstream is gone"
         );
+        let runs = self.replica.lock().state.runs_of(incarnation);
+        self.report_lost_runs(incarnation, &runs, loss);
         match self
             .replica
             .propose(Change::RemoveUpstream { incarnation: incarnation.clone() })
--- /dev/null
+++ b/src/cluster/leader/losses.rs
@@ -0,0 +1,77 @@
+//! Runs that end without a report, because their upstream was lost.
+
+use tracing::warn;
+
+use super::{Leader, TaskRun};
+use crate::tasks::{Incarnation, MachineState, Wave};
+
+/// How an upstream was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(super) enum Loss {
+    /// It crashed: another incarnation has registered under its identity or address.
+    #[display("crashed")]
+    Crashed,
+    /// It ended as announced, or was taken down for maintenance.
+    #[display("left")]
+    Left,
+    /// It has not answered until its lease had ended.
+    #[display("lease ended")]
+    LeaseEnded,
+    /// It has not answered for so long that it is removed.
+    #[display("silent")]
+    Silent,
+}
+
+impl Leader {
+    /// Returns how an upstream was lost that another one has replaced.
+    ///
+    /// One that drained, had announced its end or was evacuated for maintenance has not crashed.
+    pub(super) fn loss_by_replacement(&self, incarnation: &Incarnation) -> Loss {
+        let inner = self.replica.lock();
+        let known = inner.state.upstreams.get(&incarnation.id);
+        let Some(known) = known.filter(|known| known.incarnation() == *incarnation) else {
+            return Loss::Left;
+        };
+        let term_state = self.term_state();
+        let session = term_state.sessions.get(&incarnation.id);
+        let leaving =
+            session.is_some_and(|session| session.incarnation == *incarnation && session.leaving);
+        let maintained = known.heartbeat.machine.as_ref().is_some_and(|machine| {
+            let is_down =
+                |wave: &Wave| wave.machines.get(machine).is_some_and(MachineState::counts_as_down);
+            term_state.evacuating.contains_key(machine) || inner.state.waves.values().any(is_down)
+        });
+        let planned = known.heartbeat.draining || leaving || maintained;
+        if planned { Loss::Left } else { Loss::Crashed }
+    }
+
+    /// Logs and counts the runs that may have been in execution on a lost upstream.
+    pub(super) fn report_lost_runs(&self, incarnation: &Incarnation, runs: &[TaskRun], loss: Loss) {
+        for key in runs {
+            let (task, run) = key;
+            self.replica.metrics.run_ended(loss_name(loss));
+            warn!(
+                request = %task.job, task = %task, run, upstream = %incarnation.id,
+                cause = %loss, seen_alive_ms = self.seen_alive_ms(incarnation, key),
+                runs = runs.len(), "run was lost with its upstream"
+            );
+        }
+    }
+
+    /// Returns for how long a run was seen alive, or `None` if it may not have started at all.
+    fn seen_alive_ms(&self, incarnation: &Incarnation, key: &TaskRun) -> Option<u64> {
+        let term_state = self.term_state();
+        let session = term_state.sessions.get(&incarnation.id);
+        let session = session.filter(|session| session.incarnation == *incarnation);
+        session.and_then(|session| session.seen_alive_ms(key))
+    }
+}
+
+fn loss_name(loss: Loss) -> &'static str {
+    match loss {
+        Loss::Crashed => "lost by a crash",
+        Loss::Left => "lost with a leaving upstream",
+        Loss::LeaseEnded => "lost by the end of a lease",
+        Loss::Silent => "lost with a silent upstream",
+    }
+}
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -4,6 +4,7 @@
 mod failures;
 mod hold;
 mod lists;
+mod losses;
 mod maintenance;
 mod orders;
 mod pacing;
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -308,7 +308,12 @@
     /// Stops a former incarnation's runs on its replacement, so that no late order starts them.
     async fn fence_former_runs(self: &Arc<Self>, former: &Incarnation, heartbeat: &Heartbeat) {
         let runs = self.replica.lock().state.runs_of(former);
-        warn!(upstream = %former.id, runs = runs.len(), "upstream was restarted or replaced");
+        let loss = self.loss_by_replacement(former);
+        warn!(
+            upstream = %former.id, runs = runs.len(), cause = %loss,
+            "upstream was restarted or replaced"
+        );
+        self.report_lost_runs(former, &runs, loss);
         for (task, run) in runs {
             self.fence_run(heartbeat, task, run).await;
         }
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -41,7 +41,9 @@
     pub(super) checkpoint: Arc<str>,
     /// When it was first listed.
     pub(super) first_listed_ms: u64,
-    /// Percentage at that time.
+    /// When it was last listed.
+    pub(super) last_listed_ms: u64,
+    /// Percentage when it was first listed.
     pub(super) first_percent: u32,
     /// When its percentage last rose.
     pub(super) advanced_ms: u64,
@@ -167,6 +169,7 @@
                 load: None,
                 checkpoint: Arc::from(""),
                 first_listed_ms: now_ms,
+                last_listed_ms: now_ms,
                 first_percent: listed.percent,
                 advanced_ms: now_ms,
                 saved_ms: now_ms,
@@ -174,6 +177,7 @@
             if listed.percent > observed.percent {
                 observed.advanced_ms = now_ms;
             }
+            observed.last_listed_ms = now_ms;
             observed.percent = listed.percent;
             observed.load = listed.load;
             if listed.checkpoint != observed.checkpoint {
@@ -185,6 +189,19 @@
         self.runs = runs;
     }
 
+    /// Returns for how long a run was seen alive, or `None` if it may not have started at all.
+    pub(super) fn seen_alive_ms(&self, key: &TaskRun) -> Option<u64> {
+        let (task, run) = key;
+        let answered_ms = self.answered_orders.get(key).copied();
+        let Some(observed) = self.runs.get(task).filter(|observed| observed.run == *run) else {
+            return answered_ms.map(|_| 0);
+        };
+        let since_ms = answered_ms.map_or(observed.first_listed_ms, |answered_ms| {
+            answered_ms.min(observed.first_listed_ms)
+        });
+        Some(observed.last_listed_ms.saturating_sub(since_ms))
+    }
+
     /// Records the outcome of a run; sets the upstream aside if several jobs failed in a row.
     ///
     /// Returns the time for which it is set aside.
