Test that a task that crashes its upstreams is given up

The test fails on this code and is listed as known red: an upstream that starts the task crashes and comes back 150 ms later, the task is started on the next, and the job never ends (20 s waited, four upstreams).

--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -1,10 +1,12 @@
 //! A control host alone in its cluster, and upstreams whose answers a test scripts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use tokio::task::JoinHandle;
+
 use crate::cluster::clock::boot_ms;
 use crate::cluster::{
     AdviceAnswer, CallFault, ClusterSettings, ConnectionBudget, Control, HoldOrder, ListedEnd,
@@ -12,11 +14,14 @@
     TaskBounds, TaskLists, UpstreamCalls,
 };
 use crate::tasks::tests::sample::{configuration, heartbeat, job_id};
-use crate::tasks::{EndKind, TaskId};
+use crate::tasks::{EndKind, Heartbeat, JobId, TaskId};
 
 /// Longest time that a test waits for something.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time for which a crashed upstream is down.
+const DOWNTIME: Duration = Duration::from_millis(150);
+
 /// How the next calls to an upstream go wrong.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) enum Fault {
@@ -53,6 +58,10 @@
     /// Starts that were carried out, with the upstream.
     started: Vec<(TaskId, u32, Arc<str>)>,
     work: Duration,
+    /// Jobs whose tasks crash each upstream that starts them.
+    deadly: BTreeSet<JobId>,
+    /// Upstreams that have crashed and are not back yet, and since when.
+    down: BTreeMap<Arc<str>, Instant>,
 }
 
 /// Upstreams that run tasks for a given time.
@@ -104,6 +113,25 @@
             .sum()
     }
 
+    /// Makes the tasks of a job crash each upstream that starts them.
+    pub(super) fn set_deadly(&self, job: JobId) {
+        self.lock().deadly.insert(job);
+    }
+
+    /// Crashes an upstream: it forgets everything and answers nothing until it is back.
+    pub(super) fn crash(&self, upstream: &str) {
+        self.lock().crash(upstream);
+    }
+
+    /// Brings an upstream back that has been down for a while.
+    fn bring_back(&self) -> Option<Arc<str>> {
+        let mut shared = self.lock();
+        let due = |(_, since): &(&Arc<str>, &Instant)| since.elapsed() >= DOWNTIME;
+        let upstream = shared.down.iter().find(due).map(|(upstream, _)| Arc::clone(upstream))?;
+        shared.down.remove(&upstream);
+        Some(upstream)
+    }
+
     pub(super) fn calls(&self) -> UpstreamCalls {
         let (starts, stops, holds) = (self.clone(), self.clone(), self.clone());
         UpstreamCalls {
@@ -133,7 +161,7 @@
 
     fn start(&self, order: &StartOrder) -> Result<OrderAnswer, CallFault> {
         let mut shared = self.lock();
-        let fault = shared.starts;
+        let fault = shared.fault_at(&order.upstream, shared.starts);
         not_carried_out(fault)?;
         let upstream = shared.upstreams.entry(Arc::clone(&order.upstream)).or_default();
         upstream.check_token(order.fencing_token)?;
@@ -148,12 +176,15 @@
             let start = (order.task.clone(), order.run, Arc::clone(&order.upstream));
             shared.started.push(start);
         }
+        if shared.deadly.contains(&order.task.job) {
+            shared.crash(&order.upstream);
+        }
         answer(fault, OrderAnswer::Done { clock_ms: boot_ms() })
     }
 
     fn stop(&self, order: &StopOrder) -> Result<OrderAnswer, CallFault> {
         let mut shared = self.lock();
-        let fault = shared.stops;
+        let fault = shared.fault_at(&order.upstream, shared.stops);
         not_carried_out(fault)?;
         let upstream = shared.upstreams.entry(Arc::clone(&order.upstream)).or_default();
         upstream.check_token(order.fencing_token)?;
@@ -164,6 +195,7 @@
     fn hold(&self, order: &HoldOrder) -> Result<TaskLists, CallFault> {
         let mut shared = self.lock();
         let fault = shared.holds.get(&order.upstream).copied().unwrap_or_default();
+        let fault = shared.fault_at(&order.upstream, fault);
         let work = shared.work;
         not_carried_out(fault)?;
         if fault == Fault::Absurd {
@@ -198,6 +230,18 @@
     }
 }
 
+impl Shared {
+    fn crash(&mut self, upstream: &str) {
+        self.upstreams.remove(upstream);
+        self.down.insert(upstream.into(), Instant::now());
+    }
+
+    /// Returns how a call to an upstream goes wrong, given how it would if the upstream were up.
+    fn fault_at(&self, upstream: &str, fault: Fault) -> Fault {
+        if self.down.contains_key(upstream) { Fault::Silent } else { fault }
+    }
+}
+
 impl Upstream {
     fn check_token(&mut self, token: u64) -> Result<(), CallFault> {
         if token < self.token {
@@ -296,6 +340,23 @@
         test
     }
 
+    /// Registers each upstream that has crashed again once it is back, as another incarnation.
+    pub(super) fn restart_crashed(&self, fake: &FakeUpstreams) -> JoinHandle<()> {
+        let (control, fake) = (Arc::clone(&self.control), fake.clone());
+        tokio::spawn(async move {
+            let mut born_unix_ms = heartbeat(0).born_unix_ms;
+            loop {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                let Some(upstream) = fake.bring_back() else { continue };
+                born_unix_ms += 1;
+                let former = (0..).map(heartbeat).find(|former| former.id == upstream);
+                let heartbeat = Heartbeat { born_unix_ms, ..former.expect("a sample host") };
+                let request = Request::Heartbeat(heartbeat);
+                control.call(request, Duration::from_secs(2)).await.expect("the host leads");
+            }
+        })
+    }
+
     /// Repeats a request until the leader answers it.
     pub(super) async fn call_until_answered(&self, request: Request) -> Reply {
         let begun = Instant::now();
--- a/src/cluster/tests/promises.rs
+++ b/src/cluster/tests/promises.rs
@@ -11,7 +11,7 @@
 use crate::tasks::{JobSpec, JobState, Repeat, StepSpec};
 
 /// Lease of the upstreams in these tests.
-const LEASE_MS: u64 = 4_000;
+pub(super) const LEASE_MS: u64 = 4_000;
 
 fn call(number: u64, action: Action) -> Request {
     Request::Front(FrontCall {
@@ -26,7 +26,7 @@
     Arc::new(spec(vec![step(1, 8)]))
 }
 
-async fn submit(test: &TestControl, number: u64) {
+pub(super) async fn submit(test: &TestControl, number: u64) {
     let reply =
         test.call_until_answered(call(number, Action::Submit { spec: single_task() })).await;
     assert_eq!(reply, Reply::Front(FrontReply::Accepted));
@@ -46,7 +46,7 @@
     }
 }
 
-async fn wait_until_state(test: &TestControl, number: u64, state: JobState) {
+pub(super) async fn wait_until_state(test: &TestControl, number: u64, state: JobState) {
     let begun = Instant::now();
     loop {
         let reply = test.call_until_answered(call(number, Action::Status)).await;
