Ignore starts on upstreams that are gone

What callers saw: a job that never ends (LOST) although most of the pool is free.

Cause: a placement was decided on a state that still had the upstream, the upstream's removal was committed first, and the start after it. The start put a run on an upstream that no longer exists. Its order is answered by another upstream and abandoned, no list shows the run, and no removal comes again, so two of the gang's four members ran for ever in the state.

The race is as old as the state machine; commands for two subjects were decided apart and ordered by the log. The state now refuses a start if an upstream of it is not registered; the unit stays waiting and is placed again.

--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -91,6 +91,10 @@
     }
 
     fn start(&mut self, start: StartRecord) {
+        // An upstream may have left since the decision; nobody would ever end a run there.
+        if !start.incarnations.iter().all(|incarnation| self.is_registered(incarnation)) {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&start.unit.job) else { return };
         if job.outcome.is_some() {
             return;
@@ -121,6 +125,11 @@
         }
     }
 
+    fn is_registered(&self, incarnation: &Incarnation) -> bool {
+        let known = self.upstreams.get(&incarnation.id);
+        known.is_some_and(|known| known.heartbeat.born_unix_ms == incarnation.born_unix_ms)
+    }
+
     fn record_ends(&mut self, incarnation: &Incarnation, up_to: u64, ends: Vec<EndRecord>) {
         for end in ends {
             self.end_run(incarnation, &end.task, end.run, end.how, end.checkpoint);
@@ -232,8 +241,7 @@
     }
 
     fn remove_upstream(&mut self, incarnation: &Incarnation) {
-        let known = self.upstreams.get(&incarnation.id);
-        if known.is_some_and(|known| known.heartbeat.born_unix_ms == incarnation.born_unix_ms) {
+        if self.is_registered(incarnation) {
             self.upstreams.remove(&incarnation.id);
         }
         self.end_all_runs(incarnation);
--- a/src/tasks/tests/upstreams.rs
+++ b/src/tasks/tests/upstreams.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use super::sample::{Sample, heartbeat, incarnation, step};
+use super::sample::{Sample, gang, heartbeat, incarnation, step};
 use crate::cluster::codec;
 use crate::tasks::{Change, EndKind, Heartbeat, Incarnation, JobState, State};
 
@@ -19,6 +19,18 @@
     assert!(!sample.state.jobs[&job].unit(0, 0, 0).unwrap().is_running());
 }
 
+/// Guards against a unit that waits without end for a run on an upstream that is gone: the start was
+/// decided before the upstream left, and recorded afterwards.
+#[test]
+fn a_start_on_an_upstream_that_is_gone_is_ignored() {
+    let mut sample = Sample::with_hosts(2);
+    let job = sample.accept(1, "normal", vec![gang(2, 8)]);
+    sample.apply(Change::RemoveUpstream { incarnation: incarnation(1) });
+    sample.start(&job, 0, 1, &[0, 1]);
+    assert!(!sample.state.jobs[&job].unit(0, 0, 0).unwrap().is_running());
+    assert!(!sample.state.has_runs(&incarnation(0)));
+}
+
 /// Guards against a second run of finished work: the report of success may arrive after the record
 /// that its upstream has left.
 #[test]
