Give up tasks that crash their upstreams

Cause: when an upstream was replaced, its runs ended as lapsed, and only failed runs count as attempts. So a restart had no limit. The class: a loss that is seen is booked as an end without a cause, so that a retry has no budget.

Now a crash is a command of its own. Two crashes right after a start that nothing else explains prove the task's fault; four that point at it do, too. A suspect starts on the emptiest host, nothing starts beside it until it has survived, and its survival is read 0.6 s after its start. A crash in an outage or on an unstable upstream counts less or not at all; tasks whose crashes a large outage has hidden twice start a few at a time, so that many that crash in step are told from an outage.

Ruled out: a plain count of crashes. It gives up jobs after repeated outages (the test of that failed with four crashes as the limit), and a neighbour that starts together with the culprit.

--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -229,13 +229,7 @@
             upstream = %incarnation.id, born_unix_ms = incarnation.born_unix_ms, cause = %loss,
             "upstream is gone"
         );
-        let runs = self.replica.lock().state.runs_of(incarnation);
-        self.report_lost_runs(incarnation, &runs, loss);
-        match self
-            .replica
-            .propose(Change::RemoveUpstream { incarnation: incarnation.clone() })
-            .await
-        {
+        match self.record_loss(incarnation, loss).await {
             Ok(()) => NextStep::End,
             Err(_) => NextStep::Pause(RETRY_PAUSE),
         }
--- a/src/cluster/leader/losses.rs
+++ b/src/cluster/leader/losses.rs
@@ -1,9 +1,17 @@
 //! Runs that end without a report, because their upstream was lost.
 
+use std::time::Duration;
+
 use tracing::warn;
 
 use super::{Leader, TaskRun};
-use crate::tasks::{Incarnation, MachineState, Wave};
+use crate::cluster::replica::NotConfirmed;
+use crate::tasks::{
+    Change, CrashedRun, Incarnation, MachineState, SURVIVED_START_MS, UnitId, Wave,
+};
+
+/// Time after a suspect's start at which the upstream's lists show whether it has survived.
+const SUSPECT_CHECK_DELAY: Duration = Duration::from_millis(SURVIVED_START_MS + 100);
 
 /// How an upstream was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
@@ -45,6 +53,54 @@
         if planned { Loss::Left } else { Loss::Crashed }
     }
 
+    /// Removes a lost upstream and reports its runs. If it has crashed, this is recorded for their
+    /// tasks.
+    pub(super) async fn record_loss(
+        &self,
+        incarnation: &Incarnation,
+        loss: Loss,
+    ) -> Result<(), NotConfirmed> {
+        let (runs, suspects) = {
+            let inner = self.replica.lock();
+            let state = &inner.state;
+            (state.runs_of(incarnation), state.possibly_crashed_runs(incarnation))
+        };
+        self.report_lost_runs(incarnation, &runs, loss);
+        let incarnation = incarnation.clone();
+        if loss != Loss::Crashed {
+            return self.replica.propose(Change::RemoveUpstream { incarnation }).await;
+        }
+        let crashed = |key: TaskRun| {
+            let seen_alive_ms = self.seen_alive_ms(&incarnation, &key);
+            CrashedRun { task: key.0, run: key.1, seen_alive_ms }
+        };
+        let runs = suspects.into_iter().map(crashed).collect();
+        self.replica.propose(Change::RecordCrash { incarnation, runs }).await
+    }
+
+    /// Reads the lists soon after the start of a suspect, which show whether it has survived.
+    pub(super) async fn check_suspect(&self, incarnation: &Incarnation, (task, _): &TaskRun) {
+        if self.replica.lock().state.crashes_of(task).is_empty() {
+            return;
+        }
+        tokio::time::sleep(SUSPECT_CHECK_DELAY).await;
+        let term_state = self.term_state();
+        if let Some(session) = term_state.sessions.get(&incarnation.id) {
+            session.read_now.notify_one();
+        }
+    }
+
+    /// Gives units up, because upstreams crash under them.
+    pub(super) async fn give_up(&self, units: Vec<UnitId>) {
+        for unit in &units {
+            self.replica.metrics.unit_given_up();
+            warn!(request = %unit.job, unit = %unit, "unit is given up: upstreams crash under it");
+        }
+        if self.replica.propose(Change::GiveUp { units }).await.is_err() {
+            warn!("could not record units that are given up; the next leader will");
+        }
+    }
+
     /// Logs and counts the runs that may have been in execution on a lost upstream.
     pub(super) fn report_lost_runs(&self, incarnation: &Incarnation, runs: &[TaskRun], loss: Loss) {
         for key in runs {
--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -88,7 +88,10 @@
             self.stop_others(&unit, key.1, member_index);
         }
         match outcome {
-            StartOutcome::Settled => self.record_answered_order(&incarnation, key),
+            StartOutcome::Settled => {
+                self.record_answered_order(&incarnation, key.clone());
+                self.check_suspect(&incarnation, &key).await;
+            }
             StartOutcome::Refused(_) => self.record_not_started(&incarnation, key).await,
             StartOutcome::Uncertain => {
                 self.order_stop(&incarnation, key.0, key.1, "start not answered");
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -11,6 +11,7 @@
 use crate::cluster::protocol::{
     Action, ClusterStatus, FrontCall, FrontReply, MemberStatus, OperatorReply, Reply, Request,
 };
+use crate::cluster::replica::NotConfirmed;
 use crate::placement::{Admission, Approvals, View, critical_path_ms, objective_ms};
 use crate::quorum::Role;
 use crate::tasks::{
@@ -265,22 +266,16 @@
                 info!(upstream = %heartbeat.id, "heartbeat of a former upstream is ignored");
                 return Reply::Done;
             }
-            self.fence_former_runs(&other.incarnation(), &heartbeat).await;
-            if self
-                .replica
-                .propose(Change::RemoveUpstream { incarnation: other.incarnation() })
-                .await
-                .is_err()
-            {
+            if self.end_former_runs(&other.incarnation(), &heartbeat).await.is_err() {
                 return Reply::Unknown;
             }
         }
-        match known {
-            Some(known) if known.incarnation() == incarnation => {
+        if let Some(former) = known.map(|known| known.incarnation()) {
+            if former == incarnation {
                 self.record_heartbeat(&heartbeat.id);
+            } else if self.end_former_runs(&former, &heartbeat).await.is_err() {
+                return Reply::Unknown;
             }
-            Some(known) => self.fence_former_runs(&known.incarnation(), &heartbeat).await,
-            None => {}
         }
         info!(
             upstream = %heartbeat.id, address = %heartbeat.address,
@@ -305,18 +300,23 @@
         })
     }
 
-    /// Stops a former incarnation's runs on its replacement, so that no late order starts them.
-    async fn fence_former_runs(self: &Arc<Self>, former: &Incarnation, heartbeat: &Heartbeat) {
+    /// Stops a former incarnation's runs on its replacement, so that no late order starts them, and
+    /// records how they were lost.
+    async fn end_former_runs(
+        self: &Arc<Self>,
+        former: &Incarnation,
+        heartbeat: &Heartbeat,
+    ) -> Result<(), NotConfirmed> {
         let runs = self.replica.lock().state.runs_of(former);
         let loss = self.loss_by_replacement(former);
         warn!(
             upstream = %former.id, runs = runs.len(), cause = %loss,
             "upstream was restarted or replaced"
         );
-        self.report_lost_runs(former, &runs, loss);
         for (task, run) in runs {
             self.fence_run(heartbeat, task, run).await;
         }
+        self.record_loss(former, loss).await
     }
 
     /// Removes a leaving upstream, or marks its session as leaving. Without `born_unix_ms` this
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -57,6 +57,9 @@
         let plan = self.decide();
         let decided_in = begun.elapsed();
         self.request_approvals(plan.approval_requests);
+        if !plan.give_ups.is_empty() {
+            self.give_up(plan.give_ups).await;
+        }
         for (unit, run, cause) in &plan.stops {
             self.stop_unit(unit, *run, *cause);
         }
@@ -109,7 +112,11 @@
                     observed.first_percent,
                     observed.percent,
                 );
-                let known = progress.entry(unit).or_default();
+                let seen_alive_ms = session.seen_alive_ms(&key).unwrap_or(0);
+                let known = progress
+                    .entry(unit)
+                    .or_insert(Progress { seen_alive_ms, ..Progress::default() });
+                known.seen_alive_ms = known.seen_alive_ms.min(seen_alive_ms);
                 known.unsaved_ms = known.unsaved_ms.max(unsaved_ms);
                 known.left_ms = known.left_ms.max(left_ms);
             }
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -40,6 +40,7 @@
     term: Gauge,
     committed: Gauge,
     set_aside: Counter,
+    units_given_up: Counter,
     connections: Family<KindLabels, Gauge>,
 }
 
@@ -63,6 +64,7 @@
             term: Gauge::default(),
             committed: Gauge::default(),
             set_aside: Counter::default(),
+            units_given_up: Counter::default(),
             connections: Family::default(),
         }
     }
@@ -91,6 +93,8 @@
         to.register("term", "Term of the log", self.term.clone());
         to.register("committed_index", "Newest committed entry", self.committed.clone());
         to.register("set_aside", "Upstreams set aside", self.set_aside.clone());
+        let given_up = self.units_given_up.clone();
+        to.register("units_given_up", "Units given up since upstreams crash under them", given_up);
         let connections = self.connections.clone();
         to.register("upstream_connections", "Connections to upstreams, by state", connections);
     }
@@ -132,6 +136,10 @@
         self.set_aside.inc();
     }
 
+    pub(super) fn unit_given_up(&self) {
+        self.units_given_up.inc();
+    }
+
     /// Sets the gauges of the replicated log.
     pub(super) fn set_log_state(&self, leads: bool, term: u64, committed: u64) {
         self.leads.set(i64::from(leads));
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -23,6 +23,9 @@
 /// Number of applied entries after which a snapshot replaces them.
 const COMPACT_AFTER_ENTRIES: u64 = 8_000;
 
+/// Number of collections at the end of the state that snapshots of an earlier build lack.
+const NEWEST_COLLECTIONS: usize = 3;
+
 /// Role of this host, as other tasks observe it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct RoleView {
@@ -352,7 +355,9 @@
     if snapshot.state.is_empty() {
         return Ok(State::default());
     }
-    let mut state: State = codec::decode(&snapshot.state)
+    // A snapshot of an earlier build ends before the newest collections; zeros decode as empty ones.
+    let bytes = [&*snapshot.state, &[0; NEWEST_COLLECTIONS]].concat();
+    let mut state: State = codec::decode(&bytes)
         .map_err(|fault| StepError::new("decode a snapshot", snapshot.index, fault))?;
     state.rebuild();
     Ok(state)
--- a/src/cluster/tests/crashes.rs
+++ b/src/cluster/tests/crashes.rs
@@ -33,6 +33,8 @@
     let fake = FakeUpstreams::new(Duration::from_millis(2_500));
     let test = TestControl::start(&fake, UPSTREAMS, LEASE_MS).await;
     let _restarts = test.restart_crashed(&fake);
+    // Until their lists are read, upstreams count as taking no work.
+    tokio::time::sleep(Duration::from_millis(500)).await;
     for number in 1..=6 {
         submit(&test, number).await;
     }
--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -349,10 +349,12 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 let Some(upstream) = fake.bring_back() else { continue };
                 born_unix_ms += 1;
-                let former = (0..).map(heartbeat).find(|former| former.id == upstream);
+                let former = (0..64).map(heartbeat).find(|former| former.id == upstream);
                 let heartbeat = Heartbeat { born_unix_ms, ..former.expect("a sample host") };
-                let request = Request::Heartbeat(heartbeat);
-                control.call(request, Duration::from_secs(2)).await.expect("the host leads");
+                let (control, request) = (Arc::clone(&control), Request::Heartbeat(heartbeat));
+                tokio::spawn(async move {
+                    control.call(request, Duration::from_secs(2)).await.expect("the host leads");
+                });
             }
         })
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -15,6 +15,7 @@
 mod progress;
 mod room;
 mod rotation;
+mod suspects;
 #[cfg(test)]
 mod tests;
 mod upkeep;
@@ -37,6 +38,7 @@
 use preemption::Victims;
 pub(crate) use progress::{Progress, estimated_left_ms};
 use rotation::Rotation;
+use suspects::{Probation, Verdict};
 pub(crate) use upkeep::{Candidate, evacuation_limit_ms, free_wave_slots, order_candidates};
 
 /// An upstream as a host for tasks.
@@ -77,6 +79,8 @@
     pub(crate) starts: Vec<StartRecord>,
     /// Runs to stop, with the cause.
     pub(crate) stops: Vec<(UnitId, u32, StopCause)>,
+    /// Units that are given up, because upstreams crash under them.
+    pub(crate) give_ups: Vec<UnitId>,
     /// Approvals without which a unit cannot be placed.
     pub(crate) approval_requests: Vec<ApprovalRequest>,
     /// Number of units that are ready to run and were not placed.
@@ -115,6 +119,7 @@
         pool: Pool::new(view, &ending),
         rotation: Rotation::new(&victims),
         drains: Drains::default(),
+        probation: Probation::new(view),
         victims,
         plan: Plan { stops, ..Plan::default() },
     };
@@ -132,19 +137,30 @@
     victims: Victims,
     rotation: Rotation,
     drains: Drains,
+    probation: Probation,
     plan: Plan,
 }
 
 impl PlanBuilder {
     /// Starts a unit if it fits; otherwise selects runs to stop for it, if it may replace any.
     fn place(&mut self, view: &View<'_>, unit: &WaitingUnit<'_>) {
-        let Self { pool, victims, rotation, drains, plan } = self;
+        let Self { pool, victims, rotation, drains, probation, plan } = self;
+        let verdict = Verdict::of(view, unit);
+        if verdict == Verdict::GivenUp {
+            plan.give_ups.push(unit.id.clone());
+            return;
+        }
+        if verdict == Verdict::Undecided || !probation.admits(view, unit) {
+            plan.unplaced += 1;
+            return;
+        }
         let exempt = unit.queue.priority == 0 || unit.step.lasting;
         let within_limit = exempt || pool.leaves_reserve(view, unit);
         if within_limit && let Some(task_hosts) = room::find_hosts(view, pool, unit) {
             let incarnations =
                 task_hosts.iter().map(|host| view.hosts[*host].incarnation.clone()).collect();
             pool.occupy(unit, &task_hosts);
+            probation.start(view, unit);
             plan.starts.push(StartRecord {
                 unit: unit.id.clone(),
                 run: unit.run + 1,
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -9,6 +9,7 @@
 
 use smallvec::SmallVec;
 
+use super::suspects::is_suspect;
 use super::{View, for_each_unit};
 use crate::tasks::{Configuration, Job, JobSpec, Phase, Queue, Resources, StepSpec, UnitId};
 
@@ -75,6 +76,8 @@
     pub(super) waited_ms: u64,
     /// Whether its result would come too late to be of use.
     pub(super) is_expired: bool,
+    /// Whether upstreams have crashed under it for no known other cause.
+    pub(super) is_suspect: bool,
 }
 
 /// A result is of use until this multiple of the job's objective.
@@ -129,6 +132,7 @@
                 since_ms,
                 id: id.clone(),
             };
+            let is_suspect = is_suspect(view.state, &id, step.unit_size());
             waiting.push(WaitingUnit {
                 id,
                 step,
@@ -138,6 +142,7 @@
                 may_preempt: queue.priority == 0 && timeliness != Timeliness::Expired || is_covered,
                 waited_ms: view.now_ms.saturating_sub(unit.waiting_since_ms),
                 is_expired: timeliness == Timeliness::Expired,
+                is_suspect,
             });
         });
     }
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -3,8 +3,11 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
+use smallvec::SmallVec;
+
 use super::order::WaitingUnit;
 use super::room::tasks_that_fit;
+use super::suspects::{is_suspect, survived_start};
 use super::{View, for_each_unit, is_eligible};
 use crate::tasks::{Incarnation, JobId, Resources, UnitId};
 
@@ -47,6 +50,16 @@
     releases: Vec<Vec<Release>>,
     /// Whether each host is being drained for a unit.
     drained: Vec<bool>,
+    /// Runs on each host that have not survived their start yet.
+    starting: Vec<SmallVec<[StartingRun; 2]>>,
+}
+
+/// A run that has not survived its start yet.
+#[derive(Debug, Clone)]
+struct StartingRun {
+    job: JobId,
+    /// Whether upstreams have crashed under it before.
+    is_suspect: bool,
 }
 
 /// Capacity that a running task will release.
@@ -74,6 +87,7 @@
             tasks_of_step: HashMap::new(),
             releases: vec![Vec::new(); view.hosts.len()],
             drained: vec![false; view.hosts.len()],
+            starting: vec![SmallVec::new(); view.hosts.len()],
         };
         for (number, host) in view.hosts.iter().enumerate() {
             pool.racks.entry(Arc::clone(&host.rack)).or_default().push(number);
@@ -92,10 +106,15 @@
                     Some(progress) => progress.left_ms,
                     None => step.estimate_ms,
                 };
+                let starting = (!survived_start(view, &run.0, run.1)).then(|| StartingRun {
+                    job: run.0.job.clone(),
+                    is_suspect: is_suspect(view.state, &run.0, step.unit_size()),
+                });
                 for member in unit.members().iter().filter(|member| member.end.is_none()) {
                     let Some(&host) = host_of_incarnation.get(&member.incarnation) else {
                         continue;
                     };
+                    pool.starting[host].extend(starting.clone());
                     pool.free[host].subtract(&need);
                     if is_stopping || !step.lasting {
                         pool.releases[host].push(Release { left_ms, need });
@@ -164,11 +183,23 @@
             self.free[host].subtract(&need);
             self.free_after_stops[host].subtract(&need);
             self.unoccupied_after_stops[host].subtract(&need);
+            let run = StartingRun { job: unit.id.job.clone(), is_suspect: unit.is_suspect };
+            self.starting[host].push(run);
             let step_on_host = (unit.id.job.clone(), unit.id.occurrence, unit.id.step, host);
             *self.tasks_of_step.entry(step_on_host).or_default() += 1;
         }
     }
 
+    /// Returns whether a suspect of another job is starting on a host.
+    pub(super) fn is_kept_for_suspect(&self, job: &JobId, host: usize) -> bool {
+        self.starting[host].iter().any(|run| run.is_suspect && run.job != *job)
+    }
+
+    /// Returns whether a run of another job is starting on a host.
+    pub(super) fn has_starting_run(&self, job: &JobId, host: usize) -> bool {
+        self.starting[host].iter().any(|run| run.job != *job)
+    }
+
     /// Counts the capacity of a task on a host as free after the stops.
     pub(super) fn release(&mut self, host: usize, need: &Resources) {
         self.free_after_stops[host].add(need);
--- a/src/placement/progress.rs
+++ b/src/placement/progress.rs
@@ -1,12 +1,15 @@
 //! Progress of runs as far as their hosts report it.
 
 /// Progress of a run as the leader last observed it.
+#[expect(clippy::struct_field_names, reason = "the suffix is the unit")]
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Progress {
     /// Run time whose result a stop would lose.
     pub(crate) unsaved_ms: u64,
     /// Estimated time until the run ends by itself.
     pub(crate) left_ms: u64,
+    /// Time for which all of its tasks were seen alive.
+    pub(crate) seen_alive_ms: u64,
 }
 
 /// Progress since the first report from which a run's speed is derived, in percent of its work.
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -110,6 +110,9 @@
     if view.avoid.contains(&(unit.id.job.clone(), view.hosts[host].incarnation.clone())) {
         return 0;
     }
+    if pool.is_kept_for_suspect(&unit.id.job, host) {
+        return 0;
+    }
     let by_capacity = tasks_that_fit(&unit.step.reserved(), &free[host]);
     match unit.step.spread_limit {
         0 => by_capacity,
@@ -138,6 +141,11 @@
     fullest.sort_by_key(|(_, host)| {
         (free[*host].accelerators, free[*host].weight_millicores(), *host)
     });
+    if unit.is_suspect {
+        // The emptiest first: as few runs as possible are lost if it crashes the host.
+        fullest.reverse();
+        fullest.sort_by_key(|(_, host)| pool.has_starting_run(&unit.id.job, *host));
+    }
     let slots =
         fullest.into_iter().flat_map(|(tasks, host)| std::iter::repeat_n(host, tasks as usize));
     Some(slots.take(wanted).collect())
--- a/src/placement/tests/loads.rs
+++ b/src/placement/tests/loads.rs
@@ -12,7 +12,7 @@
 
 /// Progress of a run with unsaved work that is far from its end.
 fn progress(unsaved_ms: u64) -> Progress {
-    Progress { unsaved_ms, left_ms: 60_000 }
+    Progress { unsaved_ms, left_ms: 60_000, ..Progress::default() }
 }
 
 /// Guards against first come first served under overload, which makes every job late: a job that
@@ -250,7 +250,7 @@
     for (job, tasks, left_ms) in [(1, 8, 9_000), (2, 4, 4_000)] {
         for number in 0..tasks {
             let run = (UnitId { unit: number, ..unit(job) }, 1);
-            inputs.progress.insert(run, Progress { unsaved_ms: 0, left_ms });
+            inputs.progress.insert(run, Progress { left_ms, ..Progress::default() });
         }
     }
     sample.end(&job_id(1), 0, 1, 0, crate::tasks::EndKind::Done);
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -6,4 +6,5 @@
 mod pool_view;
 mod progress;
 mod services;
+mod suspects;
 mod times;
--- /dev/null
+++ b/src/placement/tests/suspects.rs
@@ -0,0 +1,229 @@
+//! Tasks under which upstreams crash: those that cause it, and those that do not.
+
+use rstest::rstest;
+
+use super::pool_view::{Inputs, decide, decide_and_start, starts};
+use crate::cluster::codec;
+use crate::placement::{Plan, Progress};
+use crate::tasks::tests::sample::{Sample, gang, heartbeat, job_id, step};
+use crate::tasks::{Change, CrashedRun, Heartbeat, JobState, State, TaskId, UnitId};
+
+/// Time between two rounds of crashes, longer than the spread of an outage.
+const ROUND_MS: u64 = 4_000;
+
+/// Rounds after which every task that crashes its upstreams must have been given up.
+const ROUNDS: u64 = 8;
+
+/// Starts after which a task that crashes its upstreams must have been given up.
+const STARTS_MAX: u32 = 5;
+
+fn unit(job: u64) -> UnitId {
+    UnitId { job: job_id(job), occurrence: 0, step: 0, unit: 0 }
+}
+
+fn runs_of(sample: &Sample, job: u64) -> u32 {
+    sample.state.jobs[&job_id(job)].unit(0, 0, 0).unwrap().run
+}
+
+fn state_of(sample: &Sample, job: u64) -> JobState {
+    sample.state.jobs[&job_id(job)].state()
+}
+
+/// Crashes a host that then registers again; `alive_ms` tells for how long a task was seen alive.
+fn crash(sample: &mut Sample, host: u32, alive_ms: impl Fn(&TaskId) -> Option<u64>) {
+    let upstream = &sample.state.upstreams[&heartbeat(host).id];
+    let incarnation = upstream.incarnation();
+    let born_unix_ms = incarnation.born_unix_ms + 1;
+    let crashed = |(task, run)| {
+        let seen_alive_ms = alive_ms(&task);
+        CrashedRun { task, run, seen_alive_ms }
+    };
+    let runs = sample.state.possibly_crashed_runs(&incarnation);
+    let runs = runs.into_iter().map(crashed).collect();
+    sample.apply(Change::RecordCrash { incarnation, runs });
+    sample.apply(Change::RegisterUpstream {
+        heartbeat: Heartbeat { born_unix_ms, ..heartbeat(host) },
+    });
+}
+
+/// Returns the hosts on which a job runs.
+fn hosts_of(sample: &Sample, job: u64) -> Vec<u32> {
+    let unit = sample.state.jobs[&job_id(job)].unit(0, 0, 0).unwrap();
+    let id = |host: &u32| heartbeat(*host).id;
+    let runs_on = |host: &u32| unit.members().iter().any(|m| m.incarnation.id == id(host));
+    (0..u32::try_from(sample.state.upstreams.len()).unwrap()).filter(runs_on).collect()
+}
+
+fn place(sample: &mut Sample, inputs: &Inputs) -> Plan {
+    let plan = decide_and_start(sample, inputs);
+    sample.apply(Change::GiveUp { units: plan.give_ups.clone() });
+    plan
+}
+
+/// Lets the given jobs crash the hosts on which they start, until they are given up.
+fn play_deadly(sample: &mut Sample, deadly: &[u64]) {
+    for round in 0..ROUNDS {
+        place(sample, &Inputs::default());
+        for &job in deadly {
+            for host in hosts_of(sample, job) {
+                let is_deadly = |task: &TaskId| task.job == job_id(job);
+                crash(sample, host, |task| Some(if is_deadly(task) { 0 } else { 2_000 }));
+            }
+        }
+        sample.at((round + 1) * ROUND_MS);
+    }
+    place(sample, &Inputs::default());
+}
+
+/// Guards against tasks that crash upstreams without end, alone or several at the same time.
+#[rstest]
+#[case::one(1, step(1, 1), 2)]
+#[case::a_gang(1, gang(3, 8), 2)]
+#[case::five_at_once(5, step(1, 8), 2)]
+#[case::more_than_an_outage(12, step(1, 8), 5)]
+fn tasks_that_crash_their_upstreams_are_given_up(
+    #[case] jobs: u64,
+    #[case] step: crate::tasks::StepSpec,
+    #[case] starts_expected: u32,
+) {
+    let mut sample = Sample::with_hosts(48);
+    let deadly: Vec<u64> = (1..=jobs).collect();
+    for &job in &deadly {
+        sample.accept(job, "normal", vec![step.clone()]);
+    }
+    play_deadly(&mut sample, &deadly);
+    for &job in &deadly {
+        assert_eq!(state_of(&sample, job), JobState::Failed, "job {job}");
+        let starts = runs_of(&sample, job);
+        assert!(starts <= STARTS_MAX.min(starts_expected), "job {job}: {starts} starts");
+    }
+}
+
+/// Guards against giving up a job because of a neighbour that crashes their upstream, also if both
+/// had just started there.
+#[rstest]
+#[case::running_for_a_while(Some(3_000))]
+#[case::just_started(Some(0))]
+fn a_neighbour_of_a_task_that_crashes_its_upstream_goes_on(#[case] alive_ms: Option<u64>) {
+    let mut sample = Sample::with_hosts(16);
+    sample.accept(1, "normal", vec![step(1, 1)]);
+    sample.accept(2, "normal", vec![step(1, 1)]);
+    for round in 0..ROUNDS {
+        place(&mut sample, &Inputs::default());
+        for host in hosts_of(&sample, 1) {
+            crash(&mut sample, host, |task| if task.job == job_id(1) { Some(0) } else { alive_ms });
+        }
+        sample.at((round + 1) * ROUND_MS);
+    }
+    assert_eq!(state_of(&sample, 1), JobState::Failed);
+    assert!(runs_of(&sample, 1) <= 3, "{} starts", runs_of(&sample, 1));
+    assert_eq!(state_of(&sample, 2), JobState::Active);
+}
+
+/// Guards against giving up jobs whose upstreams crash in outages, however often.
+#[rstest]
+#[case::just_started(Some(0))]
+#[case::start_not_answered(None)]
+#[case::running_for_a_while(Some(3_000))]
+fn jobs_go_on_after_outages(#[case] alive_ms: Option<u64>) {
+    let mut sample = Sample::with_hosts(48);
+    for job in 1..=24 {
+        sample.accept(job, "normal", vec![step(1, 8)]);
+    }
+    for round in 0..ROUNDS {
+        place(&mut sample, &Inputs::default());
+        for host in 0..24 {
+            crash(&mut sample, host, |_| alive_ms);
+            // They register again one after the other.
+            sample.at(round * ROUND_MS + u64::from(host) * 40);
+        }
+        sample.at((round + 1) * ROUND_MS);
+    }
+    for job in 1..=24 {
+        assert_eq!(state_of(&sample, job), JobState::Active, "job {job}");
+    }
+}
+
+/// Guards against giving up a job that ran well for a while on upstreams that crash again and again
+/// without it.
+#[test]
+fn unstable_upstreams_do_not_fail_jobs() {
+    let mut sample = Sample::with_hosts(4);
+    for round in 0..ROUNDS {
+        for host in 0..4 {
+            sample.at(round * 20_000 + u64::from(host) * 5_000);
+            let alive_ms = Some(3_000);
+            crash(&mut sample, host, |_| alive_ms);
+            if round == 0 && host == 3 {
+                sample.accept(1, "normal", vec![step(1, 8)]);
+            }
+            place(&mut sample, &Inputs::default());
+        }
+    }
+    assert!(runs_of(&sample, 1) > 4, "it has lost runs");
+    assert_eq!(state_of(&sample, 1), JobState::Active);
+}
+
+/// Guards against crashes that are forgotten: a host that starts again from a snapshot, or leads
+/// after another one, goes on counting.
+#[test]
+fn crashes_outlive_a_snapshot_and_a_new_leader() {
+    let mut sample = Sample::with_hosts(16);
+    sample.accept(1, "normal", vec![step(1, 1)]);
+    for round in 0..2 {
+        place(&mut sample, &Inputs::default());
+        let host = hosts_of(&sample, 1)[0];
+        crash(&mut sample, host, |_| Some(0));
+        sample.at((round + 1) * ROUND_MS);
+        let mut restored: State = codec::decode(&codec::encode(&sample.state)).unwrap();
+        restored.rebuild();
+        sample.state = restored;
+    }
+    assert_eq!(decide(&sample, &Inputs::default()).give_ups, [unit(1)]);
+}
+
+/// Guards against a task that is restarted without end because its upstream comes back only after
+/// the lease has ended, when the run is recorded as lost already.
+#[test]
+fn a_crash_counts_after_the_lease_has_ended() {
+    let mut sample = Sample::with_hosts(16);
+    sample.accept(1, "normal", vec![step(1, 1)]);
+    for round in 0..2 {
+        place(&mut sample, &Inputs::default());
+        let host = hosts_of(&sample, 1)[0];
+        let incarnation = sample.state.upstreams[&heartbeat(host).id].incarnation();
+        let lost = |(task, run)| crate::tasks::LostRun { task, run, checkpoint: None };
+        let runs = sample.state.runs_of(&incarnation).into_iter().map(lost).collect();
+        sample.apply(Change::RecordLost { incarnation, runs });
+        crash(&mut sample, host, |_| Some(0));
+        sample.at((round + 1) * ROUND_MS);
+    }
+    assert_eq!(decide(&sample, &Inputs::default()).give_ups, [unit(1)]);
+}
+
+/// Guards against a suspect that takes more work down with it: it starts on the emptiest host, and
+/// nothing starts beside it until it has survived its start.
+#[test]
+fn a_suspect_starts_apart() {
+    let mut sample = Sample::with_hosts(3);
+    sample.accept(1, "normal", vec![step(1, 1)]);
+    place(&mut sample, &Inputs::default());
+    let host = hosts_of(&sample, 1)[0];
+    crash(&mut sample, host, |_| Some(0));
+    for job in 2..=3 {
+        sample.accept(job, "normal", vec![step(1, 3)]);
+        sample.start(&job_id(job), 0, 1, &[u32::try_from(job).unwrap() - 1]);
+    }
+    let mut inputs = Inputs::default();
+    for job in 2..=3 {
+        let proven = Progress { seen_alive_ms: 2_000, ..Progress::default() };
+        inputs.progress.insert((unit(job), 1), proven);
+    }
+    place(&mut sample, &inputs);
+    assert_eq!(hosts_of(&sample, 1), [0]);
+    sample.accept(4, "normal", vec![step(1, 6)]);
+    assert!(decide(&sample, &inputs).starts.is_empty(), "only the suspect's host has room");
+    inputs.progress.insert((unit(1), 2), Progress { seen_alive_ms: 600, ..Progress::default() });
+    let plan = decide(&sample, &inputs);
+    insta::assert_snapshot!(starts(&plan).join("\n"), @"0000000000000004.0.0.0 run 1: host-00");
+}
--- a/src/replay/hosts.rs
+++ b/src/replay/hosts.rs
@@ -207,6 +207,7 @@
         let progress = |run: &Run| Progress {
             unsaved_ms: run.worked_ms(now_ms) - run.saved_ms(now_ms),
             left_ms: run.done_at_ms.saturating_sub(now_ms),
+            seen_alive_ms: run.worked_ms(now_ms),
         };
         self.runs.iter().map(|(key, run)| (key.clone(), progress(run))).collect()
     }
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -7,7 +7,7 @@
 
 use super::command::{Change, Command, EndRecord, LostRun, StartRecord};
 use super::configuration::Configuration;
-use super::ids::{JobId, TaskId};
+use super::ids::{JobId, TaskId, UnitId};
 use super::job::{Job, Member, Outcome, Phase};
 use super::spec::JobSpec;
 use super::state::{JobEvent, State};
@@ -46,10 +46,13 @@
                 }
             }
             Change::DropJobs { jobs } => {
-                for id in jobs {
-                    self.jobs.remove(&id);
+                for id in &jobs {
+                    self.jobs.remove(id);
                 }
+                self.task_crashes.retain(|task, _| !jobs.contains(&task.job));
             }
+            Change::RecordCrash { incarnation, runs } => self.record_crash(&incarnation, &runs),
+            Change::GiveUp { units } => units.iter().for_each(|unit| self.give_up(unit)),
         }
     }
 
@@ -108,6 +111,8 @@
             return;
         }
         for (member, incarnation) in (0_u32..).zip(&start.incarnations) {
+            // It takes work again, so it has not crashed.
+            self.lapsed_runs.remove(incarnation);
             let runs = self.running.entry(incarnation.clone()).or_default();
             runs.insert(unit_id.task(member), start.run);
         }
@@ -142,6 +147,8 @@
     }
 
     fn record_lost_runs(&mut self, incarnation: &Incarnation, runs: Vec<LostRun>) {
+        let lapsed = runs.iter().map(|lost| (lost.task.clone(), lost.run)).collect();
+        self.lapsed_runs.insert(incarnation.clone(), lapsed);
         for lost in runs {
             self.end_run(incarnation, &lost.task, lost.run, EndKind::Lapsed, lost.checkpoint);
         }
@@ -212,6 +219,19 @@
         }
     }
 
+    /// Gives up a unit that does not run; its job fails.
+    fn give_up(&mut self, id: &UnitId) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&id.job).filter(|job| job.outcome.is_none()) else {
+            return;
+        };
+        let Some(unit) = job.unit_mut(id.occurrence, id.step, id.unit) else { return };
+        if unit.phase == Phase::Waiting {
+            unit.phase = Phase::GivenUp;
+            self.events.extend(end_job(job, Outcome::Failed, now_ms));
+        }
+    }
+
     /// Counts a unit of a step as done; the job completes with its last unit.
     fn close_unit(&mut self, task: &TaskId, now_ms: u64) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
@@ -240,7 +260,7 @@
         self.upstreams.insert(Arc::clone(&heartbeat.id), Upstream { heartbeat, ends_seen });
     }
 
-    fn remove_upstream(&mut self, incarnation: &Incarnation) {
+    pub(super) fn remove_upstream(&mut self, incarnation: &Incarnation) {
         if self.is_registered(incarnation) {
             self.upstreams.remove(&incarnation.id);
         }
@@ -249,6 +269,7 @@
 
     /// Ends all runs of an upstream that has left or restarted.
     fn end_all_runs(&mut self, incarnation: &Incarnation) {
+        self.lapsed_runs.remove(incarnation);
         for (task, run) in self.runs_of(incarnation) {
             self.end_run(incarnation, &task, run, EndKind::Lapsed, None);
         }
--- a/src/tasks/command.rs
+++ b/src/tasks/command.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use super::configuration::Configuration;
+use super::crash::CrashedRun;
 use super::ids::{JobId, TaskId, UnitId};
 use super::spec::JobSpec;
 use super::upstream::{EndKind, Heartbeat, Incarnation};
@@ -65,6 +66,10 @@
     SetMachineState { wave: u64, machine: Arc<str>, state: MachineState },
     /// Drops ended jobs whose retention period is over.
     DropJobs { jobs: Vec<JobId> },
+    /// Removes an upstream that has crashed and records the runs that it may have had.
+    RecordCrash { incarnation: Incarnation, runs: Vec<CrashedRun> },
+    /// Gives up units under which upstreams crash; their jobs fail.
+    GiveUp { units: Vec<UnitId> },
 }
 
 /// A change and the cluster time at which the leader proposed it.
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::configuration::{Configuration, Queue};
+use super::crash::{TaskCrashes, UpstreamCrashes};
 use super::ids::{JobId, TaskId};
 use super::job::{Job, Outcome, Unit};
 use super::upstream::{Incarnation, Upstream};
@@ -38,6 +39,12 @@
     pub(crate) former_queues: BTreeMap<Arc<str>, Queue>,
     /// Waves of maintenance, by number.
     pub(crate) waves: BTreeMap<u64, Wave>,
+    /// Crashes of upstreams under tasks whose jobs are kept.
+    pub(super) task_crashes: BTreeMap<TaskId, TaskCrashes>,
+    pub(super) upstream_crashes: UpstreamCrashes,
+    /// Runs that were recorded as lost when the lease of a silent upstream had ended. It may turn out
+    /// to have crashed.
+    pub(super) lapsed_runs: BTreeMap<Incarnation, Vec<(TaskId, u32)>>,
     /// Job events since the last call of [`State::take_events`].
     #[serde(skip)]
     pub(super) events: Vec<JobEvent>,
