Count what a shrunk host has in use beyond its capacity

What callers would see: an urgent job that waits for one round of stops after the other, and work of others stopped on a host where the job does not fit afterwards.

Cause: free capacity stopped at zero, so a host with eight accelerators in use of four looked merely full. Whatever was released there counted as free at once. Free capacity now remembers the excess, which released capacity makes up first; preemption, rotation and drains use it alike.

--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -11,6 +11,7 @@
 use super::{ClientFault, LeaderClient, Request};
 
 mod budget;
+mod capacities;
 mod crashes;
 mod fake_worker;
 mod messages;
--- a/src/cluster/tests/promises.rs
+++ b/src/cluster/tests/promises.rs
@@ -13,7 +13,7 @@
 /// Lease of the upstreams in these tests.
 pub(super) const LEASE_MS: u64 = 4_000;
 
-fn call(number: u64, action: Action) -> Request {
+pub(super) fn call(number: u64, action: Action) -> Request {
     Request::Front(FrontCall {
         host: "jobs.example".to_owned(),
         path: format!("/normal/{}", job_id(number)),
--- a/src/placement/approvals.rs
+++ b/src/placement/approvals.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
+use super::free_capacity::FreeCapacity;
 use super::{Host, View, is_eligible};
 use crate::tasks::{Incarnation, JobId, StepSpec, UnitId};
 
@@ -107,7 +108,7 @@
 /// Selects the upstreams to request approval for; `None` if all answers are known.
 pub(super) fn approval_request(
     view: &View<'_>,
-    free: &[crate::tasks::Resources],
+    free: &[FreeCapacity],
     unit: &UnitId,
     (step, service, valid_ms): (&StepSpec, &str, u64),
 ) -> Option<ApprovalRequest> {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,6 +7,7 @@
 mod approvals;
 mod drain;
 mod forecast;
+mod free_capacity;
 mod headroom;
 mod order;
 mod pacing;
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -5,6 +5,7 @@
 
 use smallvec::SmallVec;
 
+use super::free_capacity::FreeCapacity;
 use super::order::WaitingUnit;
 use super::room::tasks_that_fit;
 use super::suspects::{is_suspect, survived_start};
@@ -38,11 +39,11 @@
 #[derive(Debug)]
 pub(super) struct Pool {
     /// Capacity that is free now.
-    pub(super) free: Vec<Resources>,
+    pub(super) free: Vec<FreeCapacity>,
     /// Capacity that will be free once all stopping runs have ended.
-    pub(super) free_after_stops: Vec<Resources>,
+    pub(super) free_after_stops: Vec<FreeCapacity>,
     /// The same plus what is reserved for waiting units: capacity that changes hands.
-    unoccupied_after_stops: Vec<Resources>,
+    unoccupied_after_stops: Vec<FreeCapacity>,
     /// Indices of the hosts in each rack.
     pub(super) racks: BTreeMap<Arc<str>, Vec<usize>>,
     tasks_of_step: HashMap<StepOnHost, u32>,
@@ -79,9 +80,11 @@
             .enumerate()
             .map(|(number, host)| (&host.incarnation, number))
             .collect();
+        let capacities: Vec<_> =
+            view.hosts.iter().map(|host| FreeCapacity::new(host.capacity)).collect();
         let mut pool = Self {
-            free: view.hosts.iter().map(|host| host.capacity).collect(),
-            free_after_stops: view.hosts.iter().map(|host| host.capacity).collect(),
+            free_after_stops: capacities.clone(),
+            free: capacities,
             unoccupied_after_stops: Vec::new(),
             racks: BTreeMap::new(),
             tasks_of_step: HashMap::new(),
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -4,6 +4,7 @@
 //! is fragmented. Tasks go to the fullest host that still has capacity, and gangs to the fullest
 //! rack, so that whole hosts and racks stay free.
 
+use super::free_capacity::FreeCapacity;
 use super::order::WaitingUnit;
 use super::pool::Pool;
 use super::{StepId, View, is_eligible};
@@ -22,7 +23,7 @@
 pub(super) fn find_hosts_in(
     view: &View<'_>,
     pool: &Pool,
-    free: &[Resources],
+    free: &[FreeCapacity],
     unit: &WaitingUnit<'_>,
 ) -> Option<Vec<usize>> {
     let groups = host_groups(view, pool, unit);
@@ -103,7 +104,7 @@
 pub(super) fn tasks_for_host(
     view: &View<'_>,
     pool: &Pool,
-    free: &[Resources],
+    free: &[FreeCapacity],
     unit: &WaitingUnit<'_>,
     host: usize,
 ) -> u32 {
@@ -124,7 +125,7 @@
 pub(super) fn fill_fullest_hosts(
     view: &View<'_>,
     pool: &Pool,
-    free: &[Resources],
+    free: &[FreeCapacity],
     unit: &WaitingUnit<'_>,
     hosts: &[usize],
 ) -> Option<Vec<usize>> {
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the placement decisions.
 
 mod admissions;
+mod capacities;
 mod loads;
 mod places;
 mod pool_view;
