Do not take silence of an upstream for a hanging run

What callers saw: runs of an upstream that was silent for 2.5 to 3.3 s were stopped as hanging, their jobs kept away from it for 15 s, and the upstream set aside.

Cause: the time without progress was counted up to now, although nothing was known of the run since its upstream's last lists. It now counts up to the last lists. The test failed before.

--- a/src/cluster/leader/failures.rs
+++ b/src/cluster/leader/failures.rs
@@ -60,7 +60,9 @@
             let Some((unit, run)) = unit_of(state, &key) else { continue };
             let Some((job, ..)) = state.find_task(task) else { continue };
             let step = &job.spec.steps[task.step as usize];
-            let stalled_ms = now_ms.saturating_sub(observed.advanced_ms);
+            // Nothing is known of the time since the lists were last read.
+            let known_until_ms = observed.last_listed_ms.min(now_ms);
+            let stalled_ms = known_until_ms.saturating_sub(observed.advanced_ms);
             // A member of a gang that has finished its part waits for the others.
             let unfinished = observed.percent < 100;
             let over_limit = unfinished && stalled_ms > hang_after_ms(step.estimate_ms);
--- a/src/cluster/leader/tests/hanging.rs
+++ b/src/cluster/leader/tests/hanging.rs
@@ -44,6 +44,18 @@
     assert!(find_hanging_runs(&sample.state, sessions.iter(), &HashSet::new(), 3_400).is_empty());
 }
 
+/// Guards against stopping work whose upstream is only silent: its lists do not show whether the work
+/// advances.
+#[test]
+fn runs_of_a_silent_upstream_do_not_hang() {
+    let mut sample = Sample::with_hosts(1);
+    let job = sample.accept(1, "urgent", vec![step(1, 8)]);
+    sample.start(&job, 0, 1, &[0]);
+    let sessions =
+        [session(0, &[(1_000, vec![listed(&job, 0, 5)]), (2_500, vec![listed(&job, 0, 9)])])];
+    assert!(find_hanging_runs(&sample.state, sessions.iter(), &HashSet::new(), 5_100).is_empty());
+}
+
 /// Guards against stopping a healthy gang: its members end together, so one that has finished its
 /// part stays at 100 percent.
 #[test]
