Report the runs of a lost upstream once

The heartbeat of its successor and the answer to a call in flight both show that an upstream was replaced, and each wrote a line for each run.

--- a/src/cluster/leader/losses.rs
+++ b/src/cluster/leader/losses.rs
@@ -4,6 +4,7 @@
 
 use tracing::warn;
 
+use super::session::Session;
 use super::{Leader, TaskRun};
 use crate::cluster::replica::NotConfirmed;
 use crate::tasks::{
@@ -65,7 +66,10 @@
             let state = &inner.state;
             (state.runs_of(incarnation), state.possibly_crashed_runs(incarnation))
         };
-        self.report_lost_runs(incarnation, &runs, loss);
+        // Its successor's heartbeat and the answer to a call may both show the loss.
+        if self.is_loss_new(incarnation) {
+            self.report_lost_runs(incarnation, &runs, loss);
+        }
         let incarnation = incarnation.clone();
         if loss != Loss::Crashed {
             return self.replica.propose(Change::RemoveUpstream { incarnation }).await;
@@ -78,6 +82,13 @@
         self.replica.propose(Change::RecordCrash { incarnation, runs }).await
     }
 
+    fn is_loss_new(&self, incarnation: &Incarnation) -> bool {
+        let mut term_state = self.term_state();
+        let session = term_state.sessions.get_mut(&incarnation.id);
+        let session = session.filter(|session| session.incarnation == *incarnation);
+        session.is_none_or(Session::report_loss_once)
+    }
+
     /// Reads the lists soon after the start of a suspect, which show whether it has survived.
     pub(super) async fn check_suspect(&self, incarnation: &Incarnation, (task, _): &TaskRun) {
         if self.replica.lock().state.crashes_of(task).is_empty() {
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -53,6 +53,7 @@
 
 /// Session with one incarnation of an upstream; all times are on this host's boot clock unless
 /// they say otherwise.
+#[expect(clippy::struct_excessive_bools, reason = "independent properties")]
 #[derive(Debug)]
 pub(super) struct Session {
     pub(super) incarnation: Incarnation,
@@ -77,6 +78,8 @@
     order_unanswered: bool,
     /// Whether it has announced that it leaves; it is removed once it no longer answers.
     pub(super) leaving: bool,
+    /// Whether the loss of its runs was reported.
+    loss_reported: bool,
     /// Interrupts the current long poll so that the lists are read at once.
     pub(super) read_now: Arc<Notify>,
     /// When the last heartbeat arrived.
@@ -105,6 +108,7 @@
             lease_max_ms,
             order_unanswered: false,
             leaving: false,
+            loss_reported: false,
             read_now: Arc::default(),
             last_heartbeat_ms: now_ms,
         }
@@ -189,6 +193,11 @@
         self.runs = runs;
     }
 
+    /// Returns true at the first call, when the loss of its runs is to be reported.
+    pub(super) fn report_loss_once(&mut self) -> bool {
+        !std::mem::replace(&mut self.loss_reported, true)
+    }
+
     /// Returns for how long a run was seen alive, or `None` if it may not have started at all.
     pub(super) fn seen_alive_ms(&self, key: &TaskRun) -> Option<u64> {
         let (task, run) = key;
--- a/src/placement/tests/suspects.rs
+++ b/src/placement/tests/suspects.rs
@@ -120,6 +120,21 @@
     assert_eq!(state_of(&sample, 2), JobState::Active);
 }
 
+/// Guards against giving up a job that shares its upstream with one culprit after the other.
+#[test]
+fn a_neighbour_of_many_tasks_that_crash_their_upstream_goes_on() {
+    let mut sample = Sample::with_hosts(1);
+    sample.accept(1, "normal", vec![step(1, 1)]);
+    for round in 0..ROUNDS {
+        sample.accept(10 + round, "normal", vec![step(1, 1)]);
+        place(&mut sample, &Inputs::default());
+        crash(&mut sample, 0, |task| Some(if task.job == job_id(1) { 2_000 } else { 0 }));
+        sample.at((round + 1) * ROUND_MS);
+    }
+    assert_eq!(runs_of(&sample, 1), u32::try_from(ROUNDS).unwrap());
+    assert_eq!(state_of(&sample, 1), JobState::Active);
+}
+
 /// Guards against giving up jobs whose upstreams crash in outages, however often.
 #[rstest]
 #[case::just_started(Some(0))]
