Do not count a crash against a run that a starting neighbour explains

What callers would see: a long job given up because it shared its upstreams with four culprits, one after the other (error of the second kind).

Cause: a run that had survived its start counted as a hint although another job was just starting beside it, which explains the crash. Such a run is now out of the question; the test failed before.

--- a/src/placement/suspects.rs
+++ b/src/placement/suspects.rs
@@ -58,17 +58,16 @@
         // Several tasks may crash their upstreams at the same time, which is no outage.
         let in_outage = is_share(crash.elsewhere.unexplained, OUTAGE_SHARE_PERCENT);
         let in_large_outage = is_share(crash.elsewhere.crashes, LARGE_OUTAGE_SHARE_PERCENT);
-        let excused = in_outage || in_large_outage || crash.upstream_unstable;
+        let excused =
+            in_outage || in_large_outage || crash.upstream_unstable || crash.others_suspect;
         match (crash.survived_start, excused) {
             (true, true) => Self::None,
             (false, true) if in_large_outage => Self::Hidden,
-            (false, false) if crash.started && !crash.others_suspect => Self::Proof,
+            (false, false) if crash.started => Self::Proof,
             _ => Self::Hint,
         }
     }
-}
 
-impl Evidence {
     fn counts(self) -> bool {
         matches!(self, Self::Proof | Self::Hint)
     }
