Mend two lints in the test of the batch share

The count of waiting requests cannot exceed the number of callers, so at least as many means the same.

--- a/tests/request_path/shares.rs
+++ b/tests/request_path/shares.rs
@@ -28,7 +28,7 @@
 ";
 
 /// Longest time that requests wait in a test of the order of dispatches.
-const ORDER_WAIT_MAX: Duration = Duration::from_secs(60);
+const ORDER_WAIT_MAX: Duration = Duration::from_mins(1);
 
 /// Number of first dispatches whose classes are counted. When they have been made, requests of each
 /// class still wait.
@@ -72,7 +72,7 @@
     let interactive_callers = spawn(interactive, &request);
     let batch_callers = spawn(batch, &request.clone().batch());
     eventually("all requests wait", ORDER_WAIT_MAX / 2, || {
-        cluster.sum_metrics(0, "cactuslatch_entry_parked") == f64::from(interactive + batch)
+        cluster.sum_metrics(0, "cactuslatch_entry_parked") >= f64::from(interactive + batch)
     });
     cluster.add_standin(0);
     let count_first = |callers: Vec<_>| {
