Give up requests that lose upstream after upstream

What callers would see: one idempotent request that crashes each upstream that starts it takes down as many as the retry budget allows, with all requests that run beside it.

Cause: the same class as the crash loop of tasks, a retry without a budget of its own. An attempt that has no answer after it was sent counted for nothing but the caller's outcome. Requests that are not idempotent are not affected: they are sent again only if they have certainly not started, or after a sign-off.

Now the third attempt that may have run and has no answer is the last; the outcome is unknown, as before, and at once. An attempt that has not started, or that was not delivered, does not count, so an outage that is over before the request is sent again costs nothing. The error on the other side: a request whose three upstreams were lost for other causes is unknown, too; its caller may send it again. Each such attempt and each request given up has a line in the log, and the metric given_up counts the latter.

--- a/src/entry/idempotent.rs
+++ b/src/entry/idempotent.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use tokio::time::{Duration, Instant};
+use tracing::warn;
 
 use super::EntryHost;
 use super::attempt::Payload;
@@ -15,6 +16,10 @@
 use crate::names::UpstreamName;
 use crate::outcome::{NotRun, NotRunCause, Outcome};
 
+/// Number of attempts that may have run and have no answer after which a request is given up: it may
+/// crash each upstream that starts it.
+const LOST_ATTEMPTS_MAX: u32 = 3;
+
 /// Runs an idempotent request.
 pub(crate) async fn run(
     host: &Arc<EntryHost>,
@@ -23,15 +28,16 @@
 ) -> Outcome {
     host.retry_budget.deposit();
     let mut avoid = None;
-    let mut may_have_run = false;
+    let mut lost_attempts = 0;
     let mut attempt = 0;
     loop {
         attempt += 1;
         let slot = match take_slot(host, request, in_force, avoid).await {
             Ok(slot) => slot,
-            Err(reason) => return give_up(may_have_run, reason),
+            Err(reason) => return give_up(lost_attempts, reason),
         };
-        avoid = Some(slot.upstream().clone());
+        let upstream = slot.upstream().clone();
+        avoid = Some(upstream.clone());
         let reason = match attempt_once(host, request, slot, attempt).await {
             Ok(done) => return done,
             // An undelivered attempt put no load on the upstream, so its retry takes no budget. The
@@ -40,17 +46,24 @@
             Err(AttemptFailure::NotDelivered) => NOT_DELIVERED_REASON.to_owned(),
             Err(AttemptFailure::NotStarted(reason)) => reason,
             Err(AttemptFailure::Unknown(reason)) => {
-                may_have_run = true;
+                lost_attempts += 1;
+                warn!(request = %request.key(), %upstream, attempt, %reason, "attempt has no answer");
                 reason
             }
         };
         if request.remaining().is_zero() || request.caller.is_disconnected() {
-            return give_up(may_have_run, NotRun::new(NotRunCause::Deadline, reason));
+            return give_up(lost_attempts, NotRun::new(NotRunCause::Deadline, reason));
+        }
+        if lost_attempts >= LOST_ATTEMPTS_MAX {
+            host.metrics.request_given_up();
+            let detail = format!("{lost_attempts} attempts have no answer; the last: {reason}");
+            warn!(request = %request.key(), lost_attempts, "request is given up");
+            return Outcome::Unknown { detail };
         }
         if !host.retry_budget.try_withdraw() {
             host.metrics.retry_refused();
             let detail = format!("the retry budget is spent; the last attempt failed: {reason}");
-            return give_up(may_have_run, NotRun::new(NotRunCause::NoCapacity, detail));
+            return give_up(lost_attempts, NotRun::new(NotRunCause::NoCapacity, detail));
         }
         host.metrics.retried();
     }
@@ -104,8 +117,8 @@
 }
 
 /// Returns the final outcome, which is unknown if an attempt may have run.
-fn give_up(may_have_run: bool, reason: NotRun) -> Outcome {
-    if may_have_run {
+fn give_up(lost_attempts: u32, reason: NotRun) -> Outcome {
+    if lost_attempts > 0 {
         Outcome::Unknown { detail: reason.to_string() }
     } else {
         Outcome::NotRun(reason)
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -50,6 +50,7 @@
     park_seconds: HistogramFamily<ParkLabels>,
     retries: Counter,
     retries_refused: Counter,
+    given_up: Counter,
     reports_lost: Counter,
     parked: Gauge,
     documents_age_ms: Gauge,
@@ -70,6 +71,7 @@
             park_seconds: Family::new_with_constructor(latency_histogram),
             retries: Counter::default(),
             retries_refused: Counter::default(),
+            given_up: Counter::default(),
             reports_lost: Counter::default(),
             parked: Gauge::default(),
             documents_age_ms: Gauge::default(),
@@ -97,6 +99,11 @@
             "Retries not made because the retry budget was spent",
             self.retries_refused.clone(),
         );
+        registry.register(
+            "given_up",
+            "Requests given up because several attempts had no answer",
+            self.given_up.clone(),
+        );
         registry.register(
             "reports_lost",
             "Outcomes that could not be reported to control",
@@ -144,6 +151,10 @@
         self.retries_refused.inc();
     }
 
+    pub(crate) fn request_given_up(&self) {
+        self.given_up.inc();
+    }
+
     pub(crate) fn report_lost(&self) {
         self.reports_lost.inc();
     }
--- a/tests/request_path/retries.rs
+++ b/tests/request_path/retries.rs
@@ -10,6 +10,9 @@
 use crate::support::load::Load;
 use crate::support::path::{ClusterOptions, Request, TestCluster};
 
+/// Upstreams that may be lost under one request.
+const LOST_UPSTREAMS_MAX: u32 = 3;
+
 /// An idempotent request must not fail while another upstream works.
 #[rstest]
 #[case::closes_before(Fault::CloseBeforeRequest)]
@@ -54,3 +57,18 @@
     assert!(retries <= requests * 0.1 + floor, "{retries} retries of {requests} requests");
     assert!(requests > 200.0, "too few requests for an overload: {requests}");
 }
+
+/// A request that crashes each upstream that starts it must not be sent to one after the other.
+#[rstest]
+#[case::crashes_at_once(Fault::CloseAfterRequest)]
+#[case::falls_silent(Fault::DropAnswers)]
+fn a_request_is_given_up_after_it_has_lost_several_upstreams(#[case] fault: Fault) {
+    let cluster = TestCluster::start(ClusterOptions { standins: 6, ..ClusterOptions::default() });
+    // Until then the retry budget fills up.
+    cluster.wait_for_lending();
+    cluster.standin_links.iter().for_each(|link| link.fault_all(fault));
+    let response = Request::idempotent().work_ms(1_000).timeout_ms(10_000).send(&cluster.client(0));
+    assert_eq!(response.outcome(), "unknown", "{response:?}");
+    let starts = cluster.started();
+    assert!(starts <= LOST_UPSTREAMS_MAX, "{starts} upstreams started it: {response:?}");
+}
