Date a crash by the time its upstream was last heard of

What callers would see: jobs given up after outages of their upstreams, if these come back one by one. The postmortem listed it as open: a crash was dated by the return of its upstream, so upstreams lost together and back over 2 s apart were no outage.

Cause: of two times, the loss and its record, only the second was kept. The command now carries for how long the leader had not heard of the upstream, by answer or heartbeat, and crashes are compared by that. The verdict waits from the record, as before.

The test (24 of 48 upstreams lost at once, back 3 s apart, eight times) failed before in all three forms, with jobs given up, and passes now. The tests of tasks that crash their upstreams, alone, as gangs and in step, pass as before.

The records of crashes and what they say now stand in a module of their own, crashes, without the types of the task state: the project's own scheduler needs them, too.

--- a/src/cluster/leader/losses.rs
+++ b/src/cluster/leader/losses.rs
@@ -6,10 +6,10 @@
 
 use super::session::Session;
 use super::{Leader, TaskRun};
+use crate::cluster::clock::boot_ms;
 use crate::cluster::replica::NotConfirmed;
-use crate::tasks::{
-    Change, CrashedRun, Incarnation, MachineState, SURVIVED_START_MS, UnitId, Wave,
-};
+use crate::crashes::{CrashedRun, SURVIVED_START_MS};
+use crate::tasks::{Change, Incarnation, MachineState, UnitId, Wave};
 
 /// Time after a suspect's start at which the upstream's lists show whether it has survived.
 const SUSPECT_CHECK_DELAY: Duration = Duration::from_millis(SURVIVED_START_MS + 100);
@@ -76,10 +76,19 @@
         }
         let crashed = |key: TaskRun| {
             let seen_alive_ms = self.seen_alive_ms(&incarnation, &key);
-            CrashedRun { task: key.0, run: key.1, seen_alive_ms }
+            CrashedRun { subject: key.0, run: u64::from(key.1), seen_alive_ms }
         };
         let runs = suspects.into_iter().map(crashed).collect();
-        self.replica.propose(Change::RecordCrash { incarnation, runs }).await
+        let silent_ms = self.silent_ms(&incarnation);
+        self.replica.propose(Change::RecordCrash { incarnation, runs, silent_ms }).await
+    }
+
+    /// Returns the time since an upstream was last heard of.
+    fn silent_ms(&self, incarnation: &Incarnation) -> u64 {
+        let term_state = self.term_state();
+        let session = term_state.sessions.get(&incarnation.id);
+        let session = session.filter(|session| session.incarnation == *incarnation);
+        session.map_or(0, |session| boot_ms().saturating_sub(session.last_heard_ms()))
     }
 
     fn is_loss_new(&self, incarnation: &Incarnation) -> bool {
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -144,6 +144,12 @@
         self.contact.map(|contact| now_ms.saturating_sub(contact.received_ms))
     }
 
+    /// Returns when the last answer or heartbeat arrived.
+    pub(super) fn last_heard_ms(&self) -> u64 {
+        let answered_ms = self.contact.map_or(0, |contact| contact.received_ms);
+        answered_ms.max(self.last_heartbeat_ms)
+    }
+
     /// Records that an order had no answer; the upstream gets no new work until it answers again.
     pub(super) fn record_unanswered_order(&mut self) {
         self.order_unanswered = true;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cluster;
 pub mod config;
 pub mod control;
+mod crashes;
 pub mod daemon_util;
 pub mod demo;
 pub mod entry;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -24,6 +24,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
+use crate::crashes::Verdict;
 use crate::tasks::{
     Incarnation, Job, JobId, Outcome, Resources, StartRecord, State, StepSpec, UnitId,
 };
@@ -39,7 +40,7 @@
 use preemption::Victims;
 pub(crate) use progress::{Progress, estimated_left_ms};
 use rotation::Rotation;
-use suspects::{Probation, Verdict};
+use suspects::Probation;
 pub(crate) use upkeep::{Candidate, evacuation_limit_ms, free_wave_slots, order_candidates};
 
 /// An upstream as a host for tasks.
@@ -146,7 +147,7 @@
     /// Starts a unit if it fits; otherwise selects runs to stop for it, if it may replace any.
     fn place(&mut self, view: &View<'_>, unit: &WaitingUnit<'_>) {
         let Self { pool, victims, rotation, drains, probation, plan } = self;
-        let verdict = Verdict::of(view, unit);
+        let verdict = suspects::verdict(view, unit);
         if verdict == Verdict::GivenUp {
             plan.give_ups.push(unit.id.clone());
             return;
--- a/src/placement/tests/suspects.rs
+++ b/src/placement/tests/suspects.rs
@@ -4,9 +4,10 @@
 
 use super::pool_view::{Inputs, decide, decide_and_start, starts};
 use crate::cluster::codec;
+use crate::crashes::CrashedRun;
 use crate::placement::{Plan, Progress};
 use crate::tasks::tests::sample::{Sample, gang, heartbeat, job_id, step};
-use crate::tasks::{Change, CrashedRun, Heartbeat, JobState, StartRecord, State, TaskId, UnitId};
+use crate::tasks::{Change, Heartbeat, JobState, StartRecord, State, TaskId, UnitId};
 
 /// Time between two rounds of crashes, longer than the spread of an outage.
 const ROUND_MS: u64 = 4_000;
@@ -31,16 +32,26 @@
 
 /// Crashes a host that then registers again; `alive_ms` tells for how long a task was seen alive.
 fn crash(sample: &mut Sample, host: u32, alive_ms: impl Fn(&TaskId) -> Option<u64>) {
+    crash_before(sample, host, 0, alive_ms);
+}
+
+/// Crashes a host that was last heard of `silent_ms` ago and now registers again.
+fn crash_before(
+    sample: &mut Sample,
+    host: u32,
+    silent_ms: u64,
+    alive_ms: impl Fn(&TaskId) -> Option<u64>,
+) {
     let upstream = &sample.state.upstreams[&heartbeat(host).id];
     let incarnation = upstream.incarnation();
     let born_unix_ms = incarnation.born_unix_ms + 1;
     let crashed = |(task, run)| {
         let seen_alive_ms = alive_ms(&task);
-        CrashedRun { task, run, seen_alive_ms }
+        CrashedRun { subject: task, run: u64::from(run), seen_alive_ms }
     };
     let runs = sample.state.possibly_crashed_runs(&incarnation);
     let runs = runs.into_iter().map(crashed).collect();
-    sample.apply(Change::RecordCrash { incarnation, runs });
+    sample.apply(Change::RecordCrash { incarnation, runs, silent_ms });
     sample.apply(Change::RegisterUpstream {
         heartbeat: Heartbeat { born_unix_ms, ..heartbeat(host) },
     });
@@ -170,6 +181,40 @@
     }
 }
 
+/// Guards against giving up jobs after outages whose upstreams come back one by one, so that their
+/// crashes are recorded far apart.
+#[rstest]
+#[case::just_started(Some(0))]
+#[case::start_not_answered(None)]
+#[case::running_for_a_while(Some(3_000))]
+fn jobs_go_on_after_outages_that_end_slowly(#[case] alive_ms: Option<u64>) {
+    const RETURN_INTERVAL_MS: u64 = 3_000;
+    let mut sample = Sample::with_hosts(48);
+    for job in 1..=24 {
+        sample.accept(job, "normal", vec![step(1, 8)]);
+    }
+    let mut now_ms = 0;
+    for _ in 0..ROUNDS {
+        place(&mut sample, &Inputs::default());
+        // Half of the hosts are lost, those that run something first.
+        let mut hosts: Vec<_> = (1..=24).flat_map(|job| hosts_of(&sample, job)).collect();
+        let idle: Vec<_> = (0..48).filter(|host| !hosts.contains(host)).collect();
+        hosts.extend(idle);
+        hosts.truncate(24);
+        let mut silent_ms = 0;
+        for host in hosts {
+            silent_ms += RETURN_INTERVAL_MS;
+            sample.at(now_ms + silent_ms);
+            crash_before(&mut sample, host, silent_ms, |_| alive_ms);
+        }
+        now_ms += 25 * RETURN_INTERVAL_MS;
+        sample.at(now_ms);
+    }
+    for job in 1..=24 {
+        assert_eq!(state_of(&sample, job), JobState::Active, "job {job}");
+    }
+}
+
 /// Guards against giving up a job that ran well for a while on upstreams that crash again and again
 /// without it.
 #[test]
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -49,9 +49,11 @@
                 for id in &jobs {
                     self.jobs.remove(id);
                 }
-                self.task_crashes.retain(|task, _| !jobs.contains(&task.job));
+                self.crashes.retain(|task| !jobs.contains(&task.job));
+            }
+            Change::RecordCrash { incarnation, runs, silent_ms } => {
+                self.record_crash(&incarnation, &runs, silent_ms);
             }
-            Change::RecordCrash { incarnation, runs } => self.record_crash(&incarnation, &runs),
             Change::GiveUp { units } => units.iter().for_each(|unit| self.give_up(unit)),
         }
     }
--- a/src/tasks/command.rs
+++ b/src/tasks/command.rs
@@ -7,11 +7,11 @@
 use smallvec::SmallVec;
 
 use super::configuration::Configuration;
-use super::crash::CrashedRun;
 use super::ids::{JobId, TaskId, UnitId};
 use super::spec::JobSpec;
 use super::upstream::{EndKind, Heartbeat, Incarnation};
 use super::wave::MachineState;
+use crate::crashes::CrashedRun;
 
 /// A run to be started.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,8 +66,9 @@
     SetMachineState { wave: u64, machine: Arc<str>, state: MachineState },
     /// Drops ended jobs whose retention period is over.
     DropJobs { jobs: Vec<JobId> },
-    /// Removes an upstream that has crashed and records the runs that it may have had.
-    RecordCrash { incarnation: Incarnation, runs: Vec<CrashedRun> },
+    /// Removes an upstream that has crashed, was last heard of `silent_ms` ago and may have had these
+    /// runs.
+    RecordCrash { incarnation: Incarnation, runs: Vec<CrashedRun<TaskId>>, silent_ms: u64 },
     /// Gives up units under which upstreams crash; their jobs fail.
     GiveUp { units: Vec<UnitId> },
 }
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -21,7 +21,6 @@
 pub use configuration::{
     Advice, Configuration, ConfigurationFault, FrontLimits, Organisation, Queue, WorkerService,
 };
-pub(crate) use crash::{CrashedRun, OUTAGE_SPREAD_MS, SURVIVED_START_MS, TaskCrash};
 pub use ids::{InvalidTaskId, JobId, TaskId, UnitId};
 pub use job::JobState;
 pub(crate) use job::{Job, Outcome, Phase, Unit};
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::configuration::{Configuration, Queue};
-use super::crash::{TaskCrashes, UpstreamCrashes};
+use super::crash::TaskCrashes;
 use super::ids::{JobId, TaskId};
 use super::job::{Job, Outcome, Unit};
 use super::upstream::{Incarnation, Upstream};
@@ -39,9 +39,7 @@
     pub(crate) former_queues: BTreeMap<Arc<str>, Queue>,
     /// Waves of maintenance, by number.
     pub(crate) waves: BTreeMap<u64, Wave>,
-    /// Crashes of upstreams under tasks whose jobs are kept.
-    pub(super) task_crashes: BTreeMap<TaskId, TaskCrashes>,
-    pub(super) upstream_crashes: UpstreamCrashes,
+    pub(crate) crashes: TaskCrashes,
     /// Runs that were recorded as lost when the lease of a silent upstream had ended. It may turn out
     /// to have crashed.
     pub(super) lapsed_runs: BTreeMap<Incarnation, Vec<(TaskId, u32)>>,
