Give up jobs under which upstream after upstream crashes

What callers would see: a job of the project's own scheduler that crashes the upstreams which start it is placed again and again, and takes the jobs beside it down each time.

Cause: the same class as the crash loop of tasks. A member lost with its upstream stops the gang, and the job waits again; only members that report a failure count against a job.

While the latest crash may be part of an outage, the job waits. An upstream's announcements have a lease of 3 s, so a run counts as having survived its start only if it worked for that much longer.

--- a/src/control/jobs/book.rs
+++ b/src/control/jobs/book.rs
@@ -96,7 +96,9 @@
             | JobRecord::Organisations(_)
             | JobRecord::History { .. }
             | JobRecord::NextGang(_)
-            | JobRecord::Guarantees(_) => {}
+            | JobRecord::Guarantees(_)
+            | JobRecord::Crashed { .. }
+            | JobRecord::Crashes(_) => {}
         }
     }
 
--- a/src/crashes/mod.rs
+++ b/src/crashes/mod.rs
@@ -30,7 +30,7 @@
 const CRASHES_KEPT_MAX: usize = 16;
 
 /// A piece of work that starts again after a loss, and the job that it belongs to.
-pub(crate) trait Subject: Ord + Clone {
+pub trait Subject: Ord + Clone {
     type Job: Ord + Clone;
 
     fn job(&self) -> &Self::Job;
@@ -38,7 +38,7 @@
 
 /// A run that was lost when its upstream crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct CrashedRun<S> {
+pub struct CrashedRun<S> {
     pub(crate) subject: S,
     /// Number of the run; a run is counted once.
     pub(crate) run: u64,
@@ -54,7 +54,7 @@
 
 /// An upstream that has crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct LostUpstream {
+pub struct LostUpstream {
     pub(crate) name: Arc<str>,
     pub(crate) incarnation: u64,
     /// Address or name under which its successor comes back.
@@ -66,7 +66,7 @@
 /// A crash of an upstream under a run of a subject.
 #[expect(clippy::struct_excessive_bools, reason = "independent observations")]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Crash {
+pub struct Crash {
     run: u64,
     /// When it was recorded.
     recorded_ms: u64,
@@ -108,11 +108,11 @@
 }
 
 /// Crashes of one subject, in the order in which they were recorded.
-pub(crate) type Crashes = SmallVec<[Crash; 2]>;
+pub type Crashes = SmallVec<[Crash; 2]>;
 
 /// Crashes of upstreams, and of the runs that were lost with them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct CrashHistory<S: Ord, J> {
+pub struct CrashHistory<S: Ord, J> {
     by_subject: BTreeMap<S, Crashes>,
     /// Recent crashes of upstreams.
     upstreams: VecDeque<UpstreamCrash<J>>,
@@ -125,7 +125,7 @@
 }
 
 impl<S: Subject<Job = J>, J: Ord + Clone> CrashHistory<S, J> {
-    /// Records a crash for the runs that it may have ended, unless it is known.
+    /// Records a crash for the runs that it may have ended; returns false if it is known.
     ///
     /// Only subjects for which `is_kept` returns true are kept.
     pub(crate) fn record(
@@ -134,12 +134,12 @@
         runs: &[CrashedRun<S>],
         now_ms: u64,
         is_kept: impl Fn(&S) -> bool,
-    ) {
+    ) -> bool {
         let is_same = |known: &LostUpstream| {
             known.name == upstream.name && known.incarnation == upstream.incarnation
         };
         if self.upstreams.iter().any(|crash| is_same(&crash.upstream)) {
-            return;
+            return false;
         }
         let mut jobs: SmallVec<[J; 4]> = runs.iter().map(|run| run.subject.job().clone()).collect();
         jobs.sort();
@@ -155,6 +155,7 @@
         }
         self.upstreams.retain(|known| now_ms.saturating_sub(known.recorded_ms) <= UNSTABLE_MS);
         self.upstreams.push_back(crash);
+        true
     }
 
     fn add(
--- /dev/null
+++ b/src/scheduler/crashes.rs
@@ -0,0 +1,126 @@
+//! Jobs under which upstreams crash or are lost.
+//!
+//! Such a job is placed again, and may take the next upstream down. A job whose fault is proved ends;
+//! while the latest crash may still turn out to be part of an outage, it waits.
+
+use super::JobRecord;
+use super::Scheduler;
+use super::gang::Gang;
+use super::job::{Job, JobEnd, JobState, Ran};
+use super::limits::ANNOUNCEMENT_LEASE_MS;
+use super::pool::UpstreamIx;
+use super::timers::Timer;
+use crate::crashes::{
+    CrashHistory, CrashedRun, LostUpstream, OUTAGE_SPREAD_MS, Subject, Verdict, verdict,
+};
+use crate::names::JobName;
+
+/// Crashes of upstreams under jobs that have not ended.
+pub type JobCrashes = CrashHistory<JobName, JobName>;
+
+impl Subject for JobName {
+    type Job = Self;
+
+    fn job(&self) -> &Self {
+        self
+    }
+}
+
+impl Scheduler {
+    /// Records that an upstream was lost or has restarted, for the jobs that worked there.
+    ///
+    /// An upstream that is leaving does not crash.
+    pub(super) fn record_crash(&mut self, ix: UpstreamIx, now_ms: u64) {
+        let upstream = self.pool.upstream(ix);
+        let at_work = |gang: &&Gang| gang.committed_ms.is_some();
+        let gangs = upstream.gangs.iter().filter_map(|(id, _)| self.gangs.get(id));
+        let members = gangs.filter(at_work).filter_map(|gang| {
+            let member = gang.members.iter().find(|member| member.upstream == ix)?;
+            (!member.ended).then_some((gang, member))
+        });
+        let members: Vec<_> = members.collect();
+        let Some(incarnation) = members.iter().map(|(_, member)| member.incarnation).max() else {
+            return;
+        };
+        if upstream.leaving >= Some(incarnation) {
+            return;
+        }
+        let crashed = |(gang, ran): (&Gang, Ran)| CrashedRun {
+            subject: gang.job.clone(),
+            run: gang.id.0,
+            seen_alive_ms: (ran == Ran::Yes).then(|| seen_alive_ms(gang, now_ms)),
+        };
+        let runs: Vec<_> =
+            members.into_iter().map(|(gang, member)| crashed((gang, member.ran))).collect();
+        let lost = LostUpstream {
+            name: upstream.name.as_str().into(),
+            incarnation,
+            address: upstream.name.as_str().into(),
+            heard_ms: now_ms,
+        };
+        if self.apply_crash(lost.clone(), &runs, now_ms) {
+            self.persist(JobRecord::Crashed { upstream: lost, runs, at_ms: now_ms });
+            self.schedule_crash_review(now_ms);
+        }
+    }
+
+    /// Adds a crash to what is known of the jobs; returns false if it is known.
+    pub(super) fn apply_crash(
+        &mut self,
+        upstream: LostUpstream,
+        runs: &[CrashedRun<JobName>],
+        at_ms: u64,
+    ) -> bool {
+        let jobs = &self.jobs;
+        self.crashes.record(upstream, runs, at_ms, |job| jobs.get(job).is_some_and(is_active))
+    }
+
+    /// Sets the time at which the latest crash can no longer turn out to be part of an outage.
+    pub(super) fn schedule_crash_review(&mut self, now_ms: u64) {
+        if !self.crashes.is_empty() {
+            self.timers.set(Timer::Crashes, now_ms + OUTAGE_SPREAD_MS + 1);
+        }
+    }
+
+    /// Ends waiting jobs whose fault is proved by now, and lets the others start.
+    pub(super) fn review_crashes(&mut self, now_ms: u64) {
+        let jobs = &self.jobs;
+        self.crashes.retain(|job| jobs.get(job).is_some_and(is_active));
+        let waiting = |job: &&JobName| self.jobs[*job].state == JobState::Waiting;
+        let names: Vec<_> =
+            self.crashes.subjects().map(|(job, _)| job).filter(waiting).cloned().collect();
+        for name in names {
+            if let Some(end) = self.crash_limit_end(&name, now_ms) {
+                self.end_waiting(&name, |_| end);
+            }
+        }
+        self.queue.retry_all();
+    }
+
+    /// Returns whether a waiting job must not start, at least for now.
+    pub(super) fn is_start_deferred(&self, job: &JobName, now_ms: u64) -> bool {
+        self.crash_verdict(job, now_ms) >= Verdict::Undecided
+    }
+
+    /// Returns the end of a job that is given up because upstreams crash under it.
+    pub(super) fn crash_limit_end(&self, job: &JobName, now_ms: u64) -> Option<JobEnd> {
+        let crashes = self.crashes.of(job).len();
+        (self.crash_verdict(job, now_ms) == Verdict::GivenUp).then(|| JobEnd::Failed {
+            reason: format!("{crashes} of its runs ended with a crash of their upstream"),
+        })
+    }
+
+    fn crash_verdict(&self, job: &JobName, now_ms: u64) -> Verdict {
+        verdict(self.crashes.of(job), self.pool.live_count(), now_ms)
+    }
+}
+
+fn is_active(job: &Job) -> bool {
+    !matches!(job.state, JobState::Ended(_))
+}
+
+/// Returns for how long a gang is known to have worked before a crash that was noticed now.
+fn seen_alive_ms(gang: &Gang, now_ms: u64) -> u64 {
+    let since_ms = gang.started_ms.or(gang.committed_ms).unwrap_or(now_ms);
+    now_ms.saturating_sub(since_ms).saturating_sub(ANNOUNCEMENT_LEASE_MS)
+}
--- a/src/scheduler/decision.rs
+++ b/src/scheduler/decision.rs
@@ -4,10 +4,12 @@
 use smallvec::SmallVec;
 
 use super::Mask;
+use super::crashes::JobCrashes;
 use super::document::Guarantees;
 use super::event::GangId;
 use super::job::{JobEnd, JobSpec, Ran};
 use super::organisation::{GuaranteeId, OrganisationsRecord};
+use crate::crashes::{CrashedRun, LostUpstream};
 use crate::names::{JobName, OrganisationName, RackName, ServiceName, UpstreamName};
 
 /// Entry of one gang in a renewal message.
@@ -99,6 +101,17 @@
     NextGang(GangId),
     /// The guarantees of a service document took effect.
     Guarantees(Guarantees),
+    /// An upstream crashed or was lost under jobs.
+    Crashed {
+        /// Upstream that crashed.
+        upstream: LostUpstream,
+        /// Runs of jobs that it may have had.
+        runs: Vec<CrashedRun<JobName>>,
+        /// When this was recorded.
+        at_ms: u64,
+    },
+    /// Crashes of upstreams under the jobs that are kept; part of a snapshot.
+    Crashes(JobCrashes),
 }
 
 /// Output of [`super::Scheduler::step`].
--- a/src/scheduler/leases.rs
+++ b/src/scheduler/leases.rs
@@ -23,6 +23,7 @@
                 Timer::Starvation => self.review_starvation(now_ms),
                 Timer::RemoveFromLayout(ix) => self.remove_from_layout(ix, now_ms),
                 Timer::Reclaim(id) => self.on_reclaim_due(id, now_ms),
+                Timer::Crashes => self.review_crashes(now_ms),
                 Timer::Guarantees => self.review_risks(now_ms),
                 Timer::DiscoveryEnded => self.on_discovery_ended(now_ms),
             }
--- a/src/scheduler/limits.rs
+++ b/src/scheduler/limits.rs
@@ -42,6 +42,10 @@
 /// so by then; documents must be in force within 5 s.
 pub const POOL_DISCOVERY_MS: u64 = 4_000;
 
+/// Lease of an upstream's announcements. An upstream that is lost or comes back may have crashed this
+/// long ago.
+pub const ANNOUNCEMENT_LEASE_MS: u64 = 3_000;
+
 /// Time for which a lost upstream still counts as part of its rack's layout. Most of the 400 daily
 /// restarts take less, and they must not end the jobs that wait for the upstream.
 pub const LOST_UPSTREAM_RETENTION_MS: u64 = 600_000;
--- a/src/scheduler/members.rs
+++ b/src/scheduler/members.rs
@@ -35,8 +35,10 @@
 
     /// Ends a member whose upstream has restarted; what is known about its work stays unchanged.
     pub(super) fn end_lost_member(&mut self, id: GangId, upstream: &UpstreamName, now_ms: u64) {
-        let Some((gang, ix)) = self.member_gang(id, upstream) else { return };
-        if let Some(member) = gang.member_mut(ix) {
+        let Some((_, ix)) = self.member_gang(id, upstream) else { return };
+        self.record_crash(ix, now_ms);
+        let member = self.gangs.get_mut(&id).and_then(|gang| gang.member_mut(ix));
+        if let Some(member) = member {
             member.ended = true;
         }
         self.stop_gang(id, StopReason::MemberLost(upstream.clone()), now_ms);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 //! - [`Event::Tick`] is passed when [`Scheduler::next_due_ms`] is reached.
 
 mod cancel;
+mod crashes;
 mod decision;
 mod document;
 mod documents;
@@ -59,6 +60,7 @@
 pub use organisation::{GuaranteeHolder, GuaranteeId};
 
 use crate::names::JobName;
+use crashes::JobCrashes;
 use gang::Gang;
 use job::Job;
 use learning::LearnedRatios;
@@ -89,6 +91,7 @@
     drain_search_count: usize,
     learned: LearnedRatios,
     quarantine: Quarantine,
+    crashes: JobCrashes,
     pending_documents: Vec<Guarantees>,
     last_repack_ms: u64,
     timers: Timers,
@@ -119,6 +122,7 @@
             drain_search_count: 0,
             learned: LearnedRatios::default(),
             quarantine: Quarantine::default(),
+            crashes: JobCrashes::default(),
             pending_documents: Vec::new(),
             last_repack_ms: now_ms,
             timers,
--- a/src/scheduler/placing.rs
+++ b/src/scheduler/placing.rs
@@ -35,6 +35,9 @@
 
     fn place_first_of(&mut self, class: &PlacementClass, now_ms: u64) -> bool {
         for job in self.queue.first_of(class, JOBS_TRIED_PER_CLASS) {
+            if self.is_start_deferred(&job, now_ms) {
+                continue;
+            }
             let avoid = self.failed_upstreams(&job);
             if self.place(&job, class, &avoid, now_ms) {
                 return true;
--- a/src/scheduler/recovery.rs
+++ b/src/scheduler/recovery.rs
@@ -56,6 +56,7 @@
         scheduler.pending_records.clear();
         scheduler.attach_recovered_gangs(now_ms);
         scheduler.queue_waiting(now_ms);
+        scheduler.schedule_crash_review(now_ms);
         scheduler
     }
 
@@ -80,6 +81,7 @@
         }
         let unfinished = self.jobs.values().filter(|job| !matches!(job.state, JobState::Ended(_)));
         records.extend(unfinished.flat_map(job_records));
+        records.push(JobRecord::Crashes(self.crashes.clone()));
         for (id, gang) in &self.gangs {
             self.gang_records(*id, gang, &mut records);
         }
@@ -132,6 +134,10 @@
             }
             JobRecord::NextGang(id) => self.next_gang = self.next_gang.max(id.0),
             JobRecord::Guarantees(document) => self.replay_document(&document),
+            JobRecord::Crashed { upstream, runs, at_ms } => {
+                _ = self.apply_crash(upstream, &runs, at_ms);
+            }
+            JobRecord::Crashes(crashes) => self.crashes = crashes,
             JobRecord::Reserved { guarantee, members } => {
                 let reservation =
                     members.iter().map(|m| (self.recovered_upstream(m), m.mask)).collect();
--- a/src/scheduler/stopping.rs
+++ b/src/scheduler/stopping.rs
@@ -107,7 +107,7 @@
         } else if job.cancelled {
             Some(JobEnd::Cancelled { ran: job.ran })
         } else {
-            job.failure_limit_end()
+            job.failure_limit_end().or_else(|| self.crash_limit_end(&gang.job, now_ms))
         };
         if let Some(end) = end.or_else(|| self.failed_everywhere_end(&gang.job, now_ms)) {
             return self.end_job(&gang.job, end);
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduling core, driven by events with a simulated time.
 
+mod crashes;
 mod gangs;
 mod guarantees;
 mod harness;
--- a/src/scheduler/timers.rs
+++ b/src/scheduler/timers.rs
@@ -20,6 +20,8 @@
     Reclaim(GangId),
     /// Waiting jobs are reviewed.
     Starvation,
+    /// Jobs under which upstreams have crashed are judged again.
+    Crashes,
     /// Guaranteed blocks at risk are reviewed.
     Guarantees,
     /// The time for upstreams to announce themselves after a start is over.
--- a/src/scheduler/upstreams.rs
+++ b/src/scheduler/upstreams.rs
@@ -14,6 +14,7 @@
             AnnounceOutcome::Unchanged | AnnounceOutcome::Invalid => {}
             AnnounceOutcome::Changed(ix) => self.on_upstream_available(ix, now_ms),
             AnnounceOutcome::Restarted(ix) => {
+                self.record_crash(ix, now_ms);
                 self.end_old_members(ix, now_ms);
                 self.clear_failures(ix);
                 self.on_upstream_available(ix, now_ms);
@@ -72,6 +73,7 @@
         if !self.pool.upstream(ix).live {
             return;
         }
+        self.record_crash(ix, now_ms);
         self.pool.mark_lost(ix);
         self.timers.set(Timer::RemoveFromLayout(ix), now_ms + LOST_UPSTREAM_RETENTION_MS);
         for id in self.gangs_on(ix) {
--- a/src/tasks/crash.rs
+++ b/src/tasks/crash.rs
@@ -1,5 +1,7 @@
 //! Crashes of upstreams under tasks, as part of the replicated state.
 
+use std::sync::Arc;
+
 use super::ids::{JobId, TaskId};
 use super::state::State;
 use super::upstream::Incarnation;
@@ -26,11 +28,11 @@
         silent_ms: u64,
     ) {
         let address = match self.upstreams.get(&incarnation.id) {
-            Some(upstream) => upstream.heartbeat.address.clone(),
+            Some(upstream) => Arc::clone(&upstream.heartbeat.address),
             None => "".into(),
         };
         let lost = LostUpstream {
-            name: incarnation.id.clone(),
+            name: Arc::clone(&incarnation.id),
             incarnation: incarnation.born_unix_ms,
             address,
             heard_ms: self.now_ms.saturating_sub(silent_ms),
