Count crashes of idle upstreams as signs of an outage

What callers would see: a job given up after four outages of the whole pool, if it was the only one that ran.

Cause: the crash of an upstream was recorded only if jobs worked there, so the others that crashed with it did not show. Now each loss or restart is recorded. The tests of an idle pool, just after the start and later, failed before.

--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -5,7 +5,7 @@
 
 use super::JobRecord;
 use super::Scheduler;
-use super::gang::Gang;
+use super::gang::{Gang, Member};
 use super::job::{Job, JobEnd, JobState, Ran};
 use super::limits::ANNOUNCEMENT_LEASE_MS;
 use super::pool::UpstreamIx;
@@ -27,31 +27,27 @@
 }
 
 impl Scheduler {
-    /// Records that an upstream was lost or has restarted, for the jobs that worked there.
+    /// Records that an incarnation of an upstream was lost or has restarted, for the jobs that worked
+    /// there. A crash without any tells that others had another cause.
     ///
     /// An upstream that is leaving does not crash.
-    pub(super) fn record_crash(&mut self, ix: UpstreamIx, now_ms: u64) {
+    pub(super) fn record_crash(&mut self, ix: UpstreamIx, incarnation: u64, now_ms: u64) {
         let upstream = self.pool.upstream(ix);
+        if upstream.leaving >= Some(incarnation) {
+            return;
+        }
         let at_work = |gang: &&Gang| gang.committed_ms.is_some();
         let gangs = upstream.gangs.iter().filter_map(|(id, _)| self.gangs.get(id));
         let members = gangs.filter(at_work).filter_map(|gang| {
             let member = gang.members.iter().find(|member| member.upstream == ix)?;
-            (!member.ended).then_some((gang, member))
+            (!member.ended && member.incarnation <= incarnation).then_some((gang, member))
         });
-        let members: Vec<_> = members.collect();
-        let Some(incarnation) = members.iter().map(|(_, member)| member.incarnation).max() else {
-            return;
-        };
-        if upstream.leaving >= Some(incarnation) {
-            return;
-        }
-        let crashed = |(gang, ran): (&Gang, Ran)| CrashedRun {
+        let crashed = |(gang, member): (&Gang, &Member)| CrashedRun {
             subject: gang.job.clone(),
             run: gang.id.0,
-            seen_alive_ms: (ran == Ran::Yes).then(|| seen_alive_ms(gang, now_ms)),
+            seen_alive_ms: (member.ran == Ran::Yes).then(|| seen_alive_ms(gang, now_ms)),
         };
-        let runs: Vec<_> =
-            members.into_iter().map(|(gang, member)| crashed((gang, member.ran))).collect();
+        let runs: Vec<_> = members.map(crashed).collect();
         let lost = LostUpstream {
             name: upstream.name.as_str().into(),
             incarnation,
--- a/src/scheduler/members.rs
+++ b/src/scheduler/members.rs
@@ -35,8 +35,11 @@
 
     /// Ends a member whose upstream has restarted; what is known about its work stays unchanged.
     pub(super) fn end_lost_member(&mut self, id: GangId, upstream: &UpstreamName, now_ms: u64) {
-        let Some((_, ix)) = self.member_gang(id, upstream) else { return };
-        self.record_crash(ix, now_ms);
+        let Some((gang, ix)) = self.member_gang(id, upstream) else { return };
+        let Some(incarnation) = gang.member_mut(ix).map(|member| member.incarnation) else {
+            return;
+        };
+        self.record_crash(ix, incarnation, now_ms);
         let member = self.gangs.get_mut(&id).and_then(|gang| gang.member_mut(ix));
         if let Some(member) = member {
             member.ended = true;
--- a/src/scheduler/tests/crashes.rs
+++ b/src/scheduler/tests/crashes.rs
@@ -112,10 +112,11 @@
 
 /// Guards against giving up jobs whose upstreams crash together with others, however often.
 #[rstest]
-#[case::just_started(200)]
-#[case::running_for_a_while(8_000)]
-fn jobs_outlive_outages(#[case] run_ms: u64) {
-    let names = ["a", "b", "c", "d"];
+#[case::of_a_busy_pool(&["a", "b", "c", "d"], 200)]
+#[case::of_a_busy_pool_later(&["a", "b", "c", "d"], 8_000)]
+#[case::of_an_idle_pool(&["a"], 200)]
+#[case::of_an_idle_pool_later(&["a"], 8_000)]
+fn jobs_outlive_outages(#[case] names: &[&str], #[case] run_ms: u64) {
     let mut pool = CrashingPool::new();
     for name in names {
         pool.core.submit(job(name, 8));
--- a/src/scheduler/upstreams.rs
+++ b/src/scheduler/upstreams.rs
@@ -10,11 +10,15 @@
 
 impl Scheduler {
     pub(super) fn on_announced(&mut self, announcement: &Announcement, now_ms: u64) {
+        let known = self.pool.find(&announcement.name);
+        let former = known.map(|ix| self.pool.upstream(ix).incarnation);
         match self.pool.apply_announcement(announcement) {
             AnnounceOutcome::Unchanged | AnnounceOutcome::Invalid => {}
             AnnounceOutcome::Changed(ix) => self.on_upstream_available(ix, now_ms),
             AnnounceOutcome::Restarted(ix) => {
-                self.record_crash(ix, now_ms);
+                if let Some(former) = former {
+                    self.record_crash(ix, former, now_ms);
+                }
                 self.end_old_members(ix, now_ms);
                 self.clear_failures(ix);
                 self.on_upstream_available(ix, now_ms);
@@ -73,7 +77,7 @@
         if !self.pool.upstream(ix).live {
             return;
         }
-        self.record_crash(ix, now_ms);
+        self.record_crash(ix, self.pool.upstream(ix).incarnation, now_ms);
         self.pool.mark_lost(ix);
         self.timers.set(Timer::RemoveFromLayout(ix), now_ms + LOST_UPSTREAM_RETENTION_MS);
         for id in self.gangs_on(ix) {
