Count a crash that takes the answer to a commit with it

What callers would see: a job that crashes its upstream before the commit is answered is started without end.

Cause: a start without an answer has a lease of 2 s, so the gang ends before the loss of the upstream is noticed after 3 s, and by then no gang is there to count it for. The runs of such gangs are now kept for twice that time, in memory only: a restart of the process within it loses the evidence.

--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -18,6 +18,18 @@
 /// Crashes of upstreams under jobs that have not ended.
 pub type JobCrashes = CrashHistory<JobName, JobName>;
 
+/// Time after a gang's end within which the loss of an upstream that did not answer is noticed.
+const UNANSWERED_KEPT_MS: u64 = 2 * ANNOUNCEMENT_LEASE_MS;
+
+/// A run of a gang that has ended, whose upstream did not answer and may have crashed.
+#[derive(Debug)]
+pub struct UnansweredRun {
+    upstream: UpstreamIx,
+    incarnation: u64,
+    run: CrashedRun<JobName>,
+    ended_ms: u64,
+}
+
 impl Subject for JobName {
     type Job = Self;
 
@@ -36,18 +48,15 @@
         if upstream.leaving >= Some(incarnation) {
             return;
         }
-        let at_work = |gang: &&Gang| gang.committed_ms.is_some();
         let gangs = upstream.gangs.iter().filter_map(|(id, _)| self.gangs.get(id));
-        let members = gangs.filter(at_work).filter_map(|gang| {
+        let at_work = gangs.filter_map(|gang| {
             let member = gang.members.iter().find(|member| member.upstream == ix)?;
-            (!member.ended && member.incarnation <= incarnation).then_some((gang, member))
+            (member.incarnation <= incarnation).then(|| possibly_crashed(gang, member, now_ms))?
         });
-        let crashed = |(gang, member): (&Gang, &Member)| CrashedRun {
-            subject: gang.job.clone(),
-            run: gang.id.0,
-            seen_alive_ms: (member.ran == Ran::Yes).then(|| seen_alive_ms(gang, now_ms)),
-        };
-        let runs: Vec<_> = members.map(crashed).collect();
+        let ended = self.unanswered.iter().filter(|unanswered| {
+            unanswered.upstream == ix && unanswered.incarnation <= incarnation
+        });
+        let runs: Vec<_> = at_work.chain(ended.map(|unanswered| unanswered.run.clone())).collect();
         let lost = LostUpstream {
             name: upstream.name.as_str().into(),
             incarnation,
@@ -60,6 +69,17 @@
         }
     }
 
+    /// Keeps the runs of a gang that ends although upstreams of it have not answered.
+    pub(super) fn keep_unanswered_runs(&mut self, gang: &Gang, now_ms: u64) {
+        self.unanswered.retain(|run| now_ms - run.ended_ms <= UNANSWERED_KEPT_MS);
+        let unanswered = gang.members.iter().filter_map(|member| {
+            let run = possibly_crashed(gang, member, now_ms)?;
+            let (upstream, incarnation) = (member.upstream, member.incarnation);
+            Some(UnansweredRun { upstream, incarnation, run, ended_ms: now_ms })
+        });
+        self.unanswered.extend(unanswered);
+    }
+
     /// Adds a crash to what is known of the jobs; returns false if it is known.
     pub(super) fn apply_crash(
         &mut self,
@@ -115,6 +135,16 @@
     !matches!(job.state, JobState::Ended(_))
 }
 
+/// Returns the run of a member that has not certainly ended, if it may have begun.
+fn possibly_crashed(gang: &Gang, member: &Member, now_ms: u64) -> Option<CrashedRun<JobName>> {
+    let may_run = gang.committed_ms.is_some() && !member.ended;
+    may_run.then(|| CrashedRun {
+        subject: gang.job.clone(),
+        run: gang.id.0,
+        seen_alive_ms: (member.ran == Ran::Yes).then(|| seen_alive_ms(gang, now_ms)),
+    })
+}
+
 /// Returns for how long a gang is known to have worked before a crash that was noticed now.
 fn seen_alive_ms(gang: &Gang, now_ms: u64) -> u64 {
     let since_ms = gang.started_ms.or(gang.committed_ms).unwrap_or(now_ms);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -60,7 +60,7 @@
 pub use organisation::{GuaranteeHolder, GuaranteeId};
 
 use crate::names::JobName;
-use crashes::JobCrashes;
+use crashes::{JobCrashes, UnansweredRun};
 use gang::Gang;
 use job::Job;
 use learning::LearnedRatios;
@@ -92,6 +92,7 @@
     learned: LearnedRatios,
     quarantine: Quarantine,
     crashes: JobCrashes,
+    unanswered: Vec<UnansweredRun>,
     pending_documents: Vec<Guarantees>,
     last_repack_ms: u64,
     timers: Timers,
@@ -123,6 +124,7 @@
             learned: LearnedRatios::default(),
             quarantine: Quarantine::default(),
             crashes: JobCrashes::default(),
+            unanswered: Vec::new(),
             pending_documents: Vec::new(),
             last_repack_ms: now_ms,
             timers,
--- a/src/scheduler/stopping.rs
+++ b/src/scheduler/stopping.rs
@@ -83,6 +83,7 @@
         {
             guarantee.gangs.remove(&id);
         }
+        self.keep_unanswered_runs(&gang, now_ms);
         for member in &gang.members {
             self.pool.release(id, member.upstream, member.mask);
         }
--- a/src/scheduler/tests/crashes.rs
+++ b/src/scheduler/tests/crashes.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 
 use super::harness::{SimulatedCore, job, upstream};
-use crate::scheduler::{Event, JobEnd, JobState, Scheduler};
+use crate::scheduler::{Decision, Event, JobEnd, JobState, Scheduler};
 
 /// Number of upstreams in a pool of one rack.
 const UPSTREAMS: u32 = 16;
@@ -86,6 +86,34 @@
     assert!(starts <= STARTS_MAX, "{starts} starts");
 }
 
+/// Guards against crashes that are not counted because the commit has no answer: the job's gang has
+/// ended before the loss of the upstream is noticed.
+#[test]
+fn a_job_that_crashes_its_upstreams_before_they_answer_is_given_up() {
+    let mut pool = CrashingPool::new();
+    pool.core.submit(job("deadly", 1));
+    let mut starts = 0;
+    for _ in 0..ROUNDS {
+        let stage = std::mem::take(&mut pool.core.inbox);
+        starts += usize::from(!stage.is_empty());
+        for message in stage {
+            let Decision::Stage { gang, upstream, .. } = message else { continue };
+            pool.core.step(Event::StageAnswered { gang, upstream, staged: true });
+        }
+        let crashed = pool.positions("deadly");
+        pool.core.wait_ms(3_000);
+        for position in crashed {
+            // The job may have been placed again meanwhile, on another upstream.
+            pool.core.step(Event::UpstreamLost { upstream: upstream(0, position) });
+            pool.crash(position);
+        }
+        pool.core.inbox.retain(|message| matches!(message, Decision::Stage { .. }));
+    }
+    let state = pool.core.state("deadly");
+    assert!(matches!(state, JobState::Ended(JobEnd::Failed { .. })), "{state:?}");
+    assert!(starts <= STARTS_MAX, "{starts} starts");
+}
+
 /// Guards against crashes that are forgotten when the process starts again.
 #[rstest]
 #[case::from_its_records(false)]
