Play jobs that crash their upstreams in the soak

One job in a hundred crashes each upstream that starts it 20 ms later. A check of each start: such a job is started eight times at most.

Jobs that fail without a fault of their own are counted apart.

--- a/src/scheduler/soak/faults.rs
+++ b/src/scheduler/soak/faults.rs
@@ -47,12 +47,16 @@
         if fails {
             self.count_fault("failing_job");
         }
+        let crashes = self.rng.random_bool(0.01);
+        if crashes {
+            self.count_fault("crashing_job");
+        }
         let declared_ms = spec.declared_run_ms.unwrap_or(run_ms);
         if declared_ms > run_ms * 3 || run_ms > declared_ms * 3 {
             self.count_fault("wrong_declared_time");
         }
-        let actual =
-            ActualJob { behaviour: JobBehaviour { run_ms, fails }, ..ActualJob::default() };
+        let behaviour = JobBehaviour { run_ms, fails, crashes };
+        let actual = ActualJob { behaviour, ..ActualJob::default() };
         self.actual.jobs.insert(spec.name.clone(), actual);
         self.open_jobs.insert(spec.name.clone());
         if self.rng.random_bool(0.05) {
@@ -168,6 +172,11 @@
         self.schedule(blocked_ms, SimEvent::Reconnect(ix));
     }
 
+    /// Ends the process of an upstream that a job crashes.
+    pub(super) fn crash(&mut self, ix: usize) {
+        self.disconnect(ix, Link::Down, "upstream_crashed_by_job");
+    }
+
     fn lose_rack(&mut self) {
         self.count_fault("rack_loss");
         let rack_size = UPSTREAMS_PER_RACK as usize;
--- a/src/scheduler/soak/network.rs
+++ b/src/scheduler/soak/network.rs
@@ -2,7 +2,6 @@
 
 use rand::RngExt;
 
-use super::truth::JobProgress;
 use super::worker::{Activity, Link};
 use super::world::{SimEvent, Simulation};
 use crate::names::UpstreamName;
@@ -10,6 +9,9 @@
 use crate::scheduler::limits::DELIVERY_ALLOWANCE_MS;
 use crate::scheduler::{Decision, Renewal};
 
+/// Time between the start of a job that crashes its upstreams and the crash.
+const CRASH_DELAY_MS: u64 = 20;
+
 impl Simulation {
     /// Returns true with the given probability, and never once faults have stopped.
     pub(super) fn random_fault(&mut self, probability: f64) -> bool {
@@ -95,11 +97,15 @@
         let actual = job.as_ref().and_then(|job| self.actual.jobs.get(job));
         let fails =
             self.workers[ix].fails_everything || actual.is_some_and(|job| job.behaviour.fails);
+        let crashes = actual.is_some_and(|job| job.behaviour.crashes);
         let run_ms = if fails { 200 } else { actual.map_or(1_000, |job| job.behaviour.run_ms) };
         let worker = &mut self.workers[ix];
         let (started, is_new) = worker.commit(id, lease_ms, run_ms, fails, self.now_ms);
         if is_new {
             self.check_start(ix, id)?;
+            if crashes {
+                self.schedule(CRASH_DELAY_MS, SimEvent::Crash(ix));
+            }
             self.schedule(run_ms, SimEvent::MemberDone(ix, id));
         }
         Ok(started)
@@ -128,9 +134,8 @@
                 return Err(format!("job {job} runs in gangs {other} and {id} at once"));
             }
         }
-        let job = self.actual.jobs.entry(job).or_default();
-        job.progress = job.progress.max(JobProgress::Started);
-        Ok(())
+        self.count_check("crashing_job_is_given_up");
+        self.actual.jobs.entry(job.clone()).or_default().record_start(&job, id)
     }
 
     pub(super) fn member_done(&mut self, ix: usize, gang: GangId) {
--- a/src/scheduler/soak/truth.rs
+++ b/src/scheduler/soak/truth.rs
@@ -1,6 +1,6 @@
 //! Record of what gangs and jobs actually did in the simulation, and checks of the core against it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::names::JobName;
 use crate::scheduler::event::GangId;
@@ -71,6 +71,15 @@
     pub run_ms: u64,
     /// Whether the job fails wherever it runs.
     pub fails: bool,
+    /// Whether the job crashes each upstream that starts it.
+    pub crashes: bool,
+}
+
+impl JobBehaviour {
+    /// Returns whether the job is to blame for its failures.
+    pub fn is_at_fault(self) -> bool {
+        self.fails || self.crashes
+    }
 }
 
 /// How far a job has actually come.
@@ -92,6 +101,8 @@
     pub behaviour: JobBehaviour,
     /// How far its gangs have come.
     pub progress: JobProgress,
+    /// Gangs of which a member has started.
+    pub started_gangs: BTreeSet<GangId>,
     /// How the core reported its end, once it did.
     pub end: Option<JobEnd>,
     /// Whether the core accepted the job.
@@ -100,7 +111,21 @@
     pub cancelled: bool,
 }
 
+/// Number of gangs of a job that crashes its upstreams after which it must have been given up.
+const CRASHING_STARTS_MAX: usize = 8;
+
 impl ActualJob {
+    /// Records the start of a gang, and checks that a job does not crash upstream after upstream.
+    pub fn record_start(&mut self, name: &JobName, gang: GangId) -> Result<(), String> {
+        self.progress = self.progress.max(JobProgress::Started);
+        self.started_gangs.insert(gang);
+        let starts = self.started_gangs.len();
+        if self.behaviour.crashes && starts > CRASHING_STARTS_MAX {
+            return Err(format!("job {name} crashes its upstreams and was started {starts} times"));
+        }
+        Ok(())
+    }
+
     /// Checks the reported end of the job against what its members did.
     pub fn check_end(&self, name: &JobName, end: &JobEnd) -> Result<(), String> {
         if let Some(first) = &self.end {
--- a/src/scheduler/soak/world.rs
+++ b/src/scheduler/soak/world.rs
@@ -52,6 +52,8 @@
     Reconnect(usize),
     /// The process of a leaving upstream ends.
     Depart(usize),
+    /// A job crashes an upstream that has just started it.
+    Crash(usize),
     /// An upstream no longer fails all members.
     Recover(usize),
     /// The run time of a member has passed.
@@ -213,6 +215,7 @@
             SimEvent::UpstreamLeaseEnd(ix) => self.end_upstream_lease(ix),
             SimEvent::Reconnect(ix) => self.reconnect(ix),
             SimEvent::Depart(ix) => self.depart(ix),
+            SimEvent::Crash(ix) => self.crash(ix),
             SimEvent::Recover(ix) => self.workers[ix].fails_everything = false,
             SimEvent::MemberDone(ix, gang) => self.member_done(ix, gang),
             SimEvent::RestartCore => self.restart_core()?,
@@ -385,7 +388,8 @@
         let kind = match end {
             JobEnd::Completed => "completed",
             JobEnd::Cancelled { .. } => "cancelled",
-            JobEnd::Failed { .. } => "failed",
+            JobEnd::Failed { .. } if job.behaviour.is_at_fault() => "failed",
+            JobEnd::Failed { .. } => "failed_by_upstreams",
             JobEnd::Unrunnable { .. } => "unrunnable",
         };
         job.end = Some(end);
