Let a task wait whose upstreams have fallen silent one after the other

What callers would see: a task that crashes upstreams which do not come back, or only after long, is started on the next one each time a lease has ended. Found by asking what the record of a crash depends on: it is made when the upstream registers again.

Cause: a loss whose kind is not known yet counted for nothing, and an upstream removed after 20 s of silence counted for nothing at all. Now three upstreams that crashed or do not answer are the limit: the unit waits until one of them answers again, registers again, or is removed, and a removal after silence is recorded like a crash. So what is known decides, one way or the other, within the 20 s, and an upstream that was only cut off costs at most this wait.

--- a/src/cluster/leader/losses.rs
+++ b/src/cluster/leader/losses.rs
@@ -31,6 +31,13 @@
     Silent,
 }
 
+impl Loss {
+    /// Returns whether the upstream's tasks may have caused the loss.
+    const fn counts_as_crash(self) -> bool {
+        matches!(self, Self::Crashed | Self::Silent)
+    }
+}
+
 impl Leader {
     /// Returns how an upstream was lost that another one has replaced.
     ///
@@ -54,8 +61,8 @@
         if planned { Loss::Left } else { Loss::Crashed }
     }
 
-    /// Removes a lost upstream and reports its runs. If it has crashed, this is recorded for their
-    /// tasks.
+    /// Removes a lost upstream and reports its runs. If it has crashed, or does not come back, this is
+    /// recorded for their tasks.
     pub(super) async fn record_loss(
         &self,
         incarnation: &Incarnation,
@@ -71,7 +78,7 @@
             self.report_lost_runs(incarnation, &runs, loss);
         }
         let incarnation = incarnation.clone();
-        if loss != Loss::Crashed {
+        if !loss.counts_as_crash() {
             return self.replica.propose(Change::RemoveUpstream { incarnation }).await;
         }
         let crashed = |key: TaskRun| {
--- a/src/crashes/evidence.rs
+++ b/src/crashes/evidence.rs
@@ -89,7 +89,7 @@
 pub(crate) fn verdict(crashes: &[Crash], upstreams: usize, now_ms: u64) -> Verdict {
     let evidence = || crashes.iter().map(|crash| Evidence::of(crash, upstreams));
     let proofs = evidence().filter(|evidence| *evidence == Evidence::Proof).count();
-    let counted = evidence().filter(|evidence| evidence.counts()).count();
+    let counted = count(crashes, upstreams);
     let hidden = evidence().filter(|evidence| *evidence == Evidence::Hidden).count();
     if counted == 0 {
         return Verdict::Clear;
@@ -108,9 +108,9 @@
     }
 }
 
-/// Returns whether some crash has no known cause other than the work.
-pub(crate) fn is_suspect(crashes: &[Crash], upstreams: usize) -> bool {
-    crashes.iter().any(|crash| Evidence::of(crash, upstreams).counts())
+/// Returns the number of crashes that have no known cause other than the work.
+pub(crate) fn count(crashes: &[Crash], upstreams: usize) -> usize {
+    crashes.iter().filter(|crash| Evidence::of(crash, upstreams).counts()).count()
 }
 
 /// Returns whether large outages have hidden the cause of several crashes.
--- a/src/crashes/mod.rs
+++ b/src/crashes/mod.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-pub(crate) use evidence::{Verdict, is_suspect, large_outage_crashes, needs_probation, verdict};
+pub(crate) use evidence::{Verdict, count, large_outage_crashes, needs_probation, verdict};
 
 /// Time for which a run must have been seen alive to have survived its start.
 pub(crate) const SURVIVED_START_MS: u64 = 500;
--- a/src/placement/suspects.rs
+++ b/src/placement/suspects.rs
@@ -9,7 +9,7 @@
 use crate::crashes::{
     self, Crash, SURVIVED_START_MS, Verdict, large_outage_crashes, needs_probation,
 };
-use crate::tasks::{State, TaskId, UnitId};
+use crate::tasks::{Incarnation, State, TaskId, UnitId};
 
 /// Returns the crashes under each task of a unit.
 fn crashes_under<'a>(
@@ -21,18 +21,47 @@
     (0..members).map(|member| state.crashes_of(&unit.task(member)))
 }
 
+/// Number of crashes and silent upstreams under a task after which it waits until it is known whether
+/// those have crashed.
+const LOSSES_TO_WAIT: usize = 3;
+
 /// Judges a unit by the worst of its tasks.
 pub(super) fn verdict(view: &View<'_>, unit: &WaitingUnit<'_>) -> Verdict {
     let upstreams = view.state.upstreams.len();
-    let crashes = crashes_under(view.state, &unit.id, unit.step.unit_size());
+    let members = unit.step.unit_size();
+    let crashes = crashes_under(view.state, &unit.id, members);
     let verdicts = crashes.map(|crashes| crashes::verdict(crashes, upstreams, view.now_ms));
-    verdicts.max().unwrap_or(Verdict::Clear)
+    let verdict = verdicts.max().unwrap_or(Verdict::Clear);
+    if waits_for_silent_upstreams(view, &unit.id, members) {
+        return verdict.max(Verdict::Undecided);
+    }
+    verdict
+}
+
+/// Returns whether so many upstreams under some task of a unit have crashed or do not answer that
+/// another start could be one too many.
+fn waits_for_silent_upstreams(view: &View<'_>, unit: &UnitId, members: u32) -> bool {
+    if view.state.lapsed_runs.is_empty() {
+        return false;
+    }
+    let upstreams = view.state.upstreams.len();
+    let answers = |incarnation: &Incarnation| {
+        view.hosts.iter().any(|host| host.takes_work && host.incarnation == *incarnation)
+    };
+    let silent: Vec<_> =
+        view.state.lapsed_runs.iter().filter(|(incarnation, _)| !answers(incarnation)).collect();
+    (0..members).map(|member| unit.task(member)).any(|task| {
+        let lost = |runs: &[(TaskId, u32)]| runs.iter().any(|(lost, _)| *lost == task);
+        let silent = silent.iter().filter(|(_, runs)| lost(runs)).count();
+        let crashed = crashes::count(view.state.crashes_of(&task), upstreams);
+        silent > 0 && silent + crashed >= LOSSES_TO_WAIT
+    })
 }
 
 /// Returns whether an upstream has crashed under some task of a unit for no known other cause.
 pub(super) fn is_suspect(state: &State, unit: &UnitId, members: u32) -> bool {
     let upstreams = state.upstreams.len();
-    crashes_under(state, unit, members).any(|crashes| crashes::is_suspect(crashes, upstreams))
+    crashes_under(state, unit, members).any(|crashes| crashes::count(crashes, upstreams) > 0)
 }
 
 /// Starts of tasks on probation, of which only some may be open at a time.
--- a/src/placement/tests/suspects.rs
+++ b/src/placement/tests/suspects.rs
@@ -272,6 +272,65 @@
     assert_eq!(decide(&sample, &Inputs::default()).give_ups, [unit(1)]);
 }
 
+/// Lets a job's upstream fall silent until its lease has ended.
+fn fall_silent(sample: &mut Sample, host: u32) {
+    let incarnation = sample.state.upstreams[&heartbeat(host).id].incarnation();
+    let lost = |(task, run)| crate::tasks::LostRun { task, run, checkpoint: None };
+    let runs = sample.state.runs_of(&incarnation).into_iter().map(lost).collect();
+    sample.apply(Change::RecordLost { incarnation, runs });
+}
+
+/// Starts a job on one host after the other, each of which falls silent, and returns these hosts.
+fn play_silence(sample: &mut Sample, rounds: u64) -> Vec<u32> {
+    let mut silent = Vec::new();
+    for round in 0..rounds {
+        place(sample, &without(&silent));
+        for host in hosts_of(sample, 1) {
+            fall_silent(sample, host);
+            silent.push(host);
+        }
+        sample.at((round + 1) * ROUND_MS);
+    }
+    silent
+}
+
+/// Returns inputs in which some hosts do not answer.
+fn without(silent: &[u32]) -> Inputs {
+    let closed = silent.iter().map(|host| heartbeat(*host).id.to_string()).collect();
+    Inputs { closed, ..Inputs::default() }
+}
+
+/// Guards against a task that crashes upstreams which do not come back: nothing tells that they have
+/// crashed until they are removed.
+#[test]
+fn a_task_whose_upstreams_fall_silent_waits_and_is_given_up() {
+    let mut sample = Sample::with_hosts(16);
+    sample.accept(1, "normal", vec![step(1, 1)]);
+    let silent = play_silence(&mut sample, ROUNDS);
+    assert!(silent.len() <= 3, "it was started on {silent:?}, which all fell silent");
+    for host in &silent {
+        let incarnation = sample.state.upstreams[&heartbeat(*host).id].incarnation();
+        let runs = sample.state.possibly_crashed_runs(&incarnation).into_iter();
+        let crashed =
+            |(subject, run)| CrashedRun { subject, run: u64::from(run), seen_alive_ms: Some(0) };
+        let runs = runs.map(crashed).collect();
+        sample.apply(Change::RecordCrash { incarnation, runs, silent_ms: 20_000 });
+        sample.at(sample.state.now_ms + ROUND_MS);
+    }
+    place(&mut sample, &Inputs::default());
+    assert_eq!(state_of(&sample, 1), JobState::Failed);
+}
+
+/// Guards against a job that waits for ever, or is given up, since its upstreams were cut off.
+#[test]
+fn a_job_starts_once_its_silent_upstreams_answer_again() {
+    let mut sample = Sample::with_hosts(16);
+    sample.accept(1, "normal", vec![step(1, 1)]);
+    let silent = play_silence(&mut sample, ROUNDS);
+    let plan = decide(&sample, &without(&silent[1..]));
+    assert_eq!(plan.starts.len(), 1, "one of them answers again");
+}
+
 /// Guards against a suspect that takes more work down with it: it starts on the emptiest host, and
 /// nothing starts beside it until it has survived its start.
 #[test]
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -42,7 +42,7 @@
     pub(crate) crashes: TaskCrashes,
     /// Runs that were recorded as lost when the lease of a silent upstream had ended. It may turn out
     /// to have crashed.
-    pub(super) lapsed_runs: BTreeMap<Incarnation, Vec<(TaskId, u32)>>,
+    pub(crate) lapsed_runs: BTreeMap<Incarnation, Vec<(TaskId, u32)>>,
     /// Job events since the last call of [`State::take_events`].
     #[serde(skip)]
     pub(super) events: Vec<JobEvent>,
