--- a/src/scheduler/soak/mod.rs
+++ b/src/scheduler/soak/mod.rs
@@ -3,6 +3,7 @@
 //! The simulation records what each member actually did, so that it checks the core's answers
 //! against that record and not only against the core's own state.
 
+mod control;
 mod faults;
 mod network;
 mod report;
--- a/src/scheduler/soak/world.rs
+++ b/src/scheduler/soak/world.rs
@@ -6,12 +6,12 @@
 use rand::{RngExt, SeedableRng};
 
 use super::report::{InvariantViolation, SoakReport};
-use super::truth::{ActualGang, ActualState, JobProgress, MemberWork};
+use super::truth::{ActualState, MemberWork};
 use super::worker::{Link, Worker};
 use crate::names::{JobName, UpstreamName};
 use crate::scheduler::event::{Event, GangId};
 use crate::scheduler::limits::ENDED_JOBS_LIMIT;
-use crate::scheduler::{Announcement, Decision, JobEnd, JobRecord, JobState, Scheduler};
+use crate::scheduler::{Announcement, Decision, JobEnd, JobRecord, Scheduler};
 
 const RACKS: u32 = 3;
 pub(super) const UPSTREAMS_PER_RACK: u32 = 8;
@@ -19,15 +19,9 @@
 /// Steps between checks of the whole state; checks after each step would take most of the run.
 const FULL_CHECK_INTERVAL_STEPS: u64 = 16;
 
-/// Records after which the journal is replaced by a snapshot.
-const JOURNAL_RECORDS_LIMIT: usize = 20_000;
-
 /// Simulated time within which all jobs must end once faults and submissions have stopped.
 const COMPLETION_TIMEOUT_MS: u64 = 3_600_000;
 
-/// Upstreams keep stopped gangs whose ids are at most this far below the oldest unreleased gang.
-const PRUNE_MARGIN_GANGS: u64 = 1_000;
-
 /// Time without announcements after which an upstream counts as lost.
 pub(super) const UPSTREAM_LEASE_MS: u64 = 3_000;
 
@@ -72,13 +66,13 @@
     last_sequence: u64,
     /// The scheduler core; `None` while the control process is down.
     pub(super) core: Option<Scheduler>,
-    journal: Vec<JobRecord>,
+    pub(super) journal: Vec<JobRecord>,
     /// The simulated upstreams.
     pub(super) workers: Vec<Worker>,
     /// Index in `workers` by the current name of the upstream.
     pub(super) worker_indices: BTreeMap<UpstreamName, usize>,
     /// Upstreams that announced themselves to the running core and were not reported lost since.
-    announced: BTreeSet<UpstreamName>,
+    pub(super) announced: BTreeSet<UpstreamName>,
     pub(super) actual: ActualState,
     /// Submitted jobs that have not ended, as far as the simulation knows.
     pub(super) open_jobs: BTreeSet<JobName>,
@@ -97,7 +91,7 @@
     check_counts: BTreeMap<&'static str, u64>,
     job_outcome_counts: BTreeMap<&'static str, u64>,
     /// Largest number of journal records between two snapshots.
-    records_max: usize,
+    pub(super) records_max: usize,
 }
 
 impl Simulation {
@@ -263,60 +257,6 @@
         Ok(())
     }
 
-    fn compact(&mut self) {
-        self.records_max = self.records_max.max(self.journal.len());
-        if self.journal.len() > JOURNAL_RECORDS_LIMIT
-            && let Some(core) = &self.core
-        {
-            self.journal = core.snapshot();
-            // Late copies of messages to recently released gangs must still be refused.
-            let oldest = self.actual.gangs.keys().next().map_or(0, |id| id.0);
-            let before = GangId(oldest.saturating_sub(PRUNE_MARGIN_GANGS));
-            for worker in &mut self.workers {
-                worker.prune(before);
-            }
-        }
-    }
-
-    fn persist(&mut self, record: JobRecord) -> Result<(), String> {
-        match &record {
-            JobRecord::Placed { job, gang, members } => {
-                let member_work =
-                    |u: &UpstreamName| Some((*self.worker_indices.get(u)?, MemberWork::default()));
-                let members = members.iter().filter_map(|m| member_work(&m.upstream)).collect();
-                self.actual.gangs.insert(*gang, ActualGang { job: job.clone(), members });
-            }
-            JobRecord::Released { gang } => self.release_gang(*gang)?,
-            _ => {}
-        }
-        self.journal.push(record);
-        Ok(())
-    }
-
-    /// Removes a released gang and records whether it completed. Checks that none of its members
-    /// still works, and that it did not work for too long with a member missing.
-    fn release_gang(&mut self, id: GangId) -> Result<(), String> {
-        let Some(mut gang) = self.actual.gangs.remove(&id) else {
-            return Err(format!("gang {id} was released twice"));
-        };
-        for (ix, work) in &mut gang.members {
-            record_end(&mut self.workers[*ix], id, work, self.now_ms);
-            if work.start_ms.is_some() && work.end_ms.is_none() {
-                return Err(format!("gang {id} was released while a member was working"));
-            }
-        }
-        self.count_check("no_partial_gang_beyond_bound");
-        self.count_check("released_gang_has_ended");
-        // A gang whose hosts had all been replaced when it was placed has no members here, and has
-        // not completed.
-        let completed =
-            !gang.members.is_empty() && gang.members.values().all(|work| work.completed);
-        if completed && let Some(job) = self.actual.jobs.get_mut(&gang.job) {
-            job.progress = JobProgress::Completed;
-        }
-        gang.check_partial()
-    }
-
     fn carry_out(&mut self, decision: Decision) -> Result<(), String> {
         match decision {
             Decision::Stage { ref upstream, .. }
@@ -378,7 +318,7 @@
         Ok(())
     }
 
-    fn job_ended(&mut self, name: &JobName, end: JobEnd) -> Result<(), String> {
+    pub(super) fn job_ended(&mut self, name: &JobName, end: JobEnd) -> Result<(), String> {
         let Some(job) = self.actual.jobs.get_mut(name) else {
             return Err(format!(
                 "job {name} ended, but was never submitted, or had ended long before"
@@ -454,45 +394,6 @@
         }
     }
 
-    /// Stops the control process and schedules its restart.
-    pub(super) fn stop_core(&mut self) {
-        self.core = None;
-        self.announced.clear();
-        let down_ms = match self.rng.random_range(0..10) {
-            0 => self.rng.random_range(30_000..60_000),
-            1..4 => self.rng.random_range(2_000..10_000),
-            _ => self.rng.random_range(1..1_000),
-        };
-        self.count_fault("scheduler_restart");
-        self.schedule(down_ms, SimEvent::RestartCore);
-    }
-
-    fn restart_core(&mut self) -> Result<(), String> {
-        let core = Scheduler::recover(self.journal.iter().cloned(), self.now_ms);
-        core.check_all();
-        for name in self.open_jobs.clone() {
-            match core.job(&name) {
-                Some(JobState::Ended(end)) => self.job_ended(&name, end.clone())?,
-                Some(_) => self.actual.jobs.entry(name).or_default().accepted = true,
-                None if self.actual.jobs.get(&name).is_some_and(|job| job.accepted) => {
-                    return Err(format!("job {name} was accepted, but is unknown after a restart"));
-                }
-                // The submission was lost, or has not arrived yet; acceptance adds the job again.
-                None => {
-                    self.open_jobs.remove(&name);
-                }
-            }
-        }
-        self.count_check("accepted_jobs_survive");
-        self.core = Some(core);
-        for ix in 0..self.workers.len() {
-            if self.workers[ix].link == Link::Up {
-                self.announce(ix);
-            }
-        }
-        Ok(())
-    }
-
     pub fn into_report(self, seed: u64, violation: Option<String>) -> SoakReport {
         let violation = violation.map(|message| InvariantViolation {
             step: self.steps,
@@ -513,7 +414,7 @@
 }
 
 /// Records when and how a member ended, if it did.
-fn record_end(worker: &mut Worker, id: GangId, work: &mut MemberWork, now_ms: u64) {
+pub(super) fn record_end(worker: &mut Worker, id: GangId, work: &mut MemberWork, now_ms: u64) {
     worker.end_due_members(now_ms);
     let Some(member) = worker.members.get(&id) else { return };
     if work.start_ms.is_some() && member.end_ms.is_some() {
