Count the silent upstreams of each task once a decision

Found when the change was read again, not measured.

The counts by task are now made once, and only while upstreams are silent whose runs were recorded as lost.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -40,7 +40,7 @@
 use preemption::Victims;
 pub(crate) use progress::{Progress, estimated_left_ms};
 use rotation::Rotation;
-use suspects::Probation;
+use suspects::{Probation, SilentUpstreams};
 pub(crate) use upkeep::{Candidate, evacuation_limit_ms, free_wave_slots, order_candidates};
 
 /// An upstream as a host for tasks.
@@ -122,6 +122,7 @@
         rotation: Rotation::new(&victims),
         drains: Drains::default(),
         probation: Probation::new(view),
+        silent: SilentUpstreams::new(view),
         victims,
         plan: Plan { stops, ..Plan::default() },
     };
@@ -140,14 +141,15 @@
     rotation: Rotation,
     drains: Drains,
     probation: Probation,
+    silent: SilentUpstreams,
     plan: Plan,
 }
 
 impl PlanBuilder {
     /// Starts a unit if it fits; otherwise selects runs to stop for it, if it may replace any.
     fn place(&mut self, view: &View<'_>, unit: &WaitingUnit<'_>) {
-        let Self { pool, victims, rotation, drains, probation, plan } = self;
-        let verdict = suspects::verdict(view, unit);
+        let Self { pool, victims, rotation, drains, probation, silent, plan } = self;
+        let verdict = suspects::verdict(view, silent, unit);
         if verdict == Verdict::GivenUp {
             plan.give_ups.push(unit.id.clone());
             return;
--- a/src/placement/suspects.rs
+++ b/src/placement/suspects.rs
@@ -4,6 +4,8 @@
 //! starts where no other run has to prove itself, and nothing starts beside it until it has survived
 //! its start: its next crash tells whose fault it is.
 
+use std::collections::{HashMap, HashSet};
+
 use super::View;
 use super::order::WaitingUnit;
 use crate::crashes::{
@@ -11,6 +13,10 @@
 };
 use crate::tasks::{Incarnation, State, TaskId, UnitId};
 
+/// Number of crashes and silent upstreams under a task after which it waits until it is known whether
+/// those have crashed.
+const LOSSES_TO_WAIT: usize = 3;
+
 /// Returns the crashes under each task of a unit.
 fn crashes_under<'a>(
     state: &'a State,
@@ -21,41 +27,58 @@
     (0..members).map(|member| state.crashes_of(&unit.task(member)))
 }
 
-/// Number of crashes and silent upstreams under a task after which it waits until it is known whether
-/// those have crashed.
-const LOSSES_TO_WAIT: usize = 3;
+/// Upstreams that do not answer, counted for each task that they may have run. It is not known yet
+/// whether they have crashed.
+#[derive(Debug, Default)]
+pub(super) struct SilentUpstreams {
+    by_task: HashMap<TaskId, usize>,
+}
+
+impl SilentUpstreams {
+    pub(super) fn new(view: &View<'_>) -> Self {
+        let mut silent = Self::default();
+        if view.state.lapsed_runs.is_empty() {
+            return silent;
+        }
+        let answering = view.hosts.iter().filter(|host| host.takes_work);
+        let answering: HashSet<&Incarnation> = answering.map(|host| &host.incarnation).collect();
+        for (incarnation, runs) in &view.state.lapsed_runs {
+            if answering.contains(incarnation) {
+                continue;
+            }
+            for (task, _) in runs {
+                *silent.by_task.entry(task.clone()).or_default() += 1;
+            }
+        }
+        silent
+    }
+
+    /// Returns whether so many upstreams under some task of a unit have crashed or do not answer that
+    /// another start could be one too many.
+    fn defer(&self, view: &View<'_>, unit: &UnitId, members: u32) -> bool {
+        if self.by_task.is_empty() {
+            return false;
+        }
+        let upstreams = view.state.upstreams.len();
+        (0..members).map(|member| unit.task(member)).any(|task| {
+            let crashed = crashes::count(view.state.crashes_of(&task), upstreams);
+            self.by_task.get(&task).is_some_and(|silent| silent + crashed >= LOSSES_TO_WAIT)
+        })
+    }
+}
 
 /// Judges a unit by the worst of its tasks.
-pub(super) fn verdict(view: &View<'_>, unit: &WaitingUnit<'_>) -> Verdict {
+pub(super) fn verdict(
+    view: &View<'_>,
+    silent: &SilentUpstreams,
+    unit: &WaitingUnit<'_>,
+) -> Verdict {
     let upstreams = view.state.upstreams.len();
     let members = unit.step.unit_size();
     let crashes = crashes_under(view.state, &unit.id, members);
     let verdicts = crashes.map(|crashes| crashes::verdict(crashes, upstreams, view.now_ms));
     let verdict = verdicts.max().unwrap_or(Verdict::Clear);
-    if waits_for_silent_upstreams(view, &unit.id, members) {
-        return verdict.max(Verdict::Undecided);
-    }
-    verdict
-}
-
-/// Returns whether so many upstreams under some task of a unit have crashed or do not answer that
-/// another start could be one too many.
-fn waits_for_silent_upstreams(view: &View<'_>, unit: &UnitId, members: u32) -> bool {
-    if view.state.lapsed_runs.is_empty() {
-        return false;
-    }
-    let upstreams = view.state.upstreams.len();
-    let answers = |incarnation: &Incarnation| {
-        view.hosts.iter().any(|host| host.takes_work && host.incarnation == *incarnation)
-    };
-    let silent: Vec<_> =
-        view.state.lapsed_runs.iter().filter(|(incarnation, _)| !answers(incarnation)).collect();
-    (0..members).map(|member| unit.task(member)).any(|task| {
-        let lost = |runs: &[(TaskId, u32)]| runs.iter().any(|(lost, _)| *lost == task);
-        let silent = silent.iter().filter(|(_, runs)| lost(runs)).count();
-        let crashed = crashes::count(view.state.crashes_of(&task), upstreams);
-        silent > 0 && silent + crashed >= LOSSES_TO_WAIT
-    })
+    if silent.defer(view, &unit.id, members) { verdict.max(Verdict::Undecided) } else { verdict }
 }
 
 /// Returns whether an upstream has crashed under some task of a unit for no known other cause.
--- a/src/scheduler/crashes.rs
+++ b/src/scheduler/crashes.rs
@@ -3,13 +3,12 @@
 //! Such a job is placed again, and may take the next upstream down. A job whose fault is proved ends;
 //! while the latest crash may still turn out to be part of an outage, it waits.
 
-use super::JobRecord;
-use super::Scheduler;
 use super::gang::{Gang, Member};
 use super::job::{Job, JobEnd, JobState, Ran};
 use super::limits::ANNOUNCEMENT_LEASE_MS;
 use super::pool::UpstreamIx;
 use super::timers::Timer;
+use super::{JobRecord, Scheduler};
 use crate::crashes::{
     CrashHistory, CrashedRun, LostUpstream, OUTAGE_SPREAD_MS, Subject, Verdict, verdict,
 };
@@ -40,7 +39,7 @@
 
 impl Scheduler {
     /// Records that an incarnation of an upstream was lost or has restarted, for the jobs that worked
-    /// there. A crash without any tells that others had another cause.
+    /// there. It is recorded without any, too: then no job explains it, as in an outage.
     ///
     /// An upstream that is leaving does not crash.
     pub(super) fn record_crash(&mut self, ix: UpstreamIx, incarnation: u64, now_ms: u64) {
--- a/src/tasks/command.rs
+++ b/src/tasks/command.rs
@@ -66,8 +66,8 @@
     SetMachineState { wave: u64, machine: Arc<str>, state: MachineState },
     /// Drops ended jobs whose retention period is over.
     DropJobs { jobs: Vec<JobId> },
-    /// Removes an upstream that has crashed or does not come back, was last heard of `silent_ms` ago and may have had these
-    /// runs.
+    /// Removes an upstream that has crashed, or does not come back, and records the runs that it may
+    /// have had. It was last heard of `silent_ms` ago.
     RecordCrash { incarnation: Incarnation, runs: Vec<CrashedRun<TaskId>>, silent_ms: u64 },
     /// Gives up units under which upstreams crash; their jobs fail.
     GiveUp { units: Vec<UnitId> },
