Read the last lists of a leaving upstream before its leave is acknowledged

Now the acknowledgement waits, for a second at most, until the lists have been read anew and recorded, if the upstream still has runs in the state.

--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -34,6 +34,11 @@
 /// Time without heartbeats after which an upstream whose leases have ended is removed.
 const REMOVE_SILENT_AFTER_MS: u64 = 20_000;
 
+/// Longest wait for the lists of an upstream that leaves.
+const LAST_LISTS_TIMEOUT_MS: u64 = 1_000;
+
+const LAST_LISTS_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// What the holding loop does after a call.
 pub(super) enum NextStep {
     Again,
@@ -94,6 +99,26 @@
         self.handle_answer(incarnation, lists, sent_ms).await
     }
 
+    /// Waits until the lists of a leaving upstream are in the state, since it may go once its leave is
+    /// acknowledged, and nobody else knows of the ends that they show.
+    pub(super) async fn read_last_lists(&self, incarnation: &Incarnation) {
+        let asked_ms = boot_ms();
+        let Some(read_now) = self.read_now(incarnation) else { return };
+        read_now.notify_one();
+        let is_read = || {
+            let term_state = self.term_state();
+            let session = term_state.sessions.get(&incarnation.id);
+            session.is_none_or(|session| session.lists_handled_ms >= asked_ms)
+        };
+        while self.replica.lock().state.has_runs(incarnation) && !is_read() {
+            if boot_ms().saturating_sub(asked_ms) > LAST_LISTS_TIMEOUT_MS {
+                warn!(upstream = %incarnation.id, "upstream leaves before its lists were read");
+                return;
+            }
+            tokio::time::sleep(LAST_LISTS_CHECK_INTERVAL).await;
+        }
+    }
+
     fn read_now(&self, incarnation: &Incarnation) -> Option<Arc<Notify>> {
         let term_state = self.term_state();
         term_state.sessions.get(&incarnation.id).map(|session| Arc::clone(&session.read_now))
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -338,6 +338,7 @@
             _ => false,
         };
         if has_session {
+            self.read_last_lists(&incarnation).await;
             Reply::Done
         } else {
             self.commit(Change::RemoveUpstream { incarnation }, Reply::Done).await
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -63,6 +63,8 @@
     leases_end_ms: u64,
     /// Whether this leader has read the task lists of the upstream.
     pub(super) lists_read: bool,
+    /// When the call was sent whose lists were the last to be recorded in the state.
+    pub(super) lists_handled_ms: u64,
     pub(super) runs: HashMap<TaskId, ObservedRun>,
     /// Runs whose start or stop order was answered, and when the answer arrived. Such a run has
     /// ended if task lists read later do not contain it.
@@ -100,6 +102,7 @@
             // Earlier leaders granted no leases after this one was elected.
             leases_end_ms: now_ms + longest_duration_ms(lease_max_ms) + LAPSE_MARGIN_MS,
             lists_read: false,
+            lists_handled_ms: 0,
             runs: HashMap::new(),
             answered_orders: HashMap::new(),
             outcomes: VecDeque::new(),
--- a/src/cluster/tests/promises.rs
+++ b/src/cluster/tests/promises.rs
@@ -120,6 +120,25 @@
     assert_eq!(fake.started().len(), 1, "{:?}", fake.started());
 }
 
+/// Guards against a second run of a task that has ended on an upstream which then leaves: it goes
+/// once its leave is acknowledged, and nobody else knows of the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_that_ends_just_before_its_upstream_leaves_counts() {
+    let fake = FakeUpstreams::new(Duration::from_millis(300));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    submit(&test, 1).await;
+    wait_until("it runs", || fake.running() == 1).await;
+    let upstream = Arc::clone(&fake.started()[0].2);
+    while fake.running() == 1 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let leave = Request::Deregister { id: Arc::clone(&upstream), born_unix_ms: None };
+    test.call_until_answered(leave).await;
+    fake.crash(&upstream);
+    wait_until_completed(&test, &fake, 1).await;
+    assert_eq!(fake.started().len(), 1, "{:?}", fake.started());
+}
+
 /// Guards against new work for an upstream that has left, when a heartbeat that was sent before
 /// arrives late.
 #[tokio::test(flavor = "multi_thread")]
