--- a/src/placement/tests/suspects.rs
+++ b/src/placement/tests/suspects.rs
@@ -7,7 +7,7 @@
 use crate::crashes::CrashedRun;
 use crate::placement::{Plan, Progress};
 use crate::tasks::tests::sample::{Sample, gang, heartbeat, job_id, step};
-use crate::tasks::{Change, Heartbeat, JobState, StartRecord, State, TaskId, UnitId};
+use crate::tasks::{Change, Heartbeat, JobState, LostRun, StartRecord, State, TaskId, UnitId};
 
 /// Time between two rounds of crashes, longer than the spread of an outage.
 const ROUND_MS: u64 = 4_000;
@@ -65,6 +65,14 @@
     (0..u32::try_from(sample.state.upstreams.len()).unwrap()).filter(runs_on).collect()
 }
 
+/// Lets a job's upstream fall silent until its lease has ended.
+fn fall_silent(sample: &mut Sample, host: u32) {
+    let incarnation = sample.state.upstreams[&heartbeat(host).id].incarnation();
+    let lost = |(task, run)| LostRun { task, run, checkpoint: None };
+    let runs = sample.state.runs_of(&incarnation).into_iter().map(lost).collect();
+    sample.apply(Change::RecordLost { incarnation, runs });
+}
+
 fn start(sample: &mut Sample, job: u64, run: u32, host: u32) {
     let incarnation = sample.state.upstreams[&heartbeat(host).id].incarnation();
     let incarnations = std::iter::once(incarnation).collect();
@@ -262,24 +270,13 @@
     for round in 0..2 {
         place(&mut sample, &Inputs::default());
         let host = hosts_of(&sample, 1)[0];
-        let incarnation = sample.state.upstreams[&heartbeat(host).id].incarnation();
-        let lost = |(task, run)| crate::tasks::LostRun { task, run, checkpoint: None };
-        let runs = sample.state.runs_of(&incarnation).into_iter().map(lost).collect();
-        sample.apply(Change::RecordLost { incarnation, runs });
+        fall_silent(&mut sample, host);
         crash(&mut sample, host, |_| Some(0));
         sample.at((round + 1) * ROUND_MS);
     }
     assert_eq!(decide(&sample, &Inputs::default()).give_ups, [unit(1)]);
 }
 
-/// Lets a job's upstream fall silent until its lease has ended.
-fn fall_silent(sample: &mut Sample, host: u32) {
-    let incarnation = sample.state.upstreams[&heartbeat(host).id].incarnation();
-    let lost = |(task, run)| crate::tasks::LostRun { task, run, checkpoint: None };
-    let runs = sample.state.runs_of(&incarnation).into_iter().map(lost).collect();
-    sample.apply(Change::RecordLost { incarnation, runs });
-}
-
 /// Starts a job on one host after the other, each of which falls silent, and returns these hosts.
 fn play_silence(sample: &mut Sample, rounds: u64) -> Vec<u32> {
     let mut silent = Vec::new();
--- a/src/scheduler/tests/crashes.rs
+++ b/src/scheduler/tests/crashes.rs
@@ -49,6 +49,13 @@
         !matches!(self.core.state(name), JobState::Ended(_))
     }
 
+    /// Checks that the job `deadly` has failed after few enough starts.
+    fn check_given_up(&self, starts: usize) {
+        let state = self.core.state("deadly");
+        assert!(matches!(state, JobState::Ended(JobEnd::Failed { .. })), "{state:?}");
+        assert!(starts <= STARTS_MAX, "{starts} starts");
+    }
+
     /// Replaces the scheduler by one that starts from its records, or from a snapshot.
     fn restart(&mut self, from_snapshot: bool) {
         let records =
@@ -64,11 +71,8 @@
     }
 }
 
-/// Guards against a job that crashes one upstream after the other without end.
-#[rstest]
-#[case::part_of_an_upstream(1)]
-#[case::a_gang_of_two_upstreams(16)]
-fn a_job_that_crashes_its_upstreams_is_given_up(#[case] accelerators: u32) {
+/// Submits a job that crashes its upstreams, plays it, and checks that it is given up.
+fn check_is_given_up(accelerators: u32, after_crash: impl Fn(&mut CrashingPool)) {
     let mut pool = CrashingPool::new();
     pool.core.submit(job("deadly", accelerators));
     let mut starts = 0;
@@ -79,11 +83,18 @@
         for position in positions {
             pool.crash(position);
         }
+        after_crash(&mut pool);
         pool.core.run_ms(10_000);
     }
-    let state = pool.core.state("deadly");
-    assert!(matches!(state, JobState::Ended(JobEnd::Failed { .. })), "{state:?}");
-    assert!(starts <= STARTS_MAX, "{starts} starts");
+    pool.check_given_up(starts);
+}
+
+/// Guards against a job that crashes one upstream after the other without end.
+#[rstest]
+#[case::part_of_an_upstream(1)]
+#[case::a_gang_of_two_upstreams(16)]
+fn a_job_that_crashes_its_upstreams_is_given_up(#[case] accelerators: u32) {
+    check_is_given_up(accelerators, |_| {});
 }
 
 /// Guards against crashes that are not counted because the commit has no answer: the job's gang has
@@ -109,9 +120,7 @@
         }
         pool.core.inbox.retain(|message| matches!(message, Decision::Stage { .. }));
     }
-    let state = pool.core.state("deadly");
-    assert!(matches!(state, JobState::Ended(JobEnd::Failed { .. })), "{state:?}");
-    assert!(starts <= STARTS_MAX, "{starts} starts");
+    pool.check_given_up(starts);
 }
 
 /// Guards against crashes that are forgotten when the process starts again.
@@ -119,23 +128,10 @@
 #[case::from_its_records(false)]
 #[case::from_a_snapshot(true)]
 fn crashes_outlive_a_restart(#[case] from_snapshot: bool) {
-    let mut pool = CrashingPool::new();
-    pool.core.submit(job("deadly", 1));
-    let mut starts = 0;
-    for _ in 0..ROUNDS {
-        pool.core.run_ms(200);
-        let positions = pool.positions("deadly");
-        starts += usize::from(!positions.is_empty());
-        for position in positions {
-            pool.crash(position);
-        }
+    check_is_given_up(1, |pool| {
         pool.core.run_ms(1_000);
         pool.restart(from_snapshot);
-        pool.core.run_ms(10_000);
-    }
-    let state = pool.core.state("deadly");
-    assert!(matches!(state, JobState::Ended(JobEnd::Failed { .. })), "{state:?}");
-    assert!(starts <= STARTS_MAX, "{starts} starts");
+    });
 }
 
 /// Guards against giving up jobs whose upstreams crash together with others, however often.
