--- a/tests/request_path/not_run.rs
+++ b/tests/request_path/not_run.rs
@@ -12,7 +12,7 @@
 use crate::support::{eventually, key};
 
 /// Time for which [`fill_slots_directly`] fills the slots.
-pub const SLOTS_FILLED_FOR: Duration = Duration::from_secs(20);
+pub const SLOTS_FILLED_FOR: Duration = Duration::from_mins(1);
 
 /// Fills all slots of all stand-ins directly, so that the entry hosts assume they are free.
 pub fn fill_slots_directly(cluster: &TestCluster) {
