--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -43,6 +43,8 @@
     token: u64,
     lease_until_ms: u64,
     running: BTreeMap<TaskId, (u32, Instant)>,
+    /// When runs that are in execution were told to stop.
+    stopping: BTreeMap<TaskId, Instant>,
     /// Highest run of each task that has ended or was stopped here.
     closed: BTreeMap<TaskId, u32>,
     ends: Vec<ListedEnd>,
@@ -57,7 +59,13 @@
     stops: Fault,
     /// Starts that were carried out, with the upstream.
     started: Vec<(TaskId, u32, Arc<str>)>,
+    /// Upstreams that have answered a hold call, since their latest restart or before.
+    held: BTreeSet<Arc<str>>,
     work: Duration,
+    /// Time that an upstream takes to stop a run after it has answered the order.
+    stop_time: Duration,
+    /// How often each upstream has restarted.
+    restarts: BTreeMap<Arc<str>, u64>,
     /// Jobs whose tasks crash each upstream that starts them.
     deadly: BTreeSet<JobId>,
     /// Upstreams that have crashed and are not back yet, and since when.
@@ -94,23 +102,38 @@
         self.lock().stops = fault;
     }
 
+    /// Sets the time that an upstream takes to stop a run after it has answered the order.
+    pub(super) fn set_stop_time(&self, stop_time: Duration) {
+        self.lock().stop_time = stop_time;
+    }
+
     /// Returns the starts that were carried out, with their upstreams.
     pub(super) fn started(&self) -> Vec<(TaskId, u32, Arc<str>)> {
         self.lock().started.clone()
     }
 
+    /// Returns how many upstreams have answered a hold call.
+    pub(super) fn holds_answered(&self) -> usize {
+        self.lock().held.len()
+    }
+
     /// Returns how many runs of a task are in execution on all upstreams together.
     pub(super) fn running(&self) -> usize {
         let mut shared = self.lock();
-        let work = shared.work;
-        shared
-            .upstreams
-            .values_mut()
-            .map(|upstream| {
-                upstream.end_due(work);
-                upstream.running.len()
-            })
-            .sum()
+        shared.end_due();
+        shared.upstreams.values().map(|upstream| upstream.running.len()).sum()
+    }
+
+    /// Returns whether some task has several runs in execution.
+    pub(super) fn runs_twice(&self) -> bool {
+        let mut shared = self.lock();
+        shared.end_due();
+        let mut tasks: Vec<_> =
+            shared.upstreams.values().flat_map(|up| up.running.keys()).collect();
+        let all = tasks.len();
+        tasks.sort_unstable();
+        tasks.dedup();
+        tasks.len() < all
     }
 
     /// Makes the tasks of a job crash each upstream that starts them.
@@ -123,13 +146,20 @@
         self.lock().crash(upstream);
     }
 
-    /// Brings an upstream back that has been down for a while.
-    fn bring_back(&self) -> Option<Arc<str>> {
+    /// Restarts an upstream under its identity and address, and returns its first heartbeat, which
+    /// the test sends.
+    pub(super) fn restart(&self, upstream: &str) -> Heartbeat {
+        let mut shared = self.lock();
+        shared.crash(upstream);
+        shared.bring_back(upstream)
+    }
+
+    /// Brings an upstream back that has been down for a while, and returns its first heartbeat.
+    fn bring_back_due(&self) -> Option<Heartbeat> {
         let mut shared = self.lock();
         let due = |(_, since): &(&Arc<str>, &Instant)| since.elapsed() >= DOWNTIME;
         let upstream = shared.down.iter().find(due).map(|(upstream, _)| Arc::clone(upstream))?;
-        shared.down.remove(&upstream);
-        Some(upstream)
+        Some(shared.bring_back(&upstream))
     }
 
     pub(super) fn calls(&self) -> UpstreamCalls {
@@ -188,7 +218,8 @@
         not_carried_out(fault)?;
         let upstream = shared.upstreams.entry(Arc::clone(&order.upstream)).or_default();
         upstream.check_token(order.fencing_token)?;
-        upstream.end(&order.task, order.run, EndKind::Stopped);
+        upstream.stop(&order.task, order.run);
+        shared.end_due();
         answer(fault, OrderAnswer::Done { clock_ms: boot_ms() })
     }
 
@@ -201,9 +232,11 @@
         if fault == Fault::Absurd {
             return Ok(absurd_lists());
         }
+        shared.end_due();
+        shared.held.insert(Arc::clone(&order.upstream));
+        let born_unix_ms = Some(shared.born_unix_ms(&order.upstream));
         let upstream = shared.upstreams.entry(Arc::clone(&order.upstream)).or_default();
         upstream.check_token(order.fencing_token)?;
-        upstream.end_due(work);
         if let Some(until_ms) = order.lease_until_ms {
             upstream.lease_until_ms = upstream.lease_until_ms.max(until_ms);
         }
@@ -221,7 +254,7 @@
         };
         let lists = TaskLists {
             clock_ms: boot_ms(),
-            born_unix_ms: None,
+            born_unix_ms,
             running: upstream.running.iter().map(listed).collect(),
             ended: upstream.ends.clone(),
             unreadable: 0,
@@ -236,6 +269,24 @@
         self.down.insert(upstream.into(), Instant::now());
     }
 
+    fn bring_back(&mut self, upstream: &str) -> Heartbeat {
+        self.down.remove(upstream);
+        *self.restarts.entry(upstream.into()).or_default() += 1;
+        let born_unix_ms = self.born_unix_ms(upstream);
+        let former = (0..64).map(heartbeat).find(|former| *former.id == *upstream);
+        Heartbeat { born_unix_ms, ..former.expect("a sample host") }
+    }
+
+    fn born_unix_ms(&self, upstream: &str) -> u64 {
+        heartbeat(0).born_unix_ms + self.restarts.get(upstream).copied().unwrap_or(0)
+    }
+
+    /// Ends the runs that are due.
+    fn end_due(&mut self) {
+        let (work, stop_time) = (self.work, self.stop_time);
+        self.upstreams.values_mut().for_each(|upstream| upstream.end_due(work, stop_time));
+    }
+
     /// Returns how a call to an upstream goes wrong, given how it would if the upstream were up.
     fn fault_at(&self, upstream: &str, fault: Fault) -> Fault {
         if self.down.contains_key(upstream) { Fault::Silent } else { fault }
@@ -251,8 +302,24 @@
         Ok(())
     }
 
-    /// Ends the runs whose work is done or whose lease is over.
-    fn end_due(&mut self, work: Duration) {
+    /// Begins to stop a run if it is in execution, and refuses it from now on.
+    fn stop(&mut self, task: &TaskId, run: u32) {
+        let closed = self.closed.entry(task.clone()).or_default();
+        *closed = run.max(*closed);
+        if self.running.get(task).is_some_and(|(running, _)| *running <= run) {
+            self.stopping.entry(task.clone()).or_insert_with(Instant::now);
+        }
+    }
+
+    /// Ends the runs whose work is done, that have been stopped, or whose lease is over.
+    fn end_due(&mut self, work: Duration, stop_time: Duration) {
+        let stopped = |(_, since): &(&TaskId, &Instant)| since.elapsed() >= stop_time;
+        let stopped: Vec<_> =
+            self.stopping.iter().filter(stopped).map(|(task, _)| task.clone()).collect();
+        for task in stopped {
+            let run = self.running.get(&task).map_or(0, |(run, _)| *run);
+            self.end(&task, run, EndKind::Stopped);
+        }
         let lapsed = self.lease_until_ms < boot_ms();
         let due: Vec<_> = self
             .running
@@ -268,6 +335,7 @@
     fn end(&mut self, task: &TaskId, run: u32, how: EndKind) {
         let closed = self.closed.entry(task.clone()).or_default();
         *closed = run.max(*closed);
+        self.stopping.remove(task);
         if self.running.get(task).is_some_and(|(running, _)| *running <= run) {
             self.running.remove(task);
             self.ends_so_far += 1;
@@ -344,13 +412,9 @@
     pub(super) fn restart_crashed(&self, fake: &FakeUpstreams) -> JoinHandle<()> {
         let (control, fake) = (Arc::clone(&self.control), fake.clone());
         tokio::spawn(async move {
-            let mut born_unix_ms = heartbeat(0).born_unix_ms;
             loop {
                 tokio::time::sleep(Duration::from_millis(10)).await;
-                let Some(upstream) = fake.bring_back() else { continue };
-                born_unix_ms += 1;
-                let former = (0..64).map(heartbeat).find(|former| former.id == upstream);
-                let heartbeat = Heartbeat { born_unix_ms, ..former.expect("a sample host") };
+                let Some(heartbeat) = fake.bring_back_due() else { continue };
                 let (control, request) = (Arc::clone(&control), Request::Heartbeat(heartbeat));
                 tokio::spawn(async move {
                     control.call(request, Duration::from_secs(2)).await.expect("the host leads");
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -16,6 +16,7 @@
 mod fake_worker;
 mod messages;
 mod promises;
+mod successors;
 
 async fn call(address: SocketAddr, limit: Duration) -> ClientFault {
     let client = LeaderClient::new(vec![address]);
--- a/src/cluster/tests/promises.rs
+++ b/src/cluster/tests/promises.rs
@@ -32,11 +32,11 @@
     assert_eq!(reply, Reply::Front(FrontReply::Accepted));
 }
 
-/// Waits until a job is completed; at no time may more than one run be in execution.
-async fn wait_until_completed(test: &TestControl, fake: &FakeUpstreams, number: u64) {
+/// Waits until a job is completed; at no time may more than one run of a task be in execution.
+pub(super) async fn wait_until_completed(test: &TestControl, fake: &FakeUpstreams, number: u64) {
     let begun = Instant::now();
     loop {
-        assert!(fake.running() <= 1, "two runs of one task: {:?}", fake.started());
+        assert!(!fake.runs_twice(), "two runs of one task: {:?}", fake.started());
         let reply = test.call_until_answered(call(number, Action::Status)).await;
         if reply == Reply::Front(FrontReply::State(JobState::Completed)) {
             return;
