Log starts that another incarnation answers, and stops on a successor

The logs could not tell the hypotheses of the incident apart: a start order says which upstream it is for and not which incarnation carried it out, and the stops of a former incarnation's runs on its successor were logged only if they failed.

A start answered with a clock behind the one seen before the order was sent was carried out by another incarnation: a warning and a metric. Each stop on a successor is a line with the run and the answer. No behaviour changes.

--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -5,6 +5,7 @@
 
 use tracing::{info, warn};
 
+use super::session::Session;
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
 use crate::cluster::upstream_calls::{CallFault, OrderAnswer, Refusal, StartOrder, StopOrder};
@@ -111,8 +112,12 @@
                     StartOutcome::Refused(Refusal::LeaseEnded)
                 };
             };
+            let known_clock_ms = self.known_clock_ms(incarnation);
             match (self.calls.start)(order).await {
                 Ok(OrderAnswer::Done { clock_ms }) => {
+                    if clock_ms < known_clock_ms {
+                        self.report_start_by_successor(key, incarnation, clock_ms, known_clock_ms);
+                    }
                     self.record_contact(incarnation, clock_ms);
                     return StartOutcome::Settled;
                 }
@@ -191,6 +196,31 @@
         })
     }
 
+    /// Returns the newest time that was seen on an upstream's clock; 0 before the first answer.
+    fn known_clock_ms(&self, incarnation: &Incarnation) -> u64 {
+        let term_state = self.term_state();
+        let session = term_state.sessions.get(&incarnation.id);
+        let session = session.filter(|session| session.incarnation == *incarnation);
+        session.map_or(0, Session::known_clock_ms)
+    }
+
+    /// Logs a start that was answered by another incarnation than the one that it was meant for, as a
+    /// clock shows that is behind the time seen before the order was sent.
+    fn report_start_by_successor(
+        &self,
+        (task, run): &TaskRun,
+        incarnation: &Incarnation,
+        clock_ms: u64,
+        known_clock_ms: u64,
+    ) {
+        self.replica.metrics.order("start by a successor");
+        warn!(
+            request = %task.job, task = %task, run, upstream = %incarnation.id,
+            born_unix_ms = incarnation.born_unix_ms, clock_ms, known_clock_ms,
+            "start was carried out by another incarnation of the upstream"
+        );
+    }
+
     fn record_contact(&self, incarnation: &Incarnation, clock_ms: u64) {
         let mut term_state = self.term_state();
         if let Some(session) = term_state.sessions.get_mut(&incarnation.id)
@@ -357,7 +387,15 @@
         };
         for _ in 0..FENCE_ATTEMPTS_MAX {
             match (self.calls.stop)(order.clone()).await {
-                Ok(_) | Err(CallFault::OtherUpstream | CallFault::Fenced) => return,
+                Ok(answer) => {
+                    info!(
+                        request = %order.task.job, task = %order.task, run, upstream = %order.upstream,
+                        born_unix_ms = heartbeat.born_unix_ms, ?answer,
+                        "run of a former incarnation was ordered to stop"
+                    );
+                    return;
+                }
+                Err(CallFault::OtherUpstream | CallFault::Fenced) => return,
                 Err(fault) => {
                     warn!(task = %order.task, error = %fault, "could not fence a run yet");
                     tokio::time::sleep(RETRY_PAUSE).await;
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -142,6 +142,11 @@
         }
     }
 
+    /// Returns the newest time that was seen on the upstream's clock; 0 before the first answer.
+    pub(super) fn known_clock_ms(&self) -> u64 {
+        self.contact.map_or(0, |contact| contact.clock_ms)
+    }
+
     /// Returns the time since the last answer; `None` before the first.
     pub(super) fn silent_ms(&self, now_ms: u64) -> Option<u64> {
         self.contact.map(|contact| now_ms.saturating_sub(contact.received_ms))
--- a/src/cluster/tests/successors.rs
+++ b/src/cluster/tests/successors.rs
@@ -20,7 +20,7 @@
     let heartbeats = [0, 1].map(|host| fake.restart(&incarnation(host).id));
     submit(test, 1).await;
     wait_until("it runs", || fake.running() == 1).await;
-    let upstream = fake.started()[0].2.clone();
+    let upstream = Arc::clone(&fake.started()[0].2);
     let heartbeat = heartbeats.into_iter().find(|heartbeat| heartbeat.id == upstream);
     Request::Heartbeat(heartbeat.expect("one of the two"))
 }
