End a former incarnation's runs on its successor before they start elsewhere

Orders name an upstream by its identity. A run that is placed on an incarnation which has just crashed, and the repeats of its start order, reach the new one, which begins the run. When that one's heartbeat arrives, the leader ordered the former incarnation's runs to stop there and removed it at once: - it took the answer to the stop for the end of the run, which takes up to the stop timeout (0.9 s on the users' sites); - it went on without any answer after five attempts, and took a refusal for one; - it went on placing runs on the former incarnation meanwhile, which were not among those that it stopped; - an end that the run had reached on the successor, as done, too, was lost, so the task started again; - a run that had gone on under the successor was evidence that its task crashes upstreams.

Now nothing is placed on or sent to an incarnation whose successor was heard of. The successor is registered once all former runs have an answered stop and its lists show none of them in execution; ends in those lists are recorded as such. If that fails, the heartbeat is not acknowledged and the next one tries again; a successor that is lost itself is removed after its silence and a whole lease. Another upstream at the address gets no stops, since it refuses these orders.

Ruled out: lists of a successor taken for those of the former incarnation (they carry the start time, and such lists are ignored).

--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -10,7 +10,7 @@
 use tracing::{debug, info, warn};
 
 use super::losses::Loss;
-use super::session::is_possible_clock;
+use super::session::{is_possible_clock, longest_duration_ms};
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
 use crate::cluster::upstream_calls::{CallFault, HoldOrder, TaskLists};
@@ -79,6 +79,9 @@
             // A leader that may have been replaced must not extend leases.
             return NextStep::Pause(RETRY_PAUSE);
         }
+        if let Some(since_ms) = self.successor_silent_ms(incarnation) {
+            return self.await_successor(incarnation, since_ms).await;
+        }
         let sent_ms = boot_ms();
         let Some(order) = self.hold_order(incarnation, sent_ms) else { return NextStep::End };
         let Some(read_now) = self.read_now(incarnation) else { return NextStep::End };
@@ -218,6 +221,17 @@
         NextStep::Pause(RETRY_PAUSE)
     }
 
+    /// Waits for the heartbeat of a successor, which ends the runs of the upstream that it replaces.
+    ///
+    /// The successor gets no calls meant for its former life. If it is lost itself, the runs that it may
+    /// have been started with are over once their lease has ended.
+    async fn await_successor(&self, incarnation: &Incarnation, silent_ms: u64) -> NextStep {
+        if silent_ms > REMOVE_SILENT_AFTER_MS + longest_duration_ms(self.bounds.lease_max_ms) {
+            return self.remove_upstream(incarnation, Loss::Silent).await;
+        }
+        NextStep::Pause(RETRY_PAUSE)
+    }
+
     /// Records all runs of an upstream as lost because its lease has ended.
     async fn record_lost_runs(&self, incarnation: &Incarnation) {
         let recorded = self.replica.lock().state.runs_of(incarnation);
--- a/src/cluster/leader/lists.rs
+++ b/src/cluster/leader/lists.rs
@@ -25,6 +25,7 @@
     ) -> NextStep {
         if lists.born_unix_ms.is_some_and(|born| born != incarnation.born_unix_ms) {
             // Its next heartbeat registers the new incarnation, which ends the runs of this one.
+            self.record_successor(incarnation);
             return NextStep::Pause(RETRY_PAUSE);
         }
         let now_ms = boot_ms();
@@ -189,7 +190,7 @@
     }
 }
 
-fn log_ends(incarnation: &Incarnation, ends: &[EndRecord]) {
+pub(super) fn log_ends(incarnation: &Incarnation, ends: &[EndRecord]) {
     for end in ends {
         info!(
             request = %end.task.job,
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -8,6 +8,7 @@
 mod maintenance;
 mod orders;
 mod pacing;
+mod replacement;
 mod requests;
 mod scheduling;
 mod session;
@@ -60,6 +61,10 @@
     starting: HashSet<TaskRun>,
     /// Runs that were ordered to stop and have not ended yet.
     stopping: HashSet<TaskRun>,
+    /// Upstreams whose successor under the same identity was heard of, and when it was last.
+    replaced: HashMap<Incarnation, u64>,
+    /// Identities of upstreams whose replacement is under way.
+    replacing: HashSet<Arc<str>>,
     /// Holding loops, by upstream.
     holds: HashMap<Incarnation, AbortHandle>,
     headroom: Headroom,
@@ -171,6 +176,7 @@
                     term_state.sessions.remove(&incarnation.id);
                 }
             }
+            term_state.replaced.retain(|incarnation, _| known.contains(incarnation));
             for (incarnation, address) in incarnations {
                 if !term_state.holds.contains_key(&incarnation) {
                     let lease_max_ms = self.bounds.lease_max_ms;
--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -13,7 +13,7 @@
 use crate::tasks::{Change, EndKind, EndRecord, Incarnation, TaskId, UnitId};
 
 /// Pause before an unanswered order is repeated.
-const RETRY_PAUSE: Duration = Duration::from_millis(120);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
 /// Time after which an unanswered start order is given up.
 const START_GIVE_UP_MS: u64 = 1_500;
@@ -177,6 +177,9 @@
         let step = StepId { job: task.job.clone(), occurrence: task.occurrence, step: task.step };
         let cluster_ms = self.replica.lock().now_ms();
         let mut term_state = self.term_state();
+        if term_state.replaced.contains_key(incarnation) {
+            return None;
+        }
         let ticket = term_state.approvals.ticket(&step, incarnation, cluster_ms);
         let session = term_state
             .sessions
@@ -366,41 +369,3 @@
             .is_some_and(|session| session.incarnation == *incarnation)
     }
 }
-
-/// Attempts to stop a former run on a replacement upstream before that one is registered anyway.
-const FENCE_ATTEMPTS_MAX: usize = 5;
-
-impl Leader {
-    /// Stops a former incarnation's run on its replacement, so that no late order starts it there.
-    pub(super) async fn fence_run(
-        self: &Arc<Self>,
-        heartbeat: &crate::tasks::Heartbeat,
-        task: TaskId,
-        run: u32,
-    ) {
-        let order = StopOrder {
-            address: Arc::clone(&heartbeat.address),
-            upstream: Arc::clone(&heartbeat.id),
-            fencing_token: self.term,
-            task,
-            run,
-        };
-        for _ in 0..FENCE_ATTEMPTS_MAX {
-            match (self.calls.stop)(order.clone()).await {
-                Ok(answer) => {
-                    info!(
-                        request = %order.task.job, task = %order.task, run, upstream = %order.upstream,
-                        born_unix_ms = heartbeat.born_unix_ms, ?answer,
-                        "run of a former incarnation was ordered to stop"
-                    );
-                    return;
-                }
-                Err(CallFault::OtherUpstream | CallFault::Fenced) => return,
-                Err(fault) => {
-                    warn!(task = %order.task, error = %fault, "could not fence a run yet");
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
-            }
-        }
-    }
-}
--- /dev/null
+++ b/src/cluster/leader/replacement.rs
@@ -0,0 +1,236 @@
+//! Replacement of an upstream by its successor: another incarnation under its identity, or another
+//! upstream at its address.
+//!
+//! Orders name an upstream by its identity. So a successor under the same identity may carry out
+//! start orders that were meant for the former incarnation, and their runs must be over on it before
+//! their tasks may start elsewhere. Any other upstream at the address refuses such orders.
+
+use std::sync::Arc;
+
+use tracing::{info, warn};
+
+use super::orders::RETRY_PAUSE;
+use super::{Leader, TaskRun};
+use crate::cluster::clock::boot_ms;
+use crate::cluster::replica::NotConfirmed;
+use crate::cluster::upstream_calls::{
+    CallFault, HoldOrder, OrderAnswer, Refusal, StopOrder, TaskLists,
+};
+use crate::tasks::{Change, EndRecord, Heartbeat, Incarnation};
+
+/// Maximum number of attempts to stop one run on a successor, for each of its heartbeats.
+const STOP_ATTEMPTS_MAX: usize = 5;
+
+/// Time beyond the stop timeout after which runs that a successor still lists are left to its next
+/// heartbeat.
+const STOP_MARGIN_MS: u64 = 500;
+
+/// Why a successor can't be registered yet.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub(super) enum NotReplaced {
+    #[display("the replacement is under way already")]
+    UnderWay,
+    #[display("a call was not answered as expected: {fault}")]
+    NotAnswered { fault: CallFault },
+    #[display("a stop was refused: {refusal}")]
+    StopRefused { refusal: Refusal },
+    #[display("the upstream has restarted again")]
+    RestartedAgain,
+    #[display("runs of the former incarnation have not ended yet")]
+    NotEnded,
+    #[display("the change was not confirmed")]
+    NotConfirmed,
+}
+
+impl From<NotConfirmed> for NotReplaced {
+    fn from(_: NotConfirmed) -> Self {
+        Self::NotConfirmed
+    }
+}
+
+/// Marks the replacement of an upstream as under way until it is dropped.
+struct Replacing<'a> {
+    leader: &'a Leader,
+    id: Arc<str>,
+}
+
+impl<'a> Replacing<'a> {
+    fn begin(leader: &'a Leader, id: &Arc<str>) -> Option<Self> {
+        let is_new = leader.term_state().replacing.insert(Arc::clone(id));
+        is_new.then(|| Self { leader, id: Arc::clone(id) })
+    }
+}
+
+impl Drop for Replacing<'_> {
+    fn drop(&mut self) {
+        self.leader.term_state().replacing.remove(&self.id);
+    }
+}
+
+impl Leader {
+    /// Removes an upstream that another one has replaced, and records how its runs ended.
+    ///
+    /// # Errors
+    /// Returns an error while some run may go on; the successor's next heartbeat tries again.
+    pub(super) async fn replace_upstream(
+        &self,
+        former: &Incarnation,
+        successor: &Heartbeat,
+    ) -> Result<(), NotReplaced> {
+        let replaced = self.end_and_remove(former, successor).await;
+        if let Err(fault) = &replaced {
+            warn!(upstream = %former.id, error = %fault, "upstream cannot be replaced yet");
+        }
+        replaced
+    }
+
+    async fn end_and_remove(
+        &self,
+        former: &Incarnation,
+        successor: &Heartbeat,
+    ) -> Result<(), NotReplaced> {
+        let _replacing = Replacing::begin(self, &former.id).ok_or(NotReplaced::UnderWay)?;
+        // From here on nothing is started on the former incarnation, so the runs are all that a
+        // successor may have.
+        self.record_successor(former);
+        let runs = self.replica.lock().state.runs_of(former);
+        let loss = self.loss_by_replacement(former);
+        warn!(
+            upstream = %former.id, runs = runs.len(), cause = %loss,
+            "upstream was restarted or replaced"
+        );
+        if former.id == successor.id && !runs.is_empty() {
+            self.end_runs_on_successor(former, successor, &runs).await?;
+        }
+        Ok(self.record_loss(former, loss).await?)
+    }
+
+    /// Records that a successor under an upstream's identity or address was heard of. The former
+    /// incarnation gets no more orders.
+    pub(super) fn record_successor(&self, former: &Incarnation) {
+        let known = self.term_state().replaced.insert(former.clone(), boot_ms());
+        if known.is_none() {
+            info!(
+                upstream = %former.id, born_unix_ms = former.born_unix_ms,
+                "a successor of the upstream was heard of"
+            );
+        }
+    }
+
+    /// Returns the time since the successor of an upstream was last heard of, if there is one.
+    pub(super) fn successor_silent_ms(&self, former: &Incarnation) -> Option<u64> {
+        let heard_ms = self.term_state().replaced.get(former).copied()?;
+        Some(boot_ms().saturating_sub(heard_ms))
+    }
+
+    /// Ends the runs that a successor may have been started with, and records the ends of those that
+    /// it has begun.
+    async fn end_runs_on_successor(
+        &self,
+        former: &Incarnation,
+        successor: &Heartbeat,
+        runs: &[TaskRun],
+    ) -> Result<(), NotReplaced> {
+        for run in runs {
+            self.stop_on_successor(successor, run).await?;
+        }
+        let lists = self.read_lists_without(successor, runs).await?;
+        let begun = lists
+            .ended
+            .into_iter()
+            .filter(|end| runs.iter().any(|(task, run)| *task == end.task && *run == end.run));
+        let ends: Vec<_> = begun
+            .map(|end| EndRecord {
+                task: end.task,
+                run: end.run,
+                how: end.how,
+                checkpoint: Some(end.checkpoint),
+            })
+            .collect();
+        if ends.is_empty() {
+            return Ok(());
+        }
+        info!(upstream = %successor.id, runs = ends.len(), "runs had begun on the successor");
+        super::lists::log_ends(former, &ends);
+        let change = Change::RecordEnds { incarnation: former.clone(), up_to: 0, ends };
+        Ok(self.replica.propose(change).await?)
+    }
+
+    /// Orders a run to stop, so that no late order starts it, until the successor has answered.
+    async fn stop_on_successor(
+        &self,
+        successor: &Heartbeat,
+        (task, run): &TaskRun,
+    ) -> Result<(), NotReplaced> {
+        let order = StopOrder {
+            address: Arc::clone(&successor.address),
+            upstream: Arc::clone(&successor.id),
+            fencing_token: self.term,
+            task: task.clone(),
+            run: *run,
+        };
+        let mut latest = NotReplaced::NotEnded;
+        for _ in 0..STOP_ATTEMPTS_MAX {
+            latest = match (self.calls.stop)(order.clone()).await {
+                Ok(OrderAnswer::Done { .. }) => {
+                    info!(
+                        request = %task.job, task = %task, run, upstream = %successor.id,
+                        born_unix_ms = successor.born_unix_ms,
+                        "run of a former incarnation was ordered to stop"
+                    );
+                    return Ok(());
+                }
+                Ok(OrderAnswer::Refused(refusal)) => NotReplaced::StopRefused { refusal },
+                Err(fault @ (CallFault::OtherUpstream | CallFault::Fenced)) => {
+                    return Err(NotReplaced::NotAnswered { fault });
+                }
+                Err(fault) => NotReplaced::NotAnswered { fault },
+            };
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        Err(latest)
+    }
+
+    /// Reads the lists of a successor until they no longer show runs that were ordered to stop: an
+    /// answered stop order is not the end of a run.
+    async fn read_lists_without(
+        &self,
+        successor: &Heartbeat,
+        runs: &[TaskRun],
+    ) -> Result<TaskLists, NotReplaced> {
+        let begun_ms = boot_ms();
+        loop {
+            let order = HoldOrder {
+                address: Arc::clone(&successor.address),
+                upstream: Arc::clone(&successor.id),
+                fencing_token: self.term,
+                ends_seen: 0,
+                lease_until_ms: None,
+                wait_ms: 0,
+            };
+            let latest = match (self.calls.hold)(order).await {
+                Ok(lists) if is_of_other(&lists, successor) => {
+                    return Err(NotReplaced::RestartedAgain);
+                }
+                Ok(lists) if !lists_some(&lists, runs) => return Ok(lists),
+                Ok(_) => NotReplaced::NotEnded,
+                Err(fault) => NotReplaced::NotAnswered { fault },
+            };
+            if boot_ms().saturating_sub(begun_ms) > self.bounds.stop_timeout_ms + STOP_MARGIN_MS {
+                return Err(latest);
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+fn is_of_other(lists: &TaskLists, upstream: &Heartbeat) -> bool {
+    lists.born_unix_ms.is_some_and(|born| born != upstream.born_unix_ms)
+}
+
+fn lists_some(lists: &TaskLists, runs: &[TaskRun]) -> bool {
+    let is_listed = |(task, run): &TaskRun| {
+        lists.running.iter().any(|listed| listed.task == *task && listed.run == *run)
+    };
+    runs.iter().any(is_listed)
+}
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -11,7 +11,6 @@
 use crate::cluster::protocol::{
     Action, ClusterStatus, FrontCall, FrontReply, MemberStatus, OperatorReply, Reply, Request,
 };
-use crate::cluster::replica::NotConfirmed;
 use crate::placement::{Admission, Approvals, View, critical_path_ms, objective_ms};
 use crate::quorum::Role;
 use crate::tasks::{
@@ -232,8 +231,8 @@
         reply
     }
 
-    /// Registers the upstream of a heartbeat if it is new or has changed. An upstream that it
-    /// replaces, by id or by address, is fenced first.
+    /// Registers the upstream of a heartbeat if it is new or has changed, once the runs of an upstream
+    /// that it replaces, by identity or by address, are over.
     async fn heartbeat(self: &Arc<Self>, heartbeat: Heartbeat) -> Reply {
         let incarnation =
             Incarnation { id: Arc::clone(&heartbeat.id), born_unix_ms: heartbeat.born_unix_ms };
@@ -266,14 +265,14 @@
                 info!(upstream = %heartbeat.id, "heartbeat of a former upstream is ignored");
                 return Reply::Done;
             }
-            if self.end_former_runs(&other.incarnation(), &heartbeat).await.is_err() {
+            if self.replace_upstream(&other.incarnation(), &heartbeat).await.is_err() {
                 return Reply::Unknown;
             }
         }
         if let Some(former) = known.map(|known| known.incarnation()) {
             if former == incarnation {
                 self.record_heartbeat(&heartbeat.id);
-            } else if self.end_former_runs(&former, &heartbeat).await.is_err() {
+            } else if self.replace_upstream(&former, &heartbeat).await.is_err() {
                 return Reply::Unknown;
             }
         }
@@ -300,25 +299,6 @@
         })
     }
 
-    /// Stops a former incarnation's runs on its replacement, so that no late order starts them, and
-    /// records how they were lost.
-    async fn end_former_runs(
-        self: &Arc<Self>,
-        former: &Incarnation,
-        heartbeat: &Heartbeat,
-    ) -> Result<(), NotConfirmed> {
-        let runs = self.replica.lock().state.runs_of(former);
-        let loss = self.loss_by_replacement(former);
-        warn!(
-            upstream = %former.id, runs = runs.len(), cause = %loss,
-            "upstream was restarted or replaced"
-        );
-        for (task, run) in runs {
-            self.fence_run(heartbeat, task, run).await;
-        }
-        self.record_loss(former, loss).await
-    }
-
     /// Removes a leaving upstream, or marks its session as leaving. Without `born_unix_ms` this
     /// applies to any incarnation.
     async fn deregister(&self, id: &Arc<str>, born_unix_ms: Option<u64>) -> Reply {
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -153,7 +153,8 @@
                 .sessions
                 .get(&incarnation.id)
                 .filter(|session| session.incarnation == incarnation);
-            let ready = session.is_some_and(|s| s.lists_read && s.is_reachable(now_ms));
+            let ready = session.is_some_and(|s| s.lists_read && s.is_reachable(now_ms))
+                && !term_state.replaced.contains_key(&incarnation);
             let heartbeat = &upstream.heartbeat;
             let evacuated = heartbeat
                 .machine
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -275,6 +275,6 @@
 }
 
 /// Returns the longest real time in which an upstream's clock advances by a span.
-fn longest_duration_ms(span_ms: u64) -> u64 {
+pub(super) fn longest_duration_ms(span_ms: u64) -> u64 {
     (span_ms * 1_000).div_ceil(SLOWEST_CLOCK_PERMILLE)
 }
