Do not tell a successor that ends of its former life are recorded

What callers would see: a task that has ended as done is started again.

A new incarnation counts its ends from 1. The first call after a restart, before the lists show the new start time, made it drop ends that nobody had read.

Now a call after an unanswered one, and the first of a leader, names no end. An upstream that has not restarted lists the ends again that it did not drop; those that are recorded already are passed over, so that no outcome counts twice.

--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -133,6 +133,9 @@
         answer: Result<TaskLists, CallFault>,
         sent_ms: u64,
     ) -> NextStep {
+        if answer.is_err() {
+            self.record_unanswered_hold(incarnation);
+        }
         match answer {
             Ok(lists) if !is_possible_clock(lists.clock_ms) => {
                 let reason = format!("its clock shows {} ms", lists.clock_ms);
@@ -163,6 +166,16 @@
         }
     }
 
+    /// Records that a hold call had no answer.
+    fn record_unanswered_hold(&self, incarnation: &Incarnation) {
+        let mut term_state = self.term_state();
+        if let Some(session) = term_state.sessions.get_mut(&incarnation.id)
+            && session.incarnation == *incarnation
+        {
+            session.hold_answered = false;
+        }
+    }
+
     /// Returns whether the upstream has announced that it leaves now.
     pub(super) fn is_leaving(&self, incarnation: &Incarnation) -> bool {
         let term_state = self.term_state();
@@ -184,6 +197,8 @@
             .sessions
             .get_mut(&incarnation.id)
             .filter(|session| session.incarnation == *incarnation)?;
+        // Another incarnation counts its ends anew, and would drop those up to this number.
+        let ends_seen = if session.hold_answered { ends_seen } else { 0 };
         let silent = session.silent_ms(now_ms).is_some_and(|ms| ms > EXTEND_LEASE_SILENCE_MAX_MS);
         // If leases were extended without end, the work of a silent upstream could never restart.
         let lease_until_ms = if silent { None } else { session.grant_lease(now_ms) };
--- a/src/cluster/leader/lists.rs
+++ b/src/cluster/leader/lists.rs
@@ -9,7 +9,7 @@
 use super::hold::{NextStep, RETRY_PAUSE};
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
-use crate::cluster::upstream_calls::TaskLists;
+use crate::cluster::upstream_calls::{ListedEnd, TaskLists};
 use crate::tasks::{Change, EndKind, EndRecord, Incarnation, TaskId};
 
 /// Pause between reads of the lists of a leaving upstream, until it no longer answers.
@@ -85,13 +85,16 @@
     /// Returns the listed ends of current runs and judges the upstream by their outcomes.
     fn listed_ends(&self, incarnation: &Incarnation, lists: &TaskLists) -> Vec<EndRecord> {
         let now_ms = boot_ms();
-        let is_newest = |task: &TaskId, run: u32| {
+        let is_new = |end: &ListedEnd| {
             let inner = self.replica.lock();
-            inner.state.find_task(task).is_some_and(|(_, unit, _)| unit.run == run)
+            let upstream = inner.state.upstreams.get(&incarnation.id);
+            let ends_seen = upstream.map_or(0, |upstream| upstream.ends_seen);
+            let unit = inner.state.find_task(&end.task).map(|(_, unit, _)| unit);
+            end.number > ends_seen && unit.is_some_and(|unit| unit.run == end.run)
         };
         let mut ends = Vec::new();
         for end in &lists.ended {
-            if !is_newest(&end.task, end.run) {
+            if !is_new(end) {
                 continue;
             }
             let succeeded = match end.how {
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -63,6 +63,8 @@
     leases_end_ms: u64,
     /// Whether this leader has read the task lists of the upstream.
     pub(super) lists_read: bool,
+    /// Whether the latest hold call was answered. If not, another incarnation may answer the next one.
+    pub(super) hold_answered: bool,
     /// When the call was sent whose lists were the last to be recorded in the state.
     pub(super) lists_handled_ms: u64,
     pub(super) runs: HashMap<TaskId, ObservedRun>,
@@ -102,6 +104,7 @@
             // Earlier leaders granted no leases after this one was elected.
             leases_end_ms: now_ms + longest_duration_ms(lease_max_ms) + LAPSE_MARGIN_MS,
             lists_read: false,
+            hold_answered: false,
             lists_handled_ms: 0,
             runs: HashMap::new(),
             answered_orders: HashMap::new(),
@@ -178,6 +181,7 @@
     /// Updates the observed runs from the upstream's task lists.
     pub(super) fn record_lists(&mut self, lists: &TaskLists, now_ms: u64) {
         self.lists_read = true;
+        self.hold_answered = true;
         let mut runs = HashMap::with_capacity(lists.running.len());
         for listed in &lists.running {
             let before = self.runs.get(&listed.task).filter(|observed| observed.run == listed.run);
--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -59,8 +59,8 @@
     stops: Fault,
     /// Starts that were carried out, with the upstream.
     started: Vec<(TaskId, u32, Arc<str>)>,
-    /// Upstreams that have answered a hold call, since their latest restart or before.
-    held: BTreeSet<Arc<str>>,
+    /// Number of hold calls that each upstream has answered.
+    held: BTreeMap<Arc<str>, usize>,
     work: Duration,
     /// Time that an upstream takes to stop a run after it has answered the order.
     stop_time: Duration,
@@ -113,10 +113,15 @@
     }
 
     /// Returns how many upstreams have answered a hold call.
-    pub(super) fn holds_answered(&self) -> usize {
+    pub(super) fn upstreams_held(&self) -> usize {
         self.lock().held.len()
     }
 
+    /// Returns how many hold calls an upstream has answered.
+    pub(super) fn holds_of(&self, upstream: &str) -> usize {
+        self.lock().held.get(upstream).copied().unwrap_or(0)
+    }
+
     /// Returns how many runs of a task are in execution on all upstreams together.
     pub(super) fn running(&self) -> usize {
         let mut shared = self.lock();
@@ -233,7 +238,7 @@
             return Ok(absurd_lists());
         }
         shared.end_due();
-        shared.held.insert(Arc::clone(&order.upstream));
+        *shared.held.entry(Arc::clone(&order.upstream)).or_default() += 1;
         let born_unix_ms = Some(shared.born_unix_ms(&order.upstream));
         let upstream = shared.upstreams.entry(Arc::clone(&order.upstream)).or_default();
         upstream.check_token(order.fencing_token)?;
--- a/src/cluster/tests/successors.rs
+++ b/src/cluster/tests/successors.rs
@@ -16,7 +16,7 @@
 /// starts in the new one. Returns the first heartbeat of that one.
 async fn start_on_a_successor(test: &TestControl, fake: &FakeUpstreams) -> Request {
     // Until their lists are read, upstreams count as taking no work.
-    wait_until("an upstream takes work", || fake.holds_answered() >= 2).await;
+    wait_until("an upstream takes work", || fake.upstreams_held() == 2).await;
     let heartbeats = [0, 1].map(|host| fake.restart(&incarnation(host).id));
     submit(test, 1).await;
     wait_until("it runs", || fake.running() == 1).await;
@@ -97,3 +97,25 @@
     tokio::join!(registered, answered_again);
     wait_until_completed(&test, &fake, 1).await;
 }
+
+/// Guards against an end that a restarted upstream drops because it is told that the leader has
+/// recorded it: the number was that of an end in its former life.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_keeps_its_ends_when_a_former_one_is_acknowledged() {
+    let fake = FakeUpstreams::new(Duration::from_millis(300));
+    let test = TestControl::start(&fake, 1, LEASE_MS).await;
+    submit(&test, 1).await;
+    wait_until_completed(&test, &fake, 1).await;
+    let former = incarnation(0).id;
+    fake.set_holds(&former, Fault::Silent);
+    let successor = fake.restart(&former);
+    submit(&test, 2).await;
+    wait_until("it runs", || fake.running() == 1).await;
+    wait_until("it is done", || fake.running() == 0).await;
+    let answered = fake.holds_of(&former);
+    fake.set_holds(&former, Fault::None);
+    wait_until("the upstream is asked again", || fake.holds_of(&former) > answered).await;
+    test.call_until_answered(Request::Heartbeat(successor)).await;
+    wait_until_completed(&test, &fake, 2).await;
+    assert_eq!(fake.started().len(), 2, "{:?}", fake.started());
+}
