Go on replacing an upstream when the heartbeat's call is given up

The replacement of an upstream ran within the call of its successor's heartbeat. A successor with many runs of its former life, or far from the leader, would never have been registered.

The replacement is work of the term now, one at a time for each identity; later heartbeats wait for it.

--- a/src/cluster/leader/replacement.rs
+++ b/src/cluster/leader/replacement.rs
@@ -6,7 +6,9 @@
 //! their tasks may start elsewhere. Any other upstream at the address refuses such orders.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use tokio::sync::oneshot;
 use tracing::{info, warn};
 
 use super::orders::RETRY_PAUSE;
@@ -25,11 +27,18 @@
 /// heartbeat.
 const STOP_MARGIN_MS: u64 = 500;
 
+/// Longest wait for a replacement that another heartbeat of the successor has begun.
+const UNDER_WAY_TIMEOUT_MS: u64 = 5_000;
+
+const UNDER_WAY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Why a successor can't be registered yet.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub(super) enum NotReplaced {
-    #[display("the replacement is under way already")]
+    #[display("another replacement is under way")]
     UnderWay,
+    #[display("the leader's term has ended")]
+    TermEnded,
     #[display("a call was not answered as expected: {fault}")]
     NotAnswered { fault: CallFault },
     #[display("a stop was refused: {refusal}")]
@@ -51,37 +60,53 @@
 /// Marks the replacement of an upstream as under way until it is dropped.
 struct Replacing<'a> {
     leader: &'a Leader,
-    id: Arc<str>,
+    id: &'a Arc<str>,
 }
 
 impl<'a> Replacing<'a> {
-    fn begin(leader: &'a Leader, id: &Arc<str>) -> Option<Self> {
-        let is_new = leader.term_state().replacing.insert(Arc::clone(id));
-        is_new.then(|| Self { leader, id: Arc::clone(id) })
+    /// Begins a replacement, after one that is under way.
+    async fn begin(leader: &'a Leader, id: &'a Arc<str>) -> Result<Self, NotReplaced> {
+        let begun_ms = boot_ms();
+        while !leader.term_state().replacing.insert(Arc::clone(id)) {
+            if boot_ms().saturating_sub(begun_ms) > UNDER_WAY_TIMEOUT_MS {
+                return Err(NotReplaced::UnderWay);
+            }
+            tokio::time::sleep(UNDER_WAY_CHECK_INTERVAL).await;
+        }
+        Ok(Self { leader, id })
     }
 }
 
 impl Drop for Replacing<'_> {
     fn drop(&mut self) {
-        self.leader.term_state().replacing.remove(&self.id);
+        self.leader.term_state().replacing.remove(self.id);
     }
 }
 
 impl Leader {
     /// Removes an upstream that another one has replaced, and records how its runs ended.
     ///
+    /// Goes on when the caller no longer waits, as stops may take longer than a heartbeat's call.
+    ///
     /// # Errors
     /// Returns an error while some run may go on; the successor's next heartbeat tries again.
     pub(super) async fn replace_upstream(
-        &self,
+        self: &Arc<Self>,
         former: &Incarnation,
         successor: &Heartbeat,
     ) -> Result<(), NotReplaced> {
-        let replaced = self.end_and_remove(former, successor).await;
-        if let Err(fault) = &replaced {
-            warn!(upstream = %former.id, error = %fault, "upstream cannot be replaced yet");
-        }
-        replaced
+        let (done, replaced) = oneshot::channel();
+        let leader = Arc::clone(self);
+        let (former, successor) = (former.clone(), successor.clone());
+        self.spawn(async move {
+            let replaced = leader.end_and_remove(&former, &successor).await;
+            if let Err(fault) = &replaced {
+                warn!(upstream = %former.id, error = %fault, "upstream cannot be replaced yet");
+            }
+            // The caller may have stopped waiting.
+            _ = done.send(replaced);
+        });
+        replaced.await.unwrap_or(Err(NotReplaced::TermEnded))
     }
 
     async fn end_and_remove(
@@ -89,9 +114,12 @@
         former: &Incarnation,
         successor: &Heartbeat,
     ) -> Result<(), NotReplaced> {
-        let _replacing = Replacing::begin(self, &former.id).ok_or(NotReplaced::UnderWay)?;
-        // From here on nothing is started on the former incarnation, so the runs are all that a
-        // successor may have.
+        let _replacing = Replacing::begin(self, &former.id).await?;
+        if !self.replica.lock().state.is_registered(former) {
+            return Ok(());
+        }
+        // From here on nothing is started on the former incarnation, so a successor has no other runs
+        // of it than these.
         self.record_successor(former);
         let runs = self.replica.lock().state.runs_of(former);
         let loss = self.loss_by_replacement(former);
--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -64,6 +64,8 @@
     work: Duration,
     /// Time that an upstream takes to stop a run after it has answered the order.
     stop_time: Duration,
+    /// Time after which an upstream answers a stop order.
+    stop_answer_time: Duration,
     /// How often each upstream has restarted.
     restarts: BTreeMap<Arc<str>, u64>,
     /// Jobs whose tasks crash each upstream that starts them.
@@ -107,6 +109,11 @@
         self.lock().stop_time = stop_time;
     }
 
+    /// Sets the time after which an upstream answers a stop order.
+    pub(super) fn set_stop_answer_time(&self, stop_answer_time: Duration) {
+        self.lock().stop_answer_time = stop_answer_time;
+    }
+
     /// Returns the starts that were carried out, with their upstreams.
     pub(super) fn started(&self) -> Vec<(TaskId, u32, Arc<str>)> {
         self.lock().started.clone()
@@ -175,8 +182,12 @@
                 Box::pin(async move { answer })
             }),
             stop: Arc::new(move |order| {
-                let answer = stops.stop(&order);
-                Box::pin(async move { answer })
+                let fake = stops.clone();
+                Box::pin(async move {
+                    let answer_time = fake.lock().stop_answer_time;
+                    tokio::time::sleep(answer_time).await;
+                    fake.stop(&order)
+                })
             }),
             hold: Arc::new(move |order| {
                 let fake = holds.clone();
--- a/src/cluster/tests/successors.rs
+++ b/src/cluster/tests/successors.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::timeout;
+
 use super::fake_worker::{FakeUpstreams, Fault, TestControl, wait_until};
 use super::promises::{LEASE_MS, call, submit, wait_until_completed};
 use crate::cluster::{Action, FrontReply, Reply, Request};
@@ -119,3 +121,25 @@
     wait_until_completed(&test, &fake, 2).await;
     assert_eq!(fake.started().len(), 2, "{:?}", fake.started());
 }
+
+/// Guards against a successor that can never register, because its heartbeat's call is given up
+/// before all runs of its former life have been stopped, and the next one begins anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_registers_although_its_calls_are_given_up() {
+    const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(300);
+    let fake = FakeUpstreams::new(Duration::from_secs(60));
+    let test = TestControl::start(&fake, 1, LEASE_MS).await;
+    for number in 1..=6 {
+        submit_small(&test, number).await;
+    }
+    wait_until("they run", || fake.running() == 6).await;
+    fake.set_stop_answer_time(Duration::from_millis(100));
+    let successor = Request::Heartbeat(fake.restart(&incarnation(0).id));
+    for _ in 0..8 {
+        let call = test.control.call(successor.clone(), Duration::from_secs(2));
+        if let Ok(Ok(Reply::Done)) = timeout(HEARTBEAT_TIMEOUT, call).await {
+            return;
+        }
+    }
+    panic!("not registered: {} runs", fake.running());
+}
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -132,7 +132,8 @@
         }
     }
 
-    fn is_registered(&self, incarnation: &Incarnation) -> bool {
+    /// Returns whether an incarnation of an upstream is registered.
+    pub(crate) fn is_registered(&self, incarnation: &Incarnation) -> bool {
         let known = self.upstreams.get(&incarnation.id);
         known.is_some_and(|known| known.heartbeat.born_unix_ms == incarnation.born_unix_ms)
     }
