Stop the runs of a leaving upstream before its leave is acknowledged

They are stopped when the upstream announces its leave, which it does as the last thing before it ends, and the acknowledgement waits for their ends, for a second at most. So they start elsewhere at once, from the checkpoint that a stop yields. An upstream that runs nothing any more is removed as before, at the first call without an answer.

--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -34,10 +34,10 @@
 /// Time without heartbeats after which an upstream whose leases have ended is removed.
 const REMOVE_SILENT_AFTER_MS: u64 = 20_000;
 
-/// Longest wait for the lists of an upstream that leaves.
-const LAST_LISTS_TIMEOUT_MS: u64 = 1_000;
+/// Longest wait for the ends of the runs of an upstream that leaves.
+const LAST_RUNS_TIMEOUT_MS: u64 = 1_000;
 
-const LAST_LISTS_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+const LAST_RUNS_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// What the holding loop does after a call.
 pub(super) enum NextStep {
@@ -102,23 +102,24 @@
         self.handle_answer(incarnation, lists, sent_ms).await
     }
 
-    /// Waits until the lists of a leaving upstream are in the state, since it may go once its leave is
-    /// acknowledged, and nobody else knows of the ends that they show.
-    pub(super) async fn read_last_lists(&self, incarnation: &Incarnation) {
-        let asked_ms = boot_ms();
+    /// Stops the runs of a leaving upstream and waits until their ends are in the state.
+    ///
+    /// The upstream may go once its leave is acknowledged. Nobody else knows of the ends that its lists
+    /// show, and runs that it takes along can't start elsewhere before their lease has ended.
+    pub(super) async fn end_last_runs(&self, incarnation: &Incarnation) {
+        let begun_ms = boot_ms();
+        let runs = self.replica.lock().state.runs_of(incarnation);
+        for (task, run) in runs {
+            self.order_stop(incarnation, task, run, "upstream leaves");
+        }
         let Some(read_now) = self.read_now(incarnation) else { return };
         read_now.notify_one();
-        let is_read = || {
-            let term_state = self.term_state();
-            let session = term_state.sessions.get(&incarnation.id);
-            session.is_none_or(|session| session.lists_handled_ms >= asked_ms)
-        };
-        while self.replica.lock().state.has_runs(incarnation) && !is_read() {
-            if boot_ms().saturating_sub(asked_ms) > LAST_LISTS_TIMEOUT_MS {
-                warn!(upstream = %incarnation.id, "upstream leaves before its lists were read");
+        while self.replica.lock().state.has_runs(incarnation) {
+            if boot_ms().saturating_sub(begun_ms) > LAST_RUNS_TIMEOUT_MS {
+                warn!(upstream = %incarnation.id, "upstream leaves before its runs have ended");
                 return;
             }
-            tokio::time::sleep(LAST_LISTS_CHECK_INTERVAL).await;
+            tokio::time::sleep(LAST_RUNS_CHECK_INTERVAL).await;
         }
     }
 
@@ -159,8 +160,7 @@
             }
             // The upstream was not asked, so it is not silent.
             Err(CallFault::NoConnection) => NextStep::Pause(RETRY_PAUSE),
-            // A leaving upstream whose answer was lost may go on for a while.
-            Err(CallFault::Refused) if self.is_leaving(incarnation) => {
+            Err(fault) if self.has_left(incarnation, &fault) => {
                 self.remove_upstream(incarnation, Loss::Left).await
             }
             Err(fault) => self.handle_silence(incarnation, &fault).await,
@@ -177,6 +177,14 @@
         }
     }
 
+    /// Returns whether a leaving upstream that did not answer is over. One whose answer was lost may go
+    /// on with its runs for a while.
+    fn has_left(&self, incarnation: &Incarnation, fault: &CallFault) -> bool {
+        let runs_nothing =
+            *fault == CallFault::Refused || !self.replica.lock().state.has_runs(incarnation);
+        self.is_leaving(incarnation) && runs_nothing
+    }
+
     /// Returns whether the upstream has announced that it leaves now.
     pub(super) fn is_leaving(&self, incarnation: &Incarnation) -> bool {
         let term_state = self.term_state();
--- a/src/cluster/leader/lists.rs
+++ b/src/cluster/leader/lists.rs
@@ -56,7 +56,6 @@
             NextStep::Again
         };
         if ends.is_empty() && lists.ended.is_empty() {
-            self.record_handled_lists(incarnation, sent_ms);
             return next;
         }
         let up_to = lists.ended.iter().map(|end| end.number).max().unwrap_or(0);
@@ -66,22 +65,11 @@
         log_ends(incarnation, &ends);
         let change = Change::RecordEnds { incarnation: incarnation.clone(), up_to, ends };
         match self.replica.propose(change).await {
-            Ok(()) => {
-                self.record_handled_lists(incarnation, sent_ms);
-                next
-            }
+            Ok(()) => next,
             Err(_) => NextStep::Pause(RETRY_PAUSE),
         }
     }
 
-    /// Notes when the call was sent whose lists are in the state now.
-    fn record_handled_lists(&self, incarnation: &Incarnation, sent_ms: u64) {
-        let mut term_state = self.term_state();
-        if let Some(session) = term_state.sessions.get_mut(&incarnation.id) {
-            session.lists_handled_ms = sent_ms;
-        }
-    }
-
     /// Returns the listed ends of current runs and judges the upstream by their outcomes.
     fn listed_ends(&self, incarnation: &Incarnation, lists: &TaskLists) -> Vec<EndRecord> {
         let now_ms = boot_ms();
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -318,7 +318,7 @@
             _ => false,
         };
         if has_session {
-            self.read_last_lists(&incarnation).await;
+            self.end_last_runs(&incarnation).await;
             Reply::Done
         } else {
             self.commit(Change::RemoveUpstream { incarnation }, Reply::Done).await
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -65,8 +65,6 @@
     pub(super) lists_read: bool,
     /// Whether the latest hold call was answered. If not, another incarnation may answer the next one.
     pub(super) hold_answered: bool,
-    /// When the call was sent whose lists were the last to be recorded in the state.
-    pub(super) lists_handled_ms: u64,
     pub(super) runs: HashMap<TaskId, ObservedRun>,
     /// Runs whose start or stop order was answered, and when the answer arrived. Such a run has
     /// ended if task lists read later do not contain it.
@@ -105,7 +103,6 @@
             leases_end_ms: now_ms + longest_duration_ms(lease_max_ms) + LAPSE_MARGIN_MS,
             lists_read: false,
             hold_answered: false,
-            lists_handled_ms: 0,
             runs: HashMap::new(),
             answered_orders: HashMap::new(),
             outcomes: VecDeque::new(),
--- a/src/cluster/tests/promises.rs
+++ b/src/cluster/tests/promises.rs
@@ -149,6 +149,7 @@
     wait_until("it runs", || fake.running() == 1).await;
     let upstream = Arc::clone(&fake.started()[0].2);
     fake.set_holds(&upstream, Fault::AnswerLost);
+    fake.set_stops(Fault::Silent);
     let leave = Request::Deregister { id: Arc::clone(&upstream), born_unix_ms: None };
     let left = test.call_until_answered(leave);
     let answered_again = async {
@@ -160,6 +161,25 @@
     assert_eq!(fake.started().len(), 1, "{:?}", fake.started());
 }
 
+/// Guards against work that waits for the end of a lease because its upstream took it along: it is
+/// stopped before the leave is acknowledged, and goes on elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_of_a_leaving_upstream_goes_on_elsewhere_at_once() {
+    let fake = FakeUpstreams::new(Duration::from_secs(2));
+    fake.set_stop_time(Duration::from_millis(300));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    submit(&test, 1).await;
+    wait_until("it runs", || fake.running() == 1).await;
+    let upstream = Arc::clone(&fake.started()[0].2);
+    let leave = Request::Deregister { id: Arc::clone(&upstream), born_unix_ms: None };
+    test.call_until_answered(leave).await;
+    let left = Instant::now();
+    fake.crash(&upstream);
+    wait_until("it runs elsewhere", || fake.started().len() == 2).await;
+    assert!(left.elapsed() < Duration::from_millis(LEASE_MS), "{:?}", left.elapsed());
+    wait_until_completed(&test, &fake, 1).await;
+}
+
 /// Guards against new work for an upstream that has left, when a heartbeat that was sent before
 /// arrives late.
 #[tokio::test(flavor = "multi_thread")]
