Send lost entries of the log again although heartbeats are acknowledged

What callers saw: a call of a control host that changes state was sometimes not answered within 30 s (docs/CAPACITY.md 3.1), and jobs stood still although a leader was there.

Cause: a follower's acknowledgement of a heartbeat was counted as one of a message with entries. If that message was lost, or overtaken by a later one and rejected, the count fell to 0 with the next heartbeat, within 100 ms, and entries were sent again only if it was above 0 for 500 ms. The leader kept its lease, and the entries were never sent again unless six or more messages happened to be in flight at once or the leader changed. Now entries are sent again if the follower is not known to hold what was sent.

Evidence: the new test loses one message to both followers and proposes nothing else.

--- a/src/quorum/replication.rs
+++ b/src/quorum/replication.rs
@@ -32,9 +32,10 @@
     /// Index up to which entries were sent, or the index that is probed.
     sent: u64,
     mode: ReplicationMode,
-    /// Messages with entries that are not acknowledged yet.
+    /// Messages with entries that are not acknowledged yet. An acknowledgement of a heartbeat counts
+    /// as one of a message with entries, so that this can be too low.
     in_flight: u32,
-    /// Time when `matched` last grew, or when entries were sent with none in flight.
+    /// Time when `matched` last grew, or when entries were sent with none unacknowledged.
     last_progress_ms: u64,
     /// Newest heartbeat round that the follower confirmed.
     round: u64,
@@ -50,6 +51,11 @@
         self.in_flight = 0;
     }
 
+    /// Returns whether entries were sent of which it is not known that the follower holds them.
+    const fn has_unacknowledged(&self) -> bool {
+        self.sent > self.matched
+    }
+
     /// Records that the follower's log matches up to an index.
     fn record_match(&mut self, matched: u64, now_ms: u64) {
         if self.mode == ReplicationMode::Probing {
@@ -101,7 +107,7 @@
             if now_ms > progress.last_contact_ms + contact_timeout_ms {
                 // Entries queued for an unreachable host would fill the link once it is back.
                 progress.probe(progress.matched);
-            } else if progress.in_flight > 0
+            } else if progress.has_unacknowledged()
                 && now_ms >= progress.last_progress_ms + RESEND_AFTER_MS
             {
                 progress.sent = progress.matched;
@@ -112,7 +118,7 @@
         let streaming = progress.mode == ReplicationMode::Streaming;
         let has_more = streaming && progress.sent < last_index;
         if has_more && progress.in_flight < IN_FLIGHT_APPENDS_MAX {
-            if progress.in_flight == 0 {
+            if !progress.has_unacknowledged() {
                 progress.last_progress_ms = now_ms;
             }
             progress.in_flight += 1;
--- a/src/quorum/tests/steps.rs
+++ b/src/quorum/tests/steps.rs
@@ -9,6 +9,13 @@
     }
 }
 
+fn run_without_proposals(world: &mut World, for_ms: u64) {
+    let until_ms = world.now_ms + for_ms;
+    while world.now_ms < until_ms {
+        world.step_without_proposal();
+    }
+}
+
 fn cluster_with_entries(entries: usize) -> (World, usize) {
     let mut world = World::new(3, 3, Faults::NONE);
     run(&mut world, 3_000);
@@ -48,6 +55,22 @@
     assert!(sent < 4 * appended, "{sent} entries were sent for {appended}");
 }
 
+/// Guards against entries that are sent only once: followers acknowledge heartbeats after the message
+/// with the entries was lost or overtaken, and callers waited for a commit that never came.
+#[test]
+fn lost_entries_are_sent_again_without_new_proposals() {
+    let (mut world, leader) = cluster_with_entries(20);
+    run_without_proposals(&mut world, 1_000);
+    for follower in [(leader + 1) % 3, (leader + 2) % 3] {
+        world.cut(leader, follower, 80);
+    }
+    let index = world.propose(leader).expect("the leader accepts a command");
+    run_without_proposals(&mut world, 2_000);
+    assert_eq!(world.leader(), Some(leader), "the leader has not changed");
+    let committed = world.hosts[leader].core.as_ref().unwrap().commit_index();
+    assert!(committed >= index, "committed {committed}, proposed {index}");
+}
+
 /// A host that lost its disk rejoins with a new identity and replaces its former one as a voter.
 #[test]
 fn a_wiped_host_becomes_a_voter_again() {
--- a/src/quorum/tests/world.rs
+++ b/src/quorum/tests/world.rs
@@ -204,6 +204,15 @@
 
     /// Advances the time by some milliseconds and runs one random action on one host.
     pub(super) fn step(&mut self) {
+        self.step_with(Self::propose);
+    }
+
+    /// Does the same, but proposes nothing.
+    pub(super) fn step_without_proposal(&mut self) {
+        self.step_with(|_, _| None);
+    }
+
+    fn step_with(&mut self, propose: impl FnOnce(&mut Self, usize) -> Option<u64>) {
         self.now_ms += self.rng.random_range(1..12);
         self.inject_faults();
         let host = self.rng.random_range(0..self.hosts.len());
@@ -211,7 +220,7 @@
             match self.rng.random_range(0..10) {
                 0..4 => self.sync(host),
                 4..8 => self.tick(host),
-                8 => drop(self.propose(host)),
+                8 => drop(propose(self, host)),
                 _ => self.ask_to_join(host),
             }
         }
