Test the wait times of a class on a clock that a busy machine does not drive

Machine-dependent time: that from the end of the wait on the host's clock to the caller's receipt, in which host and caller wait for a processor.

Test clusters can now run on a paced clock: the paused clock of tokio on a single thread, which advances by 1 ms after the ready tasks have run and another thread has slept and woken, and waits for a sync of the disk every 100 ms. Time in which the machine serves neither does not count. All processes of a test cluster take their time from it. Two tests check that it is never faster than the system's clock and stands still while the runtime is blocked.

The queue limits of a class, with the same wait times, run on it too.

--- a/tests/request_path/main.rs
+++ b/tests/request_path/main.rs
@@ -10,6 +10,7 @@
 mod leave;
 mod not_run;
 mod once;
+mod paced_clock;
 mod restart;
 mod retries;
 mod shares;
--- a/tests/request_path/waiting.rs
+++ b/tests/request_path/waiting.rs
@@ -4,10 +4,10 @@
 
 use rstest::rstest;
 
-use crate::support::path::{ClusterOptions, Request, TestCluster};
+use crate::support::path::{ClusterClock, ClusterOptions, Request, TestCluster};
 
 /// Time by which a refusal may exceed the wait time.
-const DELAY_MAX: Duration = Duration::from_millis(300);
+const DELAY_MAX: Duration = Duration::from_millis(200);
 
 const DOCUMENT: &str = "\
 kind: service
@@ -27,21 +27,28 @@
 
 /// Starts a cluster without upstreams, and stores `DOCUMENT`.
 fn start_without_upstreams() -> TestCluster {
-    let cluster = TestCluster::start(ClusterOptions { standins: 0, ..ClusterOptions::default() });
+    let cluster = TestCluster::start(ClusterOptions {
+        standins: 0,
+        clock: ClusterClock::Paced,
+        ..ClusterOptions::default()
+    });
     cluster.replace_document(DOCUMENT);
     cluster
 }
 
-/// Requests must wait for the time that the service document sets for their class.
+/// Requests must wait for the time that the service document sets for their class, on the clock of
+/// the hosts.
 #[rstest]
 #[case::interactive(Request::idempotent(), 300)]
 #[case::batch(Request::idempotent().batch(), 900)]
 fn the_document_sets_the_wait_time_of_a_class(#[case] request: Request, #[case] wait_ms: u64) {
     let cluster = start_without_upstreams();
+    let sent_at = cluster.now();
     let response = request.send(&cluster.client(0));
+    let elapsed = cluster.now().duration_since(sent_at);
     assert_eq!(response.outcome(), "not_run", "{response:?}");
     let wait = Duration::from_millis(wait_ms);
-    assert!(response.elapsed >= wait && response.elapsed < wait + DELAY_MAX, "{response:?}");
+    assert!(elapsed >= wait && elapsed < wait + DELAY_MAX, "{elapsed:?}: {response:?}");
 }
 
 /// No more requests of a class may wait than the service document allows.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod link;
 pub mod load;
+pub mod paced_clock;
 pub mod path;
 
 use std::fs;
--- a/tests/support/path.rs
+++ b/tests/support/path.rs
@@ -1,6 +1,7 @@
 //! An installation within the test process whose upstreams are behind fault-injecting proxies.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -11,10 +12,10 @@
 use cactuslatch::standin::{self, RunningStandin, StandinSettings};
 use cactuslatch::{RequestKey, StepError};
 use tempfile::TempDir;
-use tokio::runtime::Runtime;
+use tokio::runtime::{Handle, Runtime};
 
-use super::eventually;
 use super::link::{Fault, Link};
+use super::paced_clock::PacedRuntime;
 
 pub const DATA_CENTRES: [&str; 2] = ["north", "south"];
 
@@ -44,6 +45,44 @@
     pub standins: u8,
     pub timeouts: Timeouts,
     pub limits: Limits,
+    pub clock: ClusterClock,
+}
+
+/// Clock of all hosts and stand-ins of a cluster.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClusterClock {
+    /// The system clock, with a thread for each processor.
+    System,
+    /// A clock that stands still while the machine is too busy to run the cluster, with one thread.
+    Paced,
+}
+
+enum ClusterRuntime {
+    System(Runtime),
+    Paced(PacedRuntime),
+}
+
+impl ClusterRuntime {
+    fn start(clock: ClusterClock, folder: &Path) -> Self {
+        match clock {
+            ClusterClock::System => Self::System(Runtime::new().expect("a runtime")),
+            ClusterClock::Paced => Self::Paced(PacedRuntime::start(folder)),
+        }
+    }
+
+    fn handle(&self) -> &Handle {
+        match self {
+            Self::System(runtime) => runtime.handle(),
+            Self::Paced(runtime) => runtime.handle(),
+        }
+    }
+
+    fn shut_down(self) {
+        match self {
+            Self::System(runtime) => runtime.shutdown_background(),
+            Self::Paced(runtime) => drop(runtime),
+        }
+    }
 }
 
 impl Default for ClusterOptions {
@@ -54,6 +93,7 @@
             standins: 2,
             timeouts: Timeouts { balancer_notice_ms: 1_000, ..Timeouts::default() },
             limits: Limits::default(),
+            clock: ClusterClock::System,
         }
     }
 }
@@ -61,7 +101,9 @@
 /// An installation within the test process. Its upstreams are stand-ins, all in the first data
 /// centre. Methods that take only the number of a host or stand-in mean the first data centre.
 pub struct TestCluster {
-    runtime: Option<Runtime>,
+    runtime: Option<ClusterRuntime>,
+    /// Time on the cluster's clock before any process was started.
+    started_at: tokio::time::Instant,
     cluster: Option<LocalCluster>,
     standins: Vec<Option<RunningStandin>>,
     /// Proxies between the entry hosts and the stand-ins, one for each stand-in.
@@ -74,8 +116,9 @@
 impl TestCluster {
     /// Starts all hosts and waits until each serves requests.
     pub fn start(options: ClusterOptions) -> Self {
-        let runtime = Runtime::new().expect("a runtime");
         let folder = TempDir::new().expect("a work folder");
+        let runtime = ClusterRuntime::start(options.clock, folder.path());
+        let started_at = now(runtime.handle());
         let data_centre = |name: &&str| LocalDataCentre {
             name: name.parse().expect("a name"),
             entry_hosts: options.entry_hosts,
@@ -96,9 +139,10 @@
                 control_links.push(link);
             }
         });
-        let cluster = runtime.block_on(starting).expect("free ports");
+        let cluster = runtime.handle().block_on(starting).expect("free ports");
         let mut cluster = Self {
             runtime: Some(runtime),
+            started_at,
             cluster: Some(cluster),
             standins: Vec::new(),
             standin_links: Vec::new(),
@@ -117,8 +161,40 @@
         self.cluster.as_ref().expect("the cluster runs")
     }
 
+    fn handle(&self) -> &Handle {
+        self.runtime.as_ref().expect("the cluster runs").handle()
+    }
+
     pub fn block_on<T>(&self, future: impl Future<Output = T>) -> T {
-        self.runtime.as_ref().expect("the cluster runs").block_on(future)
+        self.handle().block_on(future)
+    }
+
+    /// Returns the time on the cluster's clock.
+    pub fn now(&self) -> tokio::time::Instant {
+        now(self.handle())
+    }
+
+    /// Returns the time on the cluster's clock before any process was started.
+    pub fn started_at(&self) -> tokio::time::Instant {
+        self.started_at
+    }
+
+    /// Sleeps for a time on the cluster's clock.
+    pub fn sleep(&self, duration: Duration) {
+        self.block_on(async { tokio::time::sleep(duration).await });
+    }
+
+    /// Polls until `check` returns true.
+    ///
+    /// # Panics
+    /// Panics if `check` has not returned true within `limit` on the cluster's clock.
+    pub fn eventually(&self, what: &str, limit: Duration, mut check: impl FnMut() -> bool) {
+        let started = self.now();
+        while !check() {
+            let elapsed = self.now().duration_since(started);
+            assert!(elapsed < limit, "not seen within {limit:?}: {what}");
+            self.sleep(Duration::from_millis(50));
+        }
     }
 
     /// Starts a stand-in, which announces itself to the hosts.
@@ -170,7 +246,7 @@
     }
 
     fn put_document(&self) {
-        eventually("the document is accepted", Duration::from_secs(10), || {
+        self.eventually("the document is accepted", Duration::from_secs(10), || {
             self.send_document(0, DOCUMENT).is_ok_and(|reply| reply.status == 200)
         });
     }
@@ -179,7 +255,7 @@
     pub fn replace_document(&self, document: &str) {
         let reply = self.send_document(1, document).expect("an answer");
         assert_eq!(reply.status, 200, "{reply:?}");
-        eventually("the document is in force", Duration::from_secs(5), || {
+        self.eventually("the document is in force", Duration::from_secs(5), || {
             let reply = self.client(0).get("/v1/documents/plan");
             reply.is_ok_and(|reply| reply.body["in_force_version"] == 2)
         });
@@ -200,7 +276,7 @@
     fn wait_for_host(&self, data_centre: usize, number: u8) {
         let client = self.cluster().client(data_centre, number);
         let expected = if data_centre == 0 { self.standins.len() } else { 0 };
-        eventually("a host is ready", Duration::from_secs(10), || {
+        self.eventually("a host is ready", Duration::from_secs(10), || {
             let upstreams = client.get("/v1/upstreams").ok();
             let known = upstreams.and_then(|reply| reply.body.as_array().map(Vec::len));
             let document_in_force = client
@@ -237,7 +313,8 @@
     }
 
     pub fn restart_control(&mut self, data_centre: usize) {
-        let _guard = self.runtime.as_ref().expect("the cluster runs").enter();
+        let handle = self.handle().clone();
+        let _guard = handle.enter();
         self.cluster.as_mut().expect("the cluster runs").restart_control(data_centre);
     }
 
@@ -245,8 +322,7 @@
     pub fn drain(&mut self, number: u8) -> tokio::task::JoinHandle<()> {
         let cluster = self.cluster.as_mut().expect("the cluster runs");
         let running = cluster.take_entry(0, number).expect("the host runs");
-        let runtime = self.runtime.as_ref().expect("the cluster runs");
-        runtime.spawn(async move {
+        self.handle().spawn(async move {
             running.drain_handle().start();
             running.ended().await;
         })
@@ -270,6 +346,12 @@
     }
 }
 
+/// Returns the time on the clock of a runtime.
+fn now(handle: &Handle) -> tokio::time::Instant {
+    let _guard = handle.enter();
+    tokio::time::Instant::now()
+}
+
 /// Returns a data centre that refuses connections, and one that accepts them but never answers.
 fn unreachable_data_centres() -> [DataCentrePeers; 2] {
     // Nothing listens on port 1, so connections are refused.
@@ -289,7 +371,7 @@
 impl Drop for TestCluster {
     fn drop(&mut self) {
         if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
+            runtime.shut_down();
         }
     }
 }
