Test on the paced clock that waiting resends occupy no slots

Machine-dependent time: the 300 ms in which a request has to be answered, on the system's clock.

The bound is 200 ms on the paced clock, and the test now checks that the resends still wait when the last of the five requests is answered.

If the resends keep their slots it fails: "delayed by the waiting resends for 1.266s".

--- a/tests/request_path/once.rs
+++ b/tests/request_path/once.rs
@@ -99,28 +99,33 @@
     assert_eq!((response.outcome(), response.reply.status), ("not_run", 409), "{response:?}");
 }
 
-/// Resends that wait for the first run must not occupy slots that other requests need.
+/// Resends that wait for the first run must not occupy slots that other requests need. Times are those
+/// of the hosts' clock.
 #[rstest]
 fn waiting_resends_occupy_no_slots() {
     let cluster = TestCluster::start(ClusterOptions {
         standins: 1,
         entry_hosts: 1,
+        clock: ClusterClock::Paced,
         ..ClusterOptions::default()
     });
     cluster.wait_for_lending();
     let request = Request::at_most_once(&key("waiting")).work_ms(1_500);
     let mut pending = vec![request.spawn(&cluster.client(0))];
-    eventually("the request runs", Duration::from_secs(2), || cluster.started() == 1);
+    cluster.eventually("the request runs", Duration::from_secs(2), || cluster.started() == 1);
     pending.extend((0..20).map(|_| request.spawn(&cluster.client(0))));
     // The resends need some time to arrive.
-    std::thread::sleep(Duration::from_millis(200));
+    cluster.sleep(Duration::from_millis(200));
     for _ in 0..5 {
+        let sent_at = cluster.now();
         let response = Request::idempotent().send(&cluster.client(0));
+        let elapsed = cluster.now().duration_since(sent_at);
         assert!(
-            response.elapsed < Duration::from_millis(300),
-            "delayed by the waiting resends: {response:?}"
+            elapsed < Duration::from_millis(200),
+            "delayed by the waiting resends for {elapsed:?}: {response:?}"
         );
     }
+    assert!(pending.iter().all(|thread| !thread.is_finished()), "the resends still wait");
     for thread in pending {
         let response = thread.join().expect("no panic").expect("an answer");
         assert_eq!(response.outcome(), "done", "{response:?}");
