Test on the paced clock that a host without control returns to its base share

Machine-dependent time: requests of 10 ms keep 8 slots busy at once only if the callers get a processor within that time, and 4 s have to suffice for the lease of 3 s, its margin and the new loan.

All times run on the paced clock; what is checked is unchanged.

If a host keeps its share after the end of the lease it fails: 6 requests refused by the upstream.

--- a/tests/request_path/shares.rs
+++ b/tests/request_path/shares.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 
 use crate::support::load::Load;
-use crate::support::path::{ClusterOptions, Request, Response, TestCluster};
+use crate::support::path::{ClusterClock, ClusterOptions, Request, Response, TestCluster};
 use crate::support::{Installation, eventually};
 
 /// Document under which requests of both classes may wait for long.
@@ -153,21 +153,25 @@
 }
 
 /// A host that loses its connection to control must return to its base share, since control lends
-/// the rest to another host.
+/// the rest to another host. Both times run on the clock of the processes.
 #[rstest]
 fn a_host_without_control_uses_only_its_base_share() {
-    let cluster = TestCluster::start(ClusterOptions { standins: 1, ..ClusterOptions::default() });
+    let cluster = TestCluster::start(ClusterOptions {
+        standins: 1,
+        clock: ClusterClock::Paced,
+        ..ClusterOptions::default()
+    });
     cluster.wait_for_lending();
     let request = Request::idempotent().work_ms(10);
     let first = Load::start(&cluster.client(0), 20, &request);
-    eventually("the host uses a lent share", Duration::from_secs(3), || {
+    cluster.eventually("the host uses a lent share", Duration::from_secs(3), || {
         cluster.standin(0).running_peak() >= 5
     });
     cluster.control_links[0].cut();
     let second = Load::start(&cluster.client(1), 20, &request);
-    std::thread::sleep(Duration::from_secs(4));
+    cluster.sleep(Duration::from_secs(4));
     cluster.control_links[0].restore();
-    std::thread::sleep(Duration::from_secs(1));
+    cluster.sleep(Duration::from_secs(1));
     drop((first.stop(), second.stop()));
     let standin = cluster.standin(0);
     let peaks = (standin.running_peak(), standin.connections_peak(), standin.refused());
