Test refusals before dispatch on the paced clock

Machine-dependent time: the 50 ms after the deadline within which the step that waits (for a slot, or for control) has to end with its own reason.

All cases run on the paced clock; what is checked is unchanged. The limits within which the slots are filled are on it, too.

--- a/tests/request_path/not_run.rs
+++ b/tests/request_path/not_run.rs
@@ -8,8 +8,8 @@
 use cactuslatch::local::Client;
 use rstest::rstest;
 
-use crate::support::path::{ClusterOptions, Request, TestCluster};
-use crate::support::{eventually, key};
+use crate::support::key;
+use crate::support::path::{ClusterClock, ClusterOptions, Request, TestCluster};
 
 /// Time for which [`fill_slots_directly`] fills the slots.
 pub const SLOTS_FILLED_FOR: Duration = Duration::from_mins(1);
@@ -27,7 +27,7 @@
             });
         }
     }
-    eventually("all slots are taken", Duration::from_secs(5), || cluster.started() == 16);
+    cluster.eventually("all slots are taken", Duration::from_secs(5), || cluster.started() == 16);
 }
 
 fn fill_slots_through_hosts(cluster: &TestCluster) {
@@ -35,14 +35,16 @@
     for number in 0..2 {
         (0..16).for_each(|_| drop(request.spawn(&cluster.client(number))));
     }
-    eventually("the base shares are in use", Duration::from_secs(5), || cluster.started() >= 4);
+    cluster.eventually("the base shares are in use", Duration::from_secs(5), || {
+        cluster.started() >= 4
+    });
 }
 
 fn fill_organisation_limit(cluster: &TestCluster) {
     let busy =
         Request::from_organisation("small").header("Cactuslatch-Idempotent", "true").work_ms(6_000);
     drop(busy.spawn(&cluster.client(0)));
-    eventually("the request of the organisation runs", Duration::from_secs(5), || {
+    cluster.eventually("the request of the organisation runs", Duration::from_secs(5), || {
         cluster.started() == 1
     });
 }
@@ -71,7 +73,10 @@
     #[case] first_status: u16,
     #[case] resend_status: u16,
 ) {
-    let mut cluster = TestCluster::start(ClusterOptions::default());
+    let mut cluster = TestCluster::start(ClusterOptions {
+        clock: ClusterClock::Paced,
+        ..ClusterOptions::default()
+    });
     refuse(&mut cluster);
     let key = key("refused").replacen("north", owner, 1);
     let request =
@@ -123,7 +128,7 @@
         TestCluster::start(ClusterOptions { standins: 1, limits, ..ClusterOptions::default() });
     let busy = Request::idempotent().work_ms(1_500);
     let running: Vec<_> = (0..=park_max).map(|_| busy.spawn(&cluster.client(0))).collect();
-    eventually("the park limit is reached", Duration::from_secs(2), || {
+    cluster.eventually("the park limit is reached", Duration::from_secs(2), || {
         let parked = cluster.sum_metrics(0, "cactuslatch_entry_parked ");
         cluster.started() >= 1 && parked > f64::from(park_max) - 0.5
     });
