Wait for the end of a submission, not for 5 s, before a process is killed

Machine-dependent time: the 2 s in which control has to record the intent. After that the host dispatches nothing and answers `unknown`, so that the test waited for a start that could not come.

The test now waits until the submission has started or has ended. One that ends because its intent was recorded too late is sent again, at most twice, as a caller does; any other end without a start fails at once, which the test did not notice before. What is checked after the kill is unchanged.

--- a/tests/request_path/kills.rs
+++ b/tests/request_path/kills.rs
@@ -1,11 +1,12 @@
 //! Processes that are killed while a request that is not idempotent is in flight.
 
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use rstest::rstest;
 
 use crate::support::link::Fault;
-use crate::support::path::Request;
+use crate::support::path::{Request, Response};
 use crate::support::{Installation, eventually, key};
 
 /// Process to kill, and when.
@@ -62,6 +63,40 @@
     assert_eq!(installation.started(), before + 1, "one start");
 }
 
+/// Most submissions until one starts.
+const SUBMISSIONS_MAX: u32 = 3;
+
+/// Pause between queries whether a submission has started.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Submits a request until it has started, and returns the submission that waits for its answer.
+///
+/// On a busy machine control may record the intent of a submission too late, and the host then
+/// dispatches nothing. No other reason not to start is accepted.
+fn submit_until_started(
+    installation: &Installation,
+    request: &Request,
+) -> JoinHandle<Option<Response>> {
+    let before = installation.started();
+    for _ in 0..SUBMISSIONS_MAX {
+        let pending = request.spawn(&installation.client(0));
+        loop {
+            let ended = pending.is_finished();
+            if installation.started() > before {
+                return pending;
+            }
+            if ended {
+                break;
+            }
+            std::thread::sleep(START_POLL_INTERVAL);
+        }
+        let response = pending.join().expect("no panic").expect("an answer");
+        let late = response.reply.body.to_string().contains("record intent");
+        assert!(late && response.outcome() == "unknown", "ended without a start: {response:?}");
+    }
+    panic!("none of {SUBMISSIONS_MAX} submissions started");
+}
+
 /// A resend after a process was killed must get the answer of the first run, not run again.
 #[rstest]
 #[case(Kill::EntryHostAfterDispatch)]
@@ -74,8 +109,7 @@
     let key = key("killed");
     let request = Request::at_most_once(&key).work_ms(700);
     let before = installation.started();
-    let pending = request.spawn(&installation.client(0));
-    eventually("the request runs", Duration::from_secs(5), || installation.started() > before);
+    let pending = submit_until_started(&installation, &request);
     if matches!(killed, Kill::EntryHostAfterAnswer | Kill::ControlAfterAnswer) {
         let response = pending.join().expect("no panic").expect("an answer");
         assert_eq!(response.outcome(), "done", "{response:?}");
