Keep an upstream in the table while its slots are reserved

An upstream whose announcements were lost for 63 s was removed from an entry host's table although work of that host might still run on it. If the same incarnation announced itself again, it got a new entry with no slots in use, and the end of the earlier work was released there: the count underflowed. A debug build panics with the table locked; a release build counts 4,294,967,295 slots in use, so the upstream gets no work of this host until it restarts, and the report to control is as wrong.

The entry stays until no slot is reserved. Whether results can still be queried depends on the time since the lease, as before, so that work on an upstream that never returns is given up after the same time.

Before: the new test fails ('attempt to subtract with overflow', table.rs). After: it passes, as do the 15 tests of entry::.

--- a/src/entry/upstreams/state.rs
+++ b/src/entry/upstreams/state.rs
@@ -19,8 +19,8 @@
 /// A leave may reach other hosts only. A leaving upstream stops its announcements, so this limit and
 /// the time for dispatch bound the time in which it still gets work to 2 s.
 const NEW_WORK_WINDOW: Duration = Duration::from_millis(1_900);
-/// Time for which an upstream is kept after the end of its lease, so that the results of attempts
-/// that it may still be running can be queried.
+/// Time after the end of its lease in which the results of attempts that an upstream may still be
+/// running can be queried.
 const RETENTION_AFTER_LEASE: Duration = Duration::from_mins(1);
 
 /// Contents of an upstream's announcement.
@@ -100,10 +100,18 @@
         self.is_live(now) && now < self.announced_at + NEW_WORK_WINDOW
     }
 
+    /// Returns whether the lease ended so long ago that the upstream counts as gone, with the work
+    /// that it ran.
+    pub(crate) fn is_gone(&self, now: Instant) -> bool {
+        now >= self.lease_until + RETENTION_AFTER_LEASE
+    }
+
     /// Returns whether the upstream is no longer needed.
+    ///
+    /// It is kept while slots are reserved: if the same incarnation returned to a new entry, their
+    /// release would be counted there, where they were never reserved.
     pub(crate) fn is_removable(&self, now: Instant) -> bool {
-        let has_left = self.leaving && self.slots_in_use == 0;
-        has_left || now >= self.lease_until + RETENTION_AFTER_LEASE
+        self.slots_in_use == 0 && (self.leaving || self.is_gone(now))
     }
 
     /// Returns whether the upstream failed recently and should be avoided if possible.
--- a/src/entry/upstreams/table.rs
+++ b/src/entry/upstreams/table.rs
@@ -176,7 +176,8 @@
     }
 
     pub(super) fn is_current(&self, name: &UpstreamName, incarnation: u64) -> bool {
-        self.lock().current(name, incarnation).is_some()
+        let now = Instant::now();
+        self.lock().current(name, incarnation).is_some_and(|state| !state.is_gone(now))
     }
 
     /// Returns whether work may still be sent to this incarnation under a slot reserved before.
--- a/src/entry/upstreams/tests.rs
+++ b/src/entry/upstreams/tests.rs
@@ -150,3 +150,29 @@
     advance(Duration::from_millis(after_ms)).await;
     assert_eq!(reserved[0].may_send(), is_used);
 }
+
+/// An upstream whose announcements are lost for longer than it is kept may return under the same
+/// incarnation while it still runs work of this host. That work must count against its slots, and
+/// its end must release the slot that it took: a count that starts at zero again would underflow.
+#[rstest]
+#[case::work_goes_on(false)]
+#[case::work_ended_while_it_was_away(true)]
+#[tokio::test(start_paused = true)]
+async fn work_counts_when_its_upstream_returns(#[case] ends_while_away: bool) {
+    let upstreams = upstreams();
+    upstreams.announce(info(1, 1));
+    let mut slot = Some(reserve(&upstreams).expect("a slot"));
+    advance(64 * SECOND).await;
+    upstreams.maintain();
+    assert!(!slot.as_ref().is_some_and(Slot::is_current), "the upstream counts as gone");
+    if ends_while_away {
+        slot = None;
+        upstreams.maintain();
+        assert_eq!(upstreams.known_count(), 0, "nothing needs the upstream any more");
+    }
+    assert!(upstreams.announce(info(1, 1)));
+    let in_use = || upstreams.share_reports().first().map_or(0, |report| report.slots_in_use);
+    assert_eq!(in_use(), u32::from(!ends_while_away));
+    drop(slot);
+    assert_eq!(in_use(), 0);
+}
