Do not drop a leave or a restart when a relay to control fails

An entry host queues announcements and leaves of upstreams for control by name. When a relay failed, its messages were queued again and replaced what the same upstream had sent meanwhile. As read in the code, not measured on a site: a leave was lost for good, so control kept placing gangs there until the lease of 3 s ended, and the announcement of a successor was lost until control asked for it at the next renewal. A late leave of a former incarnation also replaced the announcement of its successor.

A failed message is queued again only if the upstream has sent no other since, and a message never replaces one of a later incarnation.

--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -3,6 +3,9 @@
 //! Shares, upstreams and documents arrive on a stream, on which this host reports its use.
 //! Announcements of upstreams are relayed in separate calls.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -51,11 +54,17 @@
 }
 
 impl Outbox {
-    /// Queues a full announcement or a leave, which is sent at once.
+    /// Queues a full announcement or a leave, which is sent at once, unless one of a later
+    /// incarnation is queued.
     pub(crate) fn announce(&self, upstream: rpc::Upstream) {
         let mut pending = self.lock();
-        pending.announced.retain(|other| other.name != upstream.name);
-        pending.announced.push(upstream);
+        let is_newer = |other: &rpc::Upstream| {
+            other.name == upstream.name && other.incarnation > upstream.incarnation
+        };
+        if !pending.announced.iter().any(is_newer) {
+            pending.announced.retain(|other| other.name != upstream.name);
+            pending.announced.push(upstream);
+        }
         drop(pending);
         self.urgent.notify_one();
     }
@@ -68,6 +77,19 @@
         pending.renewed.push(rpc::Renewal { name, incarnation });
     }
 
+    /// Queues announcements and leaves again whose relay has failed, except those of upstreams that
+    /// have sent a newer one since.
+    fn requeue(&self, failed: Vec<rpc::Upstream>) {
+        let mut pending = self.lock();
+        for upstream in failed {
+            if !pending.announced.iter().any(|newer| newer.name == upstream.name) {
+                pending.announced.push(upstream);
+            }
+        }
+        drop(pending);
+        self.urgent.notify_one();
+    }
+
     fn take(&self) -> Pending {
         std::mem::take(&mut *self.lock())
     }
@@ -114,7 +136,7 @@
             }
         }
         // Announcements and leaves are queued again; upstreams repeat renewals by themselves.
-        Err(_) => announced.into_iter().for_each(|upstream| host.outbox.announce(upstream)),
+        Err(_) => host.outbox.requeue(announced),
     }
 }
 
