Refuse requests at an upstream that were sent to its former incarnation

Requests to upstreams named no incarnation. An upstream that crashed and started again under its name and address therefore ran what an entry host sent to the former incarnation until the news of the restart arrived. The work took slots of the successor that control had not lent, and queries about it named an incarnation that the successor refuses: with the answer lost, a caller got 504 'unknown' after 3.0 s although the request had run to its end on a live upstream.

Requests carry the incarnation in a header, as gang messages and fence queries do. Another incarnation refuses them before start, so they are retried. Requests without the header are accepted, as from an earlier entry host.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -14,7 +14,7 @@
 use crate::names::RequestKey;
 use crate::upstream_http::{
     ATTEMPT_HEADER, AttemptState, DEADLINE_HEADER, FENCE_PATH, FenceReply, FenceRequest,
-    KEY_HEADER, NOT_STARTED_HEADER, PROBE_PATH, RUN_PATH,
+    INCARNATION_HEADER, KEY_HEADER, NOT_STARTED_HEADER, PROBE_PATH, RUN_PATH,
 };
 
 /// Largest accepted answer of an upstream.
@@ -176,6 +176,7 @@
         .header(CONTENT_TYPE, "application/json")
         .header(KEY_HEADER, payload.key.to_string())
         .header(ATTEMPT_HEADER, payload.attempt)
+        .header(INCARNATION_HEADER, slot.incarnation())
         .header(DEADLINE_HEADER, remaining.as_millis().to_string());
     builder.body(Full::new(payload.body.clone())).expect("names and numbers are valid headers")
 }
--- a/src/standin/attempts.rs
+++ b/src/standin/attempts.rs
@@ -46,6 +46,8 @@
     Repeated,
     #[display("the upstream is leaving")]
     Leaving,
+    #[display("the attempt was sent to another incarnation")]
+    OtherIncarnation,
 }
 
 impl Attempts {
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -22,7 +22,7 @@
 use crate::names::{RackName, RequestKey, ServiceName, UpstreamName};
 use crate::upstream_http::{
     ATTEMPT_HEADER, Announcement, FENCE_PATH, FenceReply, FenceRequest, GANG_PATH_PREFIX,
-    KEY_HEADER, NOT_STARTED_HEADER, PROBE_PATH, RUN_PATH,
+    INCARNATION_HEADER, KEY_HEADER, NOT_STARTED_HEADER, PROBE_PATH, RUN_PATH,
 };
 
 /// Timeout of receiving a request head or body.
@@ -311,7 +311,11 @@
         return error(400, &message);
     };
     let id = (key, attempt);
-    let started = if shared.leaving.load(Ordering::Acquire) {
+    let own_incarnation = shared.settings.incarnation.to_string();
+    let for_another = |incarnation: &str| incarnation != own_incarnation;
+    let started = if received.header(INCARNATION_HEADER).is_some_and(for_another) {
+        Err(Refusal::OtherIncarnation)
+    } else if shared.leaving.load(Ordering::Acquire) {
         Err(Refusal::Leaving)
     } else {
         let mut attempts = shared.attempts();
--- a/src/upstream_http.rs
+++ b/src/upstream_http.rs
@@ -24,6 +24,8 @@
 pub(crate) const KEY_HEADER: &str = "cactuslatch-key";
 /// Header with the attempt's number, which the answer repeats.
 pub(crate) const ATTEMPT_HEADER: &str = "cactuslatch-attempt";
+/// Header with the incarnation to which an attempt is sent; another one refuses it before start.
+pub(crate) const INCARNATION_HEADER: &str = "cactuslatch-incarnation";
 /// Header with the time remaining for the request, in milliseconds.
 pub(crate) const DEADLINE_HEADER: &str = "cactuslatch-deadline-ms";
 /// Header of a refusal, which promises that the request was not started and never will be.
--- a/tests/request_path/main.rs
+++ b/tests/request_path/main.rs
@@ -15,4 +15,5 @@
 mod shares;
 mod shutdown;
 mod silence;
+mod successors;
 mod waiting;
--- a/tests/support/path.rs
+++ b/tests/support/path.rs
@@ -139,6 +139,14 @@
         self.standins[usize::from(number)] = Some(standin);
     }
 
+    /// Restarts a stand-in under its previous address, while its announcements do not arrive.
+    pub fn restart_standin_unannounced(&mut self, number: u8, incarnation: u64) {
+        let settings = self.cluster().standin_settings(0, number);
+        let settings = StandinSettings { entry_hosts: Vec::new(), incarnation, ..settings };
+        let standin = self.block_on(standin::start(settings)).expect("a free port");
+        self.standins[usize::from(number)] = Some(standin);
+    }
+
     /// Removes a running stand-in from the cluster, so that the caller can stop or crash it.
     pub fn take_standin(&mut self, number: usize) -> RunningStandin {
         self.standins[number].take().expect("the stand-in runs")
