Do not book the end of a lease for the successor of an upstream

The registry reports lost leases to the job scheduler from one task and announcements from others, each after the registry's lock is released, so a report can overtake another. The report of a lost lease named only the upstream: if the announcement of its successor, or of its own return, came first, the scheduler took the announced upstream for lost, stopped the gangs on it and placed nothing there until it restarted or its lease ended again, because the registry reports no further announcement of a live upstream. Found by reading; the order of two tasks was not forced on a running site.

Each report carries the revision of the registry, and the jobs task drops one that is older than another of the same upstream.

Before: both cases of the new test fail (the gang never starts, 600 s). After: both pass, as do the 217 tests of control::.

--- a/src/control/job_feed.rs
+++ b/src/control/job_feed.rs
@@ -17,7 +17,15 @@
 
 /// A change of an upstream that is forwarded to the jobs task.
 #[derive(Debug, Clone)]
-pub(super) enum UpstreamChange {
+pub(super) struct UpstreamChange {
+    pub(super) kind: UpstreamChangeKind,
+    /// Revision of the registry with the change. Changes are forwarded by several tasks and may
+    /// overtake each other.
+    pub(super) revision: u64,
+}
+
+#[derive(Debug, Clone)]
+pub(super) enum UpstreamChangeKind {
     Announced(Upstream),
     Lost(UpstreamName),
     Leaving(UpstreamName, u64),
@@ -58,20 +66,22 @@
     ServiceDocument::parse(&body).ok()
 }
 
-/// Forwards changes of upstreams to the jobs task, in order.
+/// Forwards changes of upstreams to the jobs task.
 pub(super) async fn forward(jobs: &JobsHandle, changes: Vec<UpstreamChange>) {
-    for change in changes {
-        match change {
-            UpstreamChange::Announced(upstream) => forward_announcement(jobs, &upstream).await,
-            UpstreamChange::Lost(name) => jobs.upstream_lost(name).await,
-            UpstreamChange::Leaving(name, incarnation) => {
-                jobs.upstream_leaving(name, incarnation).await;
+    for UpstreamChange { kind, revision } in changes {
+        match kind {
+            UpstreamChangeKind::Announced(upstream) => {
+                forward_announcement(jobs, &upstream, revision).await;
+            }
+            UpstreamChangeKind::Lost(name) => jobs.upstream_lost(name, revision).await,
+            UpstreamChangeKind::Leaving(name, incarnation) => {
+                jobs.upstream_leaving(name, incarnation, revision).await;
             }
         }
     }
 }
 
-async fn forward_announcement(jobs: &JobsHandle, upstream: &Upstream) {
+async fn forward_announcement(jobs: &JobsHandle, upstream: &Upstream, revision: u64) {
     let (Some(rack), Ok(address)) = (upstream.rack.clone(), upstream.address.parse()) else {
         warn!(upstream = %upstream.name, "ignored an announcement without rack or address");
         return;
@@ -84,7 +94,7 @@
         accelerators: upstream.accelerators,
         leaving: false,
     };
-    jobs.upstream_announced(announcement, address).await;
+    jobs.upstream_announced(announcement, address, revision).await;
 }
 
 /// Returns the guarantees in a document; `None` if it cannot be parsed.
--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -80,13 +80,30 @@
     Explain(JobName),
 }
 
-/// Input of the jobs task.
+/// A change of an upstream in the registry.
 #[derive(Debug)]
-enum Input {
-    Call(Call, oneshot::Sender<CallResult>),
+enum UpstreamChange {
     Announced(Announcement, SocketAddr),
     Lost(UpstreamName),
     Leaving(UpstreamName, u64),
+}
+
+impl UpstreamChange {
+    const fn upstream(&self) -> &UpstreamName {
+        match self {
+            Self::Announced(Announcement { name, .. }, _)
+            | Self::Lost(name)
+            | Self::Leaving(name, _) => name,
+        }
+    }
+}
+
+/// Input of the jobs task.
+#[derive(Debug)]
+enum Input {
+    Call(Call, oneshot::Sender<CallResult>),
+    /// An upstream announced itself, was lost or is leaving; with the revision of the registry.
+    UpstreamChanged(UpstreamChange, u64),
     /// A query about ended members got no answer.
     EndsQueryFailed(UpstreamName),
     /// The guarantees of a document are to be applied; the answer states whether they fit.
@@ -107,18 +124,33 @@
 
 impl JobsHandle {
     /// Reports that an upstream announced itself at an address.
-    pub(crate) async fn upstream_announced(&self, announcement: Announcement, address: SocketAddr) {
-        self.send(Input::Announced(announcement, address)).await;
+    ///
+    /// This and the other changes of upstreams carry the revision of the registry; one that is
+    /// older than another of the same upstream has no effect.
+    pub(crate) async fn upstream_announced(
+        &self,
+        announcement: Announcement,
+        address: SocketAddr,
+        revision: u64,
+    ) {
+        let change = UpstreamChange::Announced(announcement, address);
+        self.send(Input::UpstreamChanged(change, revision)).await;
     }
 
     /// Reports that the lease of an upstream ended.
-    pub(crate) async fn upstream_lost(&self, upstream: UpstreamName) {
-        self.send(Input::Lost(upstream)).await;
+    pub(crate) async fn upstream_lost(&self, upstream: UpstreamName, revision: u64) {
+        self.send(Input::UpstreamChanged(UpstreamChange::Lost(upstream), revision)).await;
     }
 
     /// Reports that an incarnation of an upstream is leaving.
-    pub(crate) async fn upstream_leaving(&self, upstream: UpstreamName, incarnation: u64) {
-        self.send(Input::Leaving(upstream, incarnation)).await;
+    pub(crate) async fn upstream_leaving(
+        &self,
+        upstream: UpstreamName,
+        incarnation: u64,
+        revision: u64,
+    ) {
+        let change = UpstreamChange::Leaving(upstream, incarnation);
+        self.send(Input::UpstreamChanged(change, revision)).await;
     }
 
     /// Applies the guarantees of a document, unless they do not fit.
--- a/src/control/jobs/peers.rs
+++ b/src/control/jobs/peers.rs
@@ -26,11 +26,21 @@
 pub(super) struct Peers {
     epoch: u64,
     by_name: BTreeMap<UpstreamName, Peer>,
+    /// Registry revision of the newest change of each upstream.
+    revisions: BTreeMap<UpstreamName, u64>,
 }
 
 impl Peers {
     pub(super) const fn new(epoch: u64) -> Self {
-        Self { epoch, by_name: BTreeMap::new() }
+        Self { epoch, by_name: BTreeMap::new(), revisions: BTreeMap::new() }
+    }
+
+    /// Records the revision of a change; returns false if a newer one of the same upstream is known.
+    pub(super) fn is_newest_change(&mut self, name: &UpstreamName, revision: u64) -> bool {
+        let newest = self.revisions.entry(name.clone()).or_default();
+        let is_newest = revision >= *newest;
+        *newest = revision.max(*newest);
+        is_newest
     }
 
     /// Updates the address of an upstream; a new incarnation has a new clock.
--- a/src/control/jobs/task.rs
+++ b/src/control/jobs/task.rs
@@ -12,7 +12,7 @@
 use super::record::{self, JOBS_CHECKPOINT_KIND, JOBS_RECORD_KIND, StoredRecord};
 use super::submission::{ResolvedSubmission, Submission};
 use super::watches::Watches;
-use super::{Call, CallResult, Input, JobsContext, messages, status, unavailable};
+use super::{Call, CallResult, Input, JobsContext, UpstreamChange, messages, status, unavailable};
 use crate::error::StepError;
 use crate::names::{JobName, UpstreamName};
 use crate::outcome::{NotRun, NotRunCause};
@@ -186,17 +186,15 @@
                 let answer = self.handle_call(call, now_ms, batch);
                 return batch.answers.push((caller, answer));
             }
-            Input::Announced(announcement, address) => {
-                self.peers.update_address(&announcement.name, announcement.incarnation, address);
-                Event::UpstreamAnnounced(announcement)
+            Input::UpstreamChanged(change, revision) => {
+                if !self.peers.is_newest_change(change.upstream(), revision) {
+                    return;
+                }
+                self.upstream_event(change)
             }
             Input::ApplyGuarantees(guarantees, sender) => {
                 return self.apply_guarantees(guarantees, sender, now_ms, batch);
             }
-            Input::Lost(upstream) => Event::UpstreamLost { upstream },
-            Input::Leaving(upstream, incarnation) => {
-                Event::UpstreamLeaving { upstream, incarnation }
-            }
             Input::EndsQueryFailed(upstream) => return self.watches.query_failed(&upstream),
             Input::Answered { upstream, request, reply } => {
                 self.peers.update_clock(&upstream, reply.incarnation, reply.clock_ms);
@@ -209,6 +207,20 @@
         self.step(event, None, now_ms, batch);
     }
 
+    /// Returns the event for a change of an upstream.
+    fn upstream_event(&mut self, change: UpstreamChange) -> Event {
+        match change {
+            UpstreamChange::Announced(announcement, address) => {
+                self.peers.update_address(&announcement.name, announcement.incarnation, address);
+                Event::UpstreamAnnounced(announcement)
+            }
+            UpstreamChange::Lost(upstream) => Event::UpstreamLost { upstream },
+            UpstreamChange::Leaving(upstream, incarnation) => {
+                Event::UpstreamLeaving { upstream, incarnation }
+            }
+        }
+    }
+
     /// Applies the ends of members that an answer reports, and queries further ones.
     fn handle_ends(
         &mut self,
--- a/src/control/jobs/tests/faults.rs
+++ b/src/control/jobs/tests/faults.rs
@@ -164,7 +164,8 @@
     let jobs = world.start(1).await;
     submit(&jobs, "a", GANG_OF_16).await;
     sleep(Duration::from_secs(11)).await;
-    jobs.upstream_lost("u1".parse().expect("valid name")).await;
+    let revision = world.next_registry_revision();
+    jobs.upstream_lost("u1".parse().expect("valid name"), revision).await;
     sleep(Duration::from_millis(10)).await;
     assert!(world.ends_ms()[0] <= 11_010, "{:#?}", world.runs());
     sleep(Duration::from_mins(1)).await;
@@ -203,12 +204,35 @@
     assert_eq!(world.gangs_that_ran(), 1);
 }
 
+/// Guards against the end of a lease that is booked for a successor: the registry reports it in one
+/// task and the announcement of the successor in another, and one report may overtake the other.
+#[rstest]
+#[case::restarted(true)]
+#[case::returned(false)]
+#[tokio::test(start_paused = true)]
+async fn a_late_report_of_a_lost_lease_does_not_end_the_announced_upstream(
+    #[case] restarted: bool,
+) {
+    let world = World::new(no_fault);
+    let jobs = world.start(1).await;
+    let lost_revision = world.next_registry_revision();
+    if restarted {
+        world.restart(1);
+    }
+    world.announce(&jobs, 1).await;
+    jobs.upstream_lost("u1".parse().expect("valid name"), lost_revision).await;
+    submit(&jobs, "a", GANG_OF_16).await;
+    assert_eq!(wait_for_end(&jobs, "a").await, "completed");
+    assert_eq!(world.gangs_that_ran(), 1);
+}
+
 /// Guards against placing gangs on an upstream that is leaving.
 #[tokio::test(start_paused = true)]
 async fn a_leaving_upstream_gets_no_gang() {
     let world = World::new(no_fault);
     let jobs = world.start(1).await;
-    jobs.upstream_leaving("u1".parse().expect("valid name"), 1).await;
+    let revision = world.next_registry_revision();
+    jobs.upstream_leaving("u1".parse().expect("valid name"), 1, revision).await;
     submit(&jobs, "a", GANG_OF_16).await;
     sleep(Duration::from_secs(30)).await;
     assert_eq!(status(&jobs, "a").await["state"], "waiting");
--- a/src/control/jobs/tests/loopback.rs
+++ b/src/control/jobs/tests/loopback.rs
@@ -30,7 +30,7 @@
     };
     let jobs = Jobs::start(Vec::<Vec<u8>>::new(), context).expect("empty journal");
     for (position, standin) in (0..).zip(&standins) {
-        jobs.upstream_announced(announcement(position), standin.address()).await;
+        jobs.upstream_announced(announcement(position), standin.address(), 1).await;
     }
     assert!(submit(&jobs, "a", r#""accelerators":16,"run_ms":200"#).await.found);
     assert_eq!(wait_for_end(&jobs, "a").await, "completed");
--- a/src/control/jobs/tests/site.rs
+++ b/src/control/jobs/tests/site.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -55,6 +56,7 @@
     /// Runs of earlier incarnations.
     past_runs: Mutex<Vec<MemberRun>>,
     sent: Mutex<BTreeMap<(u32, &'static str), u32>>,
+    registry_revision: AtomicU64,
     fault: Fault,
     started: Instant,
     pub journal: Arc<Mutex<Vec<Vec<u8>>>>,
@@ -69,6 +71,7 @@
             incarnations: Mutex::new(vec![1; 2]),
             past_runs: Mutex::default(),
             sent: Mutex::default(),
+            registry_revision: AtomicU64::new(0),
             fault,
             started: Instant::now(),
             journal: Arc::default(),
@@ -97,7 +100,13 @@
             accelerators: 8,
             leaving: false,
         };
-        jobs.upstream_announced(announcement, address(upstream)).await;
+        let revision = self.next_registry_revision();
+        jobs.upstream_announced(announcement, address(upstream), revision).await;
+    }
+
+    /// Counts a change of the registry of upstreams.
+    pub fn next_registry_revision(&self) -> u64 {
+        self.registry_revision.fetch_add(1, Ordering::Relaxed) + 1
     }
 
     /// Replaces an upstream by a new incarnation; the work of the old one ends now.
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -7,7 +7,7 @@
 use crate::rpc;
 
 use super::core::{Core, State};
-use super::job_feed::UpstreamChange;
+use super::job_feed::{UpstreamChange, UpstreamChangeKind};
 use super::registry::{Change, Upstream};
 use super::shares::UpstreamLimits;
 
@@ -67,7 +67,8 @@
         if state.registry.leave(&name, announcement.incarnation, now_ms) == Change::Left {
             info!(upstream = %name, incarnation = announcement.incarnation, "an upstream left");
             state.shares.remove(&name);
-            return Ok(Some(UpstreamChange::Leaving(name, announcement.incarnation)));
+            let kind = UpstreamChangeKind::Leaving(name, announcement.incarnation);
+            return Ok(Some(UpstreamChange { kind, revision: state.registry.revision() }));
         }
         return Ok(None);
     }
@@ -77,11 +78,11 @@
         return Err("the upstream has fewer slots or connections than the base shares need".into());
     }
     let (name, incarnation) = (upstream.name.clone(), upstream.incarnation);
-    let upstream_change = UpstreamChange::Announced(upstream.clone());
+    let kind = UpstreamChangeKind::Announced(upstream.clone());
     if matches!(state.registry.announce(upstream, now_ms), Change::Added | Change::Returned) {
         info!(upstream = %name, incarnation, "an upstream announced itself");
         state.shares.add(&name, limits, now_ms);
-        return Ok(Some(upstream_change));
+        return Ok(Some(UpstreamChange { kind, revision: state.registry.revision() }));
     }
     Ok(None)
 }
@@ -98,9 +99,10 @@
         && let Some((upstream, _)) = state.registry.get(&name)
     {
         let limits = upstream_limits(upstream);
-        let upstream_change = UpstreamChange::Announced(upstream.clone());
+        let kind = UpstreamChangeKind::Announced(upstream.clone());
         state.shares.add(&name, limits, now_ms);
-        return (change, Some(upstream_change));
+        let revision = state.registry.revision();
+        return (change, Some(UpstreamChange { kind, revision }));
     }
     (change, None)
 }
--- a/src/control/ticker.rs
+++ b/src/control/ticker.rs
@@ -11,7 +11,7 @@
 
 use super::core::Core;
 use super::event::Event;
-use super::job_feed::{self, UpstreamChange};
+use super::job_feed::{self, UpstreamChange, UpstreamChangeKind};
 use super::jobs::JobsHandle;
 
 /// Interval of checks of the leases.
@@ -46,10 +46,12 @@
     let mut state = core.lock();
     let before = (state.shares.total_revision(), state.registry.revision());
     let mut upstream_changes = Vec::new();
-    for name in state.registry.expire(now_ms) {
+    let lost = state.registry.expire(now_ms);
+    let revision = state.registry.revision();
+    for name in lost {
         info!(upstream = %name, "an upstream's lease ended");
         state.shares.suspend(&name, now_ms);
-        upstream_changes.push(UpstreamChange::Lost(name));
+        upstream_changes.push(UpstreamChange { kind: UpstreamChangeKind::Lost(name), revision });
     }
     state.shares.tick(now_ms);
     let changed = before != (state.shares.total_revision(), state.registry.revision());
