Take an upstream for lost that restarts with an invalid announcement

An upstream that crashed and started again with a rack position or a number of accelerators out of range (0, for example, if its devices are not found) was still taken for its former incarnation by the scheduling core, while messages to it carried the new one. The new incarnation carried out what was placed on the former, and its answers, which name the new one, were taken for the end of the members that it had just started: they worked on for the start lease of 2 s without a stop, and their job was placed again at once.

The core now takes such an upstream for lost: its members have ended, and it gets no work until a later incarnation announces itself.

--- a/src/control/jobs/tests/faults.rs
+++ b/src/control/jobs/tests/faults.rs
@@ -226,6 +226,35 @@
     assert_eq!(world.gangs_that_ran(), 1);
 }
 
+/// Guards against work on an upstream whose new incarnation announced a position out of range: it
+/// carries out what is placed on its former incarnation, and its answers, which name the new one,
+/// are taken for the end of the members that it has just started.
+#[rstest]
+#[case::idle(false, 0)]
+#[case::with_a_running_gang(true, 1)]
+#[tokio::test(start_paused = true)]
+async fn a_successor_with_an_invalid_announcement_gets_no_gang(
+    #[case] runs_before: bool,
+    #[case] gangs: usize,
+) {
+    let world = World::new(no_fault);
+    let jobs = world.start(1).await;
+    if runs_before {
+        submit(&jobs, "a", GANG_OF_16).await;
+        sleep(Duration::from_secs(2)).await;
+    }
+    world.restart(1);
+    world.announce_at(&jobs, 1, 1_000).await;
+    submit(&jobs, "a", GANG_OF_16).await;
+    sleep(Duration::from_secs(30)).await;
+    assert_eq!(world.gangs_that_ran(), gangs, "{:#?}", world.runs());
+    world.assert_bound(ARRIVAL_SKEW_MS);
+    world.restart(1);
+    world.announce(&jobs, 1).await;
+    assert_eq!(wait_for_end(&jobs, "a").await, "completed");
+    assert_eq!(world.gangs_that_ran(), gangs + 1);
+}
+
 /// Guards against placing gangs on an upstream that is leaving.
 #[tokio::test(start_paused = true)]
 async fn a_leaving_upstream_gets_no_gang() {
--- a/src/control/jobs/tests/site.rs
+++ b/src/control/jobs/tests/site.rs
@@ -91,12 +91,17 @@
     }
 
     pub async fn announce(&self, jobs: &JobsHandle, upstream: u32) {
+        self.announce_at(jobs, upstream, upstream).await;
+    }
+
+    /// Announces an upstream at a position of its rack.
+    pub async fn announce_at(&self, jobs: &JobsHandle, upstream: u32, position: u32) {
         let incarnation = self.incarnations.lock().expect("no panic")[upstream as usize];
         let announcement = Announcement {
             name: format!("u{upstream}").parse().expect("valid name"),
             incarnation,
             rack: "rack-0".parse().expect("valid name"),
-            position: upstream,
+            position,
             accelerators: 8,
             leaving: false,
         };
@@ -111,7 +116,7 @@
 
     /// Replaces an upstream by a new incarnation; the work of the old one ends now.
     pub fn restart(&self, upstream: u32) {
-        self.incarnations.lock().expect("no panic")[upstream as usize] += 1;
+        let incarnation = self.raise_incarnation(upstream);
         let mut gangs = self.gangs[upstream as usize].lock().expect("no panic");
         let ended = gangs.runs().into_iter().map(|run| MemberRun {
             to: run.to.or(Some(Instant::now())),
@@ -119,7 +124,13 @@
             ..run
         });
         self.past_runs.lock().expect("no panic").extend(ended);
-        *gangs = Gangs::new(2, 8);
+        *gangs = Gangs::new(incarnation, 8);
+    }
+
+    fn raise_incarnation(&self, upstream: u32) -> u64 {
+        let mut incarnations = self.incarnations.lock().expect("no panic");
+        incarnations[upstream as usize] += 1;
+        incarnations[upstream as usize]
     }
 
     /// Clears the journal, as for a process with another data folder.
--- a/src/scheduler/pool.rs
+++ b/src/scheduler/pool.rs
@@ -158,8 +158,11 @@
     Changed(UpstreamIx),
     /// The upstream started again, so that members of earlier incarnations have ended.
     Restarted(UpstreamIx),
-    /// The position or size is out of range.
+    /// The position or size is out of range, and no upstream of this name is known.
     Invalid,
+    /// The upstream started again with a position or size that is out of range: members of earlier
+    /// incarnations have ended, and the new one gets no work.
+    RestartedInvalid(UpstreamIx),
 }
 
 /// Number of fully free upstreams among which one is chosen for a small block. Runs are at most a
@@ -232,7 +235,7 @@
     pub fn apply_announcement(&mut self, a: &Announcement) -> AnnounceOutcome {
         let is_valid_size = (1..=UPSTREAM_ACCELERATORS_LIMIT).contains(&a.accelerators);
         if !is_valid_size || a.position >= RACK_POSITIONS_LIMIT {
-            return AnnounceOutcome::Invalid;
+            return self.apply_invalid_announcement(a);
         }
         let Some(ix) = self.find(&a.name) else {
             let ix = self.insert(a);
@@ -268,6 +271,17 @@
         if restarted { AnnounceOutcome::Restarted(ix) } else { AnnounceOutcome::Changed(ix) }
     }
 
+    /// Takes the upstream for lost if the announcement is from a later incarnation than the known one.
+    fn apply_invalid_announcement(&mut self, a: &Announcement) -> AnnounceOutcome {
+        let Some(ix) = self.find(&a.name) else { return AnnounceOutcome::Invalid };
+        if a.incarnation <= self.upstream(ix).incarnation {
+            return AnnounceOutcome::Unchanged;
+        }
+        self.update(ix, |u| u.incarnation = a.incarnation);
+        self.mark_lost(ix);
+        AnnounceOutcome::RestartedInvalid(ix)
+    }
+
     fn has_location_of(&self, ix: UpstreamIx, a: &Announcement) -> bool {
         let u = self.upstream(ix);
         let rack = &self.racks[u.rack.get()].name;
--- a/src/scheduler/upstreams.rs
+++ b/src/scheduler/upstreams.rs
@@ -23,6 +23,13 @@
                 self.clear_failures(ix);
                 self.on_upstream_available(ix, now_ms);
             }
+            AnnounceOutcome::RestartedInvalid(ix) => {
+                if let Some(former) = former {
+                    self.record_crash(ix, former, now_ms);
+                }
+                self.end_old_members(ix, now_ms);
+                self.on_unavailable(ix, now_ms);
+            }
         }
     }
 
@@ -79,7 +86,6 @@
         }
         self.record_crash(ix, self.pool.upstream(ix).incarnation, now_ms);
         self.pool.mark_lost(ix);
-        self.timers.set(Timer::RemoveFromLayout(ix), now_ms + LOST_UPSTREAM_RETENTION_MS);
         for id in self.gangs_on(ix) {
             let ended =
                 self.gangs.get_mut(&id).and_then(|g| g.member_mut(ix)).is_none_or(|m| m.ended);
@@ -87,6 +93,12 @@
                 self.stop_gang(id, StopReason::MemberLost(upstream.clone()), now_ms);
             }
         }
+        self.on_unavailable(ix, now_ms);
+    }
+
+    /// Handles that an upstream takes no work until it announces itself again.
+    fn on_unavailable(&mut self, ix: UpstreamIx, now_ms: u64) {
+        self.timers.set(Timer::RemoveFromLayout(ix), now_ms + LOST_UPSTREAM_RETENTION_MS);
         self.review_upstream(ix, now_ms);
         // Another upstream may have taken over the position.
         self.queue.retry_all();
