Make the simulated upstreams of the soak as slow as real ones

The upstreams of the soak stopped a member with the answer to its stop, took messages for their former incarnation, and announced a restart within 1 ms. A core that takes a stop for the end of a member, or that trusts a member of a former incarnation, would have passed.

Messages carry the incarnation that the core knows and another one refuses them, as on the wire, and announcements may be 2 s late.

--- a/src/scheduler/soak/control.rs
+++ b/src/scheduler/soak/control.rs
@@ -74,6 +74,7 @@
     pub(super) fn stop_core(&mut self) {
         self.core = None;
         self.announced.clear();
+        self.known_incarnations.clear();
         let down_ms = match self.rng.random_range(0..10) {
             0 => self.rng.random_range(30_000..60_000),
             1..4 => self.rng.random_range(2_000..10_000),
--- a/src/scheduler/soak/network.rs
+++ b/src/scheduler/soak/network.rs
@@ -9,6 +9,9 @@
 use crate::scheduler::limits::DELIVERY_ALLOWANCE_MS;
 use crate::scheduler::{Decision, Renewal};
 
+/// Longest time that an upstream takes to stop a member.
+const STOP_TIME_MAX_MS: u64 = 1_500;
+
 /// Time between the start of a job that crashes its upstreams and the crash.
 const CRASH_DELAY_MS: u64 = 20;
 
@@ -20,17 +23,21 @@
 
     /// Sends a message that may be lost or repeated, and otherwise arrives within the delivery
     /// allowance.
+    ///
+    /// It is for the incarnation that the core knows, as `Sender` states it on the wire.
     pub(super) fn send(&mut self, upstream: UpstreamName, message: Decision) {
+        let Some(&incarnation) = self.known_incarnations.get(&upstream) else { return };
+        let receiver = (upstream, incarnation);
         if self.random_fault(0.03) {
             return self.count_fault("lost_message");
         }
         if self.random_fault(0.02) {
             self.count_fault("repeated_message");
             let delay_ms = self.rng.random_range(1..DELIVERY_ALLOWANCE_MS);
-            self.schedule(delay_ms, SimEvent::Deliver(upstream.clone(), message.clone()));
+            self.schedule(delay_ms, SimEvent::Deliver(receiver.clone(), message.clone()));
         }
         let delay_ms = self.rng.random_range(1..DELIVERY_ALLOWANCE_MS);
-        self.schedule(delay_ms, SimEvent::Deliver(upstream, message));
+        self.schedule(delay_ms, SimEvent::Deliver(receiver, message));
     }
 
     /// Sends an answer that may be lost, repeated, or so late that later answers overtake it.
@@ -53,15 +60,19 @@
 
     pub(super) fn deliver(
         &mut self,
-        upstream: &UpstreamName,
+        (upstream, receiver): (UpstreamName, u64),
         message: Decision,
     ) -> Result<(), String> {
-        let Some(&ix) = self.worker_indices.get(upstream) else { return Ok(()) };
+        let Some(&ix) = self.worker_indices.get(&upstream) else { return Ok(()) };
         if self.workers[ix].link != Link::Up {
             return Ok(());
         }
-        let (now_ms, upstream) = (self.now_ms, upstream.clone());
+        let now_ms = self.now_ms;
         let incarnation = self.workers[ix].announcement.incarnation;
+        if receiver != incarnation {
+            self.refuse_misdirected(upstream, incarnation, &message);
+            return Ok(());
+        }
         let answer = match message {
             Decision::Stage { gang, mask, hold_ms, .. } => {
                 let staged = self.workers[ix].stage(gang, mask, hold_ms, now_ms);
@@ -78,6 +89,14 @@
                 Event::RenewAnswered { upstream, round, members }
             }
             Decision::Stop { gang, .. } => {
+                let slow = self.random_fault(0.3);
+                let stop_ms = if slow { self.rng.random_range(1..STOP_TIME_MAX_MS) } else { 0 };
+                if let Some(until_ms) = self.workers[ix].begin_stop(gang, stop_ms, now_ms) {
+                    self.count_fault("slow_stop");
+                    let stopped = SimEvent::MemberStopped(ix, incarnation, gang);
+                    self.schedule(until_ms - now_ms, stopped);
+                    return Ok(());
+                }
                 let status = self.workers[ix].stop(gang, now_ms);
                 Event::StopAnswered { gang, upstream, incarnation, status }
             }
@@ -91,6 +110,33 @@
         Ok(())
     }
 
+    /// Answers a message for another incarnation of an upstream as an upstream that refuses it does:
+    /// the answer to a stage or commit counts, and other refusals leave the effect unknown.
+    fn refuse_misdirected(&mut self, upstream: UpstreamName, incarnation: u64, message: &Decision) {
+        self.count_fault("message_for_another_incarnation");
+        match *message {
+            Decision::Stage { gang, .. } => {
+                self.answer(Event::StageAnswered { gang, upstream, staged: false });
+            }
+            Decision::Commit { gang, .. } => {
+                let started = false;
+                self.answer(Event::CommitAnswered { gang, upstream, incarnation, started });
+            }
+            _ => {}
+        }
+    }
+
+    /// Answers a stop once the member has ended.
+    pub(super) fn member_stopped(&mut self, ix: usize, incarnation: u64, gang: GangId) {
+        let worker = &mut self.workers[ix];
+        if worker.link != Link::Up || worker.announcement.incarnation != incarnation {
+            return;
+        }
+        let upstream = worker.announcement.name.clone();
+        let status = worker.stop(gang, self.now_ms);
+        self.answer(Event::StopAnswered { gang, upstream, incarnation, status });
+    }
+
     /// Returns whether the member has started.
     fn deliver_commit(&mut self, ix: usize, id: GangId, lease_ms: u64) -> Result<bool, String> {
         let job = self.actual.gangs.get(&id).map(|gang| gang.job.clone());
--- a/src/scheduler/soak/worker.rs
+++ b/src/scheduler/soak/worker.rs
@@ -23,6 +23,8 @@
     Staged { until_ms: u64 },
     /// The member works until its lease or its work ends.
     Working { lease_until_ms: u64, done_ms: u64 },
+    /// A stop has arrived, and the member works until it has been carried out.
+    Stopping { until_ms: u64 },
     /// The work ended by itself, completed or failed.
     Done,
     /// The lease or the hold ended, or the member was stopped, before its work was done.
@@ -42,6 +44,16 @@
     pub end_ms: Option<u64>,
 }
 
+impl WorkerMember {
+    /// Returns whether the member holds its accelerators.
+    const fn is_active(&self) -> bool {
+        matches!(
+            self.activity,
+            Activity::Staged { .. } | Activity::Working { .. } | Activity::Stopping { .. }
+        )
+    }
+}
+
 /// A simulated upstream; called worker to distinguish it from the core's own record of upstreams.
 #[derive(Debug)]
 pub struct Worker {
@@ -84,6 +96,9 @@
                 Activity::Working { lease_until_ms, .. } if lease_until_ms <= now_ms => {
                     (Activity::Interrupted { worked: true }, lease_until_ms)
                 }
+                Activity::Stopping { until_ms } if until_ms <= now_ms => {
+                    (Activity::Interrupted { worked: true }, until_ms)
+                }
                 _ => continue,
             };
             member.activity = activity;
@@ -98,10 +113,7 @@
         if self.members.contains_key(&gang) {
             return matches!(self.members[&gang].activity, Activity::Staged { .. });
         }
-        let in_use = |m: &WorkerMember| {
-            let active = matches!(m.activity, Activity::Staged { .. } | Activity::Working { .. });
-            active && m.mask & mask != 0
-        };
+        let in_use = |m: &WorkerMember| m.is_active() && m.mask & mask != 0;
         if self.stopped.contains(&gang) || self.members.values().any(in_use) {
             self.stopped.insert(gang);
             return false;
@@ -132,7 +144,7 @@
                 member.fails = fails;
                 (true, true)
             }
-            Activity::Working { .. } | Activity::Done => (true, false),
+            Activity::Working { .. } | Activity::Stopping { .. } | Activity::Done => (true, false),
             Activity::Interrupted { worked } => (worked, false),
         }
     }
@@ -149,23 +161,40 @@
             }
             Activity::Done if member.fails => MemberStatus::Failed,
             Activity::Done => MemberStatus::Completed,
-            Activity::Staged { .. } | Activity::Interrupted { .. } => MemberStatus::Absent,
+            // A stop is final, so a member that is being stopped does not confirm a lease.
+            Activity::Staged { .. } | Activity::Stopping { .. } | Activity::Interrupted { .. } => {
+                MemberStatus::Absent
+            }
         }
     }
 
-    /// Stops a member and refuses later messages to it.
-    pub fn stop(&mut self, gang: GangId, now_ms: u64) -> StopStatus {
+    /// Begins to stop a member and refuses later messages to it. Returns the time of its end if it
+    /// has not ended yet.
+    pub fn begin_stop(&mut self, gang: GangId, stop_ms: u64, now_ms: u64) -> Option<u64> {
         self.end_due_members(now_ms);
         self.stopped.insert(gang);
+        let member = self.members.get_mut(&gang)?;
+        if let Activity::Working { lease_until_ms, .. } = member.activity {
+            let until_ms = lease_until_ms.min(now_ms + stop_ms);
+            member.activity = Activity::Stopping { until_ms };
+        }
+        match member.activity {
+            Activity::Stopping { until_ms } if until_ms > now_ms => Some(until_ms),
+            _ => None,
+        }
+    }
+
+    /// Stops a member at once and refuses later messages to it.
+    pub fn stop(&mut self, gang: GangId, now_ms: u64) -> StopStatus {
+        self.begin_stop(gang, 0, now_ms);
+        self.end_due_members(now_ms);
         let Some(member) = self.members.get_mut(&gang) else { return StopStatus::NotStarted };
         match member.activity {
             Activity::Done if !member.fails => StopStatus::Completed,
-            Activity::Done | Activity::Interrupted { worked: true } => StopStatus::Stopped,
-            Activity::Working { .. } => {
-                member.activity = Activity::Interrupted { worked: true };
-                member.end_ms = Some(now_ms);
-                StopStatus::Stopped
-            }
+            Activity::Done
+            | Activity::Working { .. }
+            | Activity::Stopping { .. }
+            | Activity::Interrupted { worked: true } => StopStatus::Stopped,
             Activity::Staged { .. } | Activity::Interrupted { worked: false } => {
                 member.activity = Activity::Interrupted { worked: false };
                 StopStatus::NotStarted
@@ -177,6 +206,7 @@
     pub fn is_working(&self, gang: GangId, now_ms: u64) -> bool {
         self.members.get(&gang).is_some_and(|m| match m.activity {
             Activity::Working { lease_until_ms, done_ms } => now_ms < lease_until_ms.min(done_ms),
+            Activity::Stopping { until_ms } => now_ms < until_ms,
             _ => false,
         })
     }
@@ -198,9 +228,6 @@
     /// Drops the stopped gangs and inactive members that are older than a gang.
     pub fn prune(&mut self, before: GangId) {
         self.stopped = self.stopped.split_off(&before);
-        self.members.retain(|id, m| {
-            *id >= before
-                || matches!(m.activity, Activity::Staged { .. } | Activity::Working { .. })
-        });
+        self.members.retain(|id, m| *id >= before || m.is_active());
     }
 }
--- a/src/scheduler/soak/world.rs
+++ b/src/scheduler/soak/world.rs
@@ -25,13 +25,16 @@
 /// Time without announcements after which an upstream counts as lost.
 pub(super) const UPSTREAM_LEASE_MS: u64 = 3_000;
 
+/// Longest time between the start of an upstream and the news of it.
+const ANNOUNCEMENT_DELAY_MAX_MS: u64 = 2_000;
+
 const TICK_INTERVAL_MS: u64 = 50;
 
 /// Event of the simulation, which happens at a simulated time.
 #[derive(Debug, Clone)]
 pub enum SimEvent {
-    /// A message arrives at an upstream.
-    Deliver(UpstreamName, Decision),
+    /// A message for an incarnation of an upstream arrives there.
+    Deliver((UpstreamName, u64), Decision),
     /// An event arrives at the core.
     CoreEvent(Event),
     /// The core checks its timers.
@@ -52,6 +55,8 @@
     Recover(usize),
     /// The run time of a member has passed.
     MemberDone(usize, GangId),
+    /// The stop of a member on an incarnation of an upstream has been carried out.
+    MemberStopped(usize, u64, GangId),
     /// The control process starts again.
     RestartCore,
 }
@@ -73,6 +78,8 @@
     pub(super) worker_indices: BTreeMap<UpstreamName, usize>,
     /// Upstreams that announced themselves to the running core and were not reported lost since.
     pub(super) announced: BTreeSet<UpstreamName>,
+    /// Newest incarnation of each upstream that announced itself to the running core.
+    pub(super) known_incarnations: BTreeMap<UpstreamName, u64>,
     pub(super) actual: ActualState,
     /// Submitted jobs that have not ended, as far as the simulation knows.
     pub(super) open_jobs: BTreeSet<JobName>,
@@ -106,6 +113,7 @@
             workers: Vec::new(),
             worker_indices: BTreeMap::new(),
             announced: BTreeSet::new(),
+            known_incarnations: BTreeMap::new(),
             actual: ActualState::default(),
             open_jobs: BTreeSet::new(),
             ended_jobs: std::collections::VecDeque::new(),
@@ -201,7 +209,7 @@
         let Some(((at_ms, _), sim_event)) = self.pending.pop_first() else { return Ok(()) };
         self.now_ms = at_ms;
         match sim_event {
-            SimEvent::Deliver(upstream, message) => self.deliver(&upstream, message)?,
+            SimEvent::Deliver(receiver, message) => self.deliver(receiver, message)?,
             SimEvent::CoreEvent(event) => self.step(event)?,
             SimEvent::Tick => self.tick()?,
             SimEvent::InjectFaults => self.inject_faults(),
@@ -212,6 +220,9 @@
             SimEvent::Crash(ix) => self.crash(ix),
             SimEvent::Recover(ix) => self.workers[ix].fails_everything = false,
             SimEvent::MemberDone(ix, gang) => self.member_done(ix, gang),
+            SimEvent::MemberStopped(ix, incarnation, gang) => {
+                self.member_stopped(ix, incarnation, gang);
+            }
             SimEvent::RestartCore => self.restart_core()?,
         }
         Ok(())
@@ -231,6 +242,8 @@
         let Some(core) = &mut self.core else { return Ok(()) };
         if let Event::UpstreamAnnounced(announcement) = &event {
             self.announced.insert(announcement.name.clone());
+            let known = self.known_incarnations.entry(announcement.name.clone()).or_default();
+            *known = announcement.incarnation.max(*known);
         }
         let decisions = core.step(event, self.now_ms);
         self.steps += 1;
@@ -350,7 +363,13 @@
     pub(super) fn announce(&mut self, ix: usize) {
         self.workers[ix].reported_lost = false;
         let announcement = self.workers[ix].announcement.clone();
-        self.schedule(1, SimEvent::CoreEvent(Event::UpstreamAnnounced(announcement)));
+        let delay_ms = if self.random_fault(0.3) {
+            self.count_fault("late_announcement");
+            self.rng.random_range(1..ANNOUNCEMENT_DELAY_MAX_MS)
+        } else {
+            1
+        };
+        self.schedule(delay_ms, SimEvent::CoreEvent(Event::UpstreamAnnounced(announcement)));
     }
 
     fn end_upstream_lease(&mut self, ix: usize) {
--- a/src/scheduler/tests/soak.rs
+++ b/src/scheduler/tests/soak.rs
@@ -12,6 +12,9 @@
     assert_eq!(report.violation, None, "seed {seed}");
     assert!(report.checks.values().all(|count| *count > 0));
     assert!(report.faults.len() >= 18, "{:?}", report.faults);
+    for kind in ["late_announcement", "message_for_another_incarnation", "slow_stop"] {
+        assert!(report.faults.contains_key(kind), "{kind}: {:?}", report.faults);
+    }
 }
 
 /// Guards against decisions of the core that depend on anything but its events, such as the order
