Let the task stand-in take time to stop a task

The stand-in of the task interface ended a task with the answer to its stop, so that no test on it could show that control takes the answer for the end. A stop now takes 300 ms, and the run is listed as running until then.

A new test cancels a job and checks that a waiting one does not get its accelerators before its tasks have ended.

--- a/src/local/tasks.rs
+++ b/src/local/tasks.rs
@@ -140,6 +140,13 @@
         self.standins.iter().flatten().map(RunningTaskStandin::started).sum()
     }
 
+    /// Returns the largest number of tasks that ran on a running stand-in at the same time.
+    #[must_use]
+    pub fn running_peak(&self, number: u8) -> usize {
+        let standin = self.standins.get(usize::from(number)).and_then(Option::as_ref);
+        standin.map_or(0, RunningTaskStandin::running_peak)
+    }
+
     /// Stops everything: first the stand-ins, then the control hosts.
     pub async fn stop(self) {
         for standin in self.standins.into_iter().flatten() {
--- a/src/standin/tasks/board.rs
+++ b/src/standin/tasks/board.rs
@@ -13,6 +13,10 @@
 /// Interval between checkpoints, in milliseconds of work.
 const CHECKPOINT_INTERVAL_MS: u64 = 500;
 
+/// Time that a run takes to stop. The answer to the order comes before, so that callers notice if
+/// they take it for the end of the run.
+pub(super) const STOP_TIME_MS: u64 = 300;
+
 /// Work that the payload of a task asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -32,6 +36,8 @@
     run: u32,
     work: Work,
     started_ms: u64,
+    /// End of a run that was ordered to stop, unless its work or its lease ends first.
+    stopped_at_ms: Option<u64>,
     /// Work that was done before the checkpoint from which the run started.
     checkpoint_ms: u64,
 }
@@ -45,6 +51,10 @@
         self.started_ms + self.work.work_ms.saturating_sub(self.checkpoint_ms)
     }
 
+    fn is_stopped(&self, now_ms: u64) -> bool {
+        self.stopped_at_ms.is_some_and(|stopped_at_ms| stopped_at_ms <= now_ms)
+    }
+
     fn checkpoint(&self, now_ms: u64) -> Arc<str> {
         let saved_ms = self.worked_ms(now_ms) / CHECKPOINT_INTERVAL_MS * CHECKPOINT_INTERVAL_MS;
         if saved_ms == 0 { Arc::from("") } else { saved_ms.to_string().into() }
@@ -66,6 +76,7 @@
     /// Highest run of each task that ended or was stopped here.
     closed_runs: BTreeMap<TaskId, u32>,
     started: u32,
+    running_peak: usize,
 }
 
 impl TaskTable {
@@ -90,9 +101,16 @@
             return refused(Refusal::Invalid);
         };
         let checkpoint_ms = order.checkpoint.parse().unwrap_or(0);
-        let running = RunningTask { run: order.run, work, started_ms: now_ms, checkpoint_ms };
+        let running = RunningTask {
+            run: order.run,
+            work,
+            started_ms: now_ms,
+            stopped_at_ms: None,
+            checkpoint_ms,
+        };
         self.running.insert(order.task.clone(), running);
         self.started += 1;
+        self.running_peak = self.running_peak.max(self.running.len());
         OrderAnswer::Done { clock_ms: now_ms }
     }
 
@@ -101,8 +119,10 @@
         if self.fence(order.fencing_token).is_err() {
             return OrderAnswer::Refused(Refusal::StaleToken);
         }
-        if self.running.get(&order.task).is_some_and(|running| running.run <= order.run) {
-            self.end(&order.task, EndKind::Stopped, now_ms);
+        if let Some(running) = self.running.get_mut(&order.task)
+            && running.run <= order.run
+        {
+            running.stopped_at_ms.get_or_insert(now_ms + STOP_TIME_MS);
         }
         let closed_run = self.closed_runs.entry(order.task.clone()).or_default();
         *closed_run = (*closed_run).max(order.run);
@@ -142,16 +162,23 @@
         self.started
     }
 
-    /// Ends the runs whose work is done or whose lease has expired by `now_ms`.
+    /// Returns the largest number of tasks that ran at the same time.
+    pub(super) fn running_peak(&self) -> usize {
+        self.running_peak
+    }
+
+    /// Ends the runs whose work is done, that have been stopped, or whose lease has expired by
+    /// `now_ms`.
     pub(super) fn advance(&mut self, now_ms: u64) {
         let lapsed = now_ms >= self.lease_until_ms;
         let due = |running: &RunningTask| running.ends_at_ms() <= now_ms.min(self.lease_until_ms);
         let ended: Vec<(TaskId, EndKind)> = self
             .running
             .iter()
-            .filter(|(_, running)| lapsed || due(running))
+            .filter(|(_, running)| lapsed || due(running) || running.is_stopped(now_ms))
             .map(|(task, running)| {
                 let how = match (due(running), running.work.fails) {
+                    (false, _) if running.is_stopped(now_ms) => EndKind::Stopped,
                     (false, _) => EndKind::Lapsed,
                     (true, true) => EndKind::Failed,
                     (true, false) => EndKind::Done,
--- a/src/standin/tasks/server.rs
+++ b/src/standin/tasks/server.rs
@@ -116,6 +116,12 @@
         self.shared.task_table().started()
     }
 
+    /// Returns the largest number of tasks that ran here at the same time.
+    #[must_use]
+    pub fn running_peak(&self) -> usize {
+        self.shared.task_table().running_peak()
+    }
+
     /// Reports that it leaves, and then stops together with all tasks that it runs.
     pub async fn leave(self) {
         self.reporting.abort();
--- a/src/standin/tasks/tests.rs
+++ b/src/standin/tasks/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of how a stand-in handles orders.
 
-use super::board::{Fenced, TaskTable};
+use super::board::{Fenced, STOP_TIME_MS, TaskTable};
 use crate::cluster::{HoldOrder, OrderAnswer, Refusal, StartOrder, StopOrder};
 use crate::tasks::{EndKind, TaskId};
 
@@ -81,6 +81,19 @@
     assert_eq!(ends(&mut task_table, LEASE_UNTIL_MS), [(1, EndKind::Lapsed)]);
 }
 
+/// A run goes on for some time after the answer to its stop, and is listed until it has ended; an
+/// upstream that stops at once would hide that control takes the answer for the end.
+#[test]
+fn a_stopped_run_is_listed_until_it_has_ended() {
+    let mut task_table = TaskTable::default();
+    task_table.start(&start(1, 1), 0);
+    assert_eq!(task_table.stop(&stop(1), 100), OrderAnswer::Done { clock_ms: 100 });
+    let lists = task_table.hold(&hold(1, 0, None), 100 + STOP_TIME_MS - 1).unwrap();
+    assert_eq!((lists.running.len(), lists.ended.len()), (1, 0));
+    task_table.stop(&stop(1), 100 + STOP_TIME_MS - 1);
+    assert_eq!(ends(&mut task_table, 100 + STOP_TIME_MS), [(1, EndKind::Stopped)]);
+}
+
 /// An end is listed only until control has recorded it.
 #[test]
 fn recorded_ends_are_forgotten() {
@@ -95,7 +108,7 @@
 fn a_checkpoint_shortens_the_next_run() {
     let mut task_table = TaskTable::default();
     task_table.start(&start(1, 1), 0);
-    task_table.stop(&stop(1), 550);
+    task_table.stop(&stop(1), 550 - STOP_TIME_MS);
     let stopped = task_table.hold(&hold(1, 0, None), 550).unwrap().ended.remove(0);
     task_table.start(&StartOrder { checkpoint: stopped.checkpoint, ..start(2, 1) }, 600);
     let ended = ends(&mut task_table, 700);
--- a/tests/steps.rs
+++ b/tests/steps.rs
@@ -129,3 +129,23 @@
     cluster.wait_for_state(2, "completed").await;
     cluster.local.stop().await;
 }
+
+/// The accelerators of a stopped task must not be given out while it still runs: an upstream answers
+/// a stop before it has carried it out.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_task_keeps_its_accelerators() {
+    let cluster = TestCluster::start(1).await;
+    let job = |work_ms: u32| {
+        format!(
+            "{{payload: '{{\"work_ms\": {work_ms}}}', \
+             steps: [{{tasks: 2, need: {{accelerators: 4}}}}]}}"
+        )
+    };
+    cluster.submit(1, &job(60_000)).await;
+    cluster.wait_until("both tasks have started", async || cluster.local.started() == 2).await;
+    cluster.submit(2, &job(500)).await;
+    assert_eq!(cluster.call("DELETE", &job_path(1), "").await.status, 200);
+    cluster.wait_for_state(2, "completed").await;
+    assert_eq!(cluster.local.running_peak(0), 2, "the upstream has accelerators for two tasks");
+    cluster.local.stop().await;
+}
