Test restarts of the task stand-in under its name and address

No test on the project's own task interface restarted an upstream under its name and address. The stand-in can now be restarted like that, with a first heartbeat that comes late, and lists what it runs.

The new test restarts one of two upstreams twice during a job of 60 tasks and checks every 5 ms that no task runs on both.

--- a/src/bin/cactuslatch-task-standin.rs
+++ b/src/bin/cactuslatch-task-standin.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::time::Duration;
 
-use bpaf::{OptionParser, Parser, construct, long};
+use bpaf::{OptionParser, Parser, construct, long, pure};
 use cactuslatch::standin::tasks::{self, TaskStandinSettings};
 use cactuslatch::{RackName, ServiceName, UpstreamName, daemon_util};
 
@@ -21,9 +22,18 @@
         .help("control host to which it announces itself")
         .argument::<SocketAddr>("ADDRESS")
         .some("at least one --host is needed");
-    construct!(TaskStandinSettings { name, address, service, rack, accelerators, control_hosts })
-        .to_options()
-        .descr("A stand-in for an upstream; its tasks work for {\"work_ms\": N} of their payload")
+    let heartbeat_delay = pure(Duration::ZERO);
+    construct!(TaskStandinSettings {
+        name,
+        address,
+        service,
+        rack,
+        accelerators,
+        control_hosts,
+        heartbeat_delay
+    })
+    .to_options()
+    .descr("A stand-in for an upstream; its tasks work for {\"work_ms\": N} of their payload")
 }
 
 fn main() -> ExitCode {
--- a/src/local/tasks.rs
+++ b/src/local/tasks.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use super::addresses::AddressBlock;
 use super::client::Client;
 use crate::error::StepError;
 use crate::standin::tasks::{self, RunningTaskStandin, TaskStandinSettings};
 use crate::task_api::{RunningControl, TaskControlSettings};
+use crate::tasks::TaskId;
 
 /// API key of the organisation in `examples/steps/queues.yaml`.
 pub const EXAMPLE_API_KEY: &str = "example-key-of-plovdiv";
@@ -90,6 +92,7 @@
             rack: "rack-1".parse().expect("a valid name"),
             accelerators: ACCELERATORS,
             control_hosts: self.control_addresses(),
+            heartbeat_delay: Duration::ZERO,
         }
     }
 
@@ -134,6 +137,27 @@
         }
     }
 
+    /// Starts a killed stand-in again under its name and address. Its first heartbeat is delayed, so
+    /// that control does not know of the restart at once.
+    ///
+    /// # Errors
+    /// Returns an error if its address cannot be listened on.
+    pub async fn restart_standin(
+        &mut self,
+        number: u8,
+        heartbeat_delay: Duration,
+    ) -> Result<(), StepError> {
+        let settings = TaskStandinSettings { heartbeat_delay, ..self.standin_settings(number) };
+        self.standins[usize::from(number)] = Some(tasks::start(settings).await?);
+        Ok(())
+    }
+
+    /// Returns the tasks that run on each stand-in; a task that runs twice is listed twice.
+    #[must_use]
+    pub fn running(&self) -> Vec<TaskId> {
+        self.standins.iter().flatten().flat_map(RunningTaskStandin::running).collect()
+    }
+
     /// Returns how many tasks have started on the stand-ins that run.
     #[must_use]
     pub fn started(&self) -> u32 {
--- a/src/standin/tasks/board.rs
+++ b/src/standin/tasks/board.rs
@@ -162,6 +162,11 @@
         self.started
     }
 
+    /// Returns the running tasks.
+    pub(super) fn running(&self) -> impl Iterator<Item = &TaskId> {
+        self.running.keys()
+    }
+
     /// Returns the largest number of tasks that ran at the same time.
     pub(super) fn running_peak(&self) -> usize {
         self.running_peak
--- a/src/standin/tasks/server.rs
+++ b/src/standin/tasks/server.rs
@@ -22,7 +22,7 @@
 use crate::http::{FullRequest, FullResponse, ServerLimits, error, json, serve};
 use crate::names::{RackName, ServiceName, UpstreamName};
 use crate::task_api::{HOLD_PATH, LeaveRequest, START_PATH, STOP_PATH, UPSTREAM_HEADER};
-use crate::tasks::{Heartbeat, Resources};
+use crate::tasks::{Heartbeat, Resources, TaskId};
 
 /// Interval between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -59,6 +59,8 @@
     pub accelerators: u32,
     /// Control hosts to which it reports itself.
     pub control_hosts: Vec<SocketAddr>,
+    /// Time from the start to the first heartbeat.
+    pub heartbeat_delay: Duration,
 }
 
 /// Processors that a stand-in has for each accelerator.
@@ -116,6 +118,14 @@
         self.shared.task_table().started()
     }
 
+    /// Returns the tasks that run here, including those that are being stopped.
+    #[must_use]
+    pub fn running(&self) -> Vec<TaskId> {
+        let mut task_table = self.shared.task_table();
+        task_table.advance(self.shared.clock_ms());
+        task_table.running().cloned().collect()
+    }
+
     /// Returns the largest number of tasks that ran here at the same time.
     #[must_use]
     pub fn running_peak(&self) -> usize {
@@ -149,6 +159,7 @@
 
     async fn send_heartbeats(self: Arc<Self>) {
         let mut sequence = 0;
+        sleep(self.settings.heartbeat_delay).await;
         loop {
             sequence += 1;
             self.report_to_control("heartbeat", &self.heartbeat(sequence)).await;
--- a/tests/steps.rs
+++ b/tests/steps.rs
@@ -1,5 +1,6 @@
 //! Jobs of several steps, submitted over the HTTP API, under failures.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use cactuslatch::local::{EXAMPLE_API_KEY, LocalTasks, Reply};
@@ -149,3 +150,30 @@
     assert_eq!(cluster.local.running_peak(0), 2, "the upstream has accelerators for two tasks");
     cluster.local.stop().await;
 }
+
+/// A task must not run on two upstreams at once after one of them restarted under its name and
+/// address: what was meant for its former life must not be carried out by its new one.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_runs_twice_after_a_restart_under_the_same_name() {
+    let mut cluster = TestCluster::start(2).await;
+    let short = "{payload: '{\"work_ms\": 400}', steps: [{tasks: 60, need: {accelerators: 2}}]}";
+    cluster.submit(1, short).await;
+    cluster.wait_until("tasks run", async || cluster.local.started() >= 8).await;
+    let mut twice = BTreeSet::new();
+    for _ in 0..2 {
+        cluster.local.kill_standin(0);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        cluster.local.restart_standin(0, Duration::from_millis(300)).await.unwrap();
+        let restarted = Instant::now();
+        while restarted.elapsed() < Duration::from_millis(1_500) {
+            let mut seen = BTreeSet::new();
+            let running = cluster.local.running();
+            twice.extend(running.into_iter().filter(|task| !seen.insert(task.to_string())));
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    cluster.wait_until("the job has ended", async || cluster.state(1).await != "active").await;
+    assert!(twice.is_empty(), "ran on two upstreams at once: {twice:?}");
+    assert_eq!(cluster.state(1).await, "completed");
+    cluster.local.stop().await;
+}
