--- a/src/control/jobs/tests/site.rs
+++ b/src/control/jobs/tests/site.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -55,6 +56,7 @@
     /// Runs of earlier incarnations.
     past_runs: Mutex<Vec<MemberRun>>,
     sent: Mutex<BTreeMap<(u32, &'static str), u32>>,
+    registry_revision: AtomicU64,
     fault: Fault,
     started: Instant,
     pub journal: Arc<Mutex<Vec<Vec<u8>>>>,
@@ -69,6 +71,7 @@
             incarnations: Mutex::new(vec![1; 2]),
             past_runs: Mutex::default(),
             sent: Mutex::default(),
+            registry_revision: AtomicU64::new(0),
             fault,
             started: Instant::now(),
             journal: Arc::default(),
@@ -88,21 +91,32 @@
     }
 
     pub async fn announce(&self, jobs: &JobsHandle, upstream: u32) {
+        self.announce_at(jobs, upstream, upstream).await;
+    }
+
+    /// Announces an upstream at a position of its rack.
+    pub async fn announce_at(&self, jobs: &JobsHandle, upstream: u32, position: u32) {
         let incarnation = self.incarnations.lock().expect("no panic")[upstream as usize];
         let announcement = Announcement {
             name: format!("u{upstream}").parse().expect("valid name"),
             incarnation,
             rack: "rack-0".parse().expect("valid name"),
-            position: upstream,
+            position,
             accelerators: 8,
             leaving: false,
         };
-        jobs.upstream_announced(announcement, address(upstream)).await;
+        let revision = self.next_registry_revision();
+        jobs.upstream_announced(announcement, address(upstream), revision).await;
+    }
+
+    /// Counts a change of the registry of upstreams.
+    pub fn next_registry_revision(&self) -> u64 {
+        self.registry_revision.fetch_add(1, Ordering::Relaxed) + 1
     }
 
     /// Replaces an upstream by a new incarnation; the work of the old one ends now.
     pub fn restart(&self, upstream: u32) {
-        self.incarnations.lock().expect("no panic")[upstream as usize] += 1;
+        let incarnation = self.raise_incarnation(upstream);
         let mut gangs = self.gangs[upstream as usize].lock().expect("no panic");
         let ended = gangs.runs().into_iter().map(|run| MemberRun {
             to: run.to.or(Some(Instant::now())),
@@ -110,7 +124,13 @@
             ..run
         });
         self.past_runs.lock().expect("no panic").extend(ended);
-        *gangs = Gangs::new(2, 8);
+        *gangs = Gangs::new(incarnation, 8);
+    }
+
+    fn raise_incarnation(&self, upstream: u32) -> u64 {
+        let mut incarnations = self.incarnations.lock().expect("no panic");
+        incarnations[upstream as usize] += 1;
+        incarnations[upstream as usize]
     }
 
     /// Clears the journal, as for a process with another data folder.
--- a/tests/request_path/main.rs
+++ b/tests/request_path/main.rs
@@ -16,4 +16,5 @@
 mod shares;
 mod shutdown;
 mod silence;
+mod successors;
 mod waiting;
