Log how many units wait when lasting tasks are rotated

The log did not tell for whom capacity is reserved while tasks are rotated. One line per decision that rotates any.

--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -56,6 +56,7 @@
         self.pace_filling();
         let plan = self.decide();
         let decided_in = begun.elapsed();
+        log_rotation(&plan);
         self.request_approvals(plan.approval_requests);
         if !plan.give_ups.is_empty() {
             self.give_up(plan.give_ups).await;
@@ -307,6 +308,15 @@
     (decided_in * PASS_DELAY_FACTOR).clamp(PASS_DELAY, PASS_INTERVAL)
 }
 
+/// Logs how many lasting tasks a decision rotates, and how many units wait meanwhile.
+fn log_rotation(plan: &Plan) {
+    let rotated = plan.stops.iter().filter(|(.., cause)| *cause == StopCause::Rotated).count();
+    if rotated > 0 {
+        let Plan { unplaced, unplaced_urgent, .. } = plan;
+        info!(rotated, unplaced, unplaced_urgent, "lasting tasks are rotated");
+    }
+}
+
 fn task_runs(start: &StartRecord) -> Vec<TaskRun> {
     let members = (0_u32..).zip(&start.incarnations);
     members.map(|(member_index, _)| (start.unit.task(member_index), start.run)).collect()
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -87,6 +87,8 @@
     pub(crate) approval_requests: Vec<ApprovalRequest>,
     /// Number of units that are ready to run and were not placed.
     pub(crate) unplaced: usize,
+    /// Those among them that may preempt: capacity is reserved for them.
+    pub(crate) unplaced_urgent: usize,
 }
 
 /// Why a run is stopped.
@@ -173,6 +175,7 @@
             return;
         }
         plan.unplaced += 1;
+        plan.unplaced_urgent += usize::from(unit.may_preempt);
         request_approvals(view, pool, unit, plan);
         if unit.may_preempt {
             let stops = preemption::preempt_for(view, pool, victims, unit);
