Rotate lasting tasks only for capacity reserved for urgent units

Callers saw lasting tasks wait more than 9 s for their next run although the pool was merely full. What urgent units have reserved counts now.

The new test fails on the code before: two runs being stopped in a full pool cause two more rotations.

--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -42,8 +42,8 @@
     pub(super) free: Vec<FreeCapacity>,
     /// Capacity that will be free once all stopping runs have ended.
     pub(super) free_after_stops: Vec<FreeCapacity>,
-    /// The same plus what is reserved for waiting units: capacity that changes hands.
-    unoccupied_after_stops: Vec<FreeCapacity>,
+    /// Capacity that is reserved for waiting units that may preempt: it changes hands.
+    reserved_for_urgent: Vec<Resources>,
     /// Indices of the hosts in each rack.
     pub(super) racks: BTreeMap<Arc<str>, Vec<usize>>,
     tasks_of_step: HashMap<StepOnHost, u32>,
@@ -85,7 +85,7 @@
         let mut pool = Self {
             free_after_stops: capacities.clone(),
             free: capacities,
-            unoccupied_after_stops: Vec::new(),
+            reserved_for_urgent: vec![Resources::default(); view.hosts.len()],
             racks: BTreeMap::new(),
             tasks_of_step: HashMap::new(),
             releases: vec![Vec::new(); view.hosts.len()],
@@ -130,7 +130,6 @@
                 }
             });
         }
-        pool.unoccupied_after_stops.clone_from(&pool.free_after_stops);
         pool
     }
 
@@ -163,14 +162,14 @@
         free * 2 > all
     }
 
-    /// Counts the tasks of a step that fit into capacity that changes hands.
-    pub(super) fn tasks_in_unoccupied(&self, view: &View<'_>, unit: &WaitingUnit<'_>) -> u32 {
+    /// Counts the tasks of a step that would fit into the capacity reserved for urgent units.
+    pub(super) fn tasks_in_reserved(&self, view: &View<'_>, unit: &WaitingUnit<'_>) -> u32 {
         let need = unit.step.reserved();
-        let hosts = view.hosts.iter().zip(&self.unoccupied_after_stops);
+        let hosts = view.hosts.iter().zip(&self.reserved_for_urgent);
         let eligible = hosts.filter(|(host, _)| {
             host.takes_work && is_eligible(host, unit.step, &unit.queue.service)
         });
-        eligible.map(|(_, unoccupied)| tasks_that_fit(&need, unoccupied)).sum()
+        eligible.map(|(_, reserved)| tasks_that_fit(&need, reserved)).sum()
     }
 
     /// Returns the number of tasks of a unit's step on a host.
@@ -185,7 +184,6 @@
         for &host in task_hosts {
             self.free[host].subtract(&need);
             self.free_after_stops[host].subtract(&need);
-            self.unoccupied_after_stops[host].subtract(&need);
             let run = StartingRun { job: unit.id.job.clone(), is_suspect: unit.is_suspect };
             self.starting[host].push(run);
             let step_on_host = (unit.id.job.clone(), unit.id.occurrence, unit.id.step, host);
@@ -206,7 +204,6 @@
     /// Counts the capacity of a task on a host as free after the stops.
     pub(super) fn release(&mut self, host: usize, need: &Resources) {
         self.free_after_stops[host].add(need);
-        self.unoccupied_after_stops[host].add(need);
     }
 
     /// Returns the capacity that running tasks of a host will release.
@@ -234,6 +231,9 @@
             // Capacity that is free already is reserved, too.
             self.free[host].subtract(&need);
             self.free_after_stops[host].subtract(&need);
+            if unit.may_preempt {
+                self.reserved_for_urgent[host].add(&need);
+            }
         }
     }
 }
--- a/src/placement/rotation.rs
+++ b/src/placement/rotation.rs
@@ -2,7 +2,7 @@
 //!
 //! There may be more lasting tasks than the pool holds while urgent jobs preempt them all the time,
 //! so that capacity changes hands but is reserved for others. In a pool that is merely full,
-//! rotation would only lose work.
+//! rotation would only lose work, so what rotation itself frees does not count as changing hands.
 
 use std::cmp::Reverse;
 
@@ -22,8 +22,8 @@
 /// One of this many running lasting tasks may be replaced per decision.
 const LASTING_TASKS_PER_ROTATION: usize = 12;
 
-/// Rotation needs capacity that changes hands for at least this many tasks.
-const UNOCCUPIED_TASKS_MIN: u32 = 2;
+/// Rotation needs capacity reserved for urgent units that would hold at least this many tasks.
+const RESERVED_TASKS_MIN: u32 = 2;
 
 /// Number of tasks that may still be replaced in one decision.
 #[derive(Debug)]
@@ -51,7 +51,7 @@
         let has_waited = unit.step.lasting && is_single && unit.waited_ms >= ROTATION_WAIT_MS;
         if !has_waited
             || self.remaining == 0
-            || pool.tasks_in_unoccupied(view, unit) < UNOCCUPIED_TASKS_MIN
+            || pool.tasks_in_reserved(view, unit) < RESERVED_TASKS_MIN
         {
             return None;
         }
--- a/src/placement/tests/loads.rs
+++ b/src/placement/tests/loads.rs
@@ -157,6 +157,28 @@
     ");
 }
 
+/// Guards against rotation that sustains itself: the capacity of runs that rotation itself stops
+/// does not change hands for anyone else, so a pool that is merely full comes to rest.
+#[test]
+fn rotation_causes_no_further_rotation() {
+    let mut sample = Sample::with_hosts(40);
+    let lasting = |tasks| StepSpec { lasting: true, ..step(tasks, 8) };
+    sample.accept(1, "batch", vec![lasting(40)]);
+    decide_and_start(&mut sample, &Inputs::default());
+    sample.accept(2, "batch", vec![lasting(20)]);
+    sample.at(7_000);
+    let mut inputs = Inputs::default();
+    for number in 0..40 {
+        inputs.progress.insert((UnitId { unit: number, ..unit(1) }, 1), progress(7_000));
+    }
+    inputs.stopping.extend((0..2).map(|number| (UnitId { unit: number, ..unit(1) }, 1)));
+    assert_eq!(decide(&sample, &inputs).stops, []);
+    sample.accept(9, "urgent", vec![gang(2, 8)]);
+    let rotated = decide(&sample, &inputs).stops.into_iter();
+    let rotated = rotated.filter(|(.., cause)| *cause == StopCause::Rotated).count();
+    assert!(rotated > 0, "an urgent gang takes capacity over");
+}
+
 /// Guards against preemption of a lasting task where a short task could be stopped instead.
 #[test]
 fn lasting_tasks_are_displaced_last() {
