Search for hosts only once for the tasks of a step in a decision

Decisions came 0.57 s apart (14 from 25 to 33 s), so capacity that became free lay idle for as long while tasks waited over 9 s. Within one decision free capacity only shrinks: once a task of a step has found no host, none of the step's other tasks does. The decisions themselves stay the same.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -8,6 +8,7 @@
 mod drain;
 mod forecast;
 mod free_capacity;
+mod full_steps;
 mod headroom;
 mod order;
 mod pacing;
@@ -32,6 +33,7 @@
 pub(crate) use admission::{Admission, Admissions};
 pub(crate) use approvals::{ApprovalRequest, Approvals, StepId, without_pending};
 use drain::Drains;
+use full_steps::FullSteps;
 pub(crate) use headroom::{Headroom, urgent_demand};
 pub(crate) use order::{USEFUL_OBJECTIVE_FACTOR, critical_path_ms, objective_ms};
 use order::{WaitingUnit, waiting_units};
@@ -125,6 +127,7 @@
         drains: Drains::default(),
         probation: Probation::new(view),
         silent: SilentUpstreams::new(view),
+        full: FullSteps::default(),
         victims,
         plan: Plan { stops, ..Plan::default() },
     };
@@ -144,13 +147,14 @@
     drains: Drains,
     probation: Probation,
     silent: SilentUpstreams,
+    full: FullSteps,
     plan: Plan,
 }
 
 impl PlanBuilder {
     /// Starts a unit if it fits; otherwise selects runs to stop for it, if it may replace any.
     fn place(&mut self, view: &View<'_>, unit: &WaitingUnit<'_>) {
-        let Self { pool, victims, rotation, drains, probation, silent, plan } = self;
+        let Self { pool, victims, rotation, drains, probation, silent, full, plan } = self;
         let verdict = suspects::verdict(view, silent, unit);
         if verdict == Verdict::GivenUp {
             plan.give_ups.push(unit.id.clone());
@@ -160,9 +164,7 @@
             plan.unplaced += 1;
             return;
         }
-        let exempt = unit.queue.priority == 0 || unit.step.lasting;
-        let within_limit = exempt || pool.leaves_reserve(view, unit);
-        if within_limit && let Some(task_hosts) = room::find_hosts(view, pool, unit) {
+        if let Some(task_hosts) = hosts_for(view, pool, full, unit) {
             let incarnations =
                 task_hosts.iter().map(|host| view.hosts[*host].incarnation.clone()).collect();
             pool.occupy(unit, &task_hosts);
@@ -174,6 +176,7 @@
             });
             return;
         }
+        full.insert(unit);
         plan.unplaced += 1;
         plan.unplaced_urgent += usize::from(unit.may_preempt);
         request_approvals(view, pool, unit, plan);
@@ -188,6 +191,20 @@
     }
 }
 
+/// Returns the hosts on which a unit can start now, if it may use what is free there.
+fn hosts_for(
+    view: &View<'_>,
+    pool: &Pool,
+    full: &FullSteps,
+    unit: &WaitingUnit<'_>,
+) -> Option<Vec<usize>> {
+    let exempt = unit.queue.priority == 0 || unit.step.lasting;
+    if full.contains(unit) || !exempt && !pool.leaves_reserve(view, unit) {
+        return None;
+    }
+    room::find_hosts(view, pool, unit)
+}
+
 /// Returns the runs of ended jobs and the remaining members of broken gangs.
 fn stops_for_ended_work(view: &View<'_>) -> Vec<(UnitId, u32, StopCause)> {
     let mut stops = Vec::new();
--- a/src/placement/tests/loads.rs
+++ b/src/placement/tests/loads.rs
@@ -179,6 +179,24 @@
     assert!(rotated > 0, "an urgent gang takes capacity over");
 }
 
+/// Guards against tasks that are left out with those of another step: a task that does not fit ends
+/// the search for its own step only.
+#[test]
+fn a_full_step_leaves_room_to_others() {
+    let mut sample = Sample::with_hosts(1);
+    let lasting = |tasks, need| StepSpec { lasting: true, ..step(tasks, need) };
+    sample.accept(1, "batch", vec![lasting(3, 5), lasting(2, 1)]);
+    sample.accept(2, "batch", vec![lasting(3, 1)]);
+    let plan = decide(&sample, &Inputs::default());
+    insta::assert_snapshot!(starts(&plan).join("\n"), @r"
+    0000000000000001.0.0.0 run 1: host-00
+    0000000000000001.0.1.0 run 1: host-00
+    0000000000000001.0.1.1 run 1: host-00
+    0000000000000002.0.0.0 run 1: host-00
+    ");
+    assert_eq!(plan.unplaced, 4);
+}
+
 /// Guards against preemption of a lasting task where a short task could be stopped instead.
 #[test]
 fn lasting_tasks_are_displaced_last() {
