--- a/src/placement/tests/loads.rs
+++ b/src/placement/tests/loads.rs
@@ -157,6 +157,46 @@
     ");
 }
 
+/// Guards against rotation that sustains itself: the capacity of runs that rotation itself stops
+/// does not change hands for anyone else, so a pool that is merely full comes to rest.
+#[test]
+fn rotation_causes_no_further_rotation() {
+    let mut sample = Sample::with_hosts(40);
+    let lasting = |tasks| StepSpec { lasting: true, ..step(tasks, 8) };
+    sample.accept(1, "batch", vec![lasting(40)]);
+    decide_and_start(&mut sample, &Inputs::default());
+    sample.accept(2, "batch", vec![lasting(20)]);
+    sample.at(7_000);
+    let mut inputs = Inputs::default();
+    for number in 0..40 {
+        inputs.progress.insert((UnitId { unit: number, ..unit(1) }, 1), progress(7_000));
+    }
+    inputs.stopping.extend((0..2).map(|number| (UnitId { unit: number, ..unit(1) }, 1)));
+    assert_eq!(decide(&sample, &inputs).stops, []);
+    sample.accept(9, "urgent", vec![gang(2, 8)]);
+    let rotated = decide(&sample, &inputs).stops.into_iter();
+    let rotated = rotated.filter(|(.., cause)| *cause == StopCause::Rotated).count();
+    assert!(rotated > 0, "an urgent gang takes capacity over");
+}
+
+/// Guards against tasks that are left out with those of another step: a task that does not fit ends
+/// the search for its own step only.
+#[test]
+fn a_full_step_leaves_room_to_others() {
+    let mut sample = Sample::with_hosts(1);
+    let lasting = |tasks, need| StepSpec { lasting: true, ..step(tasks, need) };
+    sample.accept(1, "batch", vec![lasting(3, 5), lasting(2, 1)]);
+    sample.accept(2, "batch", vec![lasting(3, 1)]);
+    let plan = decide(&sample, &Inputs::default());
+    insta::assert_snapshot!(starts(&plan).join("\n"), @r"
+    0000000000000001.0.0.0 run 1: host-00
+    0000000000000001.0.1.0 run 1: host-00
+    0000000000000001.0.1.1 run 1: host-00
+    0000000000000002.0.0.0 run 1: host-00
+    ");
+    assert_eq!(plan.unplaced, 4);
+}
+
 /// Guards against preemption of a lasting task where a short task could be stopped instead.
 #[test]
 fn lasting_tasks_are_displaced_last() {
