Mend what a review of the replacement of upstreams has found

Mended: - Runs of a superseded upstream were not released by the end of a lease while its successor could not be asked (one-way cut, or lost itself): they waited 20 s and a lease after the last heartbeat, without end while heartbeats came. They are over a whole lease and 5 s for late orders after the successor was first heard of. work_on_a_lost_successor_starts_elsewhere_after_its_lease stands for it. - A call after a pause, or one that interrupts a long poll, could still name ends of the former incarnation to a successor. Ends are named only within 150 ms of the latest lists, and a superseded upstream is not asked at all. - A leave was acknowledged after up to 1 s, each attempt anew, and callers wait for 950 ms. It is acknowledged 800 ms after the leave was first announced, and runs whose record was on its way are stopped, too. No start is sent to an upstream that leaves. - Ends were passed over by their number; one nonsensical number would have hidden all later ones. They are told apart by whether the state has the run's end. - Lists with entries that can't be decoded do not show that a run is over. - Runs recorded as lost at the end of a lease are stopped on a successor as well. - A leader that is refused for its token gives up at once.

--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -10,7 +10,8 @@
 use tracing::{debug, info, warn};
 
 use super::losses::Loss;
-use super::session::{is_possible_clock, longest_duration_ms};
+use super::replacement::Supersession;
+use super::session::{Session, is_possible_clock};
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
 use crate::cluster::upstream_calls::{CallFault, HoldOrder, TaskLists};
@@ -34,10 +35,10 @@
 /// Time without heartbeats after which an upstream whose leases have ended is removed.
 const REMOVE_SILENT_AFTER_MS: u64 = 20_000;
 
-/// Longest wait for the ends of the runs of an upstream that leaves.
-const LAST_RUNS_TIMEOUT_MS: u64 = 1_000;
+/// Longest wait for the ends of the runs of an upstream that leaves, which itself waits for a second.
+const LAST_RUNS_TIMEOUT_MS: u64 = 800;
 
-const LAST_RUNS_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+const LAST_RUNS_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// What the holding loop does after a call.
 pub(super) enum NextStep {
@@ -79,8 +80,8 @@
             // A leader that may have been replaced must not extend leases.
             return NextStep::Pause(RETRY_PAUSE);
         }
-        if let Some(since_ms) = self.successor_silent_ms(incarnation) {
-            return self.await_successor(incarnation, since_ms).await;
+        if let Some(supersession) = self.supersession_of(incarnation) {
+            return self.await_successor(incarnation, supersession).await;
         }
         let sent_ms = boot_ms();
         let Some(order) = self.hold_order(incarnation, sent_ms) else { return NextStep::End };
@@ -95,6 +96,9 @@
 
     /// Reads the lists without waiting for a task to end.
     async fn read_lists_at_once(&self, incarnation: &Incarnation) -> NextStep {
+        if self.supersession_of(incarnation).is_some() {
+            return NextStep::Again;
+        }
         let sent_ms = boot_ms();
         let Some(mut order) = self.hold_order(incarnation, sent_ms) else { return NextStep::End };
         order.wait_ms = 0;
@@ -102,20 +106,23 @@
         self.handle_answer(incarnation, lists, sent_ms).await
     }
 
-    /// Stops the runs of a leaving upstream and waits until their ends are in the state.
+    /// Stops the runs of an upstream that leaves since `leaving_since_ms`, and waits until their ends are
+    /// in the state.
     ///
     /// The upstream may go once its leave is acknowledged. Nobody else knows of the ends that its lists
     /// show, and runs that it takes along can't start elsewhere before their lease has ended.
-    pub(super) async fn end_last_runs(&self, incarnation: &Incarnation) {
-        let begun_ms = boot_ms();
-        let runs = self.replica.lock().state.runs_of(incarnation);
-        for (task, run) in runs {
-            self.order_stop(incarnation, task, run, "upstream leaves");
-        }
+    pub(super) async fn end_last_runs(&self, incarnation: &Incarnation, leaving_since_ms: u64) {
         let Some(read_now) = self.read_now(incarnation) else { return };
         read_now.notify_one();
-        while self.replica.lock().state.has_runs(incarnation) {
-            if boot_ms().saturating_sub(begun_ms) > LAST_RUNS_TIMEOUT_MS {
+        loop {
+            let runs = self.replica.lock().state.runs_of(incarnation);
+            if runs.is_empty() {
+                return;
+            }
+            for (task, run) in runs {
+                self.order_stop(incarnation, task, run, "upstream leaves");
+            }
+            if boot_ms().saturating_sub(leaving_since_ms) > LAST_RUNS_TIMEOUT_MS {
                 warn!(upstream = %incarnation.id, "upstream leaves before its runs have ended");
                 return;
             }
@@ -143,7 +150,12 @@
                 self.handle_silence(incarnation, &CallFault::NoAnswer { reason }).await
             }
             Ok(lists) => match self.process_lists(incarnation, &lists, sent_ms).await {
-                NextStep::Again if self.polls_at_intervals(incarnation) => NextStep::PauseIdle,
+                // The next call says that the ends are recorded, which it cannot after a pause.
+                NextStep::Again
+                    if lists.ended.is_empty() && self.polls_at_intervals(incarnation) =>
+                {
+                    NextStep::PauseIdle
+                }
                 next => next,
             },
             Err(CallFault::OtherUpstream) => {
@@ -173,7 +185,7 @@
         if let Some(session) = term_state.sessions.get_mut(&incarnation.id)
             && session.incarnation == *incarnation
         {
-            session.hold_answered = false;
+            session.record_unanswered_hold();
         }
     }
 
@@ -188,7 +200,7 @@
     /// Returns whether the upstream has announced that it leaves now.
     pub(super) fn is_leaving(&self, incarnation: &Incarnation) -> bool {
         let term_state = self.term_state();
-        term_state.sessions.get(&incarnation.id).is_some_and(|session| session.leaving)
+        term_state.sessions.get(&incarnation.id).is_some_and(Session::is_leaving)
     }
 
     fn hold_order(&self, incarnation: &Incarnation, now_ms: u64) -> Option<HoldOrder> {
@@ -207,12 +219,13 @@
             .get_mut(&incarnation.id)
             .filter(|session| session.incarnation == *incarnation)?;
         // Another incarnation counts its ends anew, and would drop those up to this number.
-        let ends_seen = if session.hold_answered { ends_seen } else { 0 };
+        let ends_seen = if session.is_incarnation_certain(now_ms) { ends_seen } else { 0 };
         let silent = session.silent_ms(now_ms).is_some_and(|ms| ms > EXTEND_LEASE_SILENCE_MAX_MS);
-        let silent = silent || session.leaving && !session.hold_answered;
+        let may_have_left = session.is_leaving() && !session.is_hold_answered();
         // If leases were extended without end, the work of a silent upstream could never restart.
-        let lease_until_ms = if silent { None } else { session.grant_lease(now_ms) };
-        let no_wait = !session.lists_read || session.leaving || polls_at_intervals;
+        let lease_until_ms =
+            if silent || may_have_left { None } else { session.grant_lease(now_ms) };
+        let no_wait = !session.lists_read || session.is_leaving() || polls_at_intervals;
         let wait_ms = if no_wait { 0 } else { LONG_POLL_MS };
         Some(HoldOrder {
             address: Arc::clone(&session.address),
@@ -234,7 +247,7 @@
             };
             let lapsed = session.has_lapsed(now_ms);
             let since_heartbeat_ms = now_ms.saturating_sub(session.last_heartbeat_ms);
-            let gone = session.leaving || since_heartbeat_ms > REMOVE_SILENT_AFTER_MS;
+            let gone = session.is_leaving() || since_heartbeat_ms > REMOVE_SILENT_AFTER_MS;
             (lapsed, lapsed && gone)
         };
         debug!(upstream = %incarnation.id, error = %fault, lapsed, "upstream does not answer");
@@ -250,10 +263,18 @@
 
     /// Waits for the heartbeat of a successor, which ends the runs of the upstream that it replaces.
     ///
-    /// The successor gets no calls meant for its former life. If it is lost itself, the runs that it may
-    /// have been started with are over once their lease has ended.
-    async fn await_successor(&self, incarnation: &Incarnation, silent_ms: u64) -> NextStep {
-        if silent_ms > REMOVE_SILENT_AFTER_MS + longest_duration_ms(self.bounds.lease_max_ms) {
+    /// The successor gets no calls that were meant for the former incarnation. If it can't be asked about
+    /// the runs, they are over when a lease that began after the last order has ended.
+    async fn await_successor(
+        &self,
+        incarnation: &Incarnation,
+        supersession: Supersession,
+    ) -> NextStep {
+        let now_ms = boot_ms();
+        if now_ms > supersession.runs_over_ms(self.bounds.lease_max_ms) {
+            self.record_lost_runs(incarnation).await;
+        }
+        if now_ms.saturating_sub(supersession.heard_ms) > REMOVE_SILENT_AFTER_MS {
             return self.remove_upstream(incarnation, Loss::Silent).await;
         }
         NextStep::Pause(RETRY_PAUSE)
--- a/src/cluster/leader/lists.rs
+++ b/src/cluster/leader/lists.rs
@@ -7,6 +7,7 @@
 use tracing::{info, warn};
 
 use super::hold::{NextStep, RETRY_PAUSE};
+use super::scheduling::is_running;
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
 use crate::cluster::upstream_calls::{ListedEnd, TaskLists};
@@ -73,19 +74,20 @@
     /// Returns the listed ends of current runs and judges the upstream by their outcomes.
     fn listed_ends(&self, incarnation: &Incarnation, lists: &TaskLists) -> Vec<EndRecord> {
         let now_ms = boot_ms();
-        let is_new = |end: &ListedEnd| {
+        let is_newest = |end: &ListedEnd| {
             let inner = self.replica.lock();
-            let upstream = inner.state.upstreams.get(&incarnation.id);
-            let ends_seen = upstream.map_or(0, |upstream| upstream.ends_seen);
-            let unit = inner.state.find_task(&end.task).map(|(_, unit, _)| unit);
-            end.number > ends_seen && unit.is_some_and(|unit| unit.run == end.run)
+            inner.state.find_task(&end.task).is_some_and(|(_, unit, _)| unit.run == end.run)
         };
+        // An end is listed again until the upstream knows that it is recorded.
+        let is_recorded =
+            |end: &ListedEnd| !is_running(&self.replica.lock().state, &end.task, end.run);
         let mut ends = Vec::new();
         for end in &lists.ended {
-            if !is_new(end) {
+            if !is_newest(end) {
                 continue;
             }
             let succeeded = match end.how {
+                _ if is_recorded(end) => None,
                 EndKind::Done => Some(true),
                 EndKind::Failed => Some(false),
                 _ => None,
--- a/src/cluster/leader/losses.rs
+++ b/src/cluster/leader/losses.rs
@@ -50,8 +50,8 @@
         };
         let term_state = self.term_state();
         let session = term_state.sessions.get(&incarnation.id);
-        let leaving =
-            session.is_some_and(|session| session.incarnation == *incarnation && session.leaving);
+        let leaving = session
+            .is_some_and(|session| session.incarnation == *incarnation && session.is_leaving());
         let maintained = known.heartbeat.machine.as_ref().is_some_and(|machine| {
             let is_down =
                 |wave: &Wave| wave.machines.get(machine).is_some_and(MachineState::counts_as_down);
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -29,6 +29,7 @@
 use super::upstream_calls::UpstreamCalls;
 use crate::placement::{Admissions, Approvals, Headroom, StepId};
 use crate::tasks::{Incarnation, JobId, TaskId};
+use replacement::Supersession;
 use session::Session;
 
 /// Delay after a change of the state until sessions follow it.
@@ -61,8 +62,8 @@
     starting: HashSet<TaskRun>,
     /// Runs that were ordered to stop and have not ended yet.
     stopping: HashSet<TaskRun>,
-    /// Upstreams whose successor under the same identity was heard of, and when it was last.
-    replaced: HashMap<Incarnation, u64>,
+    /// Upstreams that get no more calls, because a successor was heard of.
+    superseded: HashMap<Incarnation, Supersession>,
     /// Identities of upstreams whose replacement is under way.
     replacing: HashSet<Arc<str>>,
     /// Holding loops, by upstream.
@@ -176,7 +177,7 @@
                     term_state.sessions.remove(&incarnation.id);
                 }
             }
-            term_state.replaced.retain(|incarnation, _| known.contains(incarnation));
+            term_state.superseded.retain(|incarnation, _| known.contains(incarnation));
             for (incarnation, address) in incarnations {
                 if !term_state.holds.contains_key(&incarnation) {
                     let lease_max_ms = self.bounds.lease_max_ms;
--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -179,14 +179,14 @@
         let step = StepId { job: task.job.clone(), occurrence: task.occurrence, step: task.step };
         let cluster_ms = self.replica.lock().now_ms();
         let mut term_state = self.term_state();
-        if term_state.replaced.contains_key(incarnation) {
+        if term_state.superseded.contains_key(incarnation) {
             return None;
         }
         let ticket = term_state.approvals.ticket(&step, incarnation, cluster_ms);
         let session = term_state
             .sessions
             .get_mut(&incarnation.id)
-            .filter(|session| session.incarnation == *incarnation)?;
+            .filter(|session| session.incarnation == *incarnation && !session.is_leaving())?;
         let lease_until_ms = session.grant_lease(boot_ms())?;
         Some(StartOrder {
             address: Arc::clone(&session.address),
--- a/src/cluster/leader/replacement.rs
+++ b/src/cluster/leader/replacement.rs
@@ -12,6 +12,7 @@
 use tracing::{info, warn};
 
 use super::orders::RETRY_PAUSE;
+use super::session::longest_duration_ms;
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
 use crate::cluster::replica::NotConfirmed;
@@ -57,6 +58,25 @@
     }
 }
 
+/// Time after which an order that was sent before a successor was heard of no longer arrives there.
+const LATE_ORDER_MAX_MS: u64 = 5_000;
+
+/// Since when a successor of an upstream is known; times are on this host's boot clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Supersession {
+    since_ms: u64,
+    /// When the successor was last heard of.
+    pub(super) heard_ms: u64,
+}
+
+impl Supersession {
+    /// Returns the time at which a run is over that the successor began on an order to its former
+    /// life.
+    pub(super) fn runs_over_ms(&self, lease_max_ms: u64) -> u64 {
+        self.since_ms + LATE_ORDER_MAX_MS + longest_duration_ms(lease_max_ms)
+    }
+}
+
 /// Marks the replacement of an upstream as under way until it is dropped.
 struct Replacing<'a> {
     leader: &'a Leader,
@@ -118,10 +138,10 @@
         if !self.replica.lock().state.is_registered(former) {
             return Ok(());
         }
-        // From here on nothing is started on the former incarnation, so a successor has no other runs
-        // of it than these.
+        // This comes before the runs are read: no order is built for a superseded upstream, so its
+        // successor has no other runs of it than these, nor will have.
         self.record_successor(former);
-        let runs = self.replica.lock().state.runs_of(former);
+        let runs = self.replica.lock().state.possibly_crashed_runs(former);
         let loss = self.loss_by_replacement(former);
         warn!(
             upstream = %former.id, runs = runs.len(), cause = %loss,
@@ -136,19 +156,23 @@
     /// Records that a successor under an upstream's identity or address was heard of. The former
     /// incarnation gets no more orders.
     pub(super) fn record_successor(&self, former: &Incarnation) {
-        let known = self.term_state().replaced.insert(former.clone(), boot_ms());
-        if known.is_none() {
-            info!(
-                upstream = %former.id, born_unix_ms = former.born_unix_ms,
-                "a successor of the upstream was heard of"
-            );
+        let now_ms = boot_ms();
+        let mut term_state = self.term_state();
+        if let Some(known) = term_state.superseded.get_mut(former) {
+            known.heard_ms = now_ms;
+            return;
         }
+        let new = Supersession { since_ms: now_ms, heard_ms: now_ms };
+        term_state.superseded.insert(former.clone(), new);
+        info!(
+            upstream = %former.id, born_unix_ms = former.born_unix_ms,
+            "a successor of the upstream was heard of"
+        );
     }
 
-    /// Returns the time since the successor of an upstream was last heard of, if there is one.
-    pub(super) fn successor_silent_ms(&self, former: &Incarnation) -> Option<u64> {
-        let heard_ms = self.term_state().replaced.get(former).copied()?;
-        Some(boot_ms().saturating_sub(heard_ms))
+    /// Returns since when an upstream is superseded, if it is.
+    pub(super) fn supersession_of(&self, former: &Incarnation) -> Option<Supersession> {
+        self.term_state().superseded.get(former).copied()
     }
 
     /// Ends the runs that a successor may have been started with, and records the ends of those that
@@ -208,6 +232,9 @@
                     );
                     return Ok(());
                 }
+                Ok(OrderAnswer::Refused(refusal @ Refusal::StaleToken)) => {
+                    return Err(NotReplaced::StopRefused { refusal });
+                }
                 Ok(OrderAnswer::Refused(refusal)) => NotReplaced::StopRefused { refusal },
                 Err(fault @ (CallFault::OtherUpstream | CallFault::Fenced)) => {
                     return Err(NotReplaced::NotAnswered { fault });
@@ -240,7 +267,10 @@
                 Ok(lists) if is_of_other(&lists, successor) => {
                     return Err(NotReplaced::RestartedAgain);
                 }
-                Ok(lists) if !lists_some(&lists, runs) => return Ok(lists),
+                // A run may hide in an entry that can't be decoded.
+                Ok(lists) if lists.unreadable == 0 && !lists_some(&lists, runs) => {
+                    return Ok(lists);
+                }
                 Ok(_) => NotReplaced::NotEnded,
                 Err(fault) => NotReplaced::NotAnswered { fault },
             };
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -310,15 +310,14 @@
         info!(upstream = %id, "upstream leaves");
         // Ends of runs that are not reported yet must not get lost. So an upstream with a session
         // is removed once it no longer answers the loop that extends its lease and reads its lists.
-        let has_session = match self.term_state().sessions.get_mut(id) {
+        let leaving_since_ms = match self.term_state().sessions.get_mut(id) {
             Some(session) if session.incarnation == incarnation => {
-                session.leaving = true;
-                true
+                Some(session.record_leave(boot_ms()))
             }
-            _ => false,
+            _ => None,
         };
-        if has_session {
-            self.end_last_runs(&incarnation).await;
+        if let Some(leaving_since_ms) = leaving_since_ms {
+            self.end_last_runs(&incarnation, leaving_since_ms).await;
             Reply::Done
         } else {
             self.commit(Change::RemoveUpstream { incarnation }, Reply::Done).await
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -155,7 +155,7 @@
                 .get(&incarnation.id)
                 .filter(|session| session.incarnation == incarnation);
             let ready = session.is_some_and(|s| s.lists_read && s.is_reachable(now_ms))
-                && !term_state.replaced.contains_key(&incarnation);
+                && !term_state.superseded.contains_key(&incarnation);
             let heartbeat = &upstream.heartbeat;
             let evacuated = heartbeat
                 .machine
@@ -323,7 +323,7 @@
     members.map(|(member_index, _)| (start.unit.task(member_index), start.run)).collect()
 }
 
-fn is_running(state: &State, task: &TaskId, run: u32) -> bool {
+pub(super) fn is_running(state: &State, task: &TaskId, run: u32) -> bool {
     state.find_task(task).is_some_and(|(_, unit, member_index)| {
         let member = unit.members().get(member_index as usize);
         unit.run == run && member.is_some_and(|member| member.end.is_none())
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -18,6 +18,9 @@
 /// Time without an answer after which an upstream gets no new work.
 const SILENT_AFTER_MS: u64 = 3_300;
 
+/// Time in which an upstream does not crash, restart and answer a call.
+const RESTART_MIN_MS: u64 = 150;
+
 /// Latest time of an upstream's clock that is believed: a hundred years after its start.
 const CLOCK_MAX_MS: u64 = 100 * 366 * 24 * 3_600 * 1_000;
 
@@ -53,7 +56,6 @@
 
 /// Session with one incarnation of an upstream; all times are on this host's boot clock unless
 /// they say otherwise.
-#[expect(clippy::struct_excessive_bools, reason = "independent properties")]
 #[derive(Debug)]
 pub(super) struct Session {
     pub(super) incarnation: Incarnation,
@@ -63,8 +65,8 @@
     leases_end_ms: u64,
     /// Whether this leader has read the task lists of the upstream.
     pub(super) lists_read: bool,
-    /// Whether the latest hold call was answered. If not, another incarnation may answer the next one.
-    pub(super) hold_answered: bool,
+    /// When the lists were last read; `None` before that and after a hold call without an answer.
+    lists_read_ms: Option<u64>,
     pub(super) runs: HashMap<TaskId, ObservedRun>,
     /// Runs whose start or stop order was answered, and when the answer arrived. Such a run has
     /// ended if task lists read later do not contain it.
@@ -78,8 +80,8 @@
     lease_max_ms: u64,
     /// Whether an order had no answer since the last contact.
     order_unanswered: bool,
-    /// Whether it has announced that it leaves; it is removed once it no longer answers.
-    pub(super) leaving: bool,
+    /// When it announced that it leaves; it is removed once its runs are over.
+    leaving_since_ms: Option<u64>,
     /// Whether the loss of its runs was reported.
     loss_reported: bool,
     /// Interrupts the current long poll so that the lists are read at once.
@@ -102,7 +104,7 @@
             // Earlier leaders granted no leases after this one was elected.
             leases_end_ms: now_ms + longest_duration_ms(lease_max_ms) + LAPSE_MARGIN_MS,
             lists_read: false,
-            hold_answered: false,
+            lists_read_ms: None,
             runs: HashMap::new(),
             answered_orders: HashMap::new(),
             outcomes: VecDeque::new(),
@@ -110,7 +112,7 @@
             set_aside_count: 0,
             lease_max_ms,
             order_unanswered: false,
-            leaving: false,
+            leaving_since_ms: None,
             loss_reported: false,
             read_now: Arc::default(),
             last_heartbeat_ms: now_ms,
@@ -147,6 +149,31 @@
         self.contact.map_or(0, |contact| contact.clock_ms)
     }
 
+    /// Records that the upstream leaves; returns when it first said so.
+    pub(super) fn record_leave(&mut self, now_ms: u64) -> u64 {
+        *self.leaving_since_ms.get_or_insert(now_ms)
+    }
+
+    /// Returns whether the upstream has announced that it leaves.
+    pub(super) const fn is_leaving(&self) -> bool {
+        self.leaving_since_ms.is_some()
+    }
+
+    /// Records that a hold call had no answer.
+    pub(super) fn record_unanswered_hold(&mut self) {
+        self.lists_read_ms = None;
+    }
+
+    /// Returns whether the latest hold call was answered.
+    pub(super) const fn is_hold_answered(&self) -> bool {
+        self.lists_read_ms.is_some()
+    }
+
+    /// Returns whether the lists were read so recently that no other incarnation can have taken over.
+    pub(super) fn is_incarnation_certain(&self, now_ms: u64) -> bool {
+        self.lists_read_ms.is_some_and(|read_ms| now_ms.saturating_sub(read_ms) <= RESTART_MIN_MS)
+    }
+
     /// Returns the time since the last answer; `None` before the first.
     pub(super) fn silent_ms(&self, now_ms: u64) -> Option<u64> {
         self.contact.map(|contact| now_ms.saturating_sub(contact.received_ms))
@@ -166,7 +193,7 @@
     /// Returns whether the upstream answered recently, left no order unanswered and is not leaving.
     pub(super) fn is_reachable(&self, now_ms: u64) -> bool {
         !self.order_unanswered
-            && !self.leaving
+            && !self.is_leaving()
             && self.silent_ms(now_ms).is_some_and(|silent_ms| silent_ms < SILENT_AFTER_MS)
     }
 
@@ -178,7 +205,7 @@
     /// Updates the observed runs from the upstream's task lists.
     pub(super) fn record_lists(&mut self, lists: &TaskLists, now_ms: u64) {
         self.lists_read = true;
-        self.hold_answered = true;
+        self.lists_read_ms = Some(now_ms);
         let mut runs = HashMap::with_capacity(lists.running.len());
         for listed in &lists.running {
             let before = self.runs.get(&listed.task).filter(|observed| observed.run == listed.run);
--- a/src/cluster/tests/successors.rs
+++ b/src/cluster/tests/successors.rs
@@ -14,14 +14,26 @@
 /// Time that an upstream takes to stop a run after it has answered the order.
 const STOP_TIME: Duration = Duration::from_millis(600);
 
+/// Timeout of a call.
+const LIMIT: Duration = Duration::from_secs(2);
+
 /// Restarts all upstreams and submits a job, whose task is placed on the former life of one and
 /// starts in the new one. Returns the first heartbeat of that one.
 async fn start_on_a_successor(test: &TestControl, fake: &FakeUpstreams) -> Request {
     // Until their lists are read, upstreams count as taking no work.
     wait_until("an upstream takes work", || fake.upstreams_held() == 2).await;
-    let heartbeats = [0, 1].map(|host| fake.restart(&incarnation(host).id));
+    let restart = |host| {
+        let id = incarnation(host).id;
+        // The lists would show the restart.
+        fake.set_holds(&id, Fault::Silent);
+        fake.restart(&id)
+    };
+    let heartbeats = [0, 1].map(restart);
     submit(test, 1).await;
     wait_until("it runs", || fake.running() == 1).await;
+    for heartbeat in &heartbeats {
+        fake.set_holds(&heartbeat.id, Fault::None);
+    }
     let upstream = Arc::clone(&fake.started()[0].2);
     let heartbeat = heartbeats.into_iter().find(|heartbeat| heartbeat.id == upstream);
     Request::Heartbeat(heartbeat.expect("one of the two"))
@@ -136,10 +148,27 @@
     fake.set_stop_answer_time(Duration::from_millis(100));
     let successor = Request::Heartbeat(fake.restart(&incarnation(0).id));
     for _ in 0..8 {
-        let call = test.control.call(successor.clone(), Duration::from_secs(2));
+        let call = test.control.call(successor.clone(), LIMIT);
         if let Ok(Ok(Reply::Done)) = timeout(HEARTBEAT_TIMEOUT, call).await {
             return;
         }
     }
     panic!("not registered: {} runs", fake.running());
 }
+
+/// Guards against a task that waits for long because the successor of its upstream, which may run it,
+/// can't be asked: its run is over when its lease is.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_on_a_lost_successor_starts_elsewhere_after_its_lease() {
+    let fake = FakeUpstreams::new(Duration::from_millis(300));
+    let test = TestControl::start(&fake, 1, LEASE_MS).await;
+    submit_small(&test, 1).await;
+    wait_until("it runs", || fake.running() == 1).await;
+    let former = incarnation(0).id;
+    let successor = Request::Heartbeat(fake.restart(&former));
+    fake.set_stops(Fault::Silent);
+    _ = timeout(Duration::from_millis(500), test.control.call(successor, LIMIT)).await;
+    fake.crash(&former);
+    test.call_until_answered(Request::Heartbeat(heartbeat(1))).await;
+    wait_until_completed(&test, &fake, 1).await;
+}
