Acknowledge ends also if their commit takes longer than a restart

Found by reading; no test, as the disk of the tests can't be slowed.

Ends that are in the state already are no news, and lists without news are not committed, so the next call follows at once and acknowledges them.

--- a/src/cluster/leader/lists.rs
+++ b/src/cluster/leader/lists.rs
@@ -11,7 +11,7 @@
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
 use crate::cluster::upstream_calls::{ListedEnd, TaskLists};
-use crate::tasks::{Change, EndKind, EndRecord, Incarnation, TaskId};
+use crate::tasks::{Change, EndKind, EndRecord, Incarnation, Phase, State, TaskId};
 
 /// Pause between reads of the lists of a leaving upstream, until it no longer answers.
 const LEAVING_PAUSE: Duration = Duration::from_millis(100);
@@ -56,10 +56,10 @@
         } else {
             NextStep::Again
         };
-        if ends.is_empty() && lists.ended.is_empty() {
+        let up_to = lists.ended.iter().map(|end| end.number).max().unwrap_or(0);
+        if ends.is_empty() && up_to <= self.ends_seen(incarnation) {
             return next;
         }
-        let up_to = lists.ended.iter().map(|end| end.number).max().unwrap_or(0);
         for end in &ends {
             self.replica.metrics.run_ended(end_kind_name(end.how));
         }
@@ -71,23 +71,21 @@
         }
     }
 
-    /// Returns the listed ends of current runs and judges the upstream by their outcomes.
+    /// Returns the number of the upstream's latest end that is committed.
+    fn ends_seen(&self, incarnation: &Incarnation) -> u64 {
+        let inner = self.replica.lock();
+        inner.state.upstreams.get(&incarnation.id).map_or(0, |upstream| upstream.ends_seen)
+    }
+
+    /// Returns the listed ends that are not in the state and judges the upstream by their outcomes.
     fn listed_ends(&self, incarnation: &Incarnation, lists: &TaskLists) -> Vec<EndRecord> {
         let now_ms = boot_ms();
-        let is_newest = |end: &ListedEnd| {
-            let inner = self.replica.lock();
-            inner.state.find_task(&end.task).is_some_and(|(_, unit, _)| unit.run == end.run)
-        };
-        // An end is listed again until the upstream knows that it is recorded.
-        let is_recorded =
-            |end: &ListedEnd| !is_running(&self.replica.lock().state, &end.task, end.run);
         let mut ends = Vec::new();
         for end in &lists.ended {
-            if !is_newest(end) {
+            if !is_news(&self.replica.lock().state, end) {
                 continue;
             }
             let succeeded = match end.how {
-                _ if is_recorded(end) => None,
                 EndKind::Done => Some(true),
                 EndKind::Failed => Some(false),
                 _ => None,
@@ -196,6 +194,17 @@
     }
 }
 
+/// Returns whether an end changes the state. Ends are listed again until the upstream knows that they
+/// are committed.
+fn is_news(state: &State, end: &ListedEnd) -> bool {
+    let Some((job, unit, _)) = state.find_task(&end.task) else { return false };
+    // The run may have been recorded as lost before its report of success arrived.
+    let was_lost = end.how == EndKind::Done
+        && unit.phase == Phase::Waiting
+        && !job.spec.steps[end.task.step as usize].lasting;
+    unit.run == end.run && (was_lost || is_running(state, &end.task, end.run))
+}
+
 fn end_kind_name(how: EndKind) -> &'static str {
     match how {
         EndKind::Done => "done",
--- a/src/cluster/leader/replacement.rs
+++ b/src/cluster/leader/replacement.rs
@@ -33,6 +33,9 @@
 
 const UNDER_WAY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time after which an order that was sent before a successor was heard of no longer arrives there.
+const LATE_ORDER_MAX_MS: u64 = 5_000;
+
 /// Why a successor can't be registered yet.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub(super) enum NotReplaced {
@@ -58,9 +61,6 @@
     }
 }
 
-/// Time after which an order that was sent before a successor was heard of no longer arrives there.
-const LATE_ORDER_MAX_MS: u64 = 5_000;
-
 /// Since when a successor of an upstream is known; times are on this host's boot clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Supersession {
@@ -78,12 +78,12 @@
 }
 
 /// Marks the replacement of an upstream as under way until it is dropped.
-struct Replacing<'a> {
+struct ReplacementGuard<'a> {
     leader: &'a Leader,
     id: &'a Arc<str>,
 }
 
-impl<'a> Replacing<'a> {
+impl<'a> ReplacementGuard<'a> {
     /// Begins a replacement, after one that is under way.
     async fn begin(leader: &'a Leader, id: &'a Arc<str>) -> Result<Self, NotReplaced> {
         let begun_ms = boot_ms();
@@ -97,7 +97,7 @@
     }
 }
 
-impl Drop for Replacing<'_> {
+impl Drop for ReplacementGuard<'_> {
     fn drop(&mut self) {
         self.leader.term_state().replacing.remove(self.id);
     }
@@ -134,7 +134,7 @@
         former: &Incarnation,
         successor: &Heartbeat,
     ) -> Result<(), NotReplaced> {
-        let _replacing = Replacing::begin(self, &former.id).await?;
+        let _replacing = ReplacementGuard::begin(self, &former.id).await?;
         if !self.replica.lock().state.is_registered(former) {
             return Ok(());
         }
