--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -2,13 +2,16 @@
 //! held, and 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
 
 mod crashes;
+mod gap;
 mod http;
 mod json;
 mod late;
+mod long;
 mod record;
 mod replaced;
 mod route;
 mod site;
+mod thaw;
 mod wave;
 mod worker;
 
@@ -42,9 +45,12 @@
     let ran = record.clone();
     let work = thread::spawn(move || match case.as_str() {
         "crashes" => crashes::run(&ran, trouble),
+        "gap" => gap::run(&ran, trouble),
         "late" => late::run(&ran, trouble),
+        "long" => long::run(&ran, trouble),
         "replaced" => replaced::run(&ran, trouble),
         "route" => route::run(&ran, trouble),
+        "thaw" => thaw::run(&ran, trouble),
         "wave" => wave::run(&ran, trouble),
         _ => Verdict::NotRun("no such case"),
     });
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -159,7 +159,6 @@
     }
 
     /// Sends a signal to the process of a host.
-    #[allow(dead_code)]
     pub fn signal(&self, host: usize, name: &str) {
         if let Some(child) = &self.processes[host] {
             let id = child.id().to_string();
@@ -227,9 +226,14 @@
 
     /// Submits a job until it is accepted.
     pub fn submit(&self, path: &str, body: &Json) -> bool {
+        self.submit_at(0, path, body)
+    }
+
+    /// Submits a job at an entry host until it is accepted.
+    pub fn submit_at(&self, entry: usize, path: &str, body: &Json) -> bool {
         let body = body.to_string();
         let accepted = poll(Duration::from_secs(15), || {
-            let answer = self.ask(0, "POST", path, &body)?;
+            let answer = self.ask(entry, "POST", path, &body)?;
             (answer.0 == 200).then_some(())
         });
         accepted.is_some()
@@ -237,7 +241,7 @@
 
     /// Returns the state of a job as its client sees it.
     pub fn state(&self, path: &str) -> Option<String> {
-        let (status, body) = self.ask(0, "GET", path, "")?;
+        let (status, body) = self.ask(self.entry_hosts - 1, "GET", path, "")?;
         Some(body.get("state").text().map_or(status.to_string(), str::to_owned))
     }
 
--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -145,6 +145,11 @@
         self.record.note(format!("{} crashes with {} runs", self.id, life.running.len()));
     }
 
+    /// Returns the worker's kind: `b` if its identity begins with `b-`, otherwise `a`.
+    fn kind(&self) -> &'static str {
+        if self.id.starts_with("b-") { "b" } else { "a" }
+    }
+
     fn send_heartbeats(&self, life: &Mutex<Life>) {
         for sequence in 1_u64.. {
             let (born_ms, clock_ms) = {
@@ -169,7 +174,7 @@
                 ("state", "ready".into()),
                 ("cold-remaining-ms", 0_u64.into()),
                 ("capacity", capacity),
-                ("labels", vec![Json::from("a"), Json::from("r1-1")].into()),
+                ("labels", vec![Json::from(self.kind()), Json::from("r1-1")].into()),
                 ("clock-ms", clock_ms.into()),
                 ("sequence", sequence.into()),
                 ("born", born_ms.into()),
