--- a/review/harness/route.rs
+++ b/review/harness/route.rs
@@ -68,8 +68,8 @@
             let status = sent.map(|(status, _)| status).map_err(|fault| fault.to_string());
             noted.note(format!("configuration {version}: {status:?}"));
         });
-        // The client hands its job in at about the same time, from 0 to 3 ms later.
-        thread::sleep(Duration::from_millis(route % 4));
+        // The client hands its job in at about the same time, 0 to 2.8 ms later.
+        thread::sleep(Duration::from_micros(route % 8 * 400));
         let id = format!("{route:016x}");
         if let Some((status, _)) =
             site.ask(0, "POST", &format!("/q{route}/{id}"), &job().to_string())
--- a/review/harness/thaw.rs
+++ b/review/harness/thaw.rs
@@ -22,7 +22,7 @@
 const LEAVES_AFTER: Duration = Duration::from_millis(100);
 
 /// Time for which the entry host is frozen.
-const FROZEN: Duration = Duration::from_millis(3500);
+const FROZEN: Duration = Duration::from_millis(3600);
 
 /// Longest time from the acknowledgement of a cancelling until the last start: `cancel_ms`.
 const CANCEL: Duration = Duration::from_millis(3000);
