review: planned work in place of a fault in the scripts of cases 1 and 5

Tried: the replacement of a core host as planned (successor first, then SIGTERM) instead of its loss, and a planned stop of the leader instead of SIGKILL, so that each script needs one fault only.

--- a/review/harness/replaced.rs
+++ b/review/harness/replaced.rs
@@ -1,5 +1,5 @@
-//! A control host is lost for good, and an empty one replaces it. After the time from which the
-//! pages no longer count that loss, another control host loses its disk.
+//! A control host is replaced as planned: an empty one is started first, then the other is stopped for
+//! good. Later another control host loses its disk.
 
 use std::thread;
 use std::time::{Duration, Instant};
@@ -11,11 +11,11 @@
 use crate::site::{self, CONTROL_HOSTS, Site, poll};
 use crate::worker::{History, Worker};
 
-/// Time from the loss of a host until its successor starts.
-const SUCCESSOR_AFTER: Duration = Duration::from_secs(1);
+/// Time that the successor has before the other is stopped; `catch-up-s` is 4.
+const CATCH_UP: Duration = Duration::from_millis(5000);
 
-/// Time from the start of the successor until the next loss; `catch-up-s` is 4.
-const NEXT_LOSS_AFTER: Duration = Duration::from_millis(4500);
+/// Time from that stop until another host loses its disk.
+const LOSS_AFTER: Duration = Duration::from_millis(2000);
 
 /// Time for which the host that lost its disk is down.
 const DOWN: Duration = Duration::from_secs(3);
@@ -56,24 +56,26 @@
         let Some(leader) = poll(Duration::from_secs(5), || site.leader()) else {
             return Verdict::NotRun("no control host leads");
         };
-        let lost = (0..CONTROL_HOSTS).find(|host| *host != leader).expect("another host");
-        site.kill(lost);
-        site.wipe(lost);
-        record.say(format!("control host {lost} is gone for good; host {leader} leads"));
-        thread::sleep(SUCCESSOR_AFTER);
+        let replaced = (0..CONTROL_HOSTS).find(|host| *host != leader).expect("another host");
         let successor = site.successor();
         site.start_host(successor, false);
-        let started = Instant::now();
-        record.say(format!("control host {successor} replaces it, with an empty disk"));
-        thread::sleep(NEXT_LOSS_AFTER);
+        record.say(format!("control host {successor} starts with an empty disk; {leader} leads"));
+        thread::sleep(CATCH_UP);
+        site.stop(replaced);
+        site.wipe(replaced);
+        record.say(format!(
+            "control host {replaced} is stopped for good, {} ms after its successor has started",
+            CATCH_UP.as_millis()
+        ));
+        thread::sleep(LOSS_AFTER);
         let before = read_version(&controls, record);
         let second = site.leader().unwrap_or(leader);
         site.kill(second);
         site.wipe(second);
         record.say(format!(
-            "{} ms after the start of its successor the configuration reads as version {before:?}; \
-             then control host {second} loses its disk",
-            started.elapsed().as_millis()
+            "{} ms later the configuration reads as version {before:?}; then control host {second} \
+             loses its disk",
+            LOSS_AFTER.as_millis()
         ));
         thread::sleep(DOWN);
         site.start_host(second, false);
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -158,6 +158,23 @@
         }
     }
 
+    /// Stops the process of a host as the platform does: SIGTERM, then SIGKILL after `grace-s`.
+    pub fn stop(&mut self, host: usize) {
+        self.signal(host, "TERM");
+        let begun = Instant::now();
+        while begun.elapsed() < Duration::from_secs(6) {
+            let ended = self.processes[host].as_mut().map(|child| child.try_wait());
+            if matches!(ended, Some(Ok(Some(_)))) {
+                let child = self.processes[host].take().expect("a process that has ended");
+                STARTED.lock().unwrap().retain(|id| *id != child.id());
+                self.record.note(format!("host {host} has stopped"));
+                return;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.kill(host);
+    }
+
     /// Sends a signal to the process of a host.
     pub fn signal(&self, host: usize, name: &str) {
         if let Some(child) = &self.processes[host] {
--- a/review/harness/wave.rs
+++ b/review/harness/wave.rs
@@ -1,5 +1,5 @@
-//! The leader is killed while its order for the upkeep of a machine is under way. Later the worker
-//! of that machine crashes and starts again.
+//! The leader is stopped as planned while its order for the upkeep of a machine is under way, and
+//! started again. Later the worker of that machine crashes and starts again.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -21,7 +21,7 @@
 /// Time that the upkeep of a machine takes.
 const UPKEEP: Duration = Duration::from_secs(2);
 
-/// Time for which the wave may go on after the leader was killed, before the worker crashes. The
+/// Time for which the wave may go on after the leader was stopped, before the worker crashes. The
 /// wave is to take 20 s.
 const WAVE: Duration = Duration::from_secs(25);
 
@@ -86,9 +86,9 @@
     if trouble {
         // The platform has the call and has not answered yet.
         platform.lock().unwrap().caller_gone = true;
-        site.kill(leader);
-        record.say(format!("the leader is killed while its call for {machine} is under way"));
-        thread::sleep(Duration::from_secs(3));
+        record.say(format!("the leader is stopped while its call for {machine} is under way"));
+        site.stop(leader);
+        thread::sleep(Duration::from_secs(2));
         platform.lock().unwrap().caller_gone = false;
         site.start_host(leader, false);
     }
