--- a/review/harness/thaw.rs
+++ b/review/harness/thaw.rs
@@ -13,7 +13,7 @@
 use crate::worker::{History, Worker};
 
 /// Entry hosts; one of them freezes.
-const ENTRY_HOSTS: usize = 6;
+const ENTRY_HOSTS: usize = 10;
 
 /// Clients; one in four leaves.
 const CLIENTS: u64 = 4;
