Remove a lost voter as soon as enough others remain

What callers saw: a control host was replaced, later another one lost its disk, and from then on every control host answered 503 for good.

Cause: a replaced host stayed a voter beside its successor until the leader had not heard of it for 8 s, counted anew by each leader, and only if no other voter was silent. Four voters need three votes. With one of the four gone for good, the loss of another disk left two, and without a quorum neither lost identity can be removed.

Now: a voter that has been silent for three election timeouts is removed whenever at least twice as many voters and one more than the losses to be tolerated remain, also if several are silent. So few voters stay, and no fewer: before, a quorum of six could shrink to three of which two may be lost, so that an acknowledged entry was on two disks only. The tolerated losses are a setting (losses_max), from fault-tolerance on the users' platform. A host that was removed wrongly asks to join, as before. Each change of the membership is logged.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -18,11 +18,24 @@
 use crate::StepError;
 use crate::journal::Journal;
 use crate::quorum::storage::{Recovered, recover};
-use crate::quorum::{Batch, Core, Log, MemberId, Membership, Snapshot, Timing};
+use crate::quorum::{Batch, Core, Limits, Log, MemberId, Membership, Snapshot};
 use crate::tasks::Heartbeat;
 
-/// Timing of the replicated log, for hosts in several regions.
-const TIMING: Timing = Timing { election_ms: 500, heartbeat_ms: 100, replace_after_ms: 8_000 };
+/// Base election timeout, for hosts in several regions.
+const ELECTION_MS: u64 = 500;
+
+/// Limits of the replicated log.
+///
+/// A host that is only slow for a moment is not removed, and one that is lost is removed well within
+/// the time that its successor needs to catch up.
+const fn quorum_limits(losses_max: usize) -> Limits {
+    Limits {
+        election_ms: ELECTION_MS,
+        heartbeat_ms: 100,
+        remove_after_ms: 3 * ELECTION_MS,
+        losses_max,
+    }
+}
 
 /// Interval of join requests while a host knows no leader or is no voter.
 const JOIN_INTERVAL: Duration = Duration::from_millis(400);
@@ -69,7 +82,8 @@
             founding = settings.founding,
             "control host starts"
         );
-        let core = Core::new(id, durable, TIMING, rand::random(), boot_ms());
+        let core =
+            Core::new(id, durable, quorum_limits(settings.losses_max), rand::random(), boot_ms());
         let replica = Replica::new(core, journal, settings.internal_address.to_string())?;
         let client = LeaderClient::new(settings.seeds.clone());
         let listener = server::listen(settings.internal_address).await?;
@@ -140,7 +154,7 @@
         if !self.is_leading() || !self.replica.hand_over() {
             return;
         }
-        let limit = Duration::from_millis(2 * TIMING.election_ms);
+        let limit = Duration::from_millis(2 * ELECTION_MS);
         let stepped_down = role.wait_for(|role| role.leading_term.is_none());
         let done = matches!(tokio::time::timeout(limit, stepped_down).await, Ok(Ok(_)));
         info!(done, "handed leadership over");
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -14,7 +14,7 @@
 use super::peers::Peers;
 use crate::StepError;
 use crate::journal::Journal;
-use crate::quorum::{Batch, Core, Entry, Message, Output, Payload, Snapshot, storage};
+use crate::quorum::{Batch, Core, Entry, Membership, Message, Output, Payload, Snapshot, storage};
 use crate::tasks::{Change, Command, JobEvent, Outcome, State};
 
 /// Interval of the replicated log's timer.
@@ -334,13 +334,15 @@
     fn apply(&mut self, entry: &Entry) {
         assert_eq!(entry.index, self.applied + 1, "entries are applied in order");
         self.applied = entry.index;
-        if let Payload::Command(bytes) = &entry.payload {
-            match codec::decode::<Command>(bytes) {
+        match &entry.payload {
+            Payload::Empty => {}
+            Payload::Command(bytes) => match codec::decode::<Command>(bytes) {
                 Ok(command) => self.state.apply(command),
                 Err(fault) => {
                     stop_process(&StepError::new("decode a command", entry.index, fault));
                 }
-            }
+            },
+            Payload::Membership(membership) => log_membership(entry.index, membership),
         }
         if let Some((term, waiter)) = self.waiters.remove(&entry.index)
             && term == entry.term
@@ -351,6 +353,14 @@
     }
 }
 
+fn log_membership(index: u64, membership: &Membership) {
+    let addresses = |voter| {
+        let members = membership.members.iter().filter(move |member| member.voter == voter);
+        members.map(|member| &*member.address).collect::<Vec<_>>().join(" ")
+    };
+    info!(index, voters = addresses(true), learners = addresses(false), "membership changed");
+}
+
 fn decode_state(snapshot: &Snapshot) -> Result<State, StepError> {
     if snapshot.state.is_empty() {
         return Ok(State::default());
--- a/src/cluster/settings.rs
+++ b/src/cluster/settings.rs
@@ -33,6 +33,8 @@
     pub founding: bool,
     /// Folder of the journal.
     pub data_dir: PathBuf,
+    /// Largest number of control hosts that may be lost at the same time, with their disks.
+    pub losses_max: usize,
     /// Time limits and factors of running tasks on upstreams.
     pub bounds: TaskBounds,
 }
--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -462,6 +462,7 @@
         seeds: vec![internal_address],
         founding: true,
         data_dir: folder.to_owned(),
+        losses_max: 1,
         bounds: TaskBounds {
             lease_max_ms,
             stop_timeout_ms: 200,
--- a/src/cluster/tests/messages.rs
+++ b/src/cluster/tests/messages.rs
@@ -6,7 +6,7 @@
 use crate::cluster::codec;
 use crate::cluster::{Reply, Request};
 use crate::quorum::core::{DurableChange, DurableState};
-use crate::quorum::{Batch, Core, Entry, Log, Membership, Payload, Snapshot, Timing};
+use crate::quorum::{Batch, Core, Entry, Limits, Log, Membership, Payload, Snapshot};
 use crate::tasks::tests::sample::heartbeat;
 
 /// Number of damaged copies of each message.
@@ -21,8 +21,9 @@
         ..durable.log.snapshot().clone()
     };
     durable.log = Log::new(snapshot);
-    let timing = Timing { election_ms: 100, heartbeat_ms: 20, replace_after_ms: 1_000 };
-    let mut core = Core::new(1, durable, timing, 1, 0);
+    let limits =
+        Limits { election_ms: 100, heartbeat_ms: 20, remove_after_ms: 1_000, losses_max: 1 };
+    let mut core = Core::new(1, durable, limits, 1, 0);
     core.tick(1_000);
     Batch { from_address: "10.0.0.1:7000".to_owned(), messages: core.take_output().send }
 }
--- a/src/local/tasks.rs
+++ b/src/local/tasks.rs
@@ -78,6 +78,7 @@
             seeds: hosts.take(self.controls.len()).map(|host| self.addresses.peer(host)).collect(),
             founding,
             data_folder: self.folder.join(&name),
+            losses_max: 1,
             lease_max_ms: LEASE_MAX_MS,
             stop_timeout_ms: 500,
             keep_state_ms: 60_000,
--- a/src/quorum/core.rs
+++ b/src/quorum/core.rs
@@ -10,16 +10,26 @@
 use super::message::{Body, Entry, Message, Payload};
 use super::replication::Progress;
 
-/// Time limits of a quorum.
-#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
+/// Time limits of a quorum, and the losses that it tolerates.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Timing {
+pub(crate) struct Limits {
     /// Base election timeout; a random part of up to half of it is added.
     pub(crate) election_ms: u64,
     /// Interval between heartbeats of a leader.
     pub(crate) heartbeat_ms: u64,
     /// Time without contact after which the leader removes a voter, if enough others remain.
-    pub(crate) replace_after_ms: u64,
+    pub(crate) remove_after_ms: u64,
+    /// Largest number of hosts that may be lost at the same time, with their disks.
+    pub(crate) losses_max: usize,
+}
+
+impl Limits {
+    /// Returns the smallest number of voters of which `losses_max` may be lost.
+    ///
+    /// With this many, each committed entry is on more disks than may be lost.
+    pub(super) const fn voters_min(&self) -> usize {
+        self.losses_max.saturating_mul(2).saturating_add(1)
+    }
 }
 
 /// Role of a host in its current term.
@@ -119,7 +129,7 @@
 #[derive(Debug)]
 pub(crate) struct Core {
     pub(crate) id: MemberId,
-    pub(super) timing: Timing,
+    pub(super) limits: Limits,
     pub(super) term: u64,
     pub(super) voted_for: Option<MemberId>,
     pub(super) log: Log,
@@ -142,7 +152,7 @@
     pub(crate) fn new(
         id: MemberId,
         durable: DurableState,
-        timing: Timing,
+        limits: Limits,
         seed: u64,
         now_ms: u64,
     ) -> Self {
@@ -150,7 +160,7 @@
         let synced = durable.log.last_index();
         let mut core = Self {
             id,
-            timing,
+            limits,
             term: durable.term,
             voted_for: durable.voted_for,
             log: durable.log,
@@ -211,7 +221,7 @@
     /// Returns whether this host follows a leader that it has heard of within an election timeout.
     pub(crate) fn follows_live_leader(&self, now_ms: u64) -> bool {
         let follows = matches!(self.role, Role::Follower { leader: Some(_) });
-        follows && now_ms < self.leader_contact_ms + self.timing.election_ms
+        follows && now_ms < self.leader_contact_ms + self.limits.election_ms
     }
 
     /// Takes the output of the transitions since the last call.
@@ -373,7 +383,7 @@
         self.random ^= self.random << 13;
         self.random ^= self.random >> 7;
         self.random ^= self.random << 17;
-        let spread = self.random % (self.timing.election_ms / 2).max(1);
-        self.election_due_ms = now_ms + self.timing.election_ms + spread;
+        let spread = self.random % (self.limits.election_ms / 2).max(1);
+        self.election_due_ms = now_ms + self.limits.election_ms + spread;
     }
 }
--- a/src/quorum/election.rs
+++ b/src/quorum/election.rs
@@ -46,7 +46,7 @@
 
     /// Returns whether the last contact with a leader is so recent that its lease may still hold.
     fn has_recent_leader(&self, now_ms: u64) -> bool {
-        now_ms < self.leader_contact_ms + self.timing.election_ms
+        now_ms < self.leader_contact_ms + self.limits.election_ms
     }
 
     fn is_up_to_date(&self, last: (u64, u64)) -> bool {
@@ -139,7 +139,7 @@
     fn become_leader(&mut self, now_ms: u64) {
         assert_eq!(self.voted_for, Some(self.id), "a leader has its own vote");
         let mut leader_state = LeaderState { started_ms: now_ms, ..LeaderState::default() };
-        leader_state.confirmed_ms = now_ms.saturating_sub(self.timing.election_ms);
+        leader_state.confirmed_ms = now_ms.saturating_sub(self.limits.election_ms);
         leader_state.term_start_index = self.log.last_index() + 1;
         self.role = Role::Leader(leader_state);
         self.append_as_leader(Payload::Empty);
@@ -150,7 +150,7 @@
     ///
     /// From then on no entries are accepted, so that the successor can catch up with the log.
     pub(crate) fn hand_over(&mut self, now_ms: u64) -> bool {
-        let recent_ms = now_ms.saturating_sub(self.timing.election_ms);
+        let recent_ms = now_ms.saturating_sub(self.limits.election_ms);
         let voters: Vec<_> = self.membership().voters().filter(|id| *id != self.id).collect();
         let Role::Leader(leader_state) = &mut self.role else { return false };
         let reachable = leader_state
--- a/src/quorum/mod.rs
+++ b/src/quorum/mod.rs
@@ -15,7 +15,7 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use core::{Core, Output, Role, Timing};
+pub(crate) use core::{Core, Limits, Output, Role};
 pub(crate) use log::{Log, Snapshot};
 pub(crate) use membership::{Member, MemberId, Membership};
 pub(crate) use message::{Batch, Entry, Message, Payload};
--- a/src/quorum/reconfiguration.rs
+++ b/src/quorum/reconfiguration.rs
@@ -10,9 +10,6 @@
 /// Time for which a request to join is valid.
 const JOIN_REQUEST_TTL_MS: u64 = 3_000;
 
-/// Fewest voters that may remain after a lost voter is removed.
-const VOTERS_MIN: usize = 3;
-
 impl Core {
     /// Records a host's request to join the quorum.
     pub(crate) fn join(&mut self, id: MemberId, address: String, now_ms: u64) {
@@ -63,32 +60,34 @@
         for learner in learners {
             let progress = leader_state.progress.get(&learner.id).copied().unwrap_or_default();
             let caught_up = progress.matched + LEARNER_LAG_MAX_ENTRIES >= self.log.last_index();
-            if caught_up && now_ms < progress.last_contact_ms + self.timing.election_ms {
+            if caught_up && now_ms < progress.last_contact_ms + self.limits.election_ms {
                 return Some(membership.with(Member { voter: true, ..learner.clone() }));
             }
         }
         self.without_lost_voter(leader_state, membership, now_ms)
     }
 
-    /// Removes a lost voter if it is the only one and enough voters remain.
+    /// Removes a lost voter if enough voters remain.
+    ///
+    /// A lost host that has a successor must not count any more: with the votes of both missing, the
+    /// loss of another host could leave no quorum for good.
     fn without_lost_voter(
         &self,
         leader_state: &LeaderState,
         membership: &Membership,
         now_ms: u64,
     ) -> Option<Membership> {
-        let silent_for = |id: MemberId| {
-            let heard_ms = leader_state
-                .progress
-                .get(&id)
-                .map_or(leader_state.started_ms, |p| p.last_contact_ms);
-            if id == self.id { 0 } else { now_ms.saturating_sub(heard_ms) }
+        if membership.voters().count() <= self.limits.voters_min() {
+            return None;
+        }
+        let silent_ms = |id: MemberId| {
+            let progress = leader_state.progress.get(&id);
+            let heard_ms = progress.map_or(leader_state.started_ms, |p| p.last_contact_ms);
+            now_ms.saturating_sub(heard_ms)
         };
-        let voters: Vec<_> = membership.voters().collect();
-        let lost = |id: &&MemberId| silent_for(**id) > self.timing.replace_after_ms;
-        let mut silent = voters.iter().filter(lost);
-        let (lost_voter, another) = (silent.next()?, silent.next());
-        let remaining = voters.len() - 1;
-        (another.is_none() && remaining >= VOTERS_MIN).then(|| membership.without(*lost_voter))
+        let others = membership.voters().filter(|id| *id != self.id);
+        let longest_silent = others.max_by_key(|id| silent_ms(*id))?;
+        let is_lost = silent_ms(longest_silent) > self.limits.remove_after_ms;
+        is_lost.then(|| membership.without(longest_silent))
     }
 }
--- a/src/quorum/replication.rs
+++ b/src/quorum/replication.rs
@@ -85,7 +85,7 @@
         let Role::Leader(leader_state) = &mut self.role else { return };
         leader_state.round += 1;
         leader_state.round_sent_ms.insert(leader_state.round, now_ms);
-        leader_state.heartbeat_due_ms = now_ms + self.timing.heartbeat_ms;
+        leader_state.heartbeat_due_ms = now_ms + self.limits.heartbeat_ms;
         for to in self.other_members() {
             self.send_entries(to, now_ms, true);
         }
@@ -94,7 +94,7 @@
 
     fn send_entries(&mut self, to: MemberId, now_ms: u64, heartbeat: bool) {
         let last_index = self.log.last_index();
-        let contact_timeout_ms = self.timing.election_ms;
+        let contact_timeout_ms = self.limits.election_ms;
         let Role::Leader(leader_state) = &mut self.role else { return };
         let round = leader_state.round;
         let progress = leader_state.progress.entry(to).or_insert_with(|| Progress {
@@ -345,7 +345,7 @@
     fn lease_holds(&self, leader_state: &LeaderState, now_ms: u64) -> bool {
         // The lease is a tenth shorter than the time in which followers withhold votes, so that
         // it ends first even if clocks drift.
-        let lease_ms = self.timing.election_ms * 9 / 10;
+        let lease_ms = self.limits.election_ms * 9 / 10;
         let single_voter = self.membership().has_quorum(&[self.id]);
         leader_state.handing_over_since_ms.is_none()
             && (single_voter || now_ms < leader_state.confirmed_ms + lease_ms)
@@ -357,8 +357,8 @@
             now_ms.saturating_sub(leader_state.confirmed_ms.max(leader_state.started_ms));
         let single_voter = self.membership().has_quorum(&[self.id]);
         let handing_over_since_ms = leader_state.handing_over_since_ms;
-        let timed_out = |since_ms| now_ms > since_ms + 2 * self.timing.election_ms;
-        if unconfirmed_ms > 2 * self.timing.election_ms && !single_voter
+        let timed_out = |since_ms| now_ms > since_ms + 2 * self.limits.election_ms;
+        if unconfirmed_ms > 2 * self.limits.election_ms && !single_voter
             || handing_over_since_ms.is_some_and(timed_out)
         {
             // Without a quorum nothing can be committed, so callers should get an error, not wait.
--- a/src/quorum/tests/mod.rs
+++ b/src/quorum/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the replicated log: single transitions, and randomised runs with faults.
 
 mod recovery;
+mod replacement;
 mod runs;
 mod steps;
 mod world;
--- a/src/quorum/tests/world.rs
+++ b/src/quorum/tests/world.rs
@@ -7,16 +7,23 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::quorum::core::{DurableChange, DurableState};
-use crate::quorum::{Core, Entry, Log, MemberId, Membership, Message, Payload, Snapshot, Timing};
-
-pub(super) const TIMING: Timing =
-    Timing { election_ms: 700, heartbeat_ms: 120, replace_after_ms: 8_000 };
+use crate::quorum::{Core, Entry, Limits, Log, MemberId, Membership, Message, Payload, Snapshot};
+
+/// Returns the limits of a quorum that was founded with so many hosts.
+fn limits(hosts: usize) -> Limits {
+    Limits {
+        election_ms: 700,
+        heartbeat_ms: 120,
+        remove_after_ms: 2_100,
+        losses_max: (hosts - 1) / 2,
+    }
+}
 
 /// Applied index from which a host may compact its log.
 const COMPACT_FROM_INDEX: u64 = 60;
 
 /// Time that a host gets to catch up after a restart or suspension.
-const CATCH_UP_MS: u64 = 4_000;
+pub(super) const CATCH_UP_MS: u64 = 4_000;
 
 /// A message on the simulated network.
 #[derive(Debug)]
@@ -40,6 +47,8 @@
     pub(super) id: MemberId,
     /// Absent while the host is down.
     pub(super) core: Option<Core>,
+    /// Whether the host is gone for good, with its disk.
+    retired: bool,
     disk: DurableState,
     unsynced: VecDeque<Unsynced>,
     /// Time until which the host is suspended.
@@ -60,6 +69,8 @@
     pub(super) cut_permille: u32,
     pub(super) suspend_permille: u32,
     pub(super) wipe_permille: u32,
+    /// A host is gone for good, and one with an empty disk comes at another address.
+    pub(super) replace_permille: u32,
 }
 
 impl Faults {
@@ -70,6 +81,7 @@
         cut_permille: 0,
         suspend_permille: 0,
         wipe_permille: 0,
+        replace_permille: 0,
     };
 
     pub(super) const ALL: Self = Self {
@@ -79,6 +91,7 @@
         cut_permille: 4,
         suspend_permille: 2,
         wipe_permille: 1,
+        replace_permille: 1,
     };
 }
 
@@ -92,6 +105,7 @@
     /// End times of one-way partitions, by link.
     cuts: BTreeMap<(usize, usize), u64>,
     faults: Faults,
+    limits: Limits,
     leaders: BTreeMap<u64, MemberId>,
     /// Every entry that any host has committed.
     committed: BTreeMap<u64, Entry>,
@@ -117,6 +131,7 @@
             in_flight: Vec::new(),
             cuts: BTreeMap::new(),
             faults,
+            limits: limits(hosts),
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
             acknowledged: 0,
@@ -128,27 +143,47 @@
         for host in 0..hosts {
             let snapshot = Snapshot { membership: membership.clone(), ..Snapshot::default() };
             let disk = DurableState { log: Log::new(snapshot), ..DurableState::default() };
-            world.hosts.push(Host {
-                id: host as u64 + 1,
-                core: None,
-                disk,
-                unsynced: VecDeque::new(),
-                suspended_until_ms: 0,
-                started_ms: 0,
-                applied: 0,
-                addresses: BTreeMap::new(),
-            });
-            world.start(host);
+            world.push_host(host as u64 + 1, disk);
         }
         world
     }
 
+    /// Adds and starts a host at an address of its own; returns its number.
+    fn push_host(&mut self, id: MemberId, disk: DurableState) -> usize {
+        self.hosts.push(Host {
+            id,
+            core: None,
+            retired: false,
+            disk,
+            unsynced: VecDeque::new(),
+            suspended_until_ms: 0,
+            started_ms: 0,
+            applied: 0,
+            addresses: BTreeMap::new(),
+        });
+        let host = self.hosts.len() - 1;
+        self.start(host);
+        host
+    }
+
+    /// Starts another host with an empty disk; returns its number.
+    pub(super) fn add_host(&mut self) -> usize {
+        let id = self.rng.random();
+        self.push_host(id, DurableState::default())
+    }
+
+    /// Stops a host for good; its disk is lost.
+    pub(super) fn retire(&mut self, host: usize) {
+        self.crash(host);
+        self.hosts[host].retired = true;
+    }
+
     fn start(&mut self, host: usize) {
         let seed = self.rng.random();
         let node = &mut self.hosts[host];
         node.started_ms = self.now_ms;
         node.applied = node.disk.log.snapshot().index;
-        node.core = Some(Core::new(node.id, node.disk.clone(), TIMING, seed, self.now_ms));
+        node.core = Some(Core::new(node.id, node.disk.clone(), self.limits, seed, self.now_ms));
     }
 
     /// Stops a host and loses a random tail of its unsynced changes.
@@ -174,7 +209,7 @@
     }
 
     pub(super) fn restart(&mut self, host: usize) {
-        if self.hosts[host].core.is_none() {
+        if self.hosts[host].core.is_none() && !self.hosts[host].retired {
             self.start(host);
         }
     }
@@ -241,7 +276,7 @@
         }
         let newest = self.committed.keys().next_back().copied().unwrap_or(0);
         assert!(newest >= self.acknowledged, "an acknowledged entry is gone");
-        for host in &self.hosts {
+        for host in self.hosts.iter().filter(|host| !host.retired) {
             let core = host.core.as_ref().expect("all hosts run");
             assert!(core.membership().is_voter(host.id), "host {} did not come back", host.id);
             assert!(
@@ -285,26 +320,33 @@
         if self.chance(self.faults.wipe_permille) && self.may_wipe(host) {
             self.wipe(host);
         }
+        if self.chance(self.faults.replace_permille) && self.may_wipe(host) {
+            self.retire(host);
+            self.last_wiped = Some(self.add_host());
+        }
     }
 
     /// Returns whether another disk may be lost, which is one at a time.
     ///
-    /// The host that lost its disk last must have had time to catch up, and the membership with its
-    /// new identity must be committed.
+    /// The host that lost its disk last, or the successor of one that is gone, must have had time to
+    /// catch up, and the membership with its new identity must be committed. A host that is gone may
+    /// still be a member: it no longer counts once its successor has had that time.
     fn may_wipe(&self, host: usize) -> bool {
         let settled = self.last_wiped.is_none_or(|wiped| self.has_caught_up(wiped));
         let Some(leader) = self.leader() else { return false };
         let Some(core) = self.hosts[leader].core.as_ref() else { return false };
         let members: Vec<_> = core.membership().voters().collect();
         let committed = core.log().membership_index() <= core.commit_index();
-        let all_are_members = self.hosts.iter().all(|node| members.contains(&node.id));
+        let present = || self.hosts.iter().enumerate().filter(|(_, node)| !node.retired);
+        let all_are_members = present().all(|(_, node)| members.contains(&node.id));
         // A host that is down may hold entries that the others lack.
-        let others_up = (0..self.hosts.len()).all(|other| other == host || self.is_running(other));
-        let caught_up = self.hosts.iter().enumerate().all(|(other, node)| {
+        let others_up = present().all(|(other, _)| other == host || self.is_running(other));
+        let caught_up = present().all(|(other, node)| {
             let held = node.core.as_ref().map_or(0, Core::commit_index);
             other == host || held >= self.acknowledged
         });
-        settled && committed && all_are_members && others_up && caught_up
+        let is_present = !self.hosts[host].retired;
+        is_present && settled && committed && all_are_members && others_up && caught_up
     }
 
     /// Returns whether a host has run long enough since it was last down or suspended.
@@ -476,6 +518,15 @@
         }
     }
 
+    /// Returns the smallest number of voters of any committed membership.
+    pub(super) fn smallest_membership(&self) -> usize {
+        let voters = |entry: &Entry| match &entry.payload {
+            Payload::Membership(membership) => Some(membership.voters().count()),
+            _ => None,
+        };
+        self.committed.values().filter_map(voters).min().unwrap_or(usize::MAX)
+    }
+
     /// Returns the number of committed commands.
     pub(super) fn commands(&self) -> usize {
         let is_command = |entry: &&Entry| matches!(entry.payload, Payload::Command(_));
--- a/src/task_api/settings.rs
+++ b/src/task_api/settings.rs
@@ -9,6 +9,7 @@
 use crate::names::HostName;
 
 /// Defaults of optional settings.
+const DEFAULT_LOSSES_MAX: usize = 1;
 const DEFAULT_LEASE_MAX_MS: u64 = 10_000;
 const DEFAULT_STOP_TIMEOUT_MS: u64 = 1_000;
 const DEFAULT_KEEP_STATE_MS: u64 = 3_600_000;
@@ -33,6 +34,9 @@
     pub founding: bool,
     /// Folder of the journal.
     pub data_folder: PathBuf,
+    /// Largest number of control hosts that may be lost at the same time, with their disks.
+    #[serde(default = "losses_max")]
+    pub losses_max: usize,
     /// Longest lease that the upstreams grant.
     #[serde(default = "lease_max_ms")]
     pub lease_max_ms: u64,
@@ -44,6 +48,10 @@
     pub keep_state_ms: u64,
 }
 
+fn losses_max() -> usize {
+    DEFAULT_LOSSES_MAX
+}
+
 fn lease_max_ms() -> u64 {
     DEFAULT_LEASE_MAX_MS
 }
@@ -100,6 +108,9 @@
         if self.seeds.is_empty() {
             return Err("seeds must name at least one control host");
         }
+        if self.losses_max == 0 {
+            return Err("losses_max must be greater than 0");
+        }
         if self.lease_max_ms == 0 || self.stop_timeout_ms == 0 {
             return Err("lease_max_ms and stop_timeout_ms must be greater than 0");
         }
@@ -113,6 +124,7 @@
             seeds: self.seeds.clone(),
             founding: self.founding,
             data_dir: self.data_folder.clone(),
+            losses_max: self.losses_max,
             bounds: TaskBounds {
                 lease_max_ms: self.lease_max_ms,
                 stop_timeout_ms: self.stop_timeout_ms,
--- a/src/task_api/tests.rs
+++ b/src/task_api/tests.rs
@@ -46,6 +46,7 @@
 #[rstest]
 #[case::unknown_key("more: 1", "more")]
 #[case::same_address("internal_address: 127.0.0.1:7300", "must differ")]
+#[case::no_losses("losses_max: 0", "losses_max must be greater")]
 #[case::no_lease("lease_max_ms: 0", "greater than 0")]
 fn settings_with_faults_are_refused(#[case] line: &str, #[case] expected: &str) {
     let folder = tempfile::tempdir().unwrap();
