Let a host that stops leave the quorum before its process ends

What would be seen: a control host is stopped for good as planned, its successor is up for longer than it needs to catch up, and another host loses its disk in the second that the leader takes to notice the silence of the first: no quorum for good.

Cause: SIGTERM handed leadership over and ended the process without a word to the quorum.

Now the host asks the leader to remove it and waits for the commit, 1 s at most. The leader does so only if enough other voters remain, so that a rolling restart of three hosts changes no membership. The request is valid for 3 s and forgotten once the host is removed, so that it may come back.

Evidence: a_host_that_leaves_is_removed_at_once; with the recorded request dropped its first case fails (still a voter after 500 ms), the case with too few others holds either way.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -40,6 +40,9 @@
 /// Interval of join requests while a host knows no leader or is no voter.
 const JOIN_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time limit of the request to leave; the process stops after it in any case.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
+
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// A running control host.
@@ -148,8 +151,17 @@
         self.current_leader().is_some()
     }
 
-    /// Hands leadership over before the process ends.
-    pub async fn hand_over(&self) {
+    /// Hands leadership over and leaves the quorum before the process ends.
+    ///
+    /// A host that stops for good must not count until the others notice its silence.
+    pub async fn leave(&self) {
+        self.hand_over().await;
+        let request = Request::Leave { id: self.id };
+        let outcome = self.client.call(&request, LEAVE_TIMEOUT).await;
+        info!(answered = outcome.is_ok(), "asked to leave the quorum");
+    }
+
+    async fn hand_over(&self) {
         let mut role = self.replica.role();
         if !self.is_leading() || !self.replica.hand_over() {
             return;
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -55,6 +55,10 @@
                 self.replica.join(id, address);
                 Reply::Done
             }
+            Request::Leave { id } => {
+                self.replica.remove_member(id).await;
+                Reply::Done
+            }
             Request::Status => Reply::Status(self.status()),
             Request::Explain { job } => Reply::Explanation(self.explain(&job)),
         }
--- a/src/cluster/protocol.rs
+++ b/src/cluster/protocol.rs
@@ -140,6 +140,11 @@
         /// The job.
         job: JobId,
     },
+    /// Asks to be removed from the quorum before the host stops.
+    Leave {
+        /// Identity of the host's disk.
+        id: u64,
+    },
 }
 
 impl Request {
@@ -155,7 +160,8 @@
             | Self::Deregister { .. }
             | Self::SetConfiguration { .. }
             | Self::StartWave { .. }
-            | Self::Join { .. } => true,
+            | Self::Join { .. }
+            | Self::Leave { .. } => true,
         }
     }
 }
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -169,6 +169,23 @@
         self.run_transition(|inner, now_ms| inner.core.join(id, address, now_ms));
     }
 
+    /// Removes a host that is about to stop from the quorum, if enough other voters remain, and waits
+    /// until that is committed.
+    pub(super) async fn remove_member(&self, id: u64) {
+        let mut applied = self.applied_index.subscribe();
+        if !self.run_transition(|inner, now_ms| inner.core.leave(id, now_ms)) {
+            info!(id, "a host that leaves stays a voter, since there are too few others");
+            return;
+        }
+        let is_removed = || {
+            let inner = self.lock();
+            let committed = inner.core.log().membership_index() <= inner.core.commit_index();
+            committed && !inner.core.membership().is_voter(id)
+        };
+        // The sender lives as long as this replica.
+        while !is_removed() && applied.changed().await.is_ok() {}
+    }
+
     /// Starts a handover of leadership; returns whether there is a successor.
     pub(super) fn hand_over(&self) -> bool {
         self.run_transition(|inner, now_ms| inner.core.hand_over(now_ms))
--- a/src/quorum/core.rs
+++ b/src/quorum/core.rs
@@ -61,6 +61,8 @@
     pub(crate) successor: Option<MemberId>,
     /// Address and time of the last request of each host that asked to join.
     pub(crate) joining: BTreeMap<MemberId, (String, u64)>,
+    /// Time of the request of each host that is about to stop.
+    pub(crate) leaving: BTreeMap<MemberId, u64>,
 }
 
 /// A change of the state that must survive a restart.
--- a/src/quorum/reconfiguration.rs
+++ b/src/quorum/reconfiguration.rs
@@ -7,8 +7,8 @@
 /// Largest lag at which a learner is promoted to voter.
 const LEARNER_LAG_MAX_ENTRIES: u64 = 64;
 
-/// Time for which a request to join is valid.
-const JOIN_REQUEST_TTL_MS: u64 = 3_000;
+/// Time for which a request to join or to leave is valid.
+const REQUEST_TTL_MS: u64 = 3_000;
 
 impl Core {
     /// Records a host's request to join the quorum.
@@ -18,19 +18,38 @@
         }
     }
 
+    /// Records a host's request to leave, since it is about to stop.
+    ///
+    /// Returns whether it will be removed, which takes enough other voters.
+    pub(crate) fn leave(&mut self, id: MemberId, now_ms: u64) -> bool {
+        let is_other_voter = id != self.id && self.membership().is_voter(id);
+        let may_remove = is_other_voter && self.has_surplus_voter();
+        let Role::Leader(leader_state) = &mut self.role else { return false };
+        if may_remove {
+            leader_state.leaving.insert(id, now_ms);
+        }
+        may_remove
+    }
+
+    /// Returns whether a voter may be removed without a successor.
+    fn has_surplus_voter(&self) -> bool {
+        self.membership().voters().count() > self.limits.voters_min()
+    }
+
     /// Proposes the next membership change once the previous one is committed.
     pub(super) fn change_membership(&mut self, now_ms: u64) {
         let Role::Leader(leader_state) = &mut self.role else { return };
-        leader_state
-            .joining
-            .retain(|_, (_, requested_ms)| now_ms < *requested_ms + JOIN_REQUEST_TTL_MS);
+        leader_state.joining.retain(|_, (_, requested_ms)| now_ms < *requested_ms + REQUEST_TTL_MS);
+        leader_state.leaving.retain(|_, requested_ms| now_ms < *requested_ms + REQUEST_TTL_MS);
         let settled = self.log.membership_index() <= self.commit_index
             && self.commit_index >= leader_state.term_start_index;
         if !settled {
             return;
         }
+        let membership = self.log.membership().clone();
+        // A host that has left and comes back is not removed again.
+        leader_state.leaving.retain(|id, _| membership.is_voter(*id));
         let leader_state = leader_state.clone();
-        let membership = self.membership().clone();
         if let Some(next) = self.next_membership(&leader_state, &membership, now_ms) {
             self.append_as_leader(Payload::Membership(next));
             self.replicate(now_ms);
@@ -67,7 +86,7 @@
         self.without_lost_voter(leader_state, membership, now_ms)
     }
 
-    /// Removes a lost voter if enough voters remain.
+    /// Removes a voter that leaves or is lost if enough voters remain.
     ///
     /// A lost host that has a successor must not count any more: with the votes of both missing, the
     /// loss of another host could leave no quorum for good.
@@ -77,9 +96,12 @@
         membership: &Membership,
         now_ms: u64,
     ) -> Option<Membership> {
-        if membership.voters().count() <= self.limits.voters_min() {
+        if !self.has_surplus_voter() {
             return None;
         }
+        if let Some(&leaving) = leader_state.leaving.keys().next() {
+            return Some(membership.without(leaving));
+        }
         let silent_ms = |id: MemberId| {
             let progress = leader_state.progress.get(&id);
             let heard_ms = progress.map_or(leader_state.started_ms, |p| p.last_contact_ms);
--- a/src/quorum/tests/replacement.rs
+++ b/src/quorum/tests/replacement.rs
@@ -3,6 +3,7 @@
 use rstest::rstest;
 
 use super::world::{CATCH_UP_MS, Faults, World};
+use crate::quorum::Core;
 
 /// Time for which a host that lost its disk is down.
 const DOWN_MS: u64 = 3_000;
@@ -69,7 +70,7 @@
         world.add_host();
         run(&mut world, CATCH_UP_MS);
         world.retire(replaced);
-        // Without a leave of the host, its silence must have been noticed.
+        // The host did not say that it leaves, so that its silence must be noticed.
         run(&mut world, CATCH_UP_MS);
     } else {
         world.retire(replaced);
@@ -107,3 +108,26 @@
     let smallest = world.smallest_membership();
     assert!(smallest >= 5, "{smallest} voters cannot lose two disks");
 }
+
+/// Guards against a host that stops as planned and still counts until its silence is noticed.
+#[rstest]
+#[case::there_is_a_successor(true, 3)]
+#[case::the_others_are_too_few(false, 3)]
+fn a_host_that_leaves_is_removed_at_once(#[case] has_successor: bool, #[case] expected: usize) {
+    let (mut world, leader) = started(3, 1);
+    if has_successor {
+        world.add_host();
+        run(&mut world, CATCH_UP_MS);
+    }
+    let leaving = (leader + 1) % 3;
+    let id = world.hosts[leaving].id;
+    let leads = world.leader().expect("a host leads");
+    let now_ms = world.now_ms;
+    let accepted = world.hosts[leads].core.as_mut().is_some_and(|core| core.leave(id, now_ms));
+    assert_eq!(accepted, has_successor);
+    world.retire(leaving);
+    run(&mut world, 500);
+    let is_voter = |core: &Core| core.membership().is_voter(id);
+    assert_eq!(world.hosts[leads].core.as_ref().map(is_voter), Some(!has_successor));
+    assert_eq!(voters(&world), expected);
+}
--- a/src/task_api/daemon.rs
+++ b/src/task_api/daemon.rs
@@ -110,10 +110,10 @@
         self.control.is_leading()
     }
 
-    /// Hands leadership over, finishes the requests in flight and stops.
+    /// Hands leadership over, leaves the quorum, finishes the requests in flight and stops.
     pub async fn stop(self) {
         info!(leads = self.control.is_leading(), "control host stops");
-        self.control.hand_over().await;
+        self.control.leave().await;
         self.stop.send_replace(true);
         let finished = tokio::time::timeout(DRAIN_TIMEOUT, self.serving).await.is_ok();
         drop(self.control);
