Keep the cancellation of a job that has not arrived yet

Cause: the leader kept nothing of the cancellation of a job that it did not know. A submission that arrives after it cannot be told from a new one. Not the entry host: it may have passed the submission on before its caller leaves, and any hop or resend can be as late; a check of the closed connection would only make the case rarer. It is not made.

Now the cancellation of an unknown job is stored like that of a known one, for the time for which the state of an ended job is kept (and 20,000 of them at most, the oldest dropped first). A submission that comes later, or was being stored at the same time, is answered with 410 and is not stored. The check is made where the acceptance is applied, so that both orders in the log end alike.

Related paths: a cancellation while the acceptance was on its way to the log was answered 410 and the job ran; the same change mends that (case at_once).

--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -134,8 +134,15 @@
 
     async fn submit(&self, target: CallTarget, id: JobId, spec: Arc<JobSpec>) -> Reply {
         let CallTarget { queue, organisation, .. } = target;
-        if self.replica.lock().state.jobs.contains_key(&id) {
-            return Reply::Front(FrontReply::Accepted);
+        {
+            let inner = self.replica.lock();
+            if inner.state.jobs.contains_key(&id) {
+                return Reply::Front(FrontReply::Accepted);
+            }
+            if inner.state.was_cancelled_early(&id) {
+                info!(request = %id, "submission arrives after its cancellation");
+                return Reply::Front(FrontReply::CancelledBefore);
+            }
         }
         if let Err(fault) = spec.check() {
             return Reply::Front(FrontReply::Invalid { reason: fault.to_string() });
@@ -158,9 +165,13 @@
             Admission::Accepted { forecast_ms } => {
                 let change =
                     Change::Accept { id: id.clone(), queue: queue.name, organisation, spec };
-                let reply = self.commit(change, Reply::Front(FrontReply::Accepted)).await;
+                let mut reply = self.commit(change, Reply::Front(FrontReply::Accepted)).await;
                 self.term_state().admissions.end_storing(&id);
-                let stored = reply != Reply::Unknown;
+                // A cancellation may have been stored while this submission was.
+                if reply != Reply::Unknown && self.replica.lock().state.was_cancelled_early(&id) {
+                    reply = Reply::Front(FrontReply::CancelledBefore);
+                }
+                let stored = reply == Reply::Front(FrontReply::Accepted);
                 info!(
                     request = %id, queue = %queue_name, priority, tasks, accelerators,
                     chain_ms = critical_path_ms,
@@ -200,21 +211,26 @@
         (admission, version)
     }
 
+    /// Cancels a job. The cancellation of an unknown one is stored as well, since its submission may
+    /// still be on its way.
     async fn cancel(&self, id: JobId) -> Reply {
-        let ended = {
+        {
             let inner = self.replica.lock();
-            let Some(job) = inner.state.jobs.get(&id) else {
+            if inner.state.was_cancelled_early(&id) {
                 return Reply::Front(FrontReply::NoJob);
-            };
-            job.outcome.is_some()
-        };
-        if ended {
-            return Reply::Front(FrontReply::Cancelled);
+            }
+            if inner.state.jobs.get(&id).is_some_and(|job| job.outcome.is_some()) {
+                return Reply::Front(FrontReply::Cancelled);
+            }
         }
         let change = Change::Cancel { id: id.clone() };
-        let reply = self.commit(change, Reply::Front(FrontReply::Cancelled)).await;
-        info!(request = %id, stored = (reply != Reply::Unknown), "job was cancelled");
-        reply
+        if self.commit(change, Reply::Done).await == Reply::Unknown {
+            info!(request = %id, stored = false, "job was cancelled");
+            return Reply::Unknown;
+        }
+        let known = !self.replica.lock().state.was_cancelled_early(&id);
+        info!(request = %id, stored = true, known, "job was cancelled");
+        Reply::Front(if known { FrontReply::Cancelled } else { FrontReply::NoJob })
     }
 
     async fn set_configuration(&self, configuration: Arc<Configuration>, raw: Bytes) -> Reply {
@@ -395,5 +411,6 @@
         FrontReply::BadKey => "bad key",
         FrontReply::Invalid { .. } => "invalid",
         FrontReply::NotConfigured => "not configured",
+        FrontReply::CancelledBefore => "cancelled before",
     }
 }
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -285,14 +285,17 @@
         }
     }
 
-    /// Drops ended jobs whose retention period is over.
+    /// Drops ended jobs and early cancellations whose retention period is over.
     async fn drop_ended_jobs(&self) {
         let jobs: Vec<JobId> = {
             let inner = self.replica.lock();
             let (now_ms, keep_ms) = (inner.now_ms(), self.bounds.keep_state_ms);
             let jobs = inner.state.jobs.values();
-            let old = jobs.filter(|job| job.may_be_dropped(now_ms, keep_ms));
-            old.take(DROP_JOBS_BATCH_MAX).map(|job| job.id.clone()).collect()
+            let old = jobs.filter(|job| job.may_be_dropped(now_ms, keep_ms)).map(|job| &job.id);
+            let cancellations = inner.state.early_cancellations.iter();
+            let old_cancellations =
+                cancellations.filter(|(_, at_ms)| now_ms > **at_ms + keep_ms).map(|(id, _)| id);
+            old.chain(old_cancellations).take(DROP_JOBS_BATCH_MAX).cloned().collect()
         };
         if jobs.is_empty() {
             return;
--- a/src/cluster/protocol.rs
+++ b/src/cluster/protocol.rs
@@ -71,6 +71,8 @@
     },
     /// No configuration has been set yet.
     NotConfigured,
+    /// The job was cancelled before its submission arrived; it is not stored and will not run.
+    CancelledBefore,
 }
 
 /// Reply to an operator's request.
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -24,7 +24,7 @@
 const COMPACT_AFTER_ENTRIES: u64 = 8_000;
 
 /// Number of collections at the end of the state that snapshots of an earlier build lack.
-const NEWEST_COLLECTIONS: usize = 3;
+const NEWEST_COLLECTIONS: usize = 4;
 
 /// Role of this host, as other tasks observe it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/src/cluster/tests/promises.rs
+++ b/src/cluster/tests/promises.rs
@@ -236,3 +236,34 @@
     submit(&test, 1).await;
     wait_until_completed(&test, &fake, 1).await;
 }
+
+/// Guards against a job that starts after its cancellation was acknowledged, because its submission
+/// arrived later: its entry host was suspended, or both were under way at the same time.
+#[rstest]
+#[case::one_after_the_other(false)]
+#[case::at_once(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_job_does_not_start_when_its_submission_arrives(#[case] at_once: bool) {
+    let fake = FakeUpstreams::new(Duration::from_millis(100));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    let submission = || test.call_until_answered(call(1, Action::Submit { spec: single_task() }));
+    let cancellation = || test.call_until_answered(call(1, Action::Cancel));
+    let submitted = if at_once {
+        tokio::join!(cancellation(), submission()).1
+    } else {
+        assert_eq!(cancellation().await, Reply::Front(FrontReply::NoJob));
+        submission().await
+    };
+    submit(&test, 2).await;
+    wait_until_completed(&test, &fake, 2).await;
+    let expected = match submitted {
+        Reply::Front(FrontReply::Accepted) => FrontReply::State(JobState::Cancelled),
+        _ => FrontReply::NoJob,
+    };
+    let state = test.call_until_answered(call(1, Action::Status)).await;
+    assert_eq!(state, Reply::Front(expected));
+    if !at_once {
+        assert_eq!(submitted, Reply::Front(FrontReply::CancelledBefore));
+        assert!(fake.started().iter().all(|(task, ..)| task.job == job_id(2)));
+    }
+}
--- a/src/task_api/http.rs
+++ b/src/task_api/http.rs
@@ -148,6 +148,9 @@
         FrontReply::State(state) => json(200, &StateBody { state: state_name(state) }),
         FrontReply::Pending(waiting_jobs) => json(200, &WaitingBody { waiting_jobs }),
         FrontReply::NoJob => error(404, "no such job, or it ended long ago"),
+        FrontReply::CancelledBefore => {
+            error(410, "the job was cancelled before it arrived; nothing was accepted")
+        }
         FrontReply::NoQueue => error(404, "no such queue"),
         FrontReply::BadKey => error(401, "the key in the header Authorization is unknown"),
         FrontReply::Invalid { reason } => error(422, &reason),
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -48,6 +48,7 @@
             Change::DropJobs { jobs } => {
                 for id in &jobs {
                     self.jobs.remove(id);
+                    self.early_cancellations.remove(id);
                 }
                 self.crashes.retain(|task| !jobs.contains(&task.job));
             }
@@ -83,6 +84,10 @@
         organisation: Option<Arc<str>>,
         spec: Arc<JobSpec>,
     ) {
+        // The caller has withdrawn the job before it arrived.
+        if self.was_cancelled_early(id) {
+            return;
+        }
         let now_ms = self.now_ms;
         let new = || Job::new(id.clone(), queue, organisation, spec, now_ms);
         self.jobs.entry(id.clone()).or_insert_with(new);
@@ -90,8 +95,9 @@
 
     fn cancel(&mut self, id: &JobId) {
         let now_ms = self.now_ms;
-        if let Some(job) = self.jobs.get_mut(id) {
-            self.events.extend(end_job(job, Outcome::Cancelled, now_ms));
+        match self.jobs.get_mut(id) {
+            Some(job) => self.events.extend(end_job(job, Outcome::Cancelled, now_ms)),
+            None => self.record_early_cancellation(id),
         }
     }
 
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -25,6 +25,9 @@
     pub(crate) after_ms: u64,
 }
 
+/// Largest number of jobs that are remembered as cancelled before they arrived.
+pub(crate) const EARLY_CANCELLATIONS_MAX: usize = 20_000;
+
 /// State that is replicated to all control hosts.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct State {
@@ -43,6 +46,8 @@
     /// Runs that were recorded as lost when the lease of a silent upstream had ended. It may turn out
     /// to have crashed.
     pub(crate) lapsed_runs: BTreeMap<Incarnation, Vec<(TaskId, u32)>>,
+    /// Jobs that were cancelled before their submission arrived, and when. It may be on its way still.
+    pub(crate) early_cancellations: BTreeMap<JobId, u64>,
     /// Job events since the last call of [`State::take_events`].
     #[serde(skip)]
     pub(super) events: Vec<JobEvent>,
@@ -82,6 +87,22 @@
         self.configuration.as_ref().map_or(0, |configuration| configuration.version)
     }
 
+    /// Returns whether a job was cancelled before its submission arrived.
+    pub(crate) fn was_cancelled_early(&self, id: &JobId) -> bool {
+        self.early_cancellations.contains_key(id)
+    }
+
+    /// Remembers that an unknown job was cancelled; the oldest such job is forgotten if there are many.
+    pub(super) fn record_early_cancellation(&mut self, id: &JobId) {
+        self.early_cancellations.insert(id.clone(), self.now_ms);
+        if self.early_cancellations.len() > EARLY_CANCELLATIONS_MAX {
+            let oldest = self.early_cancellations.iter().min_by_key(|(_, at_ms)| **at_ms);
+            if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+                self.early_cancellations.remove(&id);
+            }
+        }
+    }
+
     /// Returns the queue of a job, as configured now or when it was last configured.
     pub(crate) fn queue_of(&self, job: &Job) -> Option<&Queue> {
         let current = self.configuration.as_ref().and_then(|conf| conf.queue(&job.queue));
--- a/src/tasks/tests/mod.rs
+++ b/src/tasks/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the replicated state.
 
+mod cancellations;
 mod configurations;
 mod jobs;
 pub(crate) mod sample;
