--- a/src/cluster/leader/lists.rs
+++ b/src/cluster/leader/lists.rs
@@ -38,6 +38,12 @@
             let newly = !session.is_reachable(now_ms);
             session.record_contact(lists.clock_ms, now_ms);
             session.record_lists(lists, now_ms);
+            if session.record_unreadable(lists.unreadable) {
+                warn!(
+                    upstream = %incarnation.id, entries = lists.unreadable,
+                    "lists of an upstream have unreadable entries, which are skipped"
+                );
+            }
             (session.answered_orders.clone(), newly)
         };
         if newly_reachable {
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -65,6 +65,8 @@
     leases_end_ms: u64,
     /// Whether this leader has read the task lists of the upstream.
     pub(super) lists_read: bool,
+    /// Number of entries of the latest lists that could not be decoded.
+    unreadable: usize,
     /// When the lists were last read; `None` before that and after a hold call without an answer.
     lists_read_ms: Option<u64>,
     pub(super) runs: HashMap<TaskId, ObservedRun>,
@@ -104,6 +106,7 @@
             // Earlier leaders granted no leases after this one was elected.
             leases_end_ms: now_ms + longest_duration_ms(lease_max_ms) + LAPSE_MARGIN_MS,
             lists_read: false,
+            unreadable: 0,
             lists_read_ms: None,
             runs: HashMap::new(),
             answered_orders: HashMap::new(),
@@ -202,6 +205,12 @@
         now_ms > self.leases_end_ms && !self.is_reachable(now_ms)
     }
 
+    /// Records how many entries of the latest lists were unreadable; returns whether these are more
+    /// than before.
+    pub(super) fn record_unreadable(&mut self, entries: usize) -> bool {
+        std::mem::replace(&mut self.unreadable, entries) < entries
+    }
+
     /// Updates the observed runs from the upstream's task lists.
     pub(super) fn record_lists(&mut self, lists: &TaskLists, now_ms: u64) {
         self.lists_read = true;
