--- a/src/task_api/orders.rs
+++ b/src/task_api/orders.rs
@@ -10,6 +10,7 @@
 use hyper::{Method, Request};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::cluster::{
     AdviceAnswer, CallFault, ConnectionBudget, ConnectionUse, HoldOrder, HttpClient, HttpFault,
@@ -77,7 +78,41 @@
 async fn hold(client: HttpClient, order: HoldOrder) -> Result<TaskLists, CallFault> {
     let limit = Duration::from_millis(order.wait_ms) + HOLD_MARGIN;
     let target = Target::of(&order.address, &order.upstream);
-    post(&client, target, HOLD_PATH, &order, limit).await
+    let lists: WireLists = post(&client, target, HOLD_PATH, &order, limit).await?;
+    Ok(lists.decode())
+}
+
+/// Task lists whose entries are decoded one by one, so that an odd one hides no other.
+#[derive(Debug, Deserialize)]
+struct WireLists {
+    clock_ms: u64,
+    born_unix_ms: Option<u64>,
+    running: Vec<Box<RawValue>>,
+    ended: Vec<Box<RawValue>>,
+}
+
+impl WireLists {
+    /// Decodes the entries; unreadable ones are skipped and counted.
+    fn decode(&self) -> TaskLists {
+        let running = decode_entries(&self.running);
+        let ended = decode_entries(&self.ended);
+        let unreadable = self.running.len() + self.ended.len() - running.len() - ended.len();
+        let Self { clock_ms, born_unix_ms, .. } = *self;
+        TaskLists { clock_ms, born_unix_ms, running, ended, unreadable }
+    }
+}
+
+fn decode_entries<T: DeserializeOwned>(entries: &[Box<RawValue>]) -> Vec<T> {
+    entries.iter().filter_map(|entry| serde_json::from_str(entry.get()).ok()).collect()
+}
+
+/// Decodes task lists.
+///
+/// # Errors
+/// Returns an error if the body has no lists.
+#[cfg(test)]
+pub(super) fn decode_lists(body: &str) -> Result<TaskLists, serde_json::Error> {
+    serde_json::from_str::<WireLists>(body).map(|lists| lists.decode())
 }
 
 /// Address and identity of the upstream of an order.
--- a/src/task_api/tests.rs
+++ b/src/task_api/tests.rs
@@ -3,6 +3,9 @@
 use rstest::rstest;
 
 use super::{TaskControlSettings, read_configuration, read_job};
+use crate::cluster::ListedRun;
+use crate::tasks::TaskId;
+use crate::tasks::tests::sample::job_id;
 
 const QUEUES: &str = include_str!("../../examples/steps/queues.yaml");
 const JOB: &str = include_str!("../../examples/steps/job.yaml");
@@ -60,3 +63,24 @@
     let fault = TaskControlSettings::read(&path).expect_err("a fault").to_string();
     assert!(fault.contains(expected), "{fault}");
 }
+
+fn listed_run() -> String {
+    let task = TaskId { job: job_id(1), occurrence: 0, step: 0, index: 0 };
+    let run = ListedRun { task, run: 1, checkpoint: "".into(), percent: 0, load: None };
+    serde_json::to_string(&run).unwrap()
+}
+
+/// Guards against one odd entry that makes all entries of an upstream unreadable, so that its lease is
+/// no longer extended.
+#[rstest]
+#[case::nested(&format!("{}{}", "[".repeat(200), "]".repeat(200)))]
+#[case::number_too_large(r#"{"run":1e999}"#)]
+#[case::run_too_large(&listed_run().replace(r#""run":1"#, r#""run":4294967296"#))]
+fn an_odd_entry_hides_no_other(#[case] odd: &str) {
+    let run = listed_run();
+    let body = format!(
+        r#"{{"clock_ms":1,"born_unix_ms":2,"running":[{odd},{run}],"ended":[{odd}],"unreadable":0}}"#
+    );
+    let lists = super::orders::decode_lists(&body).unwrap();
+    assert_eq!((lists.running.len(), lists.unreadable), (1, 2));
+}
