Refuse jobs and configurations that are nested too deeply

What could be seen: a job or configuration of 200,000 nested block lists, sent to the own interface of the replicated control, ended the process of the host that read it ("has overflowed its stack", SIGABRT), and the caller's retry the next one.

Cause: the YAML parser recurses once for each nested list. Settings and service documents are checked for that before they are parsed; jobs, configurations of queues and the settings of control hosts went to the parser unchecked. They share the check now. JSON is parsed as JSON first, whose parser bounds the nesting, so that a job of many steps is not refused for its number of brackets. A carriage return ends a line for the check as it does for the parser.

Evidence: deeply_nested_documents_are_refused ended the test process before; all its cases pass now. Service documents (control), JSON bodies and the messages between hosts were looked at: bounded.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -8,7 +8,7 @@
 mod settings;
 #[cfg(test)]
 mod tests;
-mod text;
+pub(crate) mod text;
 
 use std::fmt;
 use std::path::Path;
--- a/src/config/text.rs
+++ b/src/config/text.rs
@@ -46,6 +46,12 @@
         let message = format!("the text has {} bytes; use at most {TEXT_LIMIT_BYTES}", text.len());
         return Err(Faults::whole_file(message));
     }
+    check_nesting(text)
+}
+
+/// Refuses texts on which the YAML parser's recursion would exhaust the stack and end the process, and
+/// texts of several documents.
+pub(crate) fn check_nesting(text: &str) -> Result<(), Faults> {
     if text.matches(['[', '{']).count() > BRACKET_LIMIT {
         let message =
             format!("the text has over {BRACKET_LIMIT} opening brackets; use block lists");
@@ -57,7 +63,9 @@
             let message = message.to_owned();
             Faults::new(vec![Fault { line: index + 1, column: 1, key: String::new(), message }])
         };
-        if line.chars().take_while(|c| " \t-?:".contains(*c)).count() > INDENT_LIMIT {
+        // YAML takes a carriage return as the end of a line, too.
+        let indent = |part: &str| part.chars().take_while(|c| " \t-?:".contains(*c)).count();
+        if line.split('\r').any(|part| indent(part) > INDENT_LIMIT) {
             return Err(fault_in_line("the line is indented too deeply"));
         }
         // The loader would read only the first document and silently ignore the rest.
--- a/src/task_api/documents.rs
+++ b/src/task_api/documents.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 
+use crate::config::text::check_nesting;
 use crate::tasks::{
     Configuration, FrontLimits, JobSpec, Organisation, Queue, Resources, WorkerService,
 };
@@ -151,6 +152,12 @@
     Ok(job)
 }
 
-fn parse<T: for<'a> Deserialize<'a>>(text: &str) -> Result<T, InvalidDocument> {
-    marked_yaml::from_yaml(0, text).map_err(|fault| InvalidDocument { reason: fault.to_string() })
+/// Parses JSON, whose parser bounds the nesting by itself, or YAML.
+pub(super) fn parse<T: for<'a> Deserialize<'a>>(text: &str) -> Result<T, InvalidDocument> {
+    if let Ok(document) = serde_json::from_str(text) {
+        return Ok(document);
+    }
+    let invalid = |reason: String| InvalidDocument { reason };
+    check_nesting(text).map_err(|faults| invalid(faults.to_string()))?;
+    marked_yaml::from_yaml(0, text).map_err(|fault| invalid(fault.to_string()))
 }
--- a/src/task_api/settings.rs
+++ b/src/task_api/settings.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 
+use super::documents;
 use crate::cluster::{ClusterSettings, TaskBounds};
 use crate::names::HostName;
 
@@ -96,7 +97,7 @@
         let malformed =
             |reason: String| InvalidSettings::Malformed { path: path.to_owned(), reason };
         let settings: Self =
-            marked_yaml::from_yaml(0, &text).map_err(|fault| malformed(fault.to_string()))?;
+            documents::parse(&text).map_err(|fault| malformed(fault.to_string()))?;
         settings.check().map_err(|reason| malformed(reason.to_owned()))?;
         Ok(settings)
     }
--- a/src/task_api/tests.rs
+++ b/src/task_api/tests.rs
@@ -84,3 +84,30 @@
     let lists = super::orders::decode_lists(&body).unwrap();
     assert_eq!((lists.running.len(), lists.unreadable), (1, 2));
 }
+
+fn indented_ever_deeper() -> String {
+    let lines = (0..700).map(|depth| " ".repeat(depth) + "-");
+    lines.collect::<Vec<_>>().join("\r")
+}
+
+/// Guards against a job or configuration that ends the process: the YAML parser recurses once for each
+/// nested list, and the next host that is asked would end as well.
+#[rstest]
+#[case::json("[".repeat(200_000))]
+#[case::closed_json(format!("{}{}", "[".repeat(200_000), "]".repeat(200_000)))]
+#[case::flow_style(format!("steps: {}", "[".repeat(200_000)))]
+#[case::block_style("- ".repeat(200_000))]
+#[case::keys("? ".repeat(200_000))]
+#[case::carriage_returns(indented_ever_deeper())]
+fn deeply_nested_documents_are_refused(#[case] text: String) {
+    read_job(&text).expect_err("too deep");
+    read_configuration(&text).expect_err("too deep");
+}
+
+/// The bound on nesting must not refuse a job of many steps.
+#[test]
+fn a_job_of_many_steps_can_be_read() {
+    let steps = vec![r#"{"tasks":1,"need":{"accelerators":1}}"#; 900].join(",");
+    let job = read_job(&format!(r#"{{"steps":[{steps}]}}"#)).unwrap();
+    assert_eq!(job.steps.len(), 900);
+}
