--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -24,14 +24,17 @@
 /// Base election timeout, for hosts in several regions.
 const ELECTION_MS: u64 = 500;
 
+/// Interval between heartbeats of the leader.
+const HEARTBEAT_MS: u64 = 100;
+
 /// Limits of the replicated log.
 ///
-/// A host that is only slow for a moment is not removed, and one that is lost is removed well within
-/// the time that its successor needs to catch up.
+/// A voter is removed after twice the election timeout, so that a host which is slow for a moment stays,
+/// and a lost one no longer counts once its successor has caught up.
 const fn quorum_limits(losses_max: usize) -> Limits {
     Limits {
         election_ms: ELECTION_MS,
-        heartbeat_ms: 100,
+        heartbeat_ms: HEARTBEAT_MS,
         remove_after_ms: 2 * ELECTION_MS,
         losses_max,
     }
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -170,7 +170,7 @@
     }
 
     /// Removes a host that is about to stop from the quorum, if enough other voters remain, and waits
-    /// until that is committed.
+    /// until that is committed. The wait has no limit; it ends with the call of the host that leaves.
     pub(super) async fn remove_member(&self, id: u64) {
         let mut applied = self.applied_index.subscribe();
         if !self.run_transition(|inner, now_ms| inner.core.leave(id, now_ms)) {
--- a/src/quorum/reconfiguration.rs
+++ b/src/quorum/reconfiguration.rs
@@ -88,8 +88,8 @@
 
     /// Removes a voter that leaves or is lost if enough voters remain.
     ///
-    /// A lost host that has a successor must not count any more: with the votes of both missing, the
-    /// loss of another host could leave no quorum for good.
+    /// A lost voter beside its successor raises the number of votes that a quorum needs. If another
+    /// host then lost its disk, too few voters could be left for good.
     fn without_lost_voter(
         &self,
         leader_state: &LeaderState,
