Show that a wave is said to be completed without the upkeep

A script starts a wave for one machine while the platform does not answer, kills the leader, makes the platform available again, and has the machine's worker crash 12 s later.

--- a/review/harness-2/kit.rs
+++ b/review/harness-2/kit.rs
@@ -390,6 +390,8 @@
     pids: Mutex<HashMap<usize, u32>>,
     /// Seeds of entry hosts if they differ from those of the control hosts.
     pub entry_seeds: Option<Vec<SocketAddr>>,
+    /// The platform's interface for orders about machines, if there is one.
+    pub cloud: Option<SocketAddr>,
     pub record: Record,
 }
 
@@ -408,6 +410,7 @@
             ports,
             pids: Mutex::default(),
             entry_seeds: None,
+            cloud: None,
             record: record.clone(),
         }
     }
@@ -448,6 +451,9 @@
         };
         let data = self.folder.join(format!("data-{host}"));
         let data = if is_control { format!("data-dir = \"{}\"\n", data.display()) } else { String::new() };
+        let cloud = self.cloud.map_or_else(String::new, |address| {
+            format!("[cloud]\naddress = \"{address}\"\nrate-per-s = 60.0\nduties = []\nduty-per-s = 60.0\n")
+        });
         let settings = format!(
             "node-name = \"{class}-{host}\"\nrole = \"{role}\"\nmachine-class = \"{class}\"\n\
              serves = [\"{}\"]\nip = \"{ip}\"\nzone = \"z\"\nregion = \"r\"\n\
@@ -462,7 +468,7 @@
              config-apply-ms = 2500\nrecover-s = 12\nhold-max-ms = 10000\nstop-timeout-ms = 900\n\
              gang-timeout-ms = 3000\ncancel_ms = 3000\nvisible_ms = 3000\nearly_ms = 250\n\
              finish_s = 14\nstatus_s = 120\nremote-factor = 3\ncheckpoint-s = 2\n\
-             notice-ms = 5500\nmaintenance-s = 2\nfencing-required = true\nlease-ms = 3000\n",
+             notice-ms = 5500\nmaintenance-s = 2\nfencing-required = true\nlease-ms = 3000\n{cloud}",
             if is_control { "control_plane" } else { "frontend" },
             internal + 15,
             seeds.join(","),
@@ -657,14 +663,17 @@
     pub address: SocketAddr,
     /// Address that it gives in its heartbeats.
     public: SocketAddr,
-    begun: Instant,
-    born: u64,
+    /// When this life began, and the same in Unix milliseconds.
+    life: Arc<Mutex<(Instant, u64)>>,
+    /// Share of the start and stop orders that get no answer and are carried out 2 to 12 s later.
+    pub late_permille: Arc<AtomicU64>,
     state: Arc<(Mutex<WorkerState>, Condvar)>,
     stop: Arc<AtomicBool>,
     draining: Arc<AtomicBool>,
     /// Time that a stop takes.
     pub stop_ms: Arc<AtomicU64>,
     sequence: Arc<AtomicU64>,
+    draws: Arc<AtomicU64>,
     capacity: [u64; 3],
     /// Needs of a task on this worker: all jobs of a case have the same.
     need: [u64; 3],
@@ -690,13 +699,14 @@
             id: id.to_owned(),
             address,
             public: link.map_or(address, |link| link(address)),
-            begun: Instant::now(),
-            born: unix_ms(),
+            life: Arc::new(Mutex::new((Instant::now(), unix_ms()))),
+            late_permille: Arc::default(),
             state: Arc::default(),
             stop: Arc::default(),
             draining: Arc::default(),
             stop_ms: Arc::default(),
             sequence: Arc::default(),
+            draws: Arc::new(AtomicU64::new(unix_ms())),
             capacity,
             need,
             events: Arc::clone(events),
@@ -717,7 +727,26 @@
     }
 
     fn clock_ms(&self) -> u64 {
-        self.begun.elapsed().as_millis() as u64 + 1_000
+        self.life.lock().unwrap().0.elapsed().as_millis() as u64 + 1_000
+    }
+    fn born(&self) -> u64 {
+        self.life.lock().unwrap().1
+    }
+
+    /// Crashes and starts again under the same identity: it runs and knows nothing then.
+    pub fn crash(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        self.finish_due(&mut state);
+        let all: Vec<_> = state.running.keys().cloned().collect();
+        for task in all {
+            self.end(&mut state, &task, "gone");
+        }
+        let first_lost = state.last_seen + 1;
+        self.event("-", first_lost, "crash");
+        *state = WorkerState::default();
+        *self.life.lock().unwrap() = (Instant::now(), unix_ms());
+        self.sequence.store(0, Ordering::Relaxed);
+        self.record.say(&format!("worker {}: has crashed and starts again", self.id));
     }
 
     pub fn running(&self) -> usize {
@@ -777,7 +806,7 @@
     /// Says that it leaves, and ends once that is acknowledged; if it is not, it ends 3 s later.
     pub fn leave(&self, control: SocketAddr, link: &Link) {
         let path = format!("/cactuslatch/Instances.Deregister/{}", self.id);
-        let body = format!("{{\"born\":{}}}", self.born);
+        let body = format!("{{\"born\":{}}}", self.born());
         self.record.say(&format!("worker {}: says that it leaves", self.id));
         let answer = call(control, "POST", &path, &[], &body, 1000).filter(|_| !link.refuses());
         self.record.say(&format!("worker {}: leave -> {:?}", self.id, answer.as_ref().map(|a| a.0)));
@@ -804,7 +833,7 @@
              \"state\":\"{state}\",\"cold-remaining-ms\":0,\"capacity\":{{\"cpu\":{cpu},\"mem-mb\":{mem},\
              \"gpu\":{gpu}}},\"labels\":[\"a\",\"r1-{}\"],\"clock-ms\":{},\"sequence\":{sequence},\
              \"born\":{},\"machine\":\"m-{}\"}}",
-            self.public, self.id, self.clock_ms(), self.born, self.id
+            self.public, self.id, self.clock_ms(), self.born(), self.id
         )
     }
 
@@ -813,6 +842,28 @@
             return Some((421, "{}".to_owned()));
         }
         let body = J::parse(&received.body)?;
+        let is_order = received.path.ends_with("/run-start") || received.path.ends_with("/run-stop");
+        let share = self.late_permille.load(Ordering::Relaxed);
+        if is_order && share > 0 {
+            let draw = self.draws.fetch_add(1, Ordering::Relaxed).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 20;
+            if draw % 1_000 < share {
+                let (worker, path, born) = (self.clone(), received.path.clone(), self.born());
+                self.record.say(&format!("worker {}: leaves an order unanswered: {}", self.id, received.body));
+                thread::spawn(move || {
+                    sleep_ms(2_000 + draw / 1_000 % 10_000);
+                    // A worker that has started again knows nothing of before.
+                    if worker.born() == born {
+                        _ = worker.carry_out(&path, &body);
+                    }
+                });
+                sleep_ms(1_000);
+                return None;
+            }
+        }
+        self.carry_out(&received.path, &body)
+    }
+
+    fn carry_out(&self, path: &str, body: &J) -> Option<(u16, String)> {
         let token = body.get("fencing-token").u64().unwrap_or(0);
         {
             let mut state = self.state.0.lock().unwrap();
@@ -821,17 +872,17 @@
             }
             state.token = token;
         }
-        match received.path.as_str() {
-            "/cactuslatch/run-start" => Some(self.run_start(&body)),
-            "/cactuslatch/run-stop" => Some(self.run_stop(&body)),
-            "/cactuslatch/hold" => Some(self.hold(&body)),
+        match path {
+            "/cactuslatch/run-start" => Some(self.run_start(body)),
+            "/cactuslatch/run-stop" => Some(self.run_stop(body)),
+            "/cactuslatch/hold" => Some(self.hold(body)),
             "/cactuslatch/pace" => Some(self.done()),
             _ => Some((404, "{}".to_owned())),
         }
     }
 
     fn done(&self) -> (u16, String) {
-        (200, format!("{{\"clock-ms\":{},\"born\":{}}}", self.clock_ms(), self.born))
+        (200, format!("{{\"clock-ms\":{},\"born\":{}}}", self.clock_ms(), self.born()))
     }
     fn refuse(&self, reason: &str) -> (u16, String) {
         (409, format!("{{\"clock-ms\":{},\"reason\":\"{reason}\"}}", self.clock_ms()))
@@ -920,7 +971,7 @@
         let text = format!(
             "{{\"clock-ms\":{},\"born\":{},\"running\":[{}],\"ended-runs\":[{}]}}",
             self.clock_ms(),
-            self.born,
+            self.born(),
             running.join(","),
             ended.join(",")
         );
