--- a/review/harness-2/kit.rs
+++ b/review/harness-2/kit.rs
@@ -670,6 +670,8 @@
     state: Arc<(Mutex<WorkerState>, Condvar)>,
     stop: Arc<AtomicBool>,
     draining: Arc<AtomicBool>,
+    /// Number of hold calls that were answered.
+    pub holds: Arc<AtomicU64>,
     /// Time that a stop takes.
     pub stop_ms: Arc<AtomicU64>,
     sequence: Arc<AtomicU64>,
@@ -704,6 +706,7 @@
             state: Arc::default(),
             stop: Arc::default(),
             draining: Arc::default(),
+            holds: Arc::default(),
             stop_ms: Arc::default(),
             sequence: Arc::default(),
             draws: Arc::new(AtomicU64::new(unix_ms())),
@@ -733,6 +736,18 @@
         self.life.lock().unwrap().1
     }
 
+    /// Is gone for good, without a word: what runs on it ends, and nothing is sent or answered any more.
+    pub fn vanish(&self, link: &Link) {
+        let mut state = self.state.0.lock().unwrap();
+        link.set_cut(true);
+        self.stop.store(true, Ordering::Relaxed);
+        let all: Vec<_> = state.running.keys().cloned().collect();
+        for task in all {
+            self.end(&mut state, &task, "gone");
+        }
+        self.record.say(&format!("worker {}: is gone", self.id));
+    }
+
     /// Crashes and starts again under the same identity: it runs and knows nothing then.
     pub fn crash(&self) {
         let mut state = self.state.0.lock().unwrap();
@@ -975,6 +990,7 @@
             running.join(","),
             ended.join(",")
         );
+        self.holds.fetch_add(1, Ordering::Relaxed);
         (200, text)
     }
 
