Show that jobs that repeat often end all control hosts for good

A script submits jobs with a repeat-count of 35,040 and kills control hosts over 256 MB, as the platform does.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -1,23 +1,30 @@
-//! Jobs are submitted to routes while a new version of the configuration removes these routes. Each
-//! job that was accepted has to run.
+//! Jobs that are to run many times are accepted. The platform kills a process that uses more memory
+//! than its limit, and starts it again; the accepted jobs have to stay known, and control has to go on.
 #[path = "../harness-2/kit.rs"]
 mod kit;
 
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 
-use kit::{Record, Site, Worker, call, configuration, finish, sleep_ms, trouble};
+use kit::{CONTROL, Record, Site, Worker, configuration, finish, sleep_ms, trouble, unix_ms};
 
-/// Rounds, each with routes of its own that are added and then removed.
-const ROUNDS: usize = 4;
-const ROUTES: usize = 320;
-const CLIENTS: usize = 16;
-/// `finish_s` of the site, and the 3 s for which nothing may stand still after it.
-const FINISH_MS: u64 = 14_000 + 3_000;
+const JOBS: u64 = 36;
+const TASKS: u64 = 2;
+/// Every quarter of an hour for a year; as many times as the site's own jobs without the disruption.
+const TIMES_MANY: u64 = 35_040;
+const TIMES_FEW: u64 = 8;
+/// `memory-mb` of core machines.
+const MEMORY_MB: u64 = 256;
+const RESTART_MS: u64 = 500;
+/// `finish_s`, and some time for the answers.
+const FINISH_MS: u64 = 14_000;
 
-fn job(cpu: u64, ms: u64) -> String {
-    format!("{{\"spec\":\"{ms}\",\"steps\":[{{\"count\":1,\"cpu\":{cpu},\"mem-mb\":100,\"estimate-ms\":{ms}}}]}}")
+/// Memory that belongs to the process alone, without the pages of its program file.
+fn memory_mb(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("RssAnon"));
+    line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok()).unwrap_or(0) / 1024
 }
 
 fn main() {
@@ -25,88 +32,99 @@
     let site = Arc::new(Site::new(&record));
     site.start_all(1);
     let events = kit::Events::default();
-    let worker =
-        Worker::start("w-1", [128_000, 524_288, 8], [100, 100, 0], site.controls(), &events, &record, None);
-    let base = vec![("r-base".to_owned(), "/base/".to_owned(), 1)];
-    let version = |round: usize, removed: u64| 2 * round as u64 + 1 + removed;
-    let accepted: Arc<Mutex<Vec<String>>> = Arc::default();
-    let refused: Arc<AtomicUsize> = Arc::default();
-    for round in 0..ROUNDS {
-        let mut routes = base.clone();
-        routes.extend((0..ROUTES).map(|n| (format!("r-{round}-{n}"), format!("/r{round}-{n}/"), 1)));
-        site.configure(&configuration(version(round, 0), &routes));
-        if round == 0 {
-            site.submit("/base/00000000000000ff", &job(100, 100));
-        }
-        sleep_ms(1_000);
-        submit_while_routes_go(&site, round, &accepted, &refused, &configuration(version(round, 1), &base));
-    }
-    let accepted = accepted.lock().unwrap().clone();
-    let refused = refused.load(Ordering::Relaxed);
-    record.tell(&format!("{} jobs were accepted, {refused} were not", accepted.len()));
-    if accepted.is_empty() || trouble() && refused == 0 {
-        kit::cannot("the configuration did not change while jobs were submitted");
-    }
-    sleep_ms(FINISH_MS);
-    // A job on a route that stays still runs: the worker has room and takes work.
-    site.submit("/base/00000000000000fe", &job(100, 100));
-    sleep_ms(1_500);
-    let events = events.lock().unwrap().clone();
-    let ran = |id: &str| events.iter().any(|e| e.what == "done" && e.task.starts_with(id));
-    if !ran("00000000000000fe") {
-        kit::cannot("the worker runs nothing any more");
-    }
-    let lost: Vec<_> = accepted.iter().filter(|id| !ran(id)).cloned().collect();
-    for id in &lost {
-        record.say(&format!("job {id} was accepted and has never been started"));
-    }
-    let busy = worker.running();
-    record.tell(&format!("{} of {} accepted jobs have never run; the worker runs {busy} tasks", lost.len(), accepted.len()));
-    let broken = (!lost.is_empty()).then(|| format!("LOST: accepted jobs that never ran: {}", lost.join(" ")));
-    finish(&record, broken)
-}
+    let _workers: Vec<_> = (1..=6)
+        .map(|n| {
+            let id = format!("w-{n}");
+            Worker::start(&id, [128_000, 524_288, 8], [100, 100, 0], site.controls(), &events, &record, None)
+        })
+        .collect();
+    site.configure(&configuration(1, &[("r-base".to_owned(), "/base/".to_owned(), 1)]));
+    sleep_ms(2_500);
+    site.submit(
+        "/base/00000000000000ff",
+        "{\"spec\":\"100\",\"steps\":[{\"count\":1,\"cpu\":100,\"mem-mb\":100,\"estimate-ms\":100}]}",
+    );
 
-/// Each client submits one job to each of its routes in turn; a third of the way the operator removes
-/// all these routes.
-fn submit_while_routes_go(
-    site: &Arc<Site>,
-    round: usize,
-    accepted: &Arc<Mutex<Vec<String>>>,
-    refused: &Arc<AtomicUsize>,
-    without: &str,
-) {
-    let begun: Arc<AtomicUsize> = Arc::default();
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|client| {
-            let (site, accepted, begun) = (Arc::clone(site), Arc::clone(accepted), Arc::clone(&begun));
-            let refused = Arc::clone(refused);
+    // The platform: kills a process over its limit and starts it again.
+    let kills: Arc<Vec<AtomicU64>> = Arc::new((0..CONTROL).map(|_| AtomicU64::new(0)).collect());
+    let peak = Arc::new(AtomicU64::new(0));
+    let ends: Arc<AtomicBool> = Arc::default();
+    let platform: Vec<_> = (0..CONTROL)
+        .map(|host| {
+            let (site, kills, peak, ends) =
+                (Arc::clone(&site), Arc::clone(&kills), Arc::clone(&peak), Arc::clone(&ends));
             thread::spawn(move || {
-                for route in (client..ROUTES).step_by(CLIENTS) {
-                    begun.fetch_add(1, Ordering::Relaxed);
-                    let id = format!("{:016x}", 0x1_0000 * (round + 1) + route);
-                    let path = format!("/r{round}-{route}/{id}");
-                    let answer = site.client(0, "POST", &path, &job(100, 300));
-                    let status = answer.map(|a| a.0);
-                    site.record.say(&format!("client: POST {path} -> {status:?}"));
-                    if status == Some(200) {
-                        accepted.lock().unwrap().push(id);
-                    } else {
-                        refused.fetch_add(1, Ordering::Relaxed);
+                while !ends.load(Ordering::Relaxed) {
+                    let used = memory_mb(site.pid(host));
+                    peak.fetch_max(used, Ordering::Relaxed);
+                    if used > MEMORY_MB {
+                        site.record.say(&format!("platform: host {host} uses {used} MB, over its limit of {MEMORY_MB}"));
+                        kills[host].fetch_add(1, Ordering::Relaxed);
+                        site.signal(host, "KILL");
+                        sleep_ms(RESTART_MS);
+                        site.start(host, false);
                     }
+                    sleep_ms(20);
                 }
             })
         })
         .collect();
-    while begun.load(Ordering::Relaxed) < ROUTES / 3 {
-        sleep_ms(1);
+
+    let times = if trouble() { TIMES_MANY } else { TIMES_FEW };
+    let first_ms = unix_ms() + 600_000;
+    let mut accepted = Vec::new();
+    let mut in_vain = 0;
+    for number in 0..JOBS {
+        let path = format!("/base/{:016x}", 0xb00 + number);
+        let body = format!(
+            "{{\"spec\":\"100\",\"repeat-count\":{times},\"first-run-ms\":{first_ms},\"interval-ms\":900000,\
+             \"steps\":[{{\"count\":{TASKS},\"cpu\":100,\"mem-mb\":100,\"estimate-ms\":60000}}]}}"
+        );
+        let status = site.client(0, "POST", &path, &body).map(|a| a.0);
+        let used: Vec<_> = (0..CONTROL).map(|host| memory_mb(site.pid(host))).collect();
+        record.say(&format!("client: POST {path} -> {status:?}; MB of the control hosts: {used:?}"));
+        if status == Some(200) {
+            accepted.push(path);
+        } else {
+            in_vain += 1;
+        }
+        if in_vain == 3 {
+            break;
+        }
+        sleep_ms(250);
     }
-    if trouble() {
-        let address = site.control(site.leader());
-        site.record.say("operator: sends a version without the routes");
-        let answer = call(address, "POST", "/cactuslatch/Config.Replace", &[], without, 1000);
-        site.record.say(&format!("operator: that version -> {:?}", answer.map(|a| a.0)));
+    record.tell(&format!("{} jobs were accepted", accepted.len()));
+    // `finish_s` after the end of the traffic the jobs are asked for, each until it is known.
+    sleep_ms(FINISH_MS);
+    let mut unknown = accepted.clone();
+    unknown.truncate(6);
+    for _ in 0..8 {
+        unknown.retain(|path| {
+            let state = site.state(path);
+            site.record.say(&format!("client: GET {path} -> {state}"));
+            state != "queued" && state != "active"
+        });
+        if unknown.is_empty() {
+            break;
+        }
+        unknown.truncate(2);
+        sleep_ms(500);
     }
-    for client in clients {
-        _ = client.join();
+    ends.store(true, Ordering::Relaxed);
+    for thread in platform {
+        _ = thread.join();
     }
+    let kills: Vec<_> = kills.iter().map(|kills| kills.load(Ordering::Relaxed)).collect();
+    let peak = peak.load(Ordering::Relaxed);
+    record.tell(&format!("control hosts were over their limit {kills:?} times; peak {peak} MB"));
+    let hosts_ended = kills.iter().filter(|kills| **kills >= 3).count();
+    let no_answer = if unknown.is_empty() {
+        String::new()
+    } else {
+        format!("; LOST: accepted jobs get no answer: {}", unknown.join(" "))
+    };
+    let broken = (hosts_ended * 2 >= CONTROL).then(|| {
+        format!("Fault: {hosts_ended} of {CONTROL} control hosts ended three times by themselves{no_answer}")
+    });
+    finish(&record, broken)
 }
--- a/review/harness-2/kit.rs
+++ b/review/harness-2/kit.rs
@@ -511,6 +511,11 @@
         }
     }
 
+    /// Returns the process of a host.
+    pub fn pid(&self, host: usize) -> u32 {
+        self.pids.lock().unwrap()[&host]
+    }
+
     /// Deletes the data of a control host that does not run.
     pub fn wipe(&self, host: usize) {
         self.record.say(&format!("host {host} loses its disk"));
