--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use kit::{J, Link, Record, Site, Worker, configuration, finish, sleep_ms, trouble};
@@ -49,6 +50,7 @@
     let cut = links.lock().unwrap()[busiest].clone();
     if trouble() {
         record.say(&format!("worker w-{} is cut off silently", busiest + 1));
+        workers[busiest].cut_off.store(true, Ordering::Relaxed);
         cut.set_cut(true);
     }
     let cut_at = Instant::now();
@@ -70,6 +72,7 @@
     while cut_at.elapsed().as_millis() as u64 + 100 < CUT_MS + 2_000 {
         if !healed && cut_at.elapsed().as_millis() as u64 >= CUT_MS {
             cut.set_cut(false);
+            workers[busiest].cut_off.store(false, Ordering::Relaxed);
             record.say("the cut has healed");
             healed = true;
         }
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use kit::{Link, Record, Site, Worker, configuration, finish, sleep_ms, trouble};
@@ -69,15 +70,20 @@
         kit::cannot("not all tasks were started while none had ended");
     }
     let busiest = (0..WORKERS).max_by_key(|n| running()[*n]).unwrap();
+    let (mut cut_from, mut cut_to) = (Instant::now(), Instant::now());
     if trouble() {
         // The tasks of this worker end while it is cut off; its lease is longer than that.
         while left_ms() > 1_000 {
             sleep_ms(10);
         }
         record.say(&format!("worker w-{} is cut off from the control hosts", busiest + 1));
+        cut_from = Instant::now();
+        workers[busiest].cut_off.store(true, Ordering::Relaxed);
         links.lock().unwrap()[busiest].set_cut(true);
         sleep_ms(CUT_MS);
         links.lock().unwrap()[busiest].set_cut(false);
+        workers[busiest].cut_off.store(false, Ordering::Relaxed);
+        cut_to = Instant::now();
         record.say("the cut has healed");
     }
     let states = || (0..JOBS).map(|job| site.state(&path(job))).collect::<Vec<_>>();
@@ -91,6 +97,12 @@
     let state = states().join(" ");
     let noted = workers[busiest].last_seen();
     let ends = workers[busiest].ends();
+    if trouble() {
+        let events = events.lock().unwrap();
+        let ended = |e: &&kit::Event| e.what == "done" && e.worker == workers[busiest].id && e.at >= cut_from && e.at <= cut_to;
+        let in_cut = events.iter().filter(ended).count();
+        record.tell(&format!("{in_cut} tasks of worker w-{} ended during the cut", busiest + 1));
+    }
     record.tell(&format!("the jobs are {state}; worker w-{}: {ends} ends, noted up to {noted}", busiest + 1));
     let events = events.lock().unwrap().clone();
     if events.iter().any(|e| e.what == "lapsed") {
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -11,7 +11,8 @@
 
 use kit::{Link, Record, Site, Worker, configuration, finish, sleep_ms, trouble};
 
-const WORKERS: usize = 6;
+/// One of them leaves: a share of 0.0625.
+const WORKERS: usize = 16;
 const TASKS: usize = 24;
 const WORK_MS: u64 = 25_000;
 /// One way between regions, as the deployment sheets say.
@@ -78,6 +79,7 @@
     if trouble() {
         sleep_ms(CUT_AFTER_MS);
         record.say(&format!("worker {} is cut off from all machines; connections are refused", worker.id));
+        worker.cut_off.store(true, Ordering::Relaxed);
         cut.set_refuses(true);
         sleep_ms(CUT_MS);
         record.say("the cut has healed");
@@ -88,11 +90,17 @@
     // Runs of one task on two workers that are both up.
     let mut open: HashMap<String, Vec<String>> = HashMap::new();
     let mut twice = Vec::new();
-    for event in &events {
+    // Longest time for which two runs of a task overlap.
+    let mut overlap_ms = 0;
+    for (number, event) in events.iter().enumerate() {
         let at = open.entry(event.task.clone()).or_default();
         if event.what == "start" {
             if at.iter().any(|worker| *worker != event.worker) {
                 twice.push(format!("{} on {} and {}", event.task, at[0], event.worker));
+                let is_end = |e: &&kit::Event| e.task == event.task && e.what != "start";
+                if let Some(end) = events[number..].iter().find(is_end) {
+                    overlap_ms = overlap_ms.max((end.at - event.at).as_millis());
+                }
             }
             at.push(event.worker.clone());
         } else {
@@ -100,7 +108,7 @@
         }
     }
     let starts = events.iter().filter(|e| e.what == "start").count();
-    record.tell(&format!("{starts} starts of {TASKS} tasks; {} began while the task ran elsewhere", twice.len()));
+    record.tell(&format!("{starts} starts of {TASKS} tasks; {} began while the task ran elsewhere, for up to {overlap_ms} ms", twice.len()));
     let broken = (!twice.is_empty())
         .then(|| format!("TWICE: two runs at the same time of {} tasks, such as {}", twice.len(), twice[0]));
     finish(&record, broken)
--- a/review/harness-2/kit.rs
+++ b/review/harness-2/kit.rs
@@ -166,6 +166,8 @@
 
 impl Record {
     pub fn new(path: &str) -> Self {
+        // Nothing may be left behind, whatever goes wrong.
+        std::panic::set_hook(Box::new(|fault| cannot(&fault.to_string())));
         let file = File::create(path).unwrap_or_else(|e| cannot(&format!("create {path}: {e}")));
         Self { file: Arc::new(Mutex::new(file)), begun: Instant::now() }
     }
@@ -675,8 +677,8 @@
     state: Arc<(Mutex<WorkerState>, Condvar)>,
     stop: Arc<AtomicBool>,
     draining: Arc<AtomicBool>,
-    /// Number of hold calls that were answered.
-    pub holds: Arc<AtomicU64>,
+    /// While it is cut off, its heartbeats do not leave it.
+    pub cut_off: Arc<AtomicBool>,
     /// Time that a stop takes.
     pub stop_ms: Arc<AtomicU64>,
     sequence: Arc<AtomicU64>,
@@ -711,7 +713,7 @@
             state: Arc::default(),
             stop: Arc::default(),
             draining: Arc::default(),
-            holds: Arc::default(),
+            cut_off: Arc::default(),
             stop_ms: Arc::default(),
             sequence: Arc::default(),
             draws: Arc::new(AtomicU64::new(unix_ms())),
@@ -794,6 +796,10 @@
     fn beat_forever(&self, controls: &[SocketAddr]) {
         let mut first = 0;
         while !self.stop.load(Ordering::Relaxed) {
+            if self.cut_off.load(Ordering::Relaxed) {
+                sleep_ms(100);
+                continue;
+            }
             let body = self.beat();
             for turn in 0..controls.len() {
                 let address = controls[(first + turn) % controls.len()];
@@ -995,7 +1001,6 @@
             running.join(","),
             ended.join(",")
         );
-        self.holds.fetch_add(1, Ordering::Relaxed);
         (200, text)
     }
 
