End the runs of a leaving upstream by proof only

What callers saw: a worker said that it leaves and was cut off with refused connections 0.2 s later.

Cause: after its word, a refused connection counted as the end of an upstream, and its removal ends its runs in the state. The word is recorded when it arrives, before the acknowledgement that lets the upstream go, and a link may refuse connections as well. The log of the unchanged code shows it: "upstream is gone", cause "left", 0.1 s after the cut. Ruled out: the end of a lease (no such line, and it had been extended less than 2 s before), an upstream that went with an acknowledgement (it had none).

Now the runs of such an upstream end by its lists or by their lease. The leave is acknowledged once they have ended, for at most the stop timeout and 0.5 s; a call that waits for 0.8 s is answered 503 (the new reply RunsRemain), and the upstream asks again. Leases of leaving upstreams are not extended, and checkpoints that were seen are kept when a lease ends.

Related paths: an upstream that leaves before a new leader has a session with it was removed with all its runs, and a leave was acknowledged after 0.8 s with runs that were still being stopped, whose ends got lost with it. Both are mended.

Session::is_hold_answered is gone, since no lease of a leaving upstream is extended.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -193,6 +193,12 @@
             .filter(|leader| *leader != self.settings.internal_address)
     }
 
+    /// Returns a leader that does not work yet.
+    pub(super) fn new_leader(&self, term: u64) -> Arc<Leader> {
+        let replica = Arc::clone(&self.replica);
+        Leader::new(term, replica, self.calls.clone(), self.settings.bounds, &self.settings)
+    }
+
     /// Runs a leader for each term in which this host leads.
     async fn run_leader_terms(self: Arc<Self>) {
         let mut role = self.replica.role();
@@ -201,9 +207,7 @@
                 Ok(role) => role.leading_term.unwrap_or_default(),
                 Err(_) => return,
             };
-            let replica = Arc::clone(&self.replica);
-            let bounds = self.settings.bounds;
-            let leader = Leader::new(term, replica, self.calls.clone(), bounds, &self.settings);
+            let leader = self.new_leader(term);
             *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(&leader));
             let work = tokio::spawn(Arc::clone(&leader).run());
             let ended = role.wait_for(|role| role.leading_term != Some(term)).await.is_err();
--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -35,11 +35,26 @@
 /// Time without heartbeats after which an upstream whose leases have ended is removed.
 const REMOVE_SILENT_AFTER_MS: u64 = 20_000;
 
-/// Longest wait for the ends of the runs of an upstream that leaves, which itself waits for a second.
-const LAST_RUNS_TIMEOUT_MS: u64 = 800;
+/// Longest wait of one call for the ends of the runs of an upstream that leaves; its caller waits for a
+/// second.
+const LAST_RUNS_CALL_TIMEOUT_MS: u64 = 800;
+
+/// Time beyond the stop timeout in which the ends of the last runs of a leaving upstream are recorded.
+const LAST_RUNS_MARGIN_MS: u64 = 500;
 
 const LAST_RUNS_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// State of the runs of an upstream that leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LastRuns {
+    /// All of them have ended.
+    Ended,
+    /// Some are being stopped.
+    Ending,
+    /// Some have not ended in time; they are over when their lease is.
+    Remaining,
+}
+
 /// What the holding loop does after a call.
 pub(super) enum NextStep {
     Again,
@@ -111,21 +126,35 @@
     ///
     /// The upstream may go once its leave is acknowledged. Nobody else knows of the ends that its lists
     /// show, and runs that it takes along can't start elsewhere before their lease has ended.
-    pub(super) async fn end_last_runs(&self, incarnation: &Incarnation, leaving_since_ms: u64) {
-        let Some(read_now) = self.read_now(incarnation) else { return };
-        read_now.notify_one();
+    pub(super) async fn end_last_runs(
+        &self,
+        incarnation: &Incarnation,
+        leaving_since_ms: u64,
+    ) -> LastRuns {
+        if let Some(read_now) = self.read_now(incarnation) {
+            read_now.notify_one();
+        }
+        let begun_ms = boot_ms();
+        let limit_ms = self.bounds.stop_timeout_ms + LAST_RUNS_MARGIN_MS;
         loop {
             let runs = self.replica.lock().state.runs_of(incarnation);
             if runs.is_empty() {
-                return;
+                return LastRuns::Ended;
+            }
+            let now_ms = boot_ms();
+            if now_ms.saturating_sub(leaving_since_ms) > limit_ms {
+                warn!(
+                    upstream = %incarnation.id, runs = runs.len(),
+                    "upstream leaves before its runs have ended"
+                );
+                return LastRuns::Remaining;
+            }
+            if now_ms.saturating_sub(begun_ms) > LAST_RUNS_CALL_TIMEOUT_MS {
+                return LastRuns::Ending;
             }
             for (task, run) in runs {
                 self.order_stop(incarnation, task, run, "upstream leaves");
             }
-            if boot_ms().saturating_sub(leaving_since_ms) > LAST_RUNS_TIMEOUT_MS {
-                warn!(upstream = %incarnation.id, "upstream leaves before its runs have ended");
-                return;
-            }
             tokio::time::sleep(LAST_RUNS_CHECK_INTERVAL).await;
         }
     }
@@ -172,7 +201,7 @@
             }
             // The upstream was not asked, so it is not silent.
             Err(CallFault::NoConnection) => NextStep::Pause(RETRY_PAUSE),
-            Err(fault) if self.has_left(incarnation, &fault) => {
+            Err(_) if self.has_left(incarnation) => {
                 self.remove_upstream(incarnation, Loss::Left).await
             }
             Err(fault) => self.handle_silence(incarnation, &fault).await,
@@ -189,12 +218,13 @@
         }
     }
 
-    /// Returns whether a leaving upstream that did not answer is over. One whose answer was lost may go
-    /// on with its runs for a while.
-    fn has_left(&self, incarnation: &Incarnation, fault: &CallFault) -> bool {
-        let runs_nothing =
-            *fault == CallFault::Refused || !self.replica.lock().state.has_runs(incarnation);
-        self.is_leaving(incarnation) && runs_nothing
+    /// Returns whether a leaving upstream that did not answer can be removed, since it runs nothing.
+    ///
+    /// Its announcement does not prove that it has ended, nor does a refused connection: it goes on for
+    /// a while if its leave is not acknowledged, and a link may refuse as well. Runs end with their
+    /// lease.
+    fn has_left(&self, incarnation: &Incarnation) -> bool {
+        self.is_leaving(incarnation) && !self.replica.lock().state.has_runs(incarnation)
     }
 
     /// Returns whether the upstream has announced that it leaves now.
@@ -221,10 +251,10 @@
         // Another incarnation counts its ends anew, and would drop those up to this number.
         let ends_seen = if session.is_incarnation_certain(now_ms) { ends_seen } else { 0 };
         let silent = session.silent_ms(now_ms).is_some_and(|ms| ms > EXTEND_LEASE_SILENCE_MAX_MS);
-        let may_have_left = session.is_leaving() && !session.is_hold_answered();
-        // If leases were extended without end, the work of a silent upstream could never restart.
+        // If leases were extended without end, the work of a silent upstream could never restart. The
+        // runs of one that leaves are being stopped.
         let lease_until_ms =
-            if silent || may_have_left { None } else { session.grant_lease(now_ms) };
+            if silent || session.is_leaving() { None } else { session.grant_lease(now_ms) };
         let no_wait = !session.lists_read || session.is_leaving() || polls_at_intervals;
         let wait_ms = if no_wait { 0 } else { LONG_POLL_MS };
         Some(HoldOrder {
@@ -252,6 +282,8 @@
         };
         debug!(upstream = %incarnation.id, error = %fault, lapsed, "upstream does not answer");
         if remove {
+            // This keeps the checkpoints that were observed.
+            self.record_lost_runs(incarnation).await;
             let loss = if self.is_leaving(incarnation) { Loss::Left } else { Loss::Silent };
             return self.remove_upstream(incarnation, loss).await;
         }
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -7,6 +7,7 @@
 use tracing::{info, warn};
 
 use super::Leader;
+use super::hold::LastRuns;
 use crate::cluster::clock::{boot_ms, unix_ms};
 use crate::cluster::protocol::{
     Action, ClusterStatus, FrontCall, FrontReply, MemberStatus, OperatorReply, Reply, Request,
@@ -336,12 +337,22 @@
             }
             _ => None,
         };
-        if let Some(leaving_since_ms) = leaving_since_ms {
-            self.end_last_runs(&incarnation, leaving_since_ms).await;
-            Reply::Done
-        } else {
-            self.commit(Change::RemoveUpstream { incarnation }, Reply::Done).await
+        let Some(leaving_since_ms) = leaving_since_ms else {
+            return self.remove_idle_upstream(incarnation).await;
+        };
+        match self.end_last_runs(&incarnation, leaving_since_ms).await {
+            LastRuns::Ended | LastRuns::Remaining => Reply::Done,
+            LastRuns::Ending => Reply::RunsRemain,
+        }
+    }
+
+    /// Removes a leaving upstream without a session, unless it has runs: these go on until they are
+    /// stopped, which takes the session that begins soon.
+    async fn remove_idle_upstream(&self, incarnation: Incarnation) -> Reply {
+        if self.replica.lock().state.has_runs(&incarnation) {
+            return Reply::RunsRemain;
         }
+        self.commit(Change::RemoveUpstream { incarnation }, Reply::Done).await
     }
 
     fn status(&self) -> ClusterStatus {
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -167,11 +167,6 @@
         self.lists_read_ms = None;
     }
 
-    /// Returns whether the latest hold call was answered.
-    pub(super) const fn is_hold_answered(&self) -> bool {
-        self.lists_read_ms.is_some()
-    }
-
     /// Returns whether the lists were read so recently that no other incarnation can have taken over.
     pub(super) fn is_incarnation_certain(&self, now_ms: u64) -> bool {
         self.lists_read_ms.is_some_and(|read_ms| now_ms.saturating_sub(read_ms) <= RESTART_MIN_MS)
--- a/src/cluster/protocol.rs
+++ b/src/cluster/protocol.rs
@@ -222,4 +222,6 @@
     Status(ClusterStatus),
     /// Reply to [`Request::Explain`]: lines for a human reader.
     Explanation(Vec<String>),
+    /// Reply to [`Request::Deregister`]: runs of the upstream have not ended yet; it may ask again.
+    RunsRemain,
 }
--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -22,6 +22,16 @@
 /// Time for which a crashed upstream is down.
 const DOWNTIME: Duration = Duration::from_millis(150);
 
+/// Bounds of the host in most tests.
+pub(super) const BOUNDS: TaskBounds = TaskBounds {
+    lease_max_ms: 4_000,
+    stop_timeout_ms: 200,
+    remote_factor: 3,
+    order_lease_ms: 3_000,
+    maintenance_ms: 2_000,
+    keep_state_ms: 60_000,
+};
+
 /// How the next calls to an upstream go wrong.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) enum Fault {
@@ -31,6 +41,8 @@
     Silent,
     /// The call is carried out, and its answer is lost.
     AnswerLost,
+    /// Connections are refused, by the upstream's host or by a link on the way.
+    Refused,
     /// The caller has no connection to spare.
     NoConnection,
     /// The answer is well-formed, and its figures make no sense.
@@ -387,6 +399,7 @@
 fn not_carried_out(fault: Fault) -> Result<(), CallFault> {
     match fault {
         Fault::Silent => Err(CallFault::NoAnswer { reason: "silent".to_owned() }),
+        Fault::Refused => Err(CallFault::Refused),
         Fault::NoConnection => Err(CallFault::NoConnection),
         Fault::None | Fault::AnswerLost | Fault::Absurd => Ok(()),
     }
@@ -409,8 +422,17 @@
 impl TestControl {
     /// Starts the host and registers upstreams under the sample's names.
     pub(super) async fn start(fake: &FakeUpstreams, upstreams: u32, lease_max_ms: u64) -> Self {
+        Self::start_with(fake, upstreams, TaskBounds { lease_max_ms, ..BOUNDS }).await
+    }
+
+    /// Starts the host with other bounds.
+    pub(super) async fn start_with(
+        fake: &FakeUpstreams,
+        upstreams: u32,
+        bounds: TaskBounds,
+    ) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let settings = settings(folder.path(), lease_max_ms).await;
+        let settings = settings(folder.path(), bounds).await;
         let control = Control::start(settings, fake.calls()).await.unwrap();
         let test = Self { control, _folder: folder };
         let set = Request::SetConfiguration {
@@ -452,7 +474,7 @@
     }
 }
 
-async fn settings(folder: &Path, lease_max_ms: u64) -> ClusterSettings {
+async fn settings(folder: &Path, bounds: TaskBounds) -> ClusterSettings {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let internal_address = listener.local_addr().unwrap();
     drop(listener);
@@ -463,14 +485,7 @@
         founding: true,
         data_dir: folder.to_owned(),
         losses_max: 1,
-        bounds: TaskBounds {
-            lease_max_ms,
-            stop_timeout_ms: 200,
-            remote_factor: 3,
-            order_lease_ms: 3_000,
-            maintenance_ms: 2_000,
-            keep_state_ms: 60_000,
-        },
+        bounds,
     }
 }
 
--- a/src/cluster/tests/promises.rs
+++ b/src/cluster/tests/promises.rs
@@ -5,8 +5,8 @@
 
 use rstest::rstest;
 
-use super::fake_worker::{FakeUpstreams, Fault, TestControl, wait_until};
-use crate::cluster::{Action, FrontCall, FrontReply, Reply, Request};
+use super::fake_worker::{BOUNDS, FakeUpstreams, Fault, TestControl, wait_until};
+use crate::cluster::{Action, FrontCall, FrontReply, Reply, Request, TaskBounds};
 use crate::tasks::tests::sample::{heartbeat, job_id, spec, step};
 use crate::tasks::{JobSpec, JobState, Repeat, StepSpec};
 
@@ -139,16 +139,21 @@
     assert_eq!(fake.started().len(), 1, "{:?}", fake.started());
 }
 
-/// Guards against a second run beside one on a leaving upstream whose answers are lost: it goes on for
-/// a while if its leave is not acknowledged.
+/// Guards against a second run beside one on a leaving upstream that can't be asked: its answers are
+/// lost, or a link refuses connections. It goes on for a while if its leave is not acknowledged.
+#[rstest]
+#[case::answers_lost(Fault::AnswerLost)]
+#[case::connections_refused(Fault::Refused)]
 #[tokio::test(flavor = "multi_thread")]
-async fn work_of_a_leaving_upstream_that_does_not_answer_is_not_started_elsewhere() {
+async fn work_of_a_leaving_upstream_that_does_not_answer_is_not_started_elsewhere(
+    #[case] fault: Fault,
+) {
     let fake = FakeUpstreams::new(Duration::from_secs(2));
     let test = TestControl::start(&fake, 2, LEASE_MS).await;
     submit(&test, 1).await;
     wait_until("it runs", || fake.running() == 1).await;
     let upstream = Arc::clone(&fake.started()[0].2);
-    fake.set_holds(&upstream, Fault::AnswerLost);
+    fake.set_holds(&upstream, fault);
     fake.set_stops(Fault::Silent);
     let leave = Request::Deregister { id: Arc::clone(&upstream), born_unix_ms: None };
     let left = test.call_until_answered(leave);
@@ -180,6 +185,40 @@
     wait_until_completed(&test, &fake, 1).await;
 }
 
+/// Guards against work that is taken along by an upstream whose leave was acknowledged while its runs
+/// were still being stopped: nobody would hear how they ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leave_is_acknowledged_once_the_runs_have_ended() {
+    let fake = FakeUpstreams::new(Duration::from_secs(5));
+    fake.set_stop_time(Duration::from_millis(1_200));
+    let bounds = TaskBounds { stop_timeout_ms: 1_500, ..BOUNDS };
+    let test = TestControl::start_with(&fake, 1, bounds).await;
+    submit(&test, 1).await;
+    wait_until("it runs", || fake.running() == 1).await;
+    let upstream = Arc::clone(&fake.started()[0].2);
+    let leave = Request::Deregister { id: upstream, born_unix_ms: None };
+    while test.call_until_answered(leave.clone()).await != Reply::Done {
+        assert_eq!(fake.running(), 1);
+    }
+    assert_eq!(fake.running(), 0);
+}
+
+/// Guards against a second run beside one on an upstream that leaves before a new leader has a session
+/// with it: its word is no proof that its runs are over.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_of_an_upstream_that_leaves_before_its_session_goes_on() {
+    let fake = FakeUpstreams::new(Duration::from_secs(2));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    submit(&test, 1).await;
+    wait_until("it runs", || fake.running() == 1).await;
+    let upstream = Arc::clone(&fake.started()[0].2);
+    let new_leader = test.control.new_leader(0);
+    let leave = Request::Deregister { id: upstream, born_unix_ms: None };
+    assert_eq!(new_leader.handle(leave).await, Reply::RunsRemain);
+    wait_until_completed(&test, &fake, 1).await;
+    assert_eq!(fake.started().len(), 1, "{:?}", fake.started());
+}
+
 /// Guards against new work for an upstream that has left, when a heartbeat that was sent before
 /// arrives late.
 #[tokio::test(flavor = "multi_thread")]
--- a/src/cluster/upstream_calls.rs
+++ b/src/cluster/upstream_calls.rs
@@ -226,7 +226,8 @@
         /// Error message.
         reason: String,
     },
-    /// Nothing listens at the address, so nothing was carried out and nothing runs there.
+    /// The connection was refused, so nothing was carried out. A link on the way may refuse as well, so
+    /// the upstream may be up.
     #[display("connection refused")]
     Refused,
     /// This process has no connection to spare, so nothing was sent. It says nothing about the
--- a/src/task_api/http.rs
+++ b/src/task_api/http.rs
@@ -28,6 +28,9 @@
 /// Time after which a caller may retry if no leader or no configuration was available.
 const NO_LEADER_RETRY_MS: u64 = 1_000;
 
+/// Time after which an upstream whose runs are being stopped may ask to leave again.
+const RUNS_REMAIN_RETRY_MS: u64 = 1_000;
+
 #[derive(Debug, Serialize)]
 struct StateBody {
     state: &'static str,
@@ -129,6 +132,10 @@
         Ok(Reply::Operator(OperatorReply::Done) | Reply::Done) => {
             json(200, &StateBody { state: "stored" })
         }
+        Ok(Reply::RunsRemain) => {
+            let response = error(503, "runs of the upstream have not ended yet");
+            with_retry_after(response, RUNS_REMAIN_RETRY_MS)
+        }
         Ok(_) => error(502, "control sent a reply of another kind"),
         Err(ClientFault::NotDelivered) => {
             let response = error(503, "no leader of control is in reach; nothing was accepted");
