Hold only the occurrences of a job that are due

Cause: a job built every unit of all its occurrences when it was accepted, 70,080 here, and jobs that can't wait were accepted whatever was held. A state with one such job encodes to 525,977 bytes. Ruled out for this case: the log in memory (some hundred bytes for each job) and the decision (nothing was due).

Now occurrences are opened a second before they are due and closed once they are done. Jobs may take a quarter of the process's memory together: beyond three quarters of that a job is refused for a while, and the steps of ended jobs are dropped while half of it is exceeded.

Related paths: lasting jobs, jobs without an estimate, jobs of many steps, cancelled ones, occurrences that are overdue all at once, and the log, whose entries were dropped by their number only and now also by their size. The backlog of a job is summed by step, so that its timeliness is worked out once and not for each unit.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -51,7 +51,7 @@
 /// A running control host.
 #[derive(Debug)]
 pub struct Control {
-    replica: Arc<Replica>,
+    pub(super) replica: Arc<Replica>,
     client: LeaderClient,
     /// Present while this host leads.
     leader: Mutex<Option<Arc<Leader>>>,
--- a/src/cluster/leader/maintenance.rs
+++ b/src/cluster/leader/maintenance.rs
@@ -210,6 +210,7 @@
 
 /// Counts the units of a step that are not running.
 fn units_not_running(job: &crate::tasks::Job, occurrence: u32, step: u32) -> usize {
-    let units = &job.occurrences[occurrence as usize][step as usize].units;
-    units.iter().filter(|unit| !unit.is_running()).count()
+    let steps = job.occurrences.get(occurrence).unwrap_or_default();
+    let step = steps.get(step as usize);
+    step.map_or(0, |step| step.units.iter().filter(|unit| !unit.is_running()).count())
 }
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -207,6 +207,7 @@
             avoid: &HashSet::new(),
             approvals: &Approvals::default(),
             reserve_millihosts: 0,
+            jobs_max_bytes: self.bounds.jobs_max_bytes(),
         };
         let admission = self.term_state().admissions.decide(&view, queue, organisation, job);
         (admission, version)
@@ -394,6 +395,10 @@
         let inner = self.replica.lock();
         let Some(job) = inner.state.jobs.get(id) else { return vec![format!("{id}: no such job")] };
         let mut lines = vec![format!("{id}: {:?} in queue {}", job.state(), job.queue)];
+        if job.spec.repeat.is_some() {
+            let (opened, all) = (job.occurrences.next(), job.spec.occurrences());
+            lines.push(format!("{id}: {opened} of {all} occurrences were opened so far"));
+        }
         crate::placement::for_each_unit(job, |unit, state| {
             let upstreams: Vec<_> =
                 state.members().iter().map(|member| &*member.incarnation.id).collect();
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -11,9 +11,11 @@
 use super::{Leader, TaskRun, failures};
 use crate::cluster::clock::{boot_ms, unix_ms};
 use crate::placement::{
-    Host, Plan, Progress, StopCause, View, estimated_left_ms, plan, urgent_demand,
+    Host, Plan, Progress, StopCause, View, estimated_left_ms, jobs_to_shrink, plan, urgent_demand,
+};
+use crate::tasks::{
+    Change, Incarnation, JobId, Opening, StartRecord, State, StepSpec, TaskId, UnitId,
 };
-use crate::tasks::{Change, Incarnation, JobId, StartRecord, State, StepSpec, TaskId, UnitId};
 
 /// Longest time between two decisions.
 const PASS_INTERVAL: Duration = Duration::from_millis(250);
@@ -58,6 +60,9 @@
         let decided_in = begun.elapsed();
         log_rotation(&plan);
         self.request_approvals(plan.approval_requests);
+        if !plan.openings.is_empty() {
+            self.open_occurrences(plan.openings).await;
+        }
         if !plan.give_ups.is_empty() {
             self.give_up(plan.give_ups).await;
         }
@@ -68,6 +73,7 @@
             self.start_units(plan.starts).await;
         }
         self.drop_ended_jobs().await;
+        self.drop_steps_of_ended_jobs().await;
         decided_in
     }
 
@@ -133,6 +139,7 @@
             avoid: &avoid,
             approvals: &approvals,
             reserve_millihosts: 0,
+            jobs_max_bytes: self.bounds.jobs_max_bytes(),
         };
         let demand = urgent_demand(&view);
         let reserve = {
@@ -246,6 +253,16 @@
         }
     }
 
+    /// Opens occurrences; the next decision starts their tasks.
+    async fn open_occurrences(&self, openings: Vec<Opening>) {
+        for Opening { job, until } in &openings {
+            info!(request = %job, until, "occurrences are opened");
+        }
+        if self.replica.propose(Change::OpenOccurrences { openings }).await.is_ok() {
+            self.wake.notify_one();
+        }
+    }
+
     /// Stops hanging runs and counts them as failures of their upstreams.
     ///
     /// It is unknown which member of a gang hangs, so the job avoids all of its upstreams. When
@@ -305,6 +322,21 @@
             debug!(count, "dropped ended jobs");
         }
     }
+
+    /// Drops the steps of ended jobs if memory is short.
+    async fn drop_steps_of_ended_jobs(&self) {
+        let jobs = {
+            let inner = self.replica.lock();
+            jobs_to_shrink(&inner.state, self.bounds.jobs_max_bytes())
+        };
+        if jobs.is_empty() {
+            return;
+        }
+        info!(jobs = jobs.len(), "steps of ended jobs are dropped, since memory is short");
+        if self.replica.propose(Change::DropSteps { jobs }).await.is_err() {
+            debug!("could not drop the steps of ended jobs; the next pass will");
+        }
+    }
 }
 
 /// Returns the delay before a decision when the latest one took the given time.
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -23,6 +23,9 @@
 /// Number of applied entries after which a snapshot replaces them.
 const COMPACT_AFTER_ENTRIES: u64 = 8_000;
 
+/// Size of applied commands after which a snapshot replaces them, however few they are.
+const COMPACT_AFTER_BYTES: usize = 16 * 1024 * 1024;
+
 /// Number of collections at the end of the state that snapshots of an earlier build lack.
 const NEWEST_COLLECTIONS: usize = 4;
 
@@ -59,6 +62,8 @@
     pub(super) state: State,
     /// Index of the newest entry that `state` contains.
     applied: u64,
+    /// Size of the commands that were applied since the newest snapshot.
+    applied_bytes: usize,
     peers: Peers,
     /// Proposals that wait for their commit: term and confirmation, by index.
     waiters: BTreeMap<u64, (u64, oneshot::Sender<()>)>,
@@ -87,6 +92,7 @@
         let inner = Inner {
             state: decode_state(&snapshot)?,
             applied: snapshot.index,
+            applied_bytes: 0,
             core,
             peers: Peers::new(own_address),
             waiters: BTreeMap::new(),
@@ -287,7 +293,8 @@
         for entry in committed {
             inner.apply(&entry);
         }
-        if inner.applied >= inner.core.log().first_index() + COMPACT_AFTER_ENTRIES {
+        if inner.is_compaction_due() {
+            inner.applied_bytes = 0;
             let state = codec::encode(&inner.state);
             let applied = inner.applied;
             inner.core.compact(applied, state);
@@ -337,11 +344,19 @@
         }
     }
 
+    /// Returns whether the applied entries in memory are many or large.
+    fn is_compaction_due(&self) -> bool {
+        let first_index = self.core.log().first_index();
+        self.applied >= first_index + COMPACT_AFTER_ENTRIES
+            || self.applied_bytes > COMPACT_AFTER_BYTES
+    }
+
     fn install(&mut self, snapshot: &Snapshot) {
         match decode_state(snapshot) {
             Ok(state) => {
                 self.state = state;
                 self.applied = snapshot.index;
+                self.applied_bytes = 0;
                 info!(index = snapshot.index, "installed a snapshot of the leader");
             }
             Err(fault) => stop_process(&fault),
@@ -354,7 +369,10 @@
         match &entry.payload {
             Payload::Empty => {}
             Payload::Command(bytes) => match codec::decode::<Command>(bytes) {
-                Ok(command) => self.state.apply(command),
+                Ok(command) => {
+                    self.applied_bytes += bytes.len();
+                    self.state.apply(command);
+                }
                 Err(fault) => {
                     stop_process(&StepError::new("decode a command", entry.index, fault));
                 }
--- a/src/cluster/settings.rs
+++ b/src/cluster/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// Time limits and factors of running tasks on upstreams.
+/// Limits and factors of jobs and of their tasks on upstreams.
 #[derive(Debug, Clone, Copy)]
 pub struct TaskBounds {
     /// Longest lease that upstreams grant.
@@ -18,6 +18,19 @@
     pub maintenance_ms: u64,
     /// Time for which the state of an ended job is kept.
     pub keep_state_ms: u64,
+    /// Memory that the process may take.
+    pub memory_mb: u64,
+}
+
+/// One part in this many of the process's memory is for jobs. A host that installs a snapshot holds
+/// its former state, the encoded and the new one at the same time.
+const JOBS_MEMORY_PARTS: u64 = 4;
+
+impl TaskBounds {
+    /// Returns the memory that all jobs together may take.
+    pub(crate) const fn jobs_max_bytes(&self) -> u64 {
+        self.memory_mb * 1024 * 1024 / JOBS_MEMORY_PARTS
+    }
 }
 
 /// Settings of a control host.
@@ -35,6 +48,6 @@
     pub data_dir: PathBuf,
     /// Largest number of control hosts that may be lost at the same time, with their disks.
     pub losses_max: usize,
-    /// Time limits and factors of running tasks on upstreams.
+    /// Limits and factors of jobs and of their tasks on upstreams.
     pub bounds: TaskBounds,
 }
--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -30,6 +30,7 @@
     order_lease_ms: 3_000,
     maintenance_ms: 2_000,
     keep_state_ms: 60_000,
+    memory_mb: 256,
 };
 
 /// How the next calls to an upstream go wrong.
--- a/src/cluster/tests/promises.rs
+++ b/src/cluster/tests/promises.rs
@@ -306,3 +306,27 @@
         assert!(fake.started().iter().all(|(task, ..)| task.job == job_id(2)));
     }
 }
+
+/// Guards against a control host that runs out of memory: the entries of its log were dropped by their
+/// number only, and a few large jobs fill as much as thousands of small ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_jobs_do_not_fill_the_log_in_memory() {
+    let fake = FakeUpstreams::new(Duration::from_millis(300));
+    let test = TestControl::start(&fake, 1, LEASE_MS).await;
+    // Due long after the test, so that nothing is placed.
+    let repeat =
+        Repeat { times: 2, first_unix_ms: u64::from(u32::MAX) * 1_000, interval_ms: 1_000 };
+    let large = JobSpec { repeat: Some(repeat), ..spec(vec![step(1, 1); 40_000]) };
+    let large = Arc::new(large);
+    for number in 1..=20 {
+        let submission = call(number, Action::Submit { spec: Arc::clone(&large) });
+        while test.call_until_answered(submission.clone()).await
+            != Reply::Front(FrontReply::Accepted)
+        {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        test.call_until_answered(call(number, Action::Cancel)).await;
+    }
+    let inner = test.control.replica.lock();
+    assert!(inner.core.log().first_index() > 1, "the log was never compacted");
+}
--- a/src/local/tasks.rs
+++ b/src/local/tasks.rs
@@ -82,6 +82,7 @@
             lease_max_ms: LEASE_MAX_MS,
             stop_timeout_ms: 500,
             keep_state_ms: 60_000,
+            memory_mb: 256,
         })
     }
 
--- a/src/placement/admission.rs
+++ b/src/placement/admission.rs
@@ -1,7 +1,8 @@
 //! Admission of submitted jobs.
 //!
 //! A job that could not start even on empty hosts, or whose result would come too late to be of use,
-//! is refused with the time after which the caller may submit it again.
+//! is refused with the time after which the caller may submit it again. So is one for which this host has
+//! no memory, also if it is due later or lasts.
 //!
 //! Load patterns: a burst that the pool cannot do in time, and callers who return from refusals.
 //! Refused callers return in the order in which they came, spread over the time in which the pool
@@ -30,6 +31,13 @@
 /// Time after which a caller may submit a job again for which no host is registered.
 const NO_HOST_RETRY_MS: u64 = 2_000;
 
+/// Time after which a caller may submit a job again for which there is no memory.
+const NO_MEMORY_RETRY_MS: u64 = 5_000;
+
+/// Part of the memory for jobs that accepted ones may take; the rest is for the occurrences that they
+/// open later.
+const ADMITTED_MEMORY_PERCENT: u64 = 75;
+
 /// Shortest and longest time after which a caller may submit a job again.
 const RETRY_MIN_MS: u64 = 1_000;
 const RETRY_MAX_MS: u64 = 60_000;
@@ -65,12 +73,15 @@
     /// Jobs whose acceptance is being stored. It can no longer be refused, even if the caller asks
     /// again.
     storing: HashSet<JobId>,
+    /// Estimated memory that the accepted jobs take.
+    held_bytes: u64,
 }
 
 impl Admissions {
     /// Renews the backlog and forgets callers that did not return.
     pub(crate) fn update(&mut self, view: &View<'_>) {
         self.backlog = Backlog::of(view);
+        self.held_bytes = view.state.held_bytes();
         self.returns.retain(|_, promised| view.now_ms <= promised.at_ms + RETURN_MARGIN_MS);
     }
 
@@ -90,6 +101,11 @@
         if let Some(reason) = unplaceable(view, queue, spec) {
             return Admission::RetryLater { retry_after_ms: NO_HOST_RETRY_MS, reason };
         }
+        let admitted_bytes = view.jobs_max_bytes * ADMITTED_MEMORY_PERCENT / 100;
+        if self.held_bytes + initial_bytes(spec) > admitted_bytes {
+            let reason = format!("the jobs that are held take {} bytes of memory", self.held_bytes);
+            return Admission::RetryLater { retry_after_ms: NO_MEMORY_RETRY_MS, reason };
+        }
         let promised = self.returns.remove(id);
         let Some(forecast) = self.forecast(view, queue, spec, promised.as_ref()) else {
             return self.accept(queue, (id, spec), None);
@@ -127,6 +143,7 @@
         forecast_ms: Option<u64>,
     ) -> Admission {
         self.backlog.add(queue, spec);
+        self.held_bytes += initial_bytes(spec);
         self.storing.insert(id.clone());
         Admission::Accepted { forecast_ms }
     }
@@ -160,6 +177,11 @@
     }
 }
 
+/// Returns the memory that a job takes with its first occurrence.
+fn initial_bytes(spec: &JobSpec) -> u64 {
+    spec.held_bytes() + spec.occurrence_bytes()
+}
+
 /// Returns why no step of the job could start even on empty hosts, if this is so.
 fn unplaceable(view: &View<'_>, queue: &Queue, spec: &JobSpec) -> Option<String> {
     let mut steps = spec.steps.iter().enumerate();
--- a/src/placement/forecast.rs
+++ b/src/placement/forecast.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use super::View;
 use super::order::is_of_use;
-use super::{View, for_each_unit};
 use crate::tasks::{Job, JobSpec, Phase, Queue, Resources};
 
 /// Share of the capacity that work gets while more of it waits; the rest is lost to fragments that
@@ -107,14 +107,17 @@
 
 /// Adds the work of a job's waiting units.
 fn add_waiting(waiting: &mut Work, view: &View<'_>, job: &Job, queue: &Queue) {
-    for_each_unit(job, |id, unit| {
-        let step = &job.spec.steps[id.step as usize];
-        let due = job.spec.due_unix_ms(id.occurrence) <= view.unix_ms;
+    let counts = |occurrence: u32| {
         // Work whose result would come too late goes after new jobs.
-        if unit.phase == Phase::Waiting && due && is_of_use(view, job, queue, id.occurrence) {
-            waiting.add(Work::of(&step.reserved(), step.unit_size(), step.estimate_ms));
+        job.spec.due_unix_ms(occurrence) <= view.unix_ms && is_of_use(view, job, queue, occurrence)
+    };
+    for (_, steps) in job.occurrences.iter().filter(|(occurrence, _)| counts(*occurrence)) {
+        for (spec, step) in job.spec.steps.iter().zip(steps) {
+            let units = step.units.iter().filter(|unit| unit.phase == Phase::Waiting).count();
+            let tasks = u32::try_from(units).unwrap_or(u32::MAX).saturating_mul(spec.unit_size());
+            waiting.add(Work::of(&spec.reserved(), tasks, spec.estimate_ms));
         }
-    });
+    }
 }
 
 impl ServiceWork {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -10,6 +10,8 @@
 mod free_capacity;
 mod full_steps;
 mod headroom;
+mod memory;
+mod openings;
 mod order;
 mod pacing;
 mod pool;
@@ -27,7 +29,7 @@
 
 use crate::crashes::Verdict;
 use crate::tasks::{
-    Incarnation, Job, JobId, Outcome, Resources, StartRecord, State, StepSpec, UnitId,
+    Incarnation, Job, JobId, Opening, Outcome, Resources, StartRecord, State, StepSpec, UnitId,
 };
 
 pub(crate) use admission::{Admission, Admissions};
@@ -35,6 +37,7 @@
 use drain::Drains;
 use full_steps::FullSteps;
 pub(crate) use headroom::{Headroom, urgent_demand};
+pub(crate) use memory::jobs_to_shrink;
 pub(crate) use order::{USEFUL_OBJECTIVE_FACTOR, critical_path_ms, objective_ms};
 use order::{WaitingUnit, waiting_units};
 pub(crate) use pacing::next_pace;
@@ -75,12 +78,16 @@
     pub(crate) approvals: &'a Approvals,
     /// Capacity reserved for jobs of priority 0, in thousandths of a host.
     pub(crate) reserve_millihosts: u64,
+    /// Memory that all jobs together may take.
+    pub(crate) jobs_max_bytes: u64,
 }
 
 /// Result of a placement decision.
 #[derive(Debug, Default)]
 pub(crate) struct Plan {
     pub(crate) starts: Vec<StartRecord>,
+    /// Occurrences that are about to be due.
+    pub(crate) openings: Vec<Opening>,
     /// Runs to stop, with the cause.
     pub(crate) stops: Vec<(UnitId, u32, StopCause)>,
     /// Units that are given up, because upstreams crash under them.
@@ -129,7 +136,7 @@
         silent: SilentUpstreams::new(view),
         full: FullSteps::default(),
         victims,
-        plan: Plan { stops, ..Plan::default() },
+        plan: Plan { stops, openings: openings::due_openings(view), ..Plan::default() },
     };
     let mut waiting = waiting_units(view);
     waiting.sort_by(|a, b| a.rank.cmp(&b.rank));
@@ -226,7 +233,7 @@
 
 /// Calls `visit` for each unit of a job.
 pub(crate) fn for_each_unit(job: &Job, mut visit: impl FnMut(UnitId, &crate::tasks::Unit)) {
-    for (occurrence, steps) in (0_u32..).zip(&job.occurrences) {
+    for (occurrence, steps) in job.occurrences.iter() {
         for (step, state) in (0_u32..).zip(steps) {
             for (number, unit) in (0_u32..).zip(&state.units) {
                 let id = UnitId { job: job.id.clone(), occurrence, step, unit: number };
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -7,11 +7,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use smallvec::SmallVec;
-
+use super::View;
 use super::suspects::is_suspect;
-use super::{View, for_each_unit};
-use crate::tasks::{Configuration, Job, JobSpec, Phase, Queue, Resources, StepSpec, UnitId};
+use crate::tasks::{Configuration, Job, JobSpec, Phase, Queue, Resources, StepSpec, Unit, UnitId};
 
 /// Whether a job can still be finished when its caller needs it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -109,46 +107,66 @@
     for job in open {
         let Some(queue) = view.state.queue_of(job) else { continue };
         let is_covered = queue.priority == 0 && guarantees.try_claim(job);
-        let occurrences = 0..job.spec.occurrences();
-        let timeliness: SmallVec<[Timeliness; 1]> =
-            occurrences.map(|occurrence| Timeliness::of(view, job, queue, occurrence)).collect();
-        for_each_unit(job, |id, unit| {
-            let (occurrence, step) = (id.occurrence as usize, id.step as usize);
-            let due = job.spec.due_unix_ms(id.occurrence) <= view.unix_ms;
-            if unit.phase != Phase::Waiting || !due || !job.is_ready(occurrence, step) {
-                return;
+        let due = |occurrence| job.spec.due_unix_ms(occurrence) <= view.unix_ms;
+        for (occurrence, steps) in job.occurrences.iter().filter(|(number, _)| due(*number)) {
+            let timeliness = Timeliness::of(view, job, queue, occurrence);
+            let turn = Turn { job, queue, is_covered, timeliness };
+            for (number, state) in (0_u32..).zip(steps) {
+                if !job.is_ready(steps, number as usize) {
+                    continue;
+                }
+                let waits = |(_, unit): &(u32, &Unit)| unit.phase == Phase::Waiting;
+                for (unit_number, unit) in (0_u32..).zip(&state.units).filter(waits) {
+                    let job = job.id.clone();
+                    let id = UnitId { job, occurrence, step: number, unit: unit_number };
+                    waiting.push(turn.waiting_unit(view, id, unit));
+                }
             }
-            let timeliness = timeliness[occurrence];
-            let step = &job.spec.steps[step];
-            // By waiting time, so that no preempted lasting task waits much longer than others.
-            let since_ms = if step.lasting { unit.waiting_since_ms } else { job.accepted_ms };
-            let band = Band::of(queue, step, is_covered);
-            let is_fifo = band.is_fifo();
-            let rank = Rank {
-                band,
-                priority: queue.priority,
-                timeliness: if is_fifo { Timeliness::OnTime } else { timeliness },
-                job_not_started: !is_fifo && !job.started,
-                since_ms,
-                id: id.clone(),
-            };
-            let is_suspect = is_suspect(view.state, &id, step.unit_size());
-            waiting.push(WaitingUnit {
-                id,
-                step,
-                queue,
-                run: unit.run,
-                rank,
-                may_preempt: queue.priority == 0 && timeliness != Timeliness::Expired || is_covered,
-                waited_ms: view.now_ms.saturating_sub(unit.waiting_since_ms),
-                is_expired: timeliness == Timeliness::Expired,
-                is_suspect,
-            });
-        });
+        }
     }
     waiting
 }
 
+/// What decides when the units of a job's occurrence have their turn.
+struct Turn<'a> {
+    job: &'a Job,
+    queue: &'a Queue,
+    /// Whether the guarantee of its organisation covers the job.
+    is_covered: bool,
+    timeliness: Timeliness,
+}
+
+impl<'a> Turn<'a> {
+    fn waiting_unit(&self, view: &View<'_>, id: UnitId, unit: &Unit) -> WaitingUnit<'a> {
+        let Self { job, queue, is_covered, timeliness } = *self;
+        let step = &job.spec.steps[id.step as usize];
+        // By waiting time, so that no preempted lasting task waits much longer than others.
+        let since_ms = if step.lasting { unit.waiting_since_ms } else { job.accepted_ms };
+        let band = Band::of(queue, step, is_covered);
+        let is_fifo = band.is_fifo();
+        let rank = Rank {
+            band,
+            priority: queue.priority,
+            timeliness: if is_fifo { Timeliness::OnTime } else { timeliness },
+            job_not_started: !is_fifo && !job.started,
+            since_ms,
+            id: id.clone(),
+        };
+        let is_suspect = is_suspect(view.state, &id, step.unit_size());
+        WaitingUnit {
+            id,
+            step,
+            queue,
+            run: unit.run,
+            rank,
+            may_preempt: queue.priority == 0 && timeliness != Timeliness::Expired || is_covered,
+            waited_ms: view.now_ms.saturating_sub(unit.waiting_since_ms),
+            is_expired: timeliness == Timeliness::Expired,
+            is_suspect,
+        }
+    }
+}
+
 impl Timeliness {
     fn of(view: &View<'_>, job: &Job, queue: &Queue, occurrence: u32) -> Self {
         if job.spec.is_lasting() {
@@ -200,7 +218,7 @@
 
 /// Returns the length of the critical path through the steps that are not done.
 fn remaining_critical_path_ms(job: &Job, occurrence: u32) -> u64 {
-    let steps = &job.occurrences[occurrence as usize];
+    let steps = job.occurrences.get(occurrence).unwrap_or_default();
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
     for (spec, state) in job.spec.steps.iter().zip(steps) {
         let start_ms = spec.after.iter().map(|before| ends[*before as usize]).max().unwrap_or(0);
@@ -243,7 +261,8 @@
 /// Returns the resources that all open steps of a job need if they run at the same time.
 fn open_steps_resources(job: &Job) -> Resources {
     let mut all = Resources::default();
-    for (spec, state) in job.occurrences.iter().flat_map(|steps| job.spec.steps.iter().zip(steps)) {
+    let steps = job.occurrences.iter().flat_map(|(_, steps)| job.spec.steps.iter().zip(steps));
+    for (spec, state) in steps {
         if state.open_units > 0 {
             for _ in 0..state.open_units * spec.unit_size() {
                 all.add(&spec.need);
--- a/src/placement/tests/admissions.rs
+++ b/src/placement/tests/admissions.rs
@@ -1,7 +1,9 @@
 //! Admission of jobs under load.
 
-use super::pool_view::{Inputs, hosts};
-use crate::placement::{Admission, Admissions, Approvals, View};
+use rstest::rstest;
+
+use super::pool_view::{Inputs, JOBS_MAX_BYTES, hosts};
+use crate::placement::{Admission, Admissions, Approvals, View, jobs_to_shrink};
 use crate::tasks::tests::sample::{Sample, gang, job_id, queue, spec, step};
 use crate::tasks::{JobSpec, Repeat, StepSpec};
 
@@ -26,6 +28,7 @@
         avoid: &inputs.avoid,
         approvals: &Approvals::default(),
         reserve_millihosts: 0,
+        jobs_max_bytes: JOBS_MAX_BYTES,
     })
 }
 
@@ -166,3 +169,34 @@
     admissions.end_storing(&job_id(9));
     assert!(submit(&sample, &mut admissions, "normal", (9, &whole_pool())).is_some());
 }
+
+/// Guards against control hosts that run out of memory: jobs beyond what fits are refused for a while,
+/// also those that are due later or last, and accepted again once others have ended.
+#[rstest]
+#[case::plain(spec(vec![step(90_000, 0)]))]
+#[case::lasting(spec(vec![StepSpec { lasting: true, ..step(90_000, 0) }]))]
+#[case::many_steps(spec(vec![step(1, 0); 40_000]))]
+fn jobs_beyond_the_memory_are_refused_for_a_while(#[case] spec: JobSpec) {
+    let spec = JobSpec { steps: spec.steps.iter().map(without_work).collect(), ..spec };
+    let mut sample = Sample::with_hosts(1);
+    let mut admissions = Admissions::default();
+    let mut accepted = 0;
+    while submit(&sample, &mut admissions, "normal", (accepted + 1, &spec)).is_none() {
+        accepted += 1;
+        assert!(accepted < 100, "all are accepted");
+        sample.accept(accepted, "normal", spec.steps.clone());
+    }
+    assert!(accepted > 1, "{accepted}");
+    assert!(sample.state.held_bytes() < JOBS_MAX_BYTES);
+    sample.apply(crate::tasks::Change::Cancel { id: job_id(1) });
+    let jobs = jobs_to_shrink(&sample.state, JOBS_MAX_BYTES);
+    assert_eq!(jobs, [job_id(1)]);
+    sample.apply(crate::tasks::Change::DropSteps { jobs });
+    with_view(&sample, |view| admissions.update(view));
+    assert_eq!(submit(&sample, &mut admissions, "normal", (accepted + 1, &spec)), None);
+}
+
+/// A step that the forecast takes for no work.
+fn without_work(step: &StepSpec) -> StepSpec {
+    StepSpec { estimate_ms: 0, ..step.clone() }
+}
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -3,6 +3,7 @@
 mod admissions;
 mod capacities;
 mod loads;
+mod openings;
 mod places;
 mod pool_view;
 mod progress;
--- a/src/placement/tests/pool_view.rs
+++ b/src/placement/tests/pool_view.rs
@@ -7,6 +7,9 @@
 use crate::tasks::tests::sample::Sample;
 use crate::tasks::{Incarnation, JobId, UnitId};
 
+/// Memory that all jobs together may take.
+pub(super) const JOBS_MAX_BYTES: u64 = 64 * 1024 * 1024;
+
 /// Inputs of a decision apart from the replicated state.
 #[derive(Debug, Default)]
 pub(super) struct Inputs {
@@ -47,11 +50,14 @@
         avoid: &inputs.avoid,
         approvals: &inputs.approvals,
         reserve_millihosts: inputs.reserve_millihosts,
+        jobs_max_bytes: JOBS_MAX_BYTES,
     })
 }
 
-/// Runs a decision and records its starts in the state.
+/// Opens the occurrences that are due, runs a decision and records its starts in the state.
 pub(super) fn decide_and_start(sample: &mut Sample, inputs: &Inputs) -> Plan {
+    let openings = decide(sample, inputs).openings;
+    sample.apply(crate::tasks::Change::OpenOccurrences { openings });
     let plan = decide(sample, inputs);
     sample.apply(crate::tasks::Change::Start { starts: plan.starts.clone() });
     plan
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -202,6 +202,7 @@
             avoid: &HashSet::new(),
             approvals: &Approvals::default(),
             reserve_millihosts,
+            jobs_max_bytes: u64::MAX / 100,
         })
     }
 
--- a/src/task_api/settings.rs
+++ b/src/task_api/settings.rs
@@ -14,6 +14,10 @@
 const DEFAULT_LEASE_MAX_MS: u64 = 10_000;
 const DEFAULT_STOP_TIMEOUT_MS: u64 = 1_000;
 const DEFAULT_KEEP_STATE_MS: u64 = 3_600_000;
+const DEFAULT_MEMORY_MB: u64 = 256;
+
+/// Least memory with which a control host can work.
+const MEMORY_MIN_MB: u64 = 64;
 
 /// Slowdown factor of work that is far from its data, which placement uses to rank hosts.
 const REMOTE_FACTOR: u64 = 3;
@@ -47,6 +51,9 @@
     /// Time for which the state of an ended job is kept.
     #[serde(default = "keep_state_ms")]
     pub keep_state_ms: u64,
+    /// Memory that the process may take; jobs get a part of it.
+    #[serde(default = "memory_mb")]
+    pub memory_mb: u64,
 }
 
 fn losses_max() -> usize {
@@ -65,6 +72,10 @@
     DEFAULT_KEEP_STATE_MS
 }
 
+fn memory_mb() -> u64 {
+    DEFAULT_MEMORY_MB
+}
+
 /// Reason why a settings file is invalid.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
 pub enum InvalidSettings {
@@ -115,6 +126,9 @@
         if self.lease_max_ms == 0 || self.stop_timeout_ms == 0 {
             return Err("lease_max_ms and stop_timeout_ms must be greater than 0");
         }
+        if self.memory_mb < MEMORY_MIN_MB {
+            return Err("memory_mb must be 64 or more");
+        }
         Ok(())
     }
 
@@ -133,6 +147,7 @@
                 order_lease_ms: self.lease_max_ms,
                 maintenance_ms: 0,
                 keep_state_ms: self.keep_state_ms,
+                memory_mb: self.memory_mb,
             },
         }
     }
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -56,6 +56,20 @@
                 self.record_crash(&incarnation, &runs, silent_ms);
             }
             Change::GiveUp { units } => units.iter().for_each(|unit| self.give_up(unit)),
+            Change::OpenOccurrences { openings } => {
+                for opening in openings {
+                    if let Some(job) = self.jobs.get_mut(&opening.job) {
+                        job.open_until(opening.until, self.now_ms);
+                    }
+                }
+            }
+            Change::DropSteps { jobs } => {
+                for id in &jobs {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        job.drop_steps();
+                    }
+                }
+            }
         }
     }
 
@@ -111,6 +125,8 @@
             return;
         }
         let unit_id = &start.unit;
+        // In a log of an earlier build, all occurrences were open from the acceptance on.
+        job.open_until(unit_id.occurrence.saturating_add(1), self.now_ms);
         let Some(unit) = job.unit_mut(unit_id.occurrence, unit_id.step, unit_id.unit) else {
             return;
         };
@@ -131,6 +147,7 @@
             .collect();
         unit.run = start.run;
         unit.phase = Phase::Running { members };
+        job.running_units += 1;
         if !job.started {
             job.started = true;
             let event = job_event(job, self.now_ms);
@@ -189,6 +206,7 @@
             unit.finished = true;
             unit.phase = Phase::Done;
             self.close_unit(task, now_ms);
+            self.close_finished(task);
             return;
         }
         let Phase::Running { members } = &mut unit.phase else { return };
@@ -220,12 +238,23 @@
             unit.waiting_since_ms = now_ms;
             unit.phase = if given_up { Phase::GivenUp } else { Phase::Waiting };
         }
+        job.running_units -= u64::from(all_ended);
         if given_up {
             self.events.extend(end_job(job, Outcome::Failed, now_ms));
         }
         if newly_done {
             self.close_unit(task, now_ms);
         }
+        if all_ended {
+            self.close_finished(task);
+        }
+    }
+
+    /// Closes the occurrence of a task if it is over.
+    fn close_finished(&mut self, task: &TaskId) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.close_finished(task.occurrence);
+        }
     }
 
     /// Gives up a unit that does not run; its job fails.
@@ -244,10 +273,11 @@
     /// Counts a unit of a step as done; the job completes with its last unit.
     fn close_unit(&mut self, task: &TaskId, now_ms: u64) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        let step = &mut job.occurrences[task.occurrence as usize][task.step as usize];
+        let steps = job.occurrences.get_mut(task.occurrence);
+        let Some(step) = steps.and_then(|steps| steps.get_mut(task.step as usize)) else { return };
         assert!(step.open_units > 0, "{task}: unit was done before");
         step.open_units -= 1;
-        if job.occurrences.iter().flatten().all(|step| step.open_units == 0) {
+        if job.is_done() {
             self.events.extend(end_job(job, Outcome::Completed, now_ms));
         }
     }
@@ -287,7 +317,7 @@
     /// Calls `visit` for each task that may be running.
     pub(crate) fn for_each_running(&self, mut visit: impl FnMut(TaskId, u32, &Member)) {
         for job in self.jobs.values() {
-            for (occurrence, steps) in (0_u32..).zip(&job.occurrences) {
+            for (occurrence, steps) in job.occurrences.iter() {
                 for (step, state) in (0_u32..).zip(steps) {
                     for (number, unit) in (0_u32..).zip(&state.units) {
                         for (member_index, member) in (0_u32..).zip(unit.members()) {
--- a/src/tasks/command.rs
+++ b/src/tasks/command.rs
@@ -22,6 +22,14 @@
     pub(crate) incarnations: SmallVec<[Incarnation; 1]>,
 }
 
+/// Occurrences of a job to be opened.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Opening {
+    pub(crate) job: JobId,
+    /// The occurrences before this one are opened, unless they were before.
+    pub(crate) until: u32,
+}
+
 /// End of a task that its upstream has reported, or that follows from a refused start.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct EndRecord {
@@ -71,6 +79,10 @@
     RecordCrash { incarnation: Incarnation, runs: Vec<CrashedRun<TaskId>>, silent_ms: u64 },
     /// Gives up units under which upstreams crash; their jobs fail.
     GiveUp { units: Vec<UnitId> },
+    /// Opens occurrences that are about to be due.
+    OpenOccurrences { openings: Vec<Opening> },
+    /// Drops the steps of ended jobs, whose outcome is kept, so that others have room in memory.
+    DropSteps { jobs: Vec<JobId> },
 }
 
 /// A change and the cluster time at which the leader proposed it.
--- a/src/tasks/job.rs
+++ b/src/tasks/job.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use super::ids::JobId;
+use super::occurrences::Occurrences;
 use super::spec::{JobSpec, StepSpec};
 use super::upstream::{EndKind, Incarnation};
 
@@ -91,6 +92,13 @@
     pub(crate) open_units: u32,
 }
 
+impl Step {
+    pub(super) fn new(spec: &StepSpec, now_ms: u64) -> Self {
+        let unit = Unit { waiting_since_ms: now_ms, ..Unit::default() };
+        Self { units: vec![unit; spec.units() as usize], open_units: spec.units() }
+    }
+}
+
 /// An accepted job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Job {
@@ -102,12 +110,14 @@
     pub(crate) spec: Arc<JobSpec>,
     /// When it was accepted, in cluster time.
     pub(crate) accepted_ms: u64,
-    /// Steps of each occurrence.
-    pub(crate) occurrences: Vec<Vec<Step>>,
+    pub(crate) occurrences: Occurrences,
     pub(crate) started: bool,
     pub(crate) outcome: Option<Outcome>,
     /// When its outcome was decided, in cluster time.
     pub(crate) ended_ms: u64,
+    /// Number of units of which some task may be running; derived from the occurrences.
+    #[serde(skip)]
+    pub(super) running_units: u64,
 }
 
 impl Job {
@@ -118,12 +128,10 @@
         spec: Arc<JobSpec>,
         now_ms: u64,
     ) -> Self {
-        let step = |spec: &StepSpec| {
-            let unit = Unit { waiting_since_ms: now_ms, ..Unit::default() };
-            Step { units: vec![unit; spec.units() as usize], open_units: spec.units() }
-        };
-        let steps: Vec<_> = spec.steps.iter().map(step).collect();
-        let occurrences = vec![steps; spec.occurrences() as usize];
+        let mut occurrences = Occurrences::default();
+        if spec.repeat.is_none() {
+            occurrences.open_until(1, &spec, now_ms);
+        }
         Self {
             id,
             queue,
@@ -134,9 +142,47 @@
             started: false,
             outcome: None,
             ended_ms: 0,
+            running_units: 0,
         }
     }
 
+    /// Opens the occurrences before `until` that were never open, unless the job has ended.
+    pub(super) fn open_until(&mut self, until: u32, now_ms: u64) {
+        if self.outcome.is_none() {
+            self.occurrences.open_until(until, &self.spec, now_ms);
+        }
+    }
+
+    /// Closes an occurrence of a repeated job if it is over.
+    pub(super) fn close_finished(&mut self, occurrence: u32) {
+        if self.spec.repeat.is_some() {
+            self.occurrences.close_if_done(occurrence);
+        }
+    }
+
+    /// Drops the steps of a job that has ended, unless some run may exist. Its outcome is kept.
+    pub(super) fn drop_steps(&mut self) {
+        if self.has_droppable_steps() {
+            self.occurrences.close_all();
+            self.spec = Arc::default();
+        }
+    }
+
+    /// Returns whether the job has ended and holds steps of which none may be running.
+    pub(crate) fn has_droppable_steps(&self) -> bool {
+        self.outcome.is_some() && !self.has_runs() && !self.spec.steps.is_empty()
+    }
+
+    /// Returns whether all units of all occurrences are done.
+    pub(super) fn is_done(&self) -> bool {
+        self.occurrences.next() == self.spec.occurrences() && self.occurrences.are_done()
+    }
+
+    /// Returns the estimated memory that the job takes.
+    pub(crate) fn held_bytes(&self) -> u64 {
+        self.spec.held_bytes() + self.occurrences.units() * size_of::<Unit>() as u64
+    }
+
     pub(crate) fn state(&self) -> JobState {
         match self.outcome {
             Some(Outcome::Completed) => JobState::Completed,
@@ -147,19 +193,18 @@
         }
     }
 
-    /// Returns whether all steps that a step depends on are done.
-    pub(crate) fn is_ready(&self, occurrence: usize, step: usize) -> bool {
-        let steps = &self.occurrences[occurrence];
+    /// Returns whether all steps of an occurrence that a step depends on are done.
+    pub(crate) fn is_ready(&self, steps: &[Step], step: usize) -> bool {
         self.spec.steps[step].after.iter().all(|before| steps[*before as usize].open_units == 0)
     }
 
     pub(crate) fn unit(&self, occurrence: u32, step: u32, unit: u32) -> Option<&Unit> {
-        let steps = self.occurrences.get(occurrence as usize)?;
+        let steps = self.occurrences.get(occurrence)?;
         steps.get(step as usize)?.units.get(unit as usize)
     }
 
     pub(super) fn unit_mut(&mut self, occurrence: u32, step: u32, unit: u32) -> Option<&mut Unit> {
-        let steps = self.occurrences.get_mut(occurrence as usize)?;
+        let steps = self.occurrences.get_mut(occurrence)?;
         steps.get_mut(step as usize)?.units.get_mut(unit as usize)
     }
 
@@ -180,6 +225,12 @@
 
     /// Returns whether some run of the job may exist.
     fn has_runs(&self) -> bool {
-        self.occurrences.iter().flatten().flat_map(|step| &step.units).any(Unit::is_running)
+        self.running_units > 0
+    }
+
+    /// Counts the running units again after decoding.
+    pub(super) fn recount_running_units(&mut self) {
+        let running = self.occurrences.all_units().filter(|unit| unit.is_running());
+        self.running_units = running.count() as u64;
     }
 }
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -10,6 +10,7 @@
 mod crash;
 mod ids;
 mod job;
+mod occurrences;
 mod spec;
 mod state;
 #[cfg(test)]
@@ -17,7 +18,7 @@
 mod upstream;
 mod wave;
 
-pub(crate) use command::{Change, Command, EndRecord, LostRun, StartRecord};
+pub(crate) use command::{Change, Command, EndRecord, LostRun, Opening, StartRecord};
 pub use configuration::{
     Advice, Configuration, ConfigurationFault, FrontLimits, Organisation, Queue, WorkerService,
 };
--- a/src/tasks/spec.rs
+++ b/src/tasks/spec.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use super::job::{Job, Step, Unit};
+
 /// Maximum size of the text that is handed to tasks.
 const PAYLOAD_LIMIT_BYTES: usize = 4_000;
 
@@ -161,6 +163,18 @@
         self.steps.iter().map(of_step).sum()
     }
 
+    /// Returns the estimated memory that the job takes apart from its units.
+    pub(crate) fn held_bytes(&self) -> u64 {
+        let steps = self.steps.len() * (size_of::<StepSpec>() + size_of::<Step>());
+        (size_of::<Job>() + size_of::<Self>() + self.payload.len() + steps) as u64
+    }
+
+    /// Returns the estimated memory that the units of one occurrence take.
+    pub(crate) fn occurrence_bytes(&self) -> u64 {
+        let units: u64 = self.steps.iter().map(|step| u64::from(step.units())).sum();
+        units * size_of::<Unit>() as u64
+    }
+
     /// Returns whether some step runs until the job is cancelled.
     pub(crate) fn is_lasting(&self) -> bool {
         self.steps.iter().any(|step| step.lasting)
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -69,6 +69,12 @@
             running.entry(member.incarnation.clone()).or_default().insert(task, run);
         });
         self.running = running;
+        self.jobs.values_mut().for_each(Job::recount_running_units);
+    }
+
+    /// Returns the estimated memory that all jobs take.
+    pub(crate) fn held_bytes(&self) -> u64 {
+        self.jobs.values().map(Job::held_bytes).sum()
     }
 
     /// Returns the tasks that may be running on an upstream, with their runs.
--- a/src/tasks/tests/mod.rs
+++ b/src/tasks/tests/mod.rs
@@ -3,5 +3,6 @@
 mod cancellations;
 mod configurations;
 mod jobs;
+mod occurrences;
 pub(crate) mod sample;
 mod upstreams;
