Take a run for not started only if complete lists say so

Cause: a run whose start was answered, and which was neither among the listed runs nor among the listed ends, was recorded as not started. An upstream lists 500 ends at a time; the 88 tasks are those whose ends follow the first 500. Ruled out: ends that were acknowledged too early (the next answer lists them) and a lease that lapsed (10 s, and no run ended so).

Lists now say whether more ends follow, and leader/unlisted.rs decides what an unlisted run means: complete lists prove that it never started, lists of which more follows prove nothing. Beside unreadable entries it is left alone for 3 s, then stopped, and is over once the stop was answered and its timeout has passed, so that an entry which stays unreadable keeps no task waiting for ever.

Related paths: with unreadable entries, all tasks of an upstream were started again while they ran; the ends of runs on a successor were read up to the first 500. Both are mended.

--- a/src/cluster/leader/lists.rs
+++ b/src/cluster/leader/lists.rs
@@ -1,4 +1,4 @@
-//! Reconciles the lists of an upstream with the state: ends, vanished runs and unknown runs.
+//! Reconciles the lists of an upstream with the state: ends, runs that are not listed, unknown runs.
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -8,6 +8,7 @@
 
 use super::hold::{NextStep, RETRY_PAUSE};
 use super::scheduling::is_running;
+use super::unlisted::{self, Unlisted};
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
 use crate::cluster::upstream_calls::{ListedEnd, TaskLists};
@@ -30,7 +31,7 @@
             return NextStep::Pause(RETRY_PAUSE);
         }
         let now_ms = boot_ms();
-        let (answered_orders, newly_reachable) = {
+        let (answered_orders, coverage, newly_reachable) = {
             let mut term_state = self.term_state();
             let Some(session) = term_state.sessions.get_mut(&incarnation.id) else {
                 return NextStep::End;
@@ -44,7 +45,7 @@
                     "lists of an upstream have unreadable entries, which are skipped"
                 );
             }
-            (session.answered_orders.clone(), newly)
+            (session.answered_orders.clone(), session.coverage(lists, now_ms), newly)
         };
         if newly_reachable {
             let running = lists.running.len();
@@ -55,7 +56,11 @@
             self.wake.notify_one();
         }
         let mut ends = self.listed_ends(incarnation, lists);
-        ends.extend(self.vanished_runs(incarnation, lists, &answered_orders, sent_ms));
+        let verdict = |key: &TaskRun| {
+            let answered = answered_orders.get(key).copied();
+            unlisted::judge(answered, coverage, sent_ms, self.bounds.stop_timeout_ms)
+        };
+        ends.extend(self.runs_not_started(incarnation, lists, verdict));
         self.stop_unknown(incarnation, lists);
         let next = if self.is_leaving(incarnation) {
             NextStep::Pause(LEAVING_PAUSE)
@@ -117,15 +122,12 @@
         ends
     }
 
-    /// Returns unlisted runs whose order was answered before the lists were read.
-    ///
-    /// Stops runs whose order may still arrive.
-    fn vanished_runs(
+    /// Returns the unlisted runs that never started, and stops those that might.
+    fn runs_not_started(
         &self,
         incarnation: &Incarnation,
         lists: &TaskLists,
-        answered_orders: &HashMap<TaskRun, u64>,
-        sent_ms: u64,
+        verdict: impl Fn(&TaskRun) -> Unlisted,
     ) -> Vec<EndRecord> {
         let listed: HashSet<(&TaskId, u32)> = lists
             .running
@@ -134,22 +136,20 @@
             .chain(lists.ended.iter().map(|end| (&end.task, end.run)))
             .collect();
         let recorded = self.replica.lock().state.runs_of(incarnation);
-        let mut vanished = Vec::new();
+        let mut not_started = Vec::new();
         let mut uncertain = Vec::new();
         for (task, run) in recorded {
             if listed.contains(&(&task, run)) {
                 continue;
             }
             let key = (task, run);
-            match answered_orders.get(&key) {
-                Some(at_ms) if *at_ms < sent_ms => vanished.push(key),
-                Some(_) => {}
-                None => uncertain.push(key),
+            match verdict(&key) {
+                Unlisted::NotStarted => not_started.push(key),
+                Unlisted::ToBeStopped => uncertain.push(key),
+                Unlisted::Undecided => {}
             }
         }
-        for (task, run) in uncertain {
-            // A start order of a former leader may still arrive; a stop makes it void.
-            let key = (task, run);
+        for key in uncertain {
             let ordered = {
                 let term_state = self.term_state();
                 term_state.starting.contains(&key) || term_state.stopping.contains(&key)
@@ -162,7 +162,7 @@
             let how = EndKind::NotStarted;
             EndRecord { task, run, how, checkpoint: None }
         };
-        vanished.into_iter().map(record).collect()
+        not_started.into_iter().map(record).collect()
     }
 
     /// Stops listed runs that are not running according to the state.
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -14,6 +14,7 @@
 mod session;
 #[cfg(test)]
 mod tests;
+mod unlisted;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -6,6 +6,7 @@
 use tracing::{info, warn};
 
 use super::session::Session;
+use super::unlisted::AnsweredOrder;
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
 use crate::cluster::upstream_calls::{CallFault, OrderAnswer, Refusal, StartOrder, StopOrder};
@@ -90,7 +91,7 @@
         }
         match outcome {
             StartOutcome::Settled => {
-                self.record_answered_order(&incarnation, key.clone());
+                self.record_answered_order(&incarnation, key.clone(), false);
                 self.check_suspect(&incarnation, &key).await;
             }
             StartOutcome::Refused(_) => self.record_not_started(&incarnation, key).await,
@@ -246,12 +247,17 @@
     }
 
     /// Records that an order has a definite answer.
-    fn record_answered_order(&self, incarnation: &Incarnation, key: TaskRun) {
+    fn record_answered_order(&self, incarnation: &Incarnation, key: TaskRun, is_stop: bool) {
         let mut term_state = self.term_state();
         if let Some(session) = term_state.sessions.get_mut(&incarnation.id)
             && session.incarnation == *incarnation
         {
-            session.answered_orders.insert(key, boot_ms());
+            let answered = AnsweredOrder { at_ms: boot_ms(), is_stop };
+            let latest = session.answered_orders.entry(key).or_insert(answered);
+            // The answer to a start may arrive after that to a later stop.
+            if is_stop || !latest.is_stop {
+                *latest = answered;
+            }
         }
     }
 
@@ -338,7 +344,7 @@
                     Ok(OrderAnswer::Done { clock_ms }) => {
                         if let Some(leader) = shared.upgrade() {
                             leader.record_contact(&incarnation, clock_ms);
-                            leader.record_answered_order(&incarnation, key.clone());
+                            leader.record_answered_order(&incarnation, key.clone(), true);
                             leader.read_if_unlisted(&incarnation, &key);
                         }
                         break;
--- a/src/cluster/leader/replacement.rs
+++ b/src/cluster/leader/replacement.rs
@@ -17,7 +17,7 @@
 use crate::cluster::clock::boot_ms;
 use crate::cluster::replica::NotConfirmed;
 use crate::cluster::upstream_calls::{
-    CallFault, HoldOrder, OrderAnswer, Refusal, StopOrder, TaskLists,
+    CallFault, HoldOrder, ListedEnd, OrderAnswer, Refusal, StopOrder, TaskLists,
 };
 use crate::tasks::{Change, EndRecord, Heartbeat, Incarnation};
 
@@ -186,12 +186,32 @@
         for run in runs {
             self.stop_on_successor(successor, run).await?;
         }
-        let lists = self.read_lists_without(successor, runs).await?;
-        let begun = lists
-            .ended
+        let mut ends_seen = 0;
+        loop {
+            let lists = self.read_lists_without(successor, runs, ends_seen).await?;
+            let newest = lists.ended.iter().map(|end| end.number).max();
+            // The successor drops these ends when it is asked for the next ones.
+            self.record_ends_on_successor(former, runs, lists.ended).await?;
+            match newest {
+                Some(newest) if lists.more_ended && newest > ends_seen => ends_seen = newest,
+                _ if lists.more_ended => return Err(NotReplaced::NotEnded),
+                _ => return Ok(()),
+            }
+        }
+    }
+
+    /// Records the ends of runs of a former incarnation that its successor has begun.
+    async fn record_ends_on_successor(
+        &self,
+        former: &Incarnation,
+        runs: &[TaskRun],
+        ended: Vec<ListedEnd>,
+    ) -> Result<(), NotConfirmed> {
+        let is_of_former =
+            |end: &ListedEnd| runs.iter().any(|(task, run)| *task == end.task && *run == end.run);
+        let ends: Vec<_> = ended
             .into_iter()
-            .filter(|end| runs.iter().any(|(task, run)| *task == end.task && *run == end.run));
-        let ends: Vec<_> = begun
+            .filter(is_of_former)
             .map(|end| EndRecord {
                 task: end.task,
                 run: end.run,
@@ -202,10 +222,10 @@
         if ends.is_empty() {
             return Ok(());
         }
-        info!(upstream = %successor.id, runs = ends.len(), "runs had begun on the successor");
+        info!(upstream = %former.id, runs = ends.len(), "runs had begun on the successor");
         super::lists::log_ends(former, &ends);
         let change = Change::RecordEnds { incarnation: former.clone(), up_to: 0, ends };
-        Ok(self.replica.propose(change).await?)
+        self.replica.propose(change).await
     }
 
     /// Orders a run to stop, so that no late order starts it, until the successor has answered.
@@ -252,6 +272,7 @@
         &self,
         successor: &Heartbeat,
         runs: &[TaskRun],
+        ends_seen: u64,
     ) -> Result<TaskLists, NotReplaced> {
         let begun_ms = boot_ms();
         loop {
@@ -259,7 +280,7 @@
                 address: Arc::clone(&successor.address),
                 upstream: Arc::clone(&successor.id),
                 fencing_token: self.term,
-                ends_seen: 0,
+                ends_seen,
                 lease_until_ms: None,
                 wait_ms: 0,
             };
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -6,6 +6,7 @@
 use tokio::sync::Notify;
 
 use super::TaskRun;
+use super::unlisted::{AnsweredOrder, Coverage};
 use crate::cluster::upstream_calls::TaskLists;
 use crate::tasks::{Incarnation, JobId, TaskId};
 
@@ -67,12 +68,14 @@
     pub(super) lists_read: bool,
     /// Number of entries of the latest lists that could not be decoded.
     unreadable: usize,
+    /// Since when some entry of the lists could not be decoded.
+    unreadable_since_ms: Option<u64>,
     /// When the lists were last read; `None` before that and after a hold call without an answer.
     lists_read_ms: Option<u64>,
     pub(super) runs: HashMap<TaskId, ObservedRun>,
-    /// Runs whose start or stop order was answered, and when the answer arrived. Such a run has
-    /// ended if task lists read later do not contain it.
-    pub(super) answered_orders: HashMap<TaskRun, u64>,
+    /// Latest answered start or stop order of each run. Such a run has ended if complete lists that are
+    /// read later do not contain it.
+    pub(super) answered_orders: HashMap<TaskRun, AnsweredOrder>,
     /// Recent outcomes: the job and whether its run succeeded.
     outcomes: VecDeque<(JobId, bool)>,
     /// End of the time in which it gets no new work because its runs failed.
@@ -107,6 +110,7 @@
             leases_end_ms: now_ms + longest_duration_ms(lease_max_ms) + LAPSE_MARGIN_MS,
             lists_read: false,
             unreadable: 0,
+            unreadable_since_ms: None,
             lists_read_ms: None,
             runs: HashMap::new(),
             answered_orders: HashMap::new(),
@@ -210,6 +214,8 @@
     pub(super) fn record_lists(&mut self, lists: &TaskLists, now_ms: u64) {
         self.lists_read = true;
         self.lists_read_ms = Some(now_ms);
+        let since_ms = self.unreadable_since_ms.unwrap_or(now_ms);
+        self.unreadable_since_ms = (lists.unreadable > 0).then_some(since_ms);
         let mut runs = HashMap::with_capacity(lists.running.len());
         for listed in &lists.running {
             let before = self.runs.get(&listed.task).filter(|observed| observed.run == listed.run);
@@ -239,6 +245,15 @@
         self.runs = runs;
     }
 
+    /// Returns how much the latest lists show.
+    pub(super) fn coverage(&self, lists: &TaskLists, now_ms: u64) -> Coverage {
+        match self.unreadable_since_ms {
+            _ if lists.more_ended => Coverage::MoreFollows,
+            Some(since_ms) => Coverage::Unreadable { for_ms: now_ms.saturating_sub(since_ms) },
+            None => Coverage::Complete,
+        }
+    }
+
     /// Returns true at the first call, when the loss of its runs is to be reported.
     pub(super) fn report_loss_once(&mut self) -> bool {
         !std::mem::replace(&mut self.loss_reported, true)
@@ -247,7 +262,7 @@
     /// Returns for how long a run was seen alive, or `None` if it may not have started at all.
     pub(super) fn seen_alive_ms(&self, key: &TaskRun) -> Option<u64> {
         let (task, run) = key;
-        let answered_ms = self.answered_orders.get(key).copied();
+        let answered_ms = self.answered_orders.get(key).map(|order| order.at_ms);
         let Some(observed) = self.runs.get(task).filter(|observed| observed.run == *run) else {
             return answered_ms.map(|_| 0);
         };
--- a/src/cluster/leader/tests/mod.rs
+++ b/src/cluster/leader/tests/mod.rs
@@ -1,5 +1,6 @@
-//! Tests of sessions with upstreams, of the detection of hanging runs and of the pace of decisions.
+//! Tests of sessions with upstreams, of what lists prove, of the detection of hanging runs and of the pace of decisions.
 
 mod hanging;
 mod passes;
 mod sessions;
+mod unlisted;
--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -48,6 +48,8 @@
     NoConnection,
     /// The answer is well-formed, and its figures make no sense.
     Absurd,
+    /// No entry of the lists can be decoded.
+    Unreadable,
 }
 
 /// What an upstream runs and what it was told.
@@ -70,6 +72,8 @@
     holds: BTreeMap<Arc<str>, Fault>,
     starts: Fault,
     stops: Fault,
+    /// Number of ends that an upstream lists at a time; all if absent.
+    ends_per_list: Option<usize>,
     /// Starts that were carried out, with the upstream.
     started: Vec<(TaskId, u32, Arc<str>)>,
     /// Number of hold calls that each upstream has answered.
@@ -117,6 +121,11 @@
         self.lock().stops = fault;
     }
 
+    /// Sets the number of ends that an upstream lists at a time.
+    pub(super) fn set_ends_per_list(&self, ends: usize) {
+        self.lock().ends_per_list = Some(ends);
+    }
+
     /// Sets the time that an upstream takes to stop a run after it has answered the order.
     pub(super) fn set_stop_time(&self, stop_time: Duration) {
         self.lock().stop_time = stop_time;
@@ -256,7 +265,7 @@
         let mut shared = self.lock();
         let fault = shared.holds.get(&order.upstream).copied().unwrap_or_default();
         let fault = shared.fault_at(&order.upstream, fault);
-        let work = shared.work;
+        let (work, ends_per_list) = (shared.work, shared.ends_per_list.unwrap_or(usize::MAX));
         not_carried_out(fault)?;
         if fault == Fault::Absurd {
             return Ok(absurd_lists());
@@ -281,13 +290,18 @@
             percent: percent(begun),
             load: None,
         };
-        let lists = TaskLists {
+        let mut lists = TaskLists {
             clock_ms: boot_ms(),
             born_unix_ms,
             running: upstream.running.iter().map(listed).collect(),
-            ended: upstream.ends.clone(),
+            ended: upstream.ends.iter().take(ends_per_list).cloned().collect(),
+            more_ended: upstream.ends.len() > ends_per_list,
             unreadable: 0,
         };
+        if fault == Fault::Unreadable {
+            lists.unreadable = lists.running.len() + lists.ended.len();
+            (lists.running, lists.ended) = (Vec::new(), Vec::new());
+        }
         answer(fault, lists)
     }
 }
@@ -392,6 +406,7 @@
         born_unix_ms: None,
         running: vec![run],
         ended: vec![end],
+        more_ended: true,
         unreadable: usize::MAX,
     }
 }
@@ -402,7 +417,7 @@
         Fault::Silent => Err(CallFault::NoAnswer { reason: "silent".to_owned() }),
         Fault::Refused => Err(CallFault::Refused),
         Fault::NoConnection => Err(CallFault::NoConnection),
-        Fault::None | Fault::AnswerLost | Fault::Absurd => Ok(()),
+        Fault::None | Fault::AnswerLost | Fault::Absurd | Fault::Unreadable => Ok(()),
     }
 }
 
--- a/src/cluster/tests/promises.rs
+++ b/src/cluster/tests/promises.rs
@@ -245,6 +245,33 @@
     assert_eq!(on_gone.count(), 0);
 }
 
+/// Guards against a second run of a task that is done, because the lists do not show its end: an upstream
+/// that was cut off lists its ends some at a time, or an entry can't be decoded.
+#[rstest]
+#[case::more_ends_follow(Fault::Silent, 2)]
+#[case::unreadable_entries(Fault::Unreadable, usize::MAX)]
+#[tokio::test(flavor = "multi_thread")]
+async fn work_whose_end_is_not_listed_yet_is_not_started_again(
+    #[case] fault: Fault,
+    #[case] ends_per_list: usize,
+) {
+    const TASKS: u32 = 6;
+    let fake = FakeUpstreams::new(Duration::from_millis(400));
+    fake.set_ends_per_list(ends_per_list);
+    let test = TestControl::start(&fake, 1, LEASE_MS).await;
+    let action = Action::Submit { spec: Arc::new(spec(vec![step(TASKS, 1)])) };
+    let reply = test.call_until_answered(call(1, action)).await;
+    assert_eq!(reply, Reply::Front(FrontReply::Accepted));
+    wait_until("all run", || fake.running() == TASKS as usize).await;
+    let upstream = Arc::clone(&fake.started()[0].2);
+    fake.set_holds(&upstream, fault);
+    wait_until("all are done", || fake.running() == 0).await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    fake.set_holds(&upstream, Fault::None);
+    wait_until_completed(&test, &fake, 1).await;
+    assert_eq!(fake.started().len(), TASKS as usize, "{:?}", fake.started());
+}
+
 /// Guards against a host that fails because the figures in an upstream's lists make no sense: the
 /// other upstreams go on working.
 #[tokio::test(flavor = "multi_thread")]
--- a/src/cluster/tests/successors.rs
+++ b/src/cluster/tests/successors.rs
@@ -71,6 +71,28 @@
     assert_eq!(fake.started().len(), 1, "{:?}", fake.started());
 }
 
+/// Guards against a second run of a task that has ended as done on a restarted upstream which lists its
+/// ends some at a time.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_runs_that_are_done_on_a_successor_count() {
+    const TASKS: u32 = 5;
+    let fake = FakeUpstreams::new(Duration::from_millis(300));
+    fake.set_ends_per_list(2);
+    let test = TestControl::start(&fake, 1, LEASE_MS).await;
+    wait_until("an upstream takes work", || fake.upstreams_held() == 1).await;
+    let id = incarnation(0).id;
+    fake.set_holds(&id, Fault::Silent);
+    let successor = fake.restart(&id);
+    let action = Action::Submit { spec: Arc::new(spec(vec![step(TASKS, 1)])) };
+    test.call_until_answered(call(1, action)).await;
+    wait_until("all run", || fake.running() == TASKS as usize).await;
+    wait_until("all are done", || fake.running() == 0).await;
+    fake.set_holds(&id, Fault::None);
+    test.call_until_answered(Request::Heartbeat(successor)).await;
+    wait_until_completed(&test, &fake, 1).await;
+    assert_eq!(fake.started().len(), TASKS as usize, "{:?}", fake.started());
+}
+
 /// Guards against a run that is placed on an upstream's former life while its successor's heartbeat
 /// is being handled: it would go on there and be started elsewhere, too.
 #[tokio::test(flavor = "multi_thread")]
--- a/src/cluster/upstream_calls.rs
+++ b/src/cluster/upstream_calls.rs
@@ -203,6 +203,8 @@
 }
 
 /// Running and ended tasks of an upstream.
+///
+/// Only lists that are complete prove that a task which they do not name has not run.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskLists {
     /// The upstream's clock.
@@ -211,8 +213,11 @@
     pub born_unix_ms: Option<u64>,
     /// Runs.
     pub running: Vec<ListedRun>,
-    /// Ends that are not recorded yet.
+    /// Ends that are not recorded yet, in the order of their numbers.
     pub ended: Vec<ListedEnd>,
+    /// Whether more ends may follow those in `ended`, which come with the next answer.
+    #[serde(default)]
+    pub more_ended: bool,
     /// Number of list entries that could not be decoded.
     pub unreadable: usize,
 }
--- a/src/standin/tasks/board.rs
+++ b/src/standin/tasks/board.rs
@@ -148,6 +148,7 @@
             born_unix_ms: None,
             running: self.running.iter().map(listed).collect(),
             ended: self.ended.clone(),
+            more_ended: false,
             unreadable: 0,
         })
     }
--- a/src/task_api/orders.rs
+++ b/src/task_api/orders.rs
@@ -89,6 +89,8 @@
     born_unix_ms: Option<u64>,
     running: Vec<Box<RawValue>>,
     ended: Vec<Box<RawValue>>,
+    #[serde(default)]
+    more_ended: bool,
 }
 
 impl WireLists {
@@ -97,8 +99,8 @@
         let running = decode_entries(&self.running);
         let ended = decode_entries(&self.ended);
         let unreadable = self.running.len() + self.ended.len() - running.len() - ended.len();
-        let Self { clock_ms, born_unix_ms, .. } = *self;
-        TaskLists { clock_ms, born_unix_ms, running, ended, unreadable }
+        let Self { clock_ms, born_unix_ms, more_ended, .. } = *self;
+        TaskLists { clock_ms, born_unix_ms, running, ended, more_ended, unreadable }
     }
 }
 
