Count a job as begun once an upstream says so

What callers saw: eight jobs were placed on a worker that had just been cut off.

Cause: the record of a run, which is made before its start is ordered, marked the job as started, and the mark was never taken back. The count falls to 0 within 51 ms of the acceptance with no start answered, so it is neither an old count nor that of another host.

Now a job has begun when an upstream carried out a start, or lists a run or its end. The leader records that with its next decision, beside it, so that placing work does not wait for it. Runs that never started or were lost unseen don't count.

Related paths: the state and the time to the first start follow the same mark. Whether a task had started on an upstream that crashed also went by the answer to a stop, or by a start refused as old, and so a crash counted as proof against a task that may never have run; it goes by an answered start or a listed run now.

The case not_started of attempts_are_counted_by_failures expected the old state "active" after two runs that never started and expects "queued" now; the count of attempts, which it guards, is checked as before.

--- a/src/cluster/leader/lists.rs
+++ b/src/cluster/leader/lists.rs
@@ -62,6 +62,9 @@
         };
         ends.extend(self.runs_not_started(incarnation, lists, verdict));
         self.stop_unknown(incarnation, lists);
+        for run in &lists.running {
+            self.note_begun(&run.task.job);
+        }
         let next = if self.is_leaving(incarnation) {
             NextStep::Pause(LEAVING_PAUSE)
         } else {
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -63,6 +63,8 @@
     starting: HashSet<TaskRun>,
     /// Runs that were ordered to stop and have not ended yet.
     stopping: HashSet<TaskRun>,
+    /// Jobs of which a task has begun, which is not recorded yet.
+    begun: HashSet<JobId>,
     /// Upstreams that get no more calls, because a successor was heard of.
     superseded: HashMap<Incarnation, Supersession>,
     /// Identities of upstreams whose replacement is under way.
--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -21,8 +21,10 @@
 
 /// Outcome of a start order.
 enum StartOutcome {
-    /// Answered: the run exists, or the lists will show its end.
-    Settled,
+    /// Carried out, as the answer or the lists say.
+    Begun,
+    /// Refused as old: the run was stopped before it began, or has ended. The lists will tell.
+    Old,
     /// Refused: the run will never start.
     Refused(Refusal),
     /// Not answered: a stop order must make sure that the run does not start later.
@@ -55,7 +57,7 @@
         let key = (unit.task(member_index), run);
         let outcome = self.try_start(&key, &incarnation).await;
         let how = match &outcome {
-            StartOutcome::Settled => "settled",
+            StartOutcome::Begun | StartOutcome::Old => "settled",
             StartOutcome::Refused(_) => "refused",
             StartOutcome::Uncertain => "uncertain",
             StartOutcome::Abandoned => "ended",
@@ -79,7 +81,7 @@
             );
         }
         self.replica.metrics.order(match &outcome {
-            StartOutcome::Settled => "start settled",
+            StartOutcome::Begun | StartOutcome::Old => "start settled",
             StartOutcome::Refused(_) => "start refused",
             StartOutcome::Uncertain => "start unanswered",
             StartOutcome::Abandoned => "start void",
@@ -90,10 +92,14 @@
             self.stop_others(&unit, key.1, member_index);
         }
         match outcome {
-            StartOutcome::Settled => {
-                self.record_answered_order(&incarnation, key.clone(), false);
+            StartOutcome::Begun => {
+                self.note_begun(&key.0.job);
+                self.record_answered_order(&incarnation, key.clone(), AnsweredOrder::begun);
                 self.check_suspect(&incarnation, &key).await;
             }
+            StartOutcome::Old => {
+                self.record_answered_order(&incarnation, key, AnsweredOrder::old);
+            }
             StartOutcome::Refused(_) => self.record_not_started(&incarnation, key).await,
             StartOutcome::Uncertain => {
                 self.order_stop(&incarnation, key.0, key.1, "start not answered");
@@ -120,9 +126,9 @@
                         self.report_start_by_successor(key, incarnation, clock_ms, known_clock_ms);
                     }
                     self.record_contact(incarnation, clock_ms);
-                    return StartOutcome::Settled;
+                    return StartOutcome::Begun;
                 }
-                Ok(OrderAnswer::Refused(Refusal::StaleRun)) => return StartOutcome::Settled,
+                Ok(OrderAnswer::Refused(Refusal::StaleRun)) => return StartOutcome::Old,
                 Ok(OrderAnswer::Refused(Refusal::StaleToken)) | Err(CallFault::Fenced) => {
                     return StartOutcome::Abandoned;
                 }
@@ -148,7 +154,7 @@
             }
             if unanswered && self.lists_run(incarnation, key) {
                 // Only the answer was lost.
-                return StartOutcome::Settled;
+                return StartOutcome::Begun;
             }
             if boot_ms().saturating_sub(begun_ms) > START_GIVE_UP_MS {
                 return if unanswered {
@@ -247,17 +253,19 @@
     }
 
     /// Records that an order has a definite answer.
-    fn record_answered_order(&self, incarnation: &Incarnation, key: TaskRun, is_stop: bool) {
+    fn record_answered_order(
+        &self,
+        incarnation: &Incarnation,
+        key: TaskRun,
+        answered: impl Fn(u64) -> AnsweredOrder,
+    ) {
         let mut term_state = self.term_state();
         if let Some(session) = term_state.sessions.get_mut(&incarnation.id)
             && session.incarnation == *incarnation
         {
-            let answered = AnsweredOrder { at_ms: boot_ms(), is_stop };
-            let latest = session.answered_orders.entry(key).or_insert(answered);
-            // The answer to a start may arrive after that to a later stop.
-            if is_stop || !latest.is_stop {
-                *latest = answered;
-            }
+            let answered = answered(boot_ms());
+            let known = session.answered_orders.entry(key).or_insert(answered);
+            *known = known.followed_by(answered);
         }
     }
 
@@ -344,7 +352,11 @@
                     Ok(OrderAnswer::Done { clock_ms }) => {
                         if let Some(leader) = shared.upgrade() {
                             leader.record_contact(&incarnation, clock_ms);
-                            leader.record_answered_order(&incarnation, key.clone(), true);
+                            leader.record_answered_order(
+                                &incarnation,
+                                key.clone(),
+                                AnsweredOrder::stopped,
+                            );
                             leader.read_if_unlisted(&incarnation, &key);
                         }
                         break;
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -262,7 +262,8 @@
     /// Returns for how long a run was seen alive, or `None` if it may not have started at all.
     pub(super) fn seen_alive_ms(&self, key: &TaskRun) -> Option<u64> {
         let (task, run) = key;
-        let answered_ms = self.answered_orders.get(key).map(|order| order.at_ms);
+        let answered = self.answered_orders.get(key).filter(|order| order.has_begun);
+        let answered_ms = answered.map(|order| order.at_ms);
         let Some(observed) = self.runs.get(task).filter(|observed| observed.run == *run) else {
             return answered_ms.map(|_| 0);
         };
--- a/src/cluster/leader/tests/sessions.rs
+++ b/src/cluster/leader/tests/sessions.rs
@@ -1,6 +1,8 @@
 //! Leases and run outcomes of one incarnation of an upstream.
 
 use crate::cluster::leader::session::Session;
+use crate::cluster::leader::unlisted::AnsweredOrder;
+use crate::tasks::TaskId;
 use crate::tasks::tests::sample::{incarnation, job_id};
 
 const LEASE_MS: u64 = 10_000;
@@ -79,3 +81,17 @@
     assert_eq!(session.record_outcome(job_id(4), true, 0), None);
     assert_eq!(session.record_outcome(job_id(5), false, 0), None);
 }
+
+/// Guards against a crash that counts as proof against a task which may not have run: only its stop was
+/// answered, or its start was refused as old.
+#[test]
+fn a_run_counts_as_started_by_the_answer_to_its_start_only() {
+    let mut session = session(0);
+    let run = |index| (TaskId { job: job_id(1), occurrence: 0, step: 0, index }, 1);
+    let orders = &mut session.answered_orders;
+    orders.insert(run(0), AnsweredOrder::stopped(100));
+    orders.insert(run(1), AnsweredOrder::old(100));
+    orders.insert(run(2), AnsweredOrder::begun(100).followed_by(AnsweredOrder::stopped(200)));
+    let alive_ms = [0, 1, 2].map(|index| session.seen_alive_ms(&run(index)));
+    assert_eq!(alive_ms, [None, None, Some(0)]);
+}
--- a/src/cluster/leader/tests/unlisted.rs
+++ b/src/cluster/leader/tests/unlisted.rs
@@ -8,11 +8,11 @@
 const SENT_MS: u64 = 10_000;
 
 const fn start(at_ms: u64) -> AnsweredOrder {
-    AnsweredOrder { at_ms, is_stop: false }
+    AnsweredOrder::begun(at_ms)
 }
 
 const fn stop(at_ms: u64) -> AnsweredOrder {
-    AnsweredOrder { at_ms, is_stop: true }
+    start(9_000).followed_by(AnsweredOrder::stopped(at_ms))
 }
 
 fn unreadable(for_ms: u64) -> Coverage {
--- a/src/cluster/leader/unlisted.rs
+++ b/src/cluster/leader/unlisted.rs
@@ -6,12 +6,39 @@
 /// Time for which entries of the lists may be unreadable before the runs that they may hide are stopped.
 const HIDDEN_MAX_MS: u64 = 3_000;
 
-/// An order that was answered.
+/// What the answers to the orders about a run say.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct AnsweredOrder {
-    /// When the answer arrived.
+    /// When the latest answer arrived.
     pub(super) at_ms: u64,
+    /// Whether a stop was answered.
     pub(super) is_stop: bool,
+    /// Whether a start was carried out.
+    pub(super) has_begun: bool,
+}
+
+impl AnsweredOrder {
+    /// A start was carried out.
+    pub(super) const fn begun(at_ms: u64) -> Self {
+        Self { at_ms, is_stop: false, has_begun: true }
+    }
+
+    /// A start was refused as old.
+    pub(super) const fn old(at_ms: u64) -> Self {
+        Self { at_ms, is_stop: false, has_begun: false }
+    }
+
+    /// A stop was accepted; whether the run had begun is not known.
+    pub(super) const fn stopped(at_ms: u64) -> Self {
+        Self { at_ms, is_stop: true, has_begun: false }
+    }
+
+    /// Adds a later answer; that to a start may arrive after that to a stop.
+    pub(super) const fn followed_by(self, later: Self) -> Self {
+        let at_ms = if self.is_stop && !later.is_stop { self.at_ms } else { later.at_ms };
+        let is_stop = self.is_stop || later.is_stop;
+        Self { at_ms, is_stop, has_begun: self.has_begun || later.has_begun }
+    }
 }
 
 /// How much lists show.
--- a/src/cluster/tests/promises.rs
+++ b/src/cluster/tests/promises.rs
@@ -245,6 +245,51 @@
     assert_eq!(on_gone.count(), 0);
 }
 
+/// Guards against a count of waiting jobs that leaves out those placed on an upstream which can't be
+/// reached, and against one that keeps jobs whose tasks run: their starts were answered, or are listed.
+#[rstest]
+#[case::answered(Fault::None)]
+#[case::answers_lost(Fault::AnswerLost)]
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_wait_until_a_task_has_begun(#[case] starts: Fault) {
+    const JOBS: u64 = 4;
+    let fake = FakeUpstreams::new(Duration::from_secs(5));
+    let test = TestControl::start(&fake, 1, LEASE_MS).await;
+    wait_until("an upstream takes work", || fake.upstreams_held() == 1).await;
+    fake.set_starts(Fault::Silent);
+    let small = Arc::new(spec(vec![step(1, 1)]));
+    for number in 1..=JOBS {
+        let action = Action::Submit { spec: Arc::clone(&small) };
+        let reply = test.call_until_answered(call(number, action)).await;
+        assert_eq!(reply, Reply::Front(FrontReply::Accepted));
+    }
+    for _ in 0..20 {
+        assert_eq!(pending(&test).await, JOBS);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    fake.set_starts(starts);
+    wait_until("all run", || fake.running() as u64 == JOBS).await;
+    let begun = Instant::now();
+    while pending(&test).await > 0 {
+        assert!(begun.elapsed() < Duration::from_secs(2), "{} wait", pending(&test).await);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Returns the number of jobs that wait in the queue.
+async fn pending(test: &TestControl) -> u64 {
+    let request = Request::Front(FrontCall {
+        host: "jobs.example".to_owned(),
+        path: "/normal/".to_owned(),
+        key: Some("key-of-north".to_owned()),
+        action: Action::Status,
+    });
+    match test.call_until_answered(request).await {
+        Reply::Front(FrontReply::Pending(pending)) => pending,
+        reply => panic!("{reply:?}"),
+    }
+}
+
 /// Guards against a second run of a task that is done, because the lists do not show its end: an upstream
 /// that was cut off lists its ends some at a time, or an entry can't be decoded.
 #[rstest]
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -148,7 +148,7 @@
             band,
             priority: queue.priority,
             timeliness: if is_fifo { Timeliness::OnTime } else { timeliness },
-            job_not_started: !is_fifo && !job.started,
+            job_not_started: !is_fifo && !job.is_under_way(),
             since_ms,
             id: id.clone(),
         };
--- a/src/placement/tests/pool_view.rs
+++ b/src/placement/tests/pool_view.rs
@@ -54,12 +54,16 @@
     })
 }
 
-/// Opens the occurrences that are due, runs a decision and records its starts in the state.
+/// Opens the occurrences that are due, runs a decision and records its starts in the state, which the
+/// upstreams carry out.
 pub(super) fn decide_and_start(sample: &mut Sample, inputs: &Inputs) -> Plan {
     let openings = decide(sample, inputs).openings;
     sample.apply(crate::tasks::Change::OpenOccurrences { openings });
     let plan = decide(sample, inputs);
     sample.apply(crate::tasks::Change::Start { starts: plan.starts.clone() });
+    for start in &plan.starts {
+        sample.begin(&start.unit.job);
+    }
     plan
 }
 
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -63,6 +63,7 @@
                     }
                 }
             }
+            Change::RecordBegun { jobs } => jobs.iter().for_each(|id| self.record_begun(id)),
             Change::DropSteps { jobs } => {
                 for id in &jobs {
                     if let Some(job) = self.jobs.get_mut(id) {
@@ -148,8 +149,12 @@
         unit.run = start.run;
         unit.phase = Phase::Running { members };
         job.running_units += 1;
-        if !job.started {
-            job.started = true;
+    }
+
+    /// Records that a task of a job has begun on an upstream.
+    fn record_begun(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.outcome.is_none() && !std::mem::replace(&mut job.begun, true) {
             let event = job_event(job, self.now_ms);
             self.events.push(event);
         }
@@ -163,6 +168,9 @@
 
     fn record_ends(&mut self, incarnation: &Incarnation, up_to: u64, ends: Vec<EndRecord>) {
         for end in ends {
+            if end.how != EndKind::NotStarted {
+                self.record_begun(&end.task.job);
+            }
             self.end_run(incarnation, &end.task, end.run, end.how, end.checkpoint);
         }
         if let Some(upstream) = self.upstreams.get_mut(&incarnation.id)
--- a/src/tasks/command.rs
+++ b/src/tasks/command.rs
@@ -83,6 +83,8 @@
     OpenOccurrences { openings: Vec<Opening> },
     /// Drops the steps of ended jobs, whose outcome is kept, so that others have room in memory.
     DropSteps { jobs: Vec<JobId> },
+    /// Records that tasks of jobs have begun on upstreams.
+    RecordBegun { jobs: Vec<JobId> },
 }
 
 /// A change and the cluster time at which the leader proposed it.
--- a/src/tasks/job.rs
+++ b/src/tasks/job.rs
@@ -111,7 +111,8 @@
     /// When it was accepted, in cluster time.
     pub(crate) accepted_ms: u64,
     pub(crate) occurrences: Occurrences,
-    pub(crate) started: bool,
+    /// Whether some task is known to have begun on an upstream; a recorded run is only an intent.
+    pub(crate) begun: bool,
     pub(crate) outcome: Option<Outcome>,
     /// When its outcome was decided, in cluster time.
     pub(crate) ended_ms: u64,
@@ -139,7 +140,7 @@
             spec,
             accepted_ms: now_ms,
             occurrences,
-            started: false,
+            begun: false,
             outcome: None,
             ended_ms: 0,
             running_units: 0,
@@ -173,6 +174,11 @@
         self.outcome.is_some() && !self.has_runs() && !self.spec.steps.is_empty()
     }
 
+    /// Returns whether some task has begun or is being started.
+    pub(crate) fn is_under_way(&self) -> bool {
+        self.begun || self.has_runs()
+    }
+
     /// Returns whether all units of all occurrences are done.
     pub(super) fn is_done(&self) -> bool {
         self.occurrences.next() == self.spec.occurrences() && self.occurrences.are_done()
@@ -188,7 +194,7 @@
             Some(Outcome::Completed) => JobState::Completed,
             Some(Outcome::Failed) => JobState::Failed,
             Some(Outcome::Cancelled) => JobState::Cancelled,
-            None if self.started => JobState::Active,
+            None if self.begun => JobState::Active,
             None => JobState::Queued,
         }
     }
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -122,9 +122,9 @@
         Some((job, job.unit(task.occurrence, task.step, unit)?, member))
     }
 
-    /// Counts the jobs of a queue that have neither started nor ended.
+    /// Counts the jobs of a queue of which no task has begun and that have not ended.
     pub(crate) fn pending(&self, queue: &str) -> usize {
-        let waits = |job: &&Job| &*job.queue == queue && !job.started && job.outcome.is_none();
+        let waits = |job: &&Job| &*job.queue == queue && !job.begun && job.outcome.is_none();
         self.jobs.values().filter(waits).count()
     }
 }
--- a/src/tasks/tests/jobs.rs
+++ b/src/tasks/tests/jobs.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use super::sample::{Sample, gang, incarnation, spec, step};
+use super::sample::{Sample, gang, heartbeat, incarnation, spec, step};
 use crate::tasks::{Change, EndKind, JobSpec, JobState, Phase, Repeat, StepSpec};
 
 /// Guards against a resent submission that starts the job again.
@@ -11,6 +11,7 @@
     let mut sample = Sample::with_hosts(2);
     let job = sample.accept(1, "normal", vec![step(2, 1)]);
     sample.start(&job, 0, 1, &[0]);
+    sample.begin(&job);
     sample.accept(1, "normal", vec![step(2, 1)]);
     assert_eq!(sample.state.jobs[&job].state(), JobState::Active);
     assert_eq!(sample.state.runs_of(&incarnation(0)).len(), 1);
@@ -46,12 +47,36 @@
     assert_eq!(sample.state.jobs[&job].state(), JobState::Completed);
 }
 
+/// Guards against a job that counts as begun because a run was recorded: the order may never arrive.
+/// Only what its upstream says proves it.
+#[test]
+fn a_job_has_begun_once_its_upstream_says_so() {
+    let mut sample = Sample::with_hosts(1);
+    let job = sample.accept(1, "normal", vec![step(1, 1)]);
+    let of = |sample: &Sample| (sample.state.jobs[&job].state(), sample.state.pending("normal"));
+    sample.start(&job, 0, 1, &[0]);
+    assert_eq!(of(&sample), (JobState::Queued, 1), "a recorded run");
+    sample.end(&job, 0, 1, 0, EndKind::NotStarted);
+    assert_eq!(of(&sample), (JobState::Queued, 1), "a run that never started");
+    sample.start(&job, 0, 2, &[0]);
+    sample.apply(Change::RemoveUpstream { incarnation: incarnation(0) });
+    assert_eq!(of(&sample), (JobState::Queued, 1), "a run that was lost unseen");
+    sample.apply(Change::RegisterUpstream { heartbeat: heartbeat(0) });
+    sample.start(&job, 0, 3, &[0]);
+    sample.end(&job, 0, 3, 0, EndKind::Stopped);
+    assert_eq!(of(&sample), (JobState::Active, 0), "a listed end");
+    let other = sample.accept(2, "normal", vec![step(1, 1)]);
+    sample.begin(&other);
+    assert_eq!(sample.state.jobs[&other].state(), JobState::Active, "an answered start");
+    assert_eq!(sample.state.pending("normal"), 0);
+}
+
 /// Guards against runs that use up attempts although they did not fail.
 #[rstest]
 #[case::failed(EndKind::Failed, JobState::Failed)]
 #[case::stopped(EndKind::Stopped, JobState::Active)]
 #[case::lapsed(EndKind::Lapsed, JobState::Active)]
-#[case::not_started(EndKind::NotStarted, JobState::Active)]
+#[case::not_started(EndKind::NotStarted, JobState::Queued)]
 fn attempts_are_counted_by_failures(#[case] how: EndKind, #[case] after_two: JobState) {
     let mut sample = Sample::with_hosts(2);
     let job = sample.accept(1, "normal", vec![step(1, 1)]);
--- a/src/tasks/tests/sample.rs
+++ b/src/tasks/tests/sample.rs
@@ -166,6 +166,11 @@
         self.apply(Change::Start { starts: vec![StartRecord { unit, run, incarnations }] });
     }
 
+    /// Records that a task of a job has begun.
+    pub(crate) fn begin(&mut self, job: &JobId) {
+        self.apply(Change::RecordBegun { jobs: vec![job.clone()] });
+    }
+
     /// Records the end of one task.
     pub(crate) fn end(&mut self, job: &JobId, index: u32, run: u32, host: u32, how: EndKind) {
         let task = TaskId { job: job.clone(), occurrence: 0, step: 0, index };
