Let runs that lose nothing leave a draining upstream before it goes

What could be seen: since the runs of a leaving upstream end by proof only, what it takes along waits for its lease.

Cause: the leader knew for seconds that the upstream would go (it drained, and says for how long at least) and left lasting tasks there, which never end by themselves, until nobody could say that they had ended.

Now lasting runs, and those that resume from a checkpoint and would not end in time, are stopped just before a draining upstream may leave: while it can still list their ends. Leases of draining upstreams are 5 s at most, since what can't be moved waits for them, and are extended each second, so that two lost calls in a row do not end them. Runs that would start anew stay, in the hope that they end in time.

--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -20,6 +20,9 @@
 /// Longest time that a call waits for a task to end; shorter waits would cost more calls.
 const LONG_POLL_MS: u64 = 2_000;
 
+/// Longest wait of a call to a draining upstream, whose leases are shorter.
+const DRAINING_POLL_MS: u64 = 1_000;
+
 /// Leases are extended unless the upstream has not answered for longer than this.
 const EXTEND_LEASE_SILENCE_MAX_MS: u64 = 3_500;
 
@@ -40,7 +43,7 @@
 const LAST_RUNS_CALL_TIMEOUT_MS: u64 = 800;
 
 /// Time beyond the stop timeout in which the ends of the last runs of a leaving upstream are recorded.
-const LAST_RUNS_MARGIN_MS: u64 = 500;
+pub(super) const LAST_RUNS_MARGIN_MS: u64 = 500;
 
 const LAST_RUNS_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -256,7 +259,11 @@
         let lease_until_ms =
             if silent || session.is_leaving() { None } else { session.grant_lease(now_ms) };
         let no_wait = !session.lists_read || session.is_leaving() || polls_at_intervals;
-        let wait_ms = if no_wait { 0 } else { LONG_POLL_MS };
+        let wait_ms = match no_wait {
+            true => 0,
+            false if session.is_draining() => DRAINING_POLL_MS,
+            false => LONG_POLL_MS,
+        };
         Some(HoldOrder {
             address: Arc::clone(&session.address),
             upstream: Arc::clone(&incarnation.id),
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -1,6 +1,7 @@
 //! The leader during one term: sessions with upstreams, scheduling, orders and requests.
 
 mod advice;
+mod draining;
 mod failures;
 mod hold;
 mod lists;
@@ -29,7 +30,7 @@
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
 use crate::placement::{Admissions, Approvals, Headroom, StepId};
-use crate::tasks::{Incarnation, JobId, TaskId};
+use crate::tasks::{Heartbeat, Incarnation, JobId, TaskId};
 use replacement::Supersession;
 use session::Session;
 
@@ -155,16 +156,16 @@
     }
 
     fn sync_sessions(self: &Arc<Self>) {
-        let incarnations: Vec<(Incarnation, Arc<str>)> = {
+        let upstreams: Vec<(Incarnation, Heartbeat)> = {
             let inner = self.replica.lock();
             let upstreams = inner.state.upstreams.values();
-            upstreams.map(|up| (up.incarnation(), Arc::clone(&up.heartbeat.address))).collect()
+            upstreams.map(|up| (up.incarnation(), up.heartbeat.clone())).collect()
         };
         let mut new = Vec::new();
         {
             let mut term_state = self.term_state();
             let known: HashSet<&Incarnation> =
-                incarnations.iter().map(|(incarnation, _)| incarnation).collect();
+                upstreams.iter().map(|(incarnation, _)| incarnation).collect();
             let gone: Vec<_> = term_state
                 .holds
                 .keys()
@@ -181,13 +182,19 @@
                 }
             }
             term_state.superseded.retain(|incarnation, _| known.contains(incarnation));
-            for (incarnation, address) in incarnations {
+            for (incarnation, heartbeat) in upstreams {
+                let now_ms = boot_ms();
                 if !term_state.holds.contains_key(&incarnation) {
                     let lease_max_ms = self.bounds.lease_max_ms;
-                    let session =
-                        Session::new(incarnation.clone(), address, lease_max_ms, boot_ms());
+                    let address = Arc::clone(&heartbeat.address);
+                    let session = Session::new(incarnation.clone(), address, lease_max_ms, now_ms);
                     term_state.sessions.insert(Arc::clone(&incarnation.id), session);
-                    new.push(incarnation);
+                    new.push(incarnation.clone());
+                }
+                let session = term_state.sessions.get_mut(&incarnation.id);
+                if let Some(session) = session.filter(|known| known.incarnation == incarnation) {
+                    let remaining_ms = heartbeat.draining.then_some(heartbeat.drain_remaining_ms);
+                    session.record_drain(remaining_ms, now_ms);
                 }
             }
         }
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -11,7 +11,7 @@
 use super::{Leader, TaskRun, failures};
 use crate::cluster::clock::{boot_ms, unix_ms};
 use crate::placement::{
-    Host, Plan, Progress, StopCause, View, estimated_left_ms, jobs_to_shrink, plan, urgent_demand,
+    Host, Plan, Progress, StopCause, View, jobs_to_shrink, plan, urgent_demand,
 };
 use crate::tasks::{
     Change, Incarnation, JobId, Opening, StartRecord, State, StepSpec, TaskId, UnitId,
@@ -57,6 +57,7 @@
         self.record_begun_jobs();
         self.stop_hanging_runs();
         self.pace_filling();
+        self.move_from_draining();
         let plan = self.decide();
         let decided_in = begun.elapsed();
         log_rotation(&plan);
@@ -114,12 +115,7 @@
                 let since_ms =
                     if checkpoints { observed.saved_ms } else { observed.first_listed_ms };
                 let unsaved_ms = now_ms.saturating_sub(since_ms);
-                let left_ms = estimated_left_ms(
-                    estimate_ms(state, task),
-                    now_ms.saturating_sub(observed.first_listed_ms),
-                    observed.first_percent,
-                    observed.percent,
-                );
+                let left_ms = observed.estimated_left_ms(estimate_ms(state, task), now_ms);
                 let seen_alive_ms = session.seen_alive_ms(&key).unwrap_or(0);
                 let known = progress
                     .entry(unit)
@@ -400,6 +396,6 @@
     step_of(state, task).map_or(0, |step| step.estimate_ms)
 }
 
-fn step_of<'a>(state: &'a State, task: &TaskId) -> Option<&'a StepSpec> {
+pub(super) fn step_of<'a>(state: &'a State, task: &TaskId) -> Option<&'a StepSpec> {
     state.jobs.get(&task.job)?.spec.steps.get(task.step as usize)
 }
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -8,6 +8,7 @@
 use super::TaskRun;
 use super::unlisted::{AnsweredOrder, Coverage};
 use crate::cluster::upstream_calls::TaskLists;
+use crate::placement::estimated_left_ms;
 use crate::tasks::{Incarnation, JobId, TaskId};
 
 /// Slowest rate of an upstream's clock, in thousandths of real time.
@@ -22,6 +23,9 @@
 /// Time in which an upstream does not crash, restart and answer a call.
 const RESTART_MIN_MS: u64 = 150;
 
+/// Longest lease of an upstream that drains. It will leave, and what runs on it then waits for the lease.
+const DRAINING_LEASE_MS: u64 = 5_000;
+
 /// Latest time of an upstream's clock that is believed: a hundred years after its start.
 const CLOCK_MAX_MS: u64 = 100 * 366 * 24 * 3_600 * 1_000;
 
@@ -55,6 +59,14 @@
     pub(super) saved_ms: u64,
 }
 
+impl ObservedRun {
+    /// Returns the estimated time until the run ends by itself.
+    pub(super) fn estimated_left_ms(&self, estimate_ms: u64, now_ms: u64) -> u64 {
+        let observed_ms = now_ms.saturating_sub(self.first_listed_ms);
+        estimated_left_ms(estimate_ms, observed_ms, self.first_percent, self.percent)
+    }
+}
+
 /// Session with one incarnation of an upstream; all times are on this host's boot clock unless
 /// they say otherwise.
 #[derive(Debug)]
@@ -85,6 +97,8 @@
     lease_max_ms: u64,
     /// Whether an order had no answer since the last contact.
     order_unanswered: bool,
+    /// When a draining upstream may leave at the earliest.
+    drain_ends_ms: Option<u64>,
     /// When it announced that it leaves; it is removed once its runs are over.
     leaving_since_ms: Option<u64>,
     /// Whether the loss of its runs was reported.
@@ -119,6 +133,7 @@
             set_aside_count: 0,
             lease_max_ms,
             order_unanswered: false,
+            drain_ends_ms: None,
             leaving_since_ms: None,
             loss_reported: false,
             read_now: Arc::default(),
@@ -131,7 +146,7 @@
     /// `None` until the upstream's clock is known.
     pub(super) fn grant_lease(&mut self, now_ms: u64) -> Option<u64> {
         let contact = self.contact?;
-        let granted_ms = now_ms.saturating_sub(contact.received_ms) + self.lease_max_ms;
+        let granted_ms = now_ms.saturating_sub(contact.received_ms) + self.lease_ms();
         let until_ms = contact.clock_ms + granted_ms;
         let longest_ms = longest_duration_ms(granted_ms);
         self.leases_end_ms =
@@ -139,6 +154,28 @@
         Some(until_ms)
     }
 
+    /// Returns the length of the leases that the upstream gets.
+    fn lease_ms(&self) -> u64 {
+        let longest_ms = if self.is_draining() { DRAINING_LEASE_MS } else { u64::MAX };
+        self.lease_max_ms.min(longest_ms)
+    }
+
+    /// Records whether the upstream drains, and for how long it stays at least.
+    pub(super) fn record_drain(&mut self, remaining_ms: Option<u64>, now_ms: u64) {
+        let ends_ms = remaining_ms.map(|remaining_ms| now_ms + remaining_ms);
+        self.drain_ends_ms = ends_ms.map(|ends_ms| self.drain_ends_ms.unwrap_or(ends_ms));
+    }
+
+    /// Returns whether the upstream drains.
+    pub(super) const fn is_draining(&self) -> bool {
+        self.drain_ends_ms.is_some()
+    }
+
+    /// Returns when a draining upstream may leave at the earliest.
+    pub(super) const fn drain_ends_ms(&self) -> Option<u64> {
+        self.drain_ends_ms
+    }
+
     /// Records an answer of the upstream; one with an impossible time counts as none.
     pub(super) fn record_contact(&mut self, clock_ms: u64, now_ms: u64) {
         if !is_possible_clock(clock_ms) {
@@ -259,6 +296,17 @@
         !std::mem::replace(&mut self.loss_reported, true)
     }
 
+    /// Returns the estimated time until a run ends by itself; `None` if it was not listed.
+    pub(super) fn estimated_left_ms(
+        &self,
+        (task, run): &TaskRun,
+        estimate_ms: u64,
+        now_ms: u64,
+    ) -> Option<u64> {
+        let observed = self.runs.get(task).filter(|observed| observed.run == *run)?;
+        Some(observed.estimated_left_ms(estimate_ms, now_ms))
+    }
+
     /// Returns for how long a run was seen alive, or `None` if it may not have started at all.
     pub(super) fn seen_alive_ms(&self, key: &TaskRun) -> Option<u64> {
         let (task, run) = key;
--- a/src/cluster/leader/tests/sessions.rs
+++ b/src/cluster/leader/tests/sessions.rs
@@ -24,6 +24,20 @@
     assert!(session.has_lapsed(ends_ms + 400));
 }
 
+/// Guards against work that waits for a long lease of an upstream that was bound to leave. One that drains
+/// no longer gets long ones again.
+#[test]
+fn a_draining_upstream_gets_short_leases() {
+    let mut session = session(0);
+    session.record_contact(1_000, 0);
+    session.record_drain(Some(2_000), 0);
+    session.record_drain(Some(500), 1_000);
+    assert_eq!(session.drain_ends_ms(), Some(2_000), "by the first notice");
+    assert_eq!(session.grant_lease(0), Some(1_000 + LEASE_MS / 2));
+    session.record_drain(None, 2_000);
+    assert_eq!(session.grant_lease(0), Some(1_000 + LEASE_MS));
+}
+
 /// Guards against restarting work that a lease of the former leader still covers: a new leader
 /// waits for a whole lease.
 #[test]
--- a/src/cluster/tests/promises.rs
+++ b/src/cluster/tests/promises.rs
@@ -8,7 +8,7 @@
 use super::fake_worker::{BOUNDS, FakeUpstreams, Fault, TestControl, wait_until};
 use crate::cluster::{Action, FrontCall, FrontReply, Reply, Request, TaskBounds};
 use crate::tasks::tests::sample::{heartbeat, job_id, spec, step};
-use crate::tasks::{JobSpec, JobState, Repeat, StepSpec};
+use crate::tasks::{Heartbeat, JobSpec, JobState, Repeat, StepSpec};
 
 /// Lease of the upstreams in these tests.
 pub(super) const LEASE_MS: u64 = 4_000;
@@ -219,6 +219,36 @@
     assert_eq!(fake.started().len(), 1, "{:?}", fake.started());
 }
 
+/// Guards against a lasting task that is missed until a lease has ended: its upstream is taken away at
+/// short notice and without a word, so the task has to leave it before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lasting_task_leaves_a_draining_upstream_before_it_goes() {
+    let fake = FakeUpstreams::new(Duration::from_mins(1));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    wait_until("upstreams take work", || fake.upstreams_held() == 2).await;
+    let lasting = StepSpec { lasting: true, ..step(1, 1) };
+    let action = Action::Submit { spec: Arc::new(spec(vec![lasting])) };
+    let reply = test.call_until_answered(call(1, action)).await;
+    assert_eq!(reply, Reply::Front(FrontReply::Accepted));
+    wait_until("it runs", || fake.running() == 1).await;
+    let upstream = Arc::clone(&fake.started()[0].2);
+    let ready = [heartbeat(0), heartbeat(1)].into_iter().find(|known| known.id == upstream);
+    let draining = Heartbeat {
+        draining: true,
+        drain_remaining_ms: 1_000,
+        sequence: 2,
+        ..ready.expect("one of the two")
+    };
+    test.call_until_answered(Request::Heartbeat(draining)).await;
+    let notice = Instant::now();
+    wait_until("it runs elsewhere", || fake.started().len() == 2).await;
+    assert!(notice.elapsed() < Duration::from_secs(1), "{:?}", notice.elapsed());
+    assert!(!fake.runs_twice());
+    fake.crash(&upstream);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(fake.started().len(), 2, "{:?}", fake.started());
+}
+
 /// Guards against new work for an upstream that has left, when a heartbeat that was sent before
 /// arrives late.
 #[tokio::test(flavor = "multi_thread")]
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod approvals;
+mod departure;
 mod drain;
 mod forecast;
 mod free_capacity;
@@ -34,6 +35,7 @@
 
 pub(crate) use admission::{Admission, Admissions};
 pub(crate) use approvals::{ApprovalRequest, Approvals, StepId, without_pending};
+pub(crate) use departure::must_move;
 use drain::Drains;
 use full_steps::FullSteps;
 pub(crate) use headroom::{Headroom, urgent_demand};
@@ -118,6 +120,9 @@
     /// Its physical host goes down for maintenance.
     #[display("maintenance")]
     Maintenance,
+    /// Its upstream drains and may leave soon.
+    #[display("upstream drains")]
+    Draining,
     /// It makes no progress.
     #[display("hangs")]
     Hangs,
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod admissions;
 mod capacities;
+mod departure;
 mod loads;
 mod openings;
 mod places;
