Keep the wait of a task whose run never started

Cause: its run ended at 22.08 s. At 26.40 s another run was recorded and preempted 0.08 s later, before its start was carried out, and its end as "not started" set the time since when the task waits. Tasks that have waited too long replace others by that time, so its turn came at 33.93 s.

Now the wait begins when a run ends that has begun.

Evidence: a_run_that_never_started_does_not_begin_the_wait_anew failed before (9,000 instead of 5,000 ms).

--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -234,6 +234,7 @@
         }
         let all_ended = members.iter().all(|member| member.end.is_some());
         let failed = members.iter().any(|member| member.end == Some(EndKind::Failed));
+        let has_begun = members.iter().any(|member| member.end != Some(EndKind::NotStarted));
         // The members of a gang finish together, so the first report of success completes the unit.
         let newly_done = how == EndKind::Done && !lasting && !unit.finished;
         unit.finished |= newly_done;
@@ -243,7 +244,9 @@
         } else if all_ended {
             unit.failures += u32::from(failed && !lasting);
             given_up = unit.failures >= attempts_max;
-            unit.waiting_since_ms = now_ms;
+            if has_begun {
+                unit.waiting_since_ms = now_ms;
+            }
             unit.phase = if given_up { Phase::GivenUp } else { Phase::Waiting };
         }
         job.running_units -= u64::from(all_ended);
--- a/src/tasks/tests/jobs.rs
+++ b/src/tasks/tests/jobs.rs
@@ -71,6 +71,20 @@
     assert_eq!(sample.state.pending("normal"), 0);
 }
 
+/// Guards against a lasting task that waits without end because runs which never started count as its
+/// last: its wait begins when its last run has ended.
+#[test]
+fn a_run_that_never_started_does_not_begin_the_wait_anew() {
+    let mut sample = Sample::with_hosts(1);
+    let job = sample.accept(1, "normal", vec![StepSpec { lasting: true, ..step(1, 1) }]);
+    for (run, how, at_ms) in [(1, EndKind::Stopped, 5_000), (2, EndKind::NotStarted, 9_000)] {
+        sample.start(&job, 0, run, &[0]);
+        sample.at(at_ms);
+        sample.end(&job, 0, run, 0, how);
+    }
+    assert_eq!(sample.state.jobs[&job].unit(0, 0, 0).unwrap().waiting_since_ms, 5_000);
+}
+
 /// Guards against runs that use up attempts although they did not fail.
 #[rstest]
 #[case::failed(EndKind::Failed, JobState::Failed)]
