--- a/src/cluster/tests/capacities.rs
+++ b/src/cluster/tests/capacities.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use super::fake_worker::{FakeUpstreams, TestControl, wait_until};
+use super::control_host::{TestControl, wait_until};
+use super::fake_worker::FakeUpstreams;
 use super::promises::{LEASE_MS, call, wait_until_state};
 use crate::cluster::{Action, Request};
 use crate::tasks::tests::sample::{heartbeat, spec, step};
--- a/src/cluster/tests/crashes.rs
+++ b/src/cluster/tests/crashes.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use super::fake_worker::{FakeUpstreams, TestControl};
+use super::control_host::TestControl;
+use super::fake_worker::FakeUpstreams;
 use super::promises::{LEASE_MS, submit, wait_until_state};
 use crate::tasks::JobState;
 use crate::tasks::tests::sample::{incarnation, job_id};
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -12,8 +12,10 @@
 
 mod budget;
 mod capacities;
+mod control_host;
 mod crashes;
 mod fake_worker;
+mod leaves;
 mod messages;
 mod promises;
 mod successors;
--- a/src/cluster/tests/successors.rs
+++ b/src/cluster/tests/successors.rs
@@ -6,7 +6,8 @@
 
 use tokio::time::timeout;
 
-use super::fake_worker::{FakeUpstreams, Fault, TestControl, wait_until};
+use super::control_host::{TestControl, wait_until};
+use super::fake_worker::{FakeUpstreams, Fault};
 use super::promises::{LEASE_MS, call, submit, wait_until_completed};
 use crate::cluster::{Action, FrontReply, Reply, Request};
 use crate::tasks::tests::sample::{heartbeat, incarnation, job_id, spec, step};
