Follow only what sessions need of a registered upstream

Each change of the state copied the whole last heartbeat of every upstream, with its labels, where identity, address and the time for which it still stays are enough. No behaviour changes.

--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -258,11 +258,12 @@
         // runs of one that leaves are being stopped.
         let lease_until_ms =
             if silent || session.is_leaving() { None } else { session.grant_lease(now_ms) };
-        let no_wait = !session.lists_read || session.is_leaving() || polls_at_intervals;
-        let wait_ms = match no_wait {
-            true => 0,
-            false if session.is_draining() => DRAINING_POLL_MS,
-            false => LONG_POLL_MS,
+        let wait_ms = if !session.lists_read || session.is_leaving() || polls_at_intervals {
+            0
+        } else if session.is_draining() {
+            DRAINING_POLL_MS
+        } else {
+            LONG_POLL_MS
         };
         Some(HoldOrder {
             address: Arc::clone(&session.address),
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -30,7 +30,7 @@
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
 use crate::placement::{Admissions, Approvals, Headroom, StepId};
-use crate::tasks::{Heartbeat, Incarnation, JobId, TaskId};
+use crate::tasks::{Incarnation, JobId, TaskId, Upstream};
 use replacement::Supersession;
 use session::Session;
 
@@ -40,6 +40,25 @@
 /// One run of one task.
 pub(super) type TaskRun = (TaskId, u32);
 
+/// What the sessions follow of a registered upstream.
+struct RegisteredUpstream {
+    incarnation: Incarnation,
+    address: Arc<str>,
+    /// For how long it stays at least, if it drains.
+    drain_remaining_ms: Option<u64>,
+}
+
+impl RegisteredUpstream {
+    fn of(upstream: &Upstream) -> Self {
+        let heartbeat = &upstream.heartbeat;
+        Self {
+            incarnation: upstream.incarnation(),
+            address: Arc::clone(&heartbeat.address),
+            drain_remaining_ms: heartbeat.draining.then_some(heartbeat.drain_remaining_ms),
+        }
+    }
+}
+
 /// The leader in one term.
 #[derive(Debug)]
 pub(super) struct Leader {
@@ -156,16 +175,15 @@
     }
 
     fn sync_sessions(self: &Arc<Self>) {
-        let upstreams: Vec<(Incarnation, Heartbeat)> = {
+        let upstreams: Vec<RegisteredUpstream> = {
             let inner = self.replica.lock();
-            let upstreams = inner.state.upstreams.values();
-            upstreams.map(|up| (up.incarnation(), up.heartbeat.clone())).collect()
+            inner.state.upstreams.values().map(RegisteredUpstream::of).collect()
         };
         let mut new = Vec::new();
         {
             let mut term_state = self.term_state();
             let known: HashSet<&Incarnation> =
-                upstreams.iter().map(|(incarnation, _)| incarnation).collect();
+                upstreams.iter().map(|upstream| &upstream.incarnation).collect();
             let gone: Vec<_> = term_state
                 .holds
                 .keys()
@@ -182,19 +200,17 @@
                 }
             }
             term_state.superseded.retain(|incarnation, _| known.contains(incarnation));
-            for (incarnation, heartbeat) in upstreams {
+            for RegisteredUpstream { incarnation, address, drain_remaining_ms } in upstreams {
                 let now_ms = boot_ms();
                 if !term_state.holds.contains_key(&incarnation) {
                     let lease_max_ms = self.bounds.lease_max_ms;
-                    let address = Arc::clone(&heartbeat.address);
                     let session = Session::new(incarnation.clone(), address, lease_max_ms, now_ms);
                     term_state.sessions.insert(Arc::clone(&incarnation.id), session);
                     new.push(incarnation.clone());
                 }
                 let session = term_state.sessions.get_mut(&incarnation.id);
                 if let Some(session) = session.filter(|known| known.incarnation == incarnation) {
-                    let remaining_ms = heartbeat.draining.then_some(heartbeat.drain_remaining_ms);
-                    session.record_drain(remaining_ms, now_ms);
+                    session.record_drain(drain_remaining_ms, now_ms);
                 }
             }
         }
