Take run times in decisions from one place

Cause: placement, forecast and admission each read the caller's estimate, so observed run times had no place to enter, and organisations had no weight.

Change: View holds what runs have shown (Learned, which knows nothing yet) and returns expected run times from it; an organisation has a weight, 1 by default, which the configuration's check bounds to 1 to 1,000.

--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -29,7 +29,7 @@
 use super::replica::Replica;
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
-use crate::placement::{Admissions, Approvals, Headroom, StepId};
+use crate::placement::{Admissions, Approvals, Headroom, Learned, StepId};
 use crate::tasks::{Incarnation, JobId, TaskId, Upstream};
 use replacement::Supersession;
 use session::Session;
@@ -96,6 +96,8 @@
     /// Upstreams that a job must avoid because it made no progress there, and until when.
     avoid: HashMap<(JobId, Incarnation), u64>,
     approvals: Approvals,
+    /// What runs have shown of upstreams and of work.
+    learned: Arc<Learned>,
     /// Paces in percent that were set for filling tasks, and when.
     paces: HashMap<TaskRun, (u32, u64)>,
     /// Physical hosts that are being evacuated for maintenance, and since when.
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -152,7 +152,7 @@
             self.admission(&queue, organisation.as_deref(), (&id, &spec));
         let tasks: u64 = spec.steps.iter().map(|step| u64::from(step.tasks)).sum();
         let accelerators = spec.accelerators();
-        let critical_path_ms = critical_path_ms(&spec);
+        let critical_path_ms = critical_path_ms(&spec, |step| step.estimate_ms);
         let (priority, objective_ms) = (queue.priority, objective_ms(&queue, critical_path_ms));
         let queue_name = Arc::clone(&queue.name);
         match admission {
@@ -197,6 +197,7 @@
             let retry_after_ms = NO_UPSTREAMS_RETRY_MS;
             return (Admission::RetryLater { retry_after_ms, reason }, version);
         }
+        let learned = Arc::clone(&self.term_state().learned);
         let view = View {
             state: &inner.state,
             hosts: &hosts,
@@ -206,6 +207,7 @@
             progress: &HashMap::new(),
             avoid: &HashSet::new(),
             approvals: &Approvals::default(),
+            learned: &learned,
             reserve_millihosts: 0,
             jobs_max_bytes: self.bounds.jobs_max_bytes(),
         };
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -103,6 +103,7 @@
         let hosts = self.hosts(state, now_ms);
         let term_state = self.term_state();
         let approvals = term_state.approvals.clone();
+        let learned = Arc::clone(&term_state.learned);
         let avoid: HashSet<(JobId, Incarnation)> = term_state.avoid.keys().cloned().collect();
         let stopping: HashSet<(UnitId, u32)> =
             term_state.stopping.iter().filter_map(|key| unit_of(state, key)).collect();
@@ -135,6 +136,7 @@
             progress: &progress,
             avoid: &avoid,
             approvals: &approvals,
+            learned: &learned,
             reserve_millihosts: 0,
             jobs_max_bytes: self.bounds.jobs_max_bytes(),
         };
--- a/src/placement/admission.rs
+++ b/src/placement/admission.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 use super::forecast::Backlog;
-use super::order::{critical_path_ms, is_covered, useful_ms};
+use super::order::{is_covered, useful_ms};
 use super::room::tasks_that_fit;
 use super::{View, is_eligible};
 use crate::tasks::{JobId, JobSpec, Queue};
@@ -108,12 +108,12 @@
         }
         let promised = self.returns.remove(id);
         let Some(forecast) = self.forecast(view, queue, spec, promised.as_ref()) else {
-            return self.accept(queue, (id, spec), None);
+            return self.accept(view, queue, (id, spec), None);
         };
         let cannot_wait = spec.repeat.is_some() || spec.is_lasting();
         let is_guaranteed = queue.priority == 0 && is_covered(view, organisation, spec);
         if forecast.excess_ms == 0 || cannot_wait || is_guaranteed {
-            return self.accept(queue, (id, spec), Some(forecast.done_after_ms));
+            return self.accept(view, queue, (id, spec), Some(forecast.done_after_ms));
         }
         let retry_after_ms = forecast.excess_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
         let promised = Return {
@@ -121,7 +121,7 @@
             at_ms: view.now_ms + retry_after_ms,
             service: Arc::clone(&queue.service),
             priority: queue.priority,
-            work_ms: self.backlog.work_ms(queue, spec),
+            work_ms: self.backlog.work_ms(view, queue, spec),
         };
         self.returns.insert(id.clone(), promised);
         let reason = format!(
@@ -138,11 +138,12 @@
 
     fn accept(
         &mut self,
+        view: &View<'_>,
         queue: &Queue,
         (id, spec): (&JobId, &JobSpec),
         forecast_ms: Option<u64>,
     ) -> Admission {
-        self.backlog.add(queue, spec);
+        self.backlog.add(view, queue, spec);
         self.held_bytes += initial_bytes(spec);
         self.storing.insert(id.clone());
         Admission::Accepted { forecast_ms }
@@ -158,11 +159,11 @@
     ) -> Option<Forecast> {
         let own_turn_ms = promised.map(|promised| promised.at_ms);
         let wait_ms = self.backlog.wait_ms(queue)? + self.promised_ms(queue, own_turn_ms);
-        let done_after_ms = wait_ms + critical_path_ms(spec);
+        let done_after_ms = wait_ms + view.critical_path_ms(queue, spec);
         let first_ms = promised.map_or(view.now_ms, |promised| promised.first_ms);
         // Without a backlog nothing is gained by a refusal, however long the caller has waited.
         let waited_ms = if wait_ms == 0 { 0 } else { view.now_ms.saturating_sub(first_ms) };
-        let excess_ms = (waited_ms + done_after_ms).saturating_sub(useful_ms(queue, spec));
+        let excess_ms = (waited_ms + done_after_ms).saturating_sub(useful_ms(view, queue, spec));
         Some(Forecast { done_after_ms, excess_ms })
     }
 
--- a/src/placement/forecast.rs
+++ b/src/placement/forecast.rs
@@ -37,10 +37,10 @@
         }
     }
 
-    fn of_job(spec: &JobSpec) -> Self {
+    fn of_job(view: &View<'_>, queue: &Queue, spec: &JobSpec) -> Self {
         let mut work = Self::default();
         for step in &spec.steps {
-            work.add(Self::of(&step.reserved(), step.tasks, step.estimate_ms));
+            work.add(Self::of(&step.reserved(), step.tasks, view.expected_run_ms(queue, step)));
         }
         work
     }
@@ -85,9 +85,9 @@
     }
 
     /// Adds a job that was accepted since the backlog was computed.
-    pub(crate) fn add(&mut self, queue: &Queue, spec: &JobSpec) {
+    pub(crate) fn add(&mut self, view: &View<'_>, queue: &Queue, spec: &JobSpec) {
         if let Some(service) = self.services.get_mut(&queue.service) {
-            service.waiting.entry(queue.priority).or_default().add(Work::of_job(spec));
+            service.waiting.entry(queue.priority).or_default().add(Work::of_job(view, queue, spec));
         }
     }
 
@@ -99,9 +99,9 @@
     }
 
     /// Returns the time in which all hosts of the queue's service together do the job's work.
-    pub(super) fn work_ms(&self, queue: &Queue, spec: &JobSpec) -> u64 {
+    pub(super) fn work_ms(&self, view: &View<'_>, queue: &Queue, spec: &JobSpec) -> u64 {
         let service = self.services.get(&queue.service);
-        service.map_or(0, |service| service.duration_ms(Work::of_job(spec)))
+        service.map_or(0, |service| service.duration_ms(Work::of_job(view, queue, spec)))
     }
 }
 
@@ -115,7 +115,7 @@
         for (spec, step) in job.spec.steps.iter().zip(steps) {
             let units = step.units.iter().filter(|unit| unit.phase == Phase::Waiting).count();
             let tasks = u32::try_from(units).unwrap_or(u32::MAX).saturating_mul(spec.unit_size());
-            waiting.add(Work::of(&spec.reserved(), tasks, spec.estimate_ms));
+            waiting.add(Work::of(&spec.reserved(), tasks, view.expected_run_ms(queue, spec)));
         }
     }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -11,6 +11,7 @@
 mod free_capacity;
 mod full_steps;
 mod headroom;
+mod learned;
 mod memory;
 mod openings;
 mod order;
@@ -30,7 +31,8 @@
 
 use crate::crashes::Verdict;
 use crate::tasks::{
-    Incarnation, Job, JobId, Opening, Outcome, Resources, StartRecord, State, StepSpec, UnitId,
+    Incarnation, Job, JobId, JobSpec, Opening, Outcome, Queue, Resources, StartRecord, State,
+    StepSpec, UnitId,
 };
 
 pub(crate) use admission::{Admission, Admissions};
@@ -39,6 +41,7 @@
 use drain::Drains;
 use full_steps::FullSteps;
 pub(crate) use headroom::{Headroom, urgent_demand};
+pub(crate) use learned::Learned;
 pub(crate) use memory::jobs_to_shrink;
 pub(crate) use order::{USEFUL_OBJECTIVE_FACTOR, critical_path_ms, objective_ms};
 use order::{WaitingUnit, waiting_units};
@@ -78,12 +81,26 @@
     pub(crate) avoid: &'a HashSet<(JobId, Incarnation)>,
     /// Approvals received for queues that need them.
     pub(crate) approvals: &'a Approvals,
+    /// What runs have shown of upstreams and of work.
+    pub(crate) learned: &'a Learned,
     /// Capacity reserved for jobs of priority 0, in thousandths of a host.
     pub(crate) reserve_millihosts: u64,
     /// Memory that all jobs together may take.
     pub(crate) jobs_max_bytes: u64,
 }
 
+impl View<'_> {
+    /// Returns the expected run time of a step's tasks without interruptions.
+    pub(crate) fn expected_run_ms(&self, queue: &Queue, step: &StepSpec) -> u64 {
+        self.learned.expected_run_ms(queue, step)
+    }
+
+    /// Returns the length of the critical path through the steps, by expected run times.
+    pub(crate) fn critical_path_ms(&self, queue: &Queue, spec: &JobSpec) -> u64 {
+        critical_path_ms(spec, |step| self.expected_run_ms(queue, step))
+    }
+}
+
 /// Result of a placement decision.
 #[derive(Debug, Default)]
 pub(crate) struct Plan {
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -81,12 +81,12 @@
 /// A result is of use until this multiple of the job's objective.
 pub(crate) const USEFUL_OBJECTIVE_FACTOR: u64 = 3;
 
-/// Returns the length of the critical path through the steps, by estimated run times.
-pub(crate) fn critical_path_ms(spec: &JobSpec) -> u64 {
+/// Returns the length of the critical path through the steps, by the given run times.
+pub(crate) fn critical_path_ms(spec: &JobSpec, run_ms: impl Fn(&StepSpec) -> u64) -> u64 {
     let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
     for step in &spec.steps {
         let start_ms = step.after.iter().map(|before| ends[*before as usize]).max().unwrap_or(0);
-        ends.push(start_ms + step.estimate_ms);
+        ends.push(start_ms + run_ms(step));
     }
     ends.into_iter().max().unwrap_or(0)
 }
@@ -172,12 +172,12 @@
         if job.spec.is_lasting() {
             return Self::OnTime;
         }
-        let objective_ms = objective_ms(queue, critical_path_ms(&job.spec));
+        let objective_ms = objective_ms(queue, view.critical_path_ms(queue, &job.spec));
         let age_ms = match job.spec.due_unix_ms(occurrence) {
             0 => view.now_ms.saturating_sub(job.accepted_ms),
             due_unix_ms => view.unix_ms.saturating_sub(due_unix_ms),
         };
-        let expected_ms = age_ms + remaining_critical_path_ms(job, occurrence);
+        let expected_ms = age_ms + remaining_critical_path_ms(view, job, queue, occurrence);
         if expected_ms <= objective_ms {
             Self::OnTime
         } else if expected_ms <= objective_ms * USEFUL_OBJECTIVE_FACTOR {
@@ -194,8 +194,9 @@
 }
 
 /// Returns the time after which a job's result is of no use to its caller.
-pub(super) fn useful_ms(queue: &Queue, spec: &JobSpec) -> u64 {
-    objective_ms(queue, critical_path_ms(spec)).saturating_mul(USEFUL_OBJECTIVE_FACTOR)
+pub(super) fn useful_ms(view: &View<'_>, queue: &Queue, spec: &JobSpec) -> u64 {
+    let critical_path_ms = view.critical_path_ms(queue, spec);
+    objective_ms(queue, critical_path_ms).saturating_mul(USEFUL_OBJECTIVE_FACTOR)
 }
 
 /// Returns whether the guarantee of an organisation covers one more job of priority 0.
@@ -217,12 +218,12 @@
 }
 
 /// Returns the length of the critical path through the steps that are not done.
-fn remaining_critical_path_ms(job: &Job, occurrence: u32) -> u64 {
+fn remaining_critical_path_ms(view: &View<'_>, job: &Job, queue: &Queue, occurrence: u32) -> u64 {
     let steps = job.occurrences.get(occurrence).unwrap_or_default();
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
     for (spec, state) in job.spec.steps.iter().zip(steps) {
         let start_ms = spec.after.iter().map(|before| ends[*before as usize]).max().unwrap_or(0);
-        let step_ms = if state.open_units == 0 { 0 } else { spec.estimate_ms };
+        let step_ms = if state.open_units == 0 { 0 } else { view.expected_run_ms(queue, spec) };
         ends.push(start_ms + step_ms);
     }
     ends.into_iter().max().unwrap_or(0)
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -10,7 +10,7 @@
 use super::room::tasks_that_fit;
 use super::suspects::{is_suspect, survived_start};
 use super::{View, for_each_unit, is_eligible};
-use crate::tasks::{Incarnation, JobId, Resources, UnitId};
+use crate::tasks::{Incarnation, JobId, Resources, StepSpec, UnitId};
 
 /// Returns the share of a host that is free, by its scarcest resource.
 fn millihosts_free(free: &Resources, capacity: &Resources) -> u64 {
@@ -96,6 +96,10 @@
             pool.racks.entry(Arc::clone(&host.rack)).or_default().push(number);
         }
         for job in view.state.jobs.values() {
+            let queue = view.state.queue_of(job);
+            let run_ms = |step: &StepSpec| {
+                queue.map_or(step.estimate_ms, |queue| view.expected_run_ms(queue, step))
+            };
             for_each_unit(job, |id, unit| {
                 if !unit.is_running() {
                     return;
@@ -107,7 +111,7 @@
                 let left_ms = match view.progress.get(&run) {
                     _ if is_stopping => 0,
                     Some(progress) => progress.left_ms,
-                    None => step.estimate_ms,
+                    None => run_ms(step),
                 };
                 let starting = (!survived_start(view, &run.0, run.1)).then(|| StartingRun {
                     job: run.0.job.clone(),
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -63,7 +63,7 @@
         } else if pool.is_mostly_free(view, &unit.queue.service) {
             LOCALITY_WAIT_MOSTLY_FREE_MS
         } else {
-            LOCALITY_WAIT_ESTIMATES * step.estimate_ms
+            LOCALITY_WAIT_ESTIMATES * view.expected_run_ms(unit.queue, step)
         };
         let keeps_waiting = unit.waited_ms < locality_wait_ms;
         if keeps_waiting && fits_when_empty(view, unit, &near) {
--- a/src/placement/tests/admissions.rs
+++ b/src/placement/tests/admissions.rs
@@ -27,6 +27,7 @@
         progress: &inputs.progress,
         avoid: &inputs.avoid,
         approvals: &Approvals::default(),
+        learned: &inputs.learned,
         reserve_millihosts: 0,
         jobs_max_bytes: JOBS_MAX_BYTES,
     })
--- a/src/placement/tests/pool_view.rs
+++ b/src/placement/tests/pool_view.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use crate::placement::{Approvals, Host, Plan, Progress, View, plan};
+use crate::placement::{Approvals, Host, Learned, Plan, Progress, View, plan};
 use crate::tasks::tests::sample::Sample;
 use crate::tasks::{Incarnation, JobId, UnitId};
 
@@ -20,6 +20,7 @@
     pub(super) reserve_millihosts: u64,
     /// Wall-clock time.
     pub(super) unix_ms: u64,
+    pub(super) learned: Learned,
     /// Hosts that take no work.
     pub(super) closed: Vec<String>,
 }
@@ -49,6 +50,7 @@
         progress: &inputs.progress,
         avoid: &inputs.avoid,
         approvals: &inputs.approvals,
+        learned: &inputs.learned,
         reserve_millihosts: inputs.reserve_millihosts,
         jobs_max_bytes: JOBS_MAX_BYTES,
     })
--- a/src/replay/load.rs
+++ b/src/replay/load.rs
@@ -148,7 +148,7 @@
         // The members of a gang end together.
         run_ms.fill(whole(actual_ms));
     }
-    let objective_ms = objective_ms(&queue(kind), critical_path_ms(&spec));
+    let objective_ms = objective_ms(&queue(kind), critical_path_ms(&spec, |step| step.estimate_ms));
     let total: u32 = ORGANISATIONS.iter().map(|(_, share, _)| share).sum();
     let mut drawn = rng.random_range(0..total);
     let organisation = ORGANISATIONS.iter().find(|(_, share, _)| {
@@ -198,6 +198,7 @@
         keys: vec![format!("key-of-{name}").into()],
         priority: 0,
         guaranteed: Resources { accelerators: *accelerators, ..Resources::default() },
+        weight: Organisation::DEFAULT_WEIGHT,
     };
     let service = WorkerService { name: SERVICE.into(), guards_capacity: true, standby: false };
     let configuration = Configuration {
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -12,7 +12,7 @@
 use super::load::{MIX, Request, configuration, requests};
 use super::scenario::{SUBMISSION_MS, Scenario};
 use crate::placement::{
-    Admission, Admissions, Approvals, Headroom, Plan, View, plan, urgent_demand,
+    Admission, Admissions, Approvals, Headroom, Learned, Plan, View, plan, urgent_demand,
 };
 use crate::tasks::{Change, Command, JobId, Outcome, State, UnitId};
 
@@ -59,6 +59,7 @@
     state: State,
     headroom: Headroom,
     admissions: Admissions,
+    learned: Learned,
     rng: StdRng,
     now_ms: u64,
     /// When each job was completed.
@@ -79,6 +80,7 @@
             state: State::default(),
             headroom: Headroom::default(),
             admissions: Admissions::default(),
+            learned: Learned::default(),
             rng,
             now_ms: 0,
             completed_ms,
@@ -201,6 +203,7 @@
             progress: &self.hosts.progress(self.now_ms),
             avoid: &HashSet::new(),
             approvals: &Approvals::default(),
+            learned: &self.learned,
             reserve_millihosts,
             jobs_max_bytes: u64::MAX / 100,
         })
--- a/src/task_api/documents.rs
+++ b/src/task_api/documents.rs
@@ -70,6 +70,8 @@
     keys: Vec<Arc<str>>,
     #[serde(default)]
     guaranteed_accelerators: u32,
+    #[serde(default = "weight")]
+    weight: u32,
 }
 
 fn timeout_ms() -> u64 {
@@ -80,6 +82,10 @@
     DEFAULT_ATTEMPTS_MAX
 }
 
+fn weight() -> u32 {
+    Organisation::DEFAULT_WEIGHT
+}
+
 fn slack_permille() -> u64 {
     DEFAULT_SLACK_PERMILLE
 }
@@ -121,6 +127,7 @@
             keys: organisation.keys,
             priority: 0,
             guaranteed: Resources { accelerators, ..Resources::default() },
+            weight: organisation.weight,
         }
     }
 }
--- a/src/tasks/configuration.rs
+++ b/src/tasks/configuration.rs
@@ -67,8 +67,18 @@
     pub priority: u32,
     /// Capacity guaranteed to its jobs of priority 0.
     pub guaranteed: Resources,
+    /// Weight of its share of what guarantees and priorities leave.
+    pub weight: u32,
 }
 
+impl Organisation {
+    /// Weight of an organisation whose configuration states none.
+    pub const DEFAULT_WEIGHT: u32 = 1;
+}
+
+/// Largest weight of an organisation.
+const WEIGHT_MAX: u32 = 1_000;
+
 /// Limits of the callers' listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FrontLimits {
@@ -134,6 +144,12 @@
         }
         let mut keys = BTreeSet::new();
         for organisation in &self.organisations {
+            if !(1..=WEIGHT_MAX).contains(&organisation.weight) {
+                return fault(format!(
+                    "organisation {} has a weight of {}, which is not from 1 to {WEIGHT_MAX}",
+                    organisation.name, organisation.weight
+                ));
+            }
             let own: BTreeSet<_> = organisation.keys.iter().collect();
             if own.into_iter().any(|key| !keys.insert(key)) {
                 return fault(format!(
--- a/src/tasks/tests/sample.rs
+++ b/src/tasks/tests/sample.rs
@@ -40,6 +40,7 @@
         keys: vec![format!("key-of-{name}").into()],
         priority: 0,
         guaranteed: Resources { accelerators, ..Resources::default() },
+        weight: Organisation::DEFAULT_WEIGHT,
     }
 }
 
