Evacuate data centres: stored requests, and no more starts there

Cause: operators had no way to keep work out of a data centre. The requests to begin and finish an evacuation were answered with 404, and every leader went on to start work there.

Change: Begin and Finish are entries of the log (Change::SetEvacuation), stored by a quorum before the acknowledgement, and kept in State::evacuations. An entry is written in any case, so that no earlier one on its way can follow the reply. Each request names the revision that the receiving host knows; if another one is current, the host repeats it while its sender still waits. A request that was delayed on a connection can therefore not undo a later one. The state refuses starts on upstreams of such a data centre that were decided before the entry, the scheduler counts them as taking no work, and each attempt of a start order is checked before it is sent: a start that was recorded only ends as not started, one that may have arrived is stopped. A data centre that neither the settings (`zones` of the platform) nor an upstream names is refused with 400, unless an evacuation of it is remembered. A heartbeat that names another data centre than before is a change of the record.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use sha2::{Digest, Sha256};
+use tokio::time::{Instant, timeout_at};
 use tracing::info;
 
 use super::clock::boot_ms;
@@ -131,6 +132,33 @@
         }
     }
 
+    /// Begins or finishes the evacuation of a data centre.
+    ///
+    /// The request names the revision that this host knows. If another one is current, the request is
+    /// repeated with that: only one whose sender still waits may undo a later one.
+    ///
+    /// # Errors
+    /// Returns an error that states whether a leader may have received the request.
+    pub async fn evacuate(
+        &self,
+        data_centre: Arc<str>,
+        begin: bool,
+        limit: Duration,
+    ) -> Result<Reply, ClientFault> {
+        let deadline = Instant::now() + limit;
+        let mut revision = self.replica.lock().state.evacuations.revision(&data_centre);
+        loop {
+            let request =
+                Request::Evacuate { data_centre: Arc::clone(&data_centre), begin, revision };
+            let left = deadline.saturating_duration_since(Instant::now());
+            match timeout_at(deadline, self.call(request, left)).await {
+                Ok(Ok(Reply::EvacuationRevision(current))) => revision = current,
+                Ok(reply) => return reply,
+                Err(_) => return Err(ClientFault::Unknown),
+            }
+        }
+    }
+
     /// Returns whether this host follows a leader and its replica holds the upstream as its heartbeat
     /// describes it, so that the leader need not hear of it. With many upstreams the leader could not
     /// answer all heartbeats in time; upstreams would repeat them at other hosts and add to the load.
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod draining;
+mod evacuations;
 mod failures;
 mod hold;
 mod lists;
@@ -17,7 +18,7 @@
 mod tests;
 mod unlisted;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
@@ -66,6 +67,8 @@
     replica: Arc<Replica>,
     calls: UpstreamCalls,
     bounds: TaskBounds,
+    /// Data centres that the settings name.
+    data_centres: BTreeSet<Arc<str>>,
     internal_address: String,
     term_state: Mutex<TermState>,
     /// Wakes the scheduling loop.
@@ -120,6 +123,7 @@
             replica,
             calls,
             bounds,
+            data_centres: settings.data_centres.clone(),
             internal_address: settings.internal_address.to_string(),
             term_state: Mutex::default(),
             wake: Notify::new(),
--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -112,12 +112,11 @@
         let begun_ms = boot_ms();
         let mut unanswered = false;
         loop {
-            let Some(order) = self.start_order(key, incarnation) else {
-                return if unanswered {
-                    StartOutcome::Uncertain
-                } else {
-                    StartOutcome::Refused(Refusal::LeaseEnded)
-                };
+            let order = match self.start_order(key, incarnation) {
+                Ok(order) => order,
+                // An earlier attempt of the order may still be carried out.
+                Err(_) if unanswered => return StartOutcome::Uncertain,
+                Err(withheld) => return StartOutcome::Refused(withheld),
             };
             let known_clock_ms = self.known_clock_ms(incarnation);
             match (self.calls.start)(order).await {
@@ -167,19 +166,26 @@
         }
     }
 
-    /// Builds a start order; `None` if the run is no longer wanted or the lease cannot be granted.
-    fn start_order(&self, key: &TaskRun, incarnation: &Incarnation) -> Option<StartOrder> {
+    /// Builds a start order.
+    ///
+    /// # Errors
+    /// Returns why the order must not be sent: the run is no longer wanted, the lease cannot be granted, or
+    /// the data centre of the upstream is being evacuated.
+    fn start_order(&self, key: &TaskRun, incarnation: &Incarnation) -> Result<StartOrder, Refusal> {
         if !self.replica.is_confirmed_leader() {
-            return None;
+            return Err(Refusal::LeaseEnded);
         }
         let (task, run) = key;
         let (payload, checkpoint) = {
             let inner = self.replica.lock();
-            let (job, unit, _) = inner.state.find_task(task)?;
+            if inner.state.is_evacuated(incarnation) {
+                return Err(Refusal::Evacuated);
+            }
+            let (job, unit, _) = inner.state.find_task(task).ok_or(Refusal::LeaseEnded)?;
             let wanted = job.outcome.is_none() && unit.is_running() && unit.run == *run;
             let whole = unit.members().iter().all(|member| member.end.is_none());
             if !wanted || !whole {
-                return None;
+                return Err(Refusal::LeaseEnded);
             }
             (Arc::clone(&job.spec.payload), Arc::clone(&unit.checkpoint))
         };
@@ -187,15 +193,16 @@
         let cluster_ms = self.replica.lock().now_ms();
         let mut term_state = self.term_state();
         if term_state.superseded.contains_key(incarnation) {
-            return None;
+            return Err(Refusal::LeaseEnded);
         }
         let ticket = term_state.approvals.ticket(&step, incarnation, cluster_ms);
         let session = term_state
             .sessions
             .get_mut(&incarnation.id)
-            .filter(|session| session.incarnation == *incarnation && !session.is_leaving())?;
-        let lease_until_ms = session.grant_lease(boot_ms())?;
-        Some(StartOrder {
+            .filter(|session| session.incarnation == *incarnation && !session.is_leaving())
+            .ok_or(Refusal::LeaseEnded)?;
+        let lease_until_ms = session.grant_lease(boot_ms()).ok_or(Refusal::LeaseEnded)?;
+        Ok(StartOrder {
             address: Arc::clone(&session.address),
             upstream: Arc::clone(&incarnation.id),
             fencing_token: self.term,
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -62,10 +62,14 @@
             }
             Request::Status => Reply::Status(self.status()),
             Request::Explain { job } => Reply::Explanation(self.explain(&job)),
+            Request::Evacuate { data_centre, begin, revision } => {
+                self.set_evacuation(data_centre, begin, revision).await
+            }
+            Request::Evacuations => Reply::Evacuations(self.evacuations()),
         }
     }
 
-    async fn commit(&self, change: Change, reply: Reply) -> Reply {
+    pub(super) async fn commit(&self, change: Change, reply: Reply) -> Reply {
         match self.replica.propose(change).await {
             Ok(()) => {
                 self.wake.notify_one();
@@ -359,6 +363,7 @@
     }
 
     fn status(&self) -> ClusterStatus {
+        let evacuations = self.evacuations();
         let inner = self.replica.lock();
         let now_ms = boot_ms();
         let own = inner.core.id;
@@ -390,6 +395,7 @@
             members: inner.core.membership().members.iter().map(member).collect(),
             configuration_version: inner.state.configuration_version(),
             limits: inner.state.configuration.as_ref().map(|conf| conf.limits),
+            evacuations,
         }
     }
 
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -167,19 +167,12 @@
                 .machine
                 .as_ref()
                 .is_some_and(|machine| term_state.evacuating.contains_key(machine));
-            let takes_work = ready && !heartbeat.draining && !evacuated;
+            let host = Host::of(state, upstream, ready && !heartbeat.draining && !evacuated);
             let until_ms = session.map_or(0, |session| session.set_aside_until_ms);
-            if until_ms > now_ms && takes_work {
+            if until_ms > now_ms && host.takes_work {
                 set_aside.push((until_ms, hosts.len()));
             }
-            hosts.push(Host {
-                incarnation,
-                service: Arc::clone(&heartbeat.service),
-                rack: Arc::clone(&heartbeat.rack),
-                labels: heartbeat.labels.clone(),
-                capacity: heartbeat.capacity,
-                takes_work,
-            });
+            hosts.push(host);
         }
         // If more than this share fails runs, an upstream that may fail is better than none.
         set_aside.sort_unstable_by(|a, b| b.cmp(a));
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -27,7 +27,8 @@
 pub use http_client::{HttpClient, HttpFault, HttpReply};
 pub use leader_client::{ClientFault, LeaderClient};
 pub use protocol::{
-    Action, ClusterStatus, FrontCall, FrontReply, MemberStatus, OperatorReply, Reply, Request,
+    Action, ClusterStatus, EvacuationStatus, FrontCall, FrontReply, MemberStatus, OperatorReply,
+    Reply, Request,
 };
 pub use settings::{ClusterSettings, TaskBounds};
 pub use upstream_calls::{
--- a/src/cluster/protocol.rs
+++ b/src/cluster/protocol.rs
@@ -147,6 +147,17 @@
         /// Identity of the host's disk.
         id: u64,
     },
+    /// Begins or finishes the evacuation of a data centre.
+    Evacuate {
+        /// The data centre.
+        data_centre: Arc<str>,
+        /// Whether it begins.
+        begin: bool,
+        /// Revision of the evacuation that the sender knows.
+        revision: u64,
+    },
+    /// Asks for the data centres that are being evacuated.
+    Evacuations,
 }
 
 impl Request {
@@ -157,12 +168,14 @@
             Self::ReadConfiguration
             | Self::WaveStatus { .. }
             | Self::Status
+            | Self::Evacuations
             | Self::Explain { .. } => false,
             Self::Heartbeat(_)
             | Self::Deregister { .. }
             | Self::SetConfiguration { .. }
             | Self::StartWave { .. }
             | Self::Join { .. }
+            | Self::Evacuate { .. }
             | Self::Leave { .. } => true,
         }
     }
@@ -183,6 +196,19 @@
     pub silent_ms: u64,
 }
 
+/// A data centre that is being evacuated.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationStatus {
+    /// The data centre.
+    pub data_centre: Arc<str>,
+    /// Time since the request was stored.
+    pub since_ms: u64,
+    /// Registered upstreams in it.
+    pub upstreams: u64,
+    /// Tasks that may still be running on them.
+    pub running_tasks: u64,
+}
+
 /// State of the cluster as its leader sees it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClusterStatus {
@@ -198,6 +224,8 @@
     pub configuration_version: u64,
     /// Limits of the callers' listener, once there is a configuration.
     pub limits: Option<FrontLimits>,
+    /// Data centres that are being evacuated.
+    pub evacuations: Vec<EvacuationStatus>,
 }
 
 /// Reply to a [`Request`].
@@ -224,4 +252,8 @@
     Explanation(Vec<String>),
     /// Reply to [`Request::Deregister`]: runs of the upstream have not ended yet; it may ask again.
     RunsRemain,
+    /// Reply to [`Request::Evacuate`], which had no effect: this revision of the evacuation is current.
+    EvacuationRevision(u64),
+    /// Reply to [`Request::Evacuations`].
+    Evacuations(Vec<EvacuationStatus>),
 }
--- a/src/cluster/settings.rs
+++ b/src/cluster/settings.rs
@@ -1,7 +1,9 @@
 //! Settings of a control host.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 /// Limits and factors of jobs and of their tasks on upstreams.
 #[derive(Debug, Clone, Copy)]
@@ -50,4 +52,6 @@
     pub losses_max: usize,
     /// Limits and factors of jobs and of their tasks on upstreams.
     pub bounds: TaskBounds,
+    /// Data centres of the installation, as far as its settings name them.
+    pub data_centres: BTreeSet<Arc<str>>,
 }
--- a/src/cluster/tests/control_host.rs
+++ b/src/cluster/tests/control_host.rs
@@ -97,6 +97,7 @@
         data_dir: folder.to_owned(),
         losses_max: 1,
         bounds,
+        data_centres: [Arc::from("other-dc")].into(),
     }
 }
 
--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -53,6 +53,8 @@
     upstreams: BTreeMap<Arc<str>, Upstream>,
     holds: BTreeMap<Arc<str>, Fault>,
     starts: Fault,
+    /// How the start calls of single upstreams go.
+    starts_of: BTreeMap<Arc<str>, Fault>,
     stops: Fault,
     /// Number of ends that an upstream lists at a time; all if absent.
     ends_per_list: Option<usize>,
@@ -98,6 +100,11 @@
         self.lock().starts = fault;
     }
 
+    /// Sets how the start calls of one upstream go.
+    pub(super) fn set_starts_of(&self, upstream: &str, fault: Fault) {
+        self.lock().starts_of.insert(upstream.into(), fault);
+    }
+
     /// Sets how all stop calls go.
     pub(super) fn set_stops(&self, fault: Fault) {
         self.lock().stops = fault;
@@ -211,7 +218,8 @@
 
     fn start(&self, order: &StartOrder) -> Result<OrderAnswer, CallFault> {
         let mut shared = self.lock();
-        let fault = shared.fault_at(&order.upstream, shared.starts);
+        let starts = shared.starts_of.get(&order.upstream).copied().unwrap_or(shared.starts);
+        let fault = shared.fault_at(&order.upstream, starts);
         not_carried_out(fault)?;
         let upstream = shared.upstreams.entry(Arc::clone(&order.upstream)).or_default();
         upstream.check_token(order.fencing_token)?;
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -14,6 +14,7 @@
 mod capacities;
 mod control_host;
 mod crashes;
+mod evacuations;
 mod fake_worker;
 mod leaves;
 mod messages;
--- a/src/cluster/upstream_calls.rs
+++ b/src/cluster/upstream_calls.rs
@@ -170,6 +170,10 @@
     /// The upstream does not accept the order as written.
     #[display("invalid")]
     Invalid,
+    /// The order was not sent, since the data centre of the upstream is being evacuated.
+    #[display("evacuated")]
+    #[serde(skip)]
+    Evacuated,
 }
 
 /// A run in an upstream's task lists.
--- a/src/local/tasks.rs
+++ b/src/local/tasks.rs
@@ -83,6 +83,7 @@
             stop_timeout_ms: 500,
             keep_state_ms: 60_000,
             memory_mb: 256,
+            data_centres: Vec::new(),
         })
     }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -32,7 +32,7 @@
 use crate::crashes::Verdict;
 use crate::tasks::{
     Incarnation, Job, JobId, JobSpec, Opening, Outcome, Queue, Resources, StartRecord, State,
-    StepSpec, UnitId,
+    StepSpec, UnitId, Upstream,
 };
 
 pub(crate) use admission::{Admission, Admissions};
@@ -61,10 +61,25 @@
     pub(crate) rack: Arc<str>,
     pub(crate) labels: Vec<Arc<str>>,
     pub(crate) capacity: Resources,
-    /// Whether it may get new work: reachable, not draining and not set aside.
+    /// Whether it may get new work: reachable, not draining, not set aside and not evacuated.
     pub(crate) takes_work: bool,
 }
 
+impl Host {
+    /// Describes a registered upstream; none takes work whose data centre is being evacuated.
+    pub(crate) fn of(state: &State, upstream: &Upstream, takes_work: bool) -> Self {
+        let heartbeat = &upstream.heartbeat;
+        Self {
+            incarnation: upstream.incarnation(),
+            service: Arc::clone(&heartbeat.service),
+            rack: Arc::clone(&heartbeat.rack),
+            labels: heartbeat.labels.clone(),
+            capacity: heartbeat.capacity,
+            takes_work: takes_work && !state.evacuations.is_active(&heartbeat.data_centre),
+        }
+    }
+}
+
 /// Input of a placement decision.
 #[derive(Debug)]
 pub(crate) struct View<'a> {
--- a/src/placement/tests/pool_view.rs
+++ b/src/placement/tests/pool_view.rs
@@ -1,7 +1,6 @@
 //! Helpers that run placement decisions on a sample state.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::Arc;
 
 use crate::placement::{Approvals, Host, Learned, Plan, Progress, View, plan};
 use crate::tasks::tests::sample::Sample;
@@ -28,13 +27,9 @@
 pub(super) fn hosts(sample: &Sample, inputs: &Inputs) -> Vec<Host> {
     let upstreams = sample.state.upstreams.values();
     upstreams
-        .map(|upstream| Host {
-            incarnation: upstream.incarnation(),
-            service: Arc::clone(&upstream.heartbeat.service),
-            rack: Arc::clone(&upstream.heartbeat.rack),
-            labels: upstream.heartbeat.labels.clone(),
-            capacity: upstream.heartbeat.capacity,
-            takes_work: !inputs.closed.iter().any(|closed| **closed == *upstream.heartbeat.id),
+        .map(|upstream| {
+            let is_closed = inputs.closed.iter().any(|closed| **closed == *upstream.heartbeat.id);
+            Host::of(&sample.state, upstream, !is_closed)
         })
         .collect()
 }
--- a/src/replay/hosts.rs
+++ b/src/replay/hosts.rs
@@ -255,14 +255,6 @@
 
     /// Returns the hosts of the state as input of a decision.
     pub(super) fn view(state: &State) -> Vec<Host> {
-        let host = |upstream: &crate::tasks::Upstream| Host {
-            incarnation: upstream.incarnation(),
-            service: Arc::clone(&upstream.heartbeat.service),
-            rack: Arc::clone(&upstream.heartbeat.rack),
-            labels: upstream.heartbeat.labels.clone(),
-            capacity: upstream.heartbeat.capacity,
-            takes_work: true,
-        };
-        state.upstreams.values().map(host).collect()
+        state.upstreams.values().map(|upstream| Host::of(state, upstream, true)).collect()
     }
 }
--- a/src/task_api/settings.rs
+++ b/src/task_api/settings.rs
@@ -54,6 +54,9 @@
     /// Memory that the process may take; jobs get a part of it.
     #[serde(default = "memory_mb")]
     pub memory_mb: u64,
+    /// Data centres of the installation, which may be evacuated also while no upstream there is registered.
+    #[serde(default)]
+    pub data_centres: Vec<String>,
 }
 
 fn losses_max() -> usize {
@@ -149,6 +152,7 @@
                 keep_state_ms: self.keep_state_ms,
                 memory_mb: self.memory_mb,
             },
+            data_centres: self.data_centres.iter().map(|name| name.as_str().into()).collect(),
         }
     }
 }
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -63,6 +63,9 @@
                     }
                 }
             }
+            Change::SetEvacuation { data_centre, begin, revision } => {
+                self.evacuations.set(data_centre, begin, revision, self.now_ms);
+            }
             Change::RecordBegun { jobs } => jobs.iter().for_each(|id| self.record_begun(id)),
             Change::DropSteps { jobs } => {
                 for id in &jobs {
@@ -121,6 +124,10 @@
         if !start.incarnations.iter().all(|incarnation| self.is_registered(incarnation)) {
             return;
         }
+        // An evacuation may have begun since the decision.
+        if start.incarnations.iter().any(|incarnation| self.is_evacuated(incarnation)) {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&start.unit.job) else { return };
         if job.outcome.is_some() {
             return;
--- a/src/tasks/command.rs
+++ b/src/tasks/command.rs
@@ -85,6 +85,9 @@
     DropSteps { jobs: Vec<JobId> },
     /// Records that tasks of jobs have begun on upstreams.
     RecordBegun { jobs: Vec<JobId> },
+    /// Begins or finishes the evacuation of a data centre, unless its state has changed since the request
+    /// was made for this revision of it.
+    SetEvacuation { data_centre: Arc<str>, begin: bool, revision: u64 },
 }
 
 /// A change and the cluster time at which the leader proposed it.
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -8,6 +8,7 @@
 mod command;
 mod configuration;
 mod crash;
+mod evacuation;
 mod ids;
 mod job;
 mod occurrences;
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -8,6 +8,7 @@
 
 use super::configuration::{Configuration, Queue};
 use super::crash::TaskCrashes;
+use super::evacuation::Evacuations;
 use super::ids::{JobId, TaskId};
 use super::job::{Job, Outcome, Unit};
 use super::upstream::{Incarnation, Upstream};
@@ -48,6 +49,8 @@
     pub(crate) lapsed_runs: BTreeMap<Incarnation, Vec<(TaskId, u32)>>,
     /// Jobs that were cancelled before their submission arrived, and when. It may be on its way still.
     pub(crate) early_cancellations: BTreeMap<JobId, u64>,
+    /// Data centres that are being evacuated, or were lately.
+    pub(crate) evacuations: Evacuations,
     /// Job events since the last call of [`State::take_events`].
     #[serde(skip)]
     pub(super) events: Vec<JobEvent>,
--- a/src/tasks/tests/mod.rs
+++ b/src/tasks/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod cancellations;
 mod configurations;
+mod evacuations;
 mod jobs;
 mod occurrences;
 pub(crate) mod sample;
--- a/src/tasks/upstream.rs
+++ b/src/tasks/upstream.rs
@@ -86,7 +86,8 @@
             && known.address == heartbeat.address
             && known.capacity == heartbeat.capacity
             && known.labels == heartbeat.labels
-            && known.service == heartbeat.service;
+            && known.service == heartbeat.service
+            && known.data_centre == heartbeat.data_centre;
         let is_incarnation =
             known.id == heartbeat.id && known.born_unix_ms == heartbeat.born_unix_ms;
         is_incarnation && (is_older || is_same)
