Move work out of evacuated data centres and report what evacuations cost

Cause: work in a data centre that is being evacuated stayed there however long it lasted, jobs that only its upstreams could run were accepted and waited without a word, and nobody was told of guarantees whose capacity was gone.

Change: the last step of a decision (placement/evacuation) moves lasting tasks, and runs that have lately saved a checkpoint and would last 10 s more, to capacity that nobody else waits for: not in the first 5 s, when the request may be a mistake, one of eight at a time, gangs as a whole, and lasting tasks within their limit of tasks that are away. All other runs end by themselves. Jobs that fit only on evacuated hosts are refused with that reason; repeated and lasting ones wait. Guarantees at risk, services without upstreams elsewhere and empty data centres are logged when they change, shown as metrics and in the explanation of a job. The reports of the leader have moved to a file of their own.

--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -11,6 +11,7 @@
 mod orders;
 mod pacing;
 mod replacement;
+mod reports;
 mod requests;
 mod scheduling;
 mod session;
@@ -32,6 +33,7 @@
 use super::upstream_calls::UpstreamCalls;
 use crate::placement::{Admissions, Approvals, Headroom, Learned, StepId};
 use crate::tasks::{Incarnation, JobId, TaskId, Upstream};
+use evacuations::EvacuationReport;
 use replacement::Supersession;
 use session::Session;
 
@@ -107,6 +109,7 @@
     evacuating: HashMap<Arc<str>, u64>,
     /// Steps with an approval request under way.
     pending_approvals: HashSet<StepId>,
+    evacuation_report: EvacuationReport,
     stopped: bool,
 }
 
@@ -153,6 +156,7 @@
         self.term_state().stopped = true;
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner).abort_all();
         (self.calls.close_idle)();
+        self.replica.metrics.evacuations.clear();
         info!(term = self.term, "leader ends its work");
     }
 
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -58,9 +58,11 @@
         self.stop_hanging_runs();
         self.pace_filling();
         self.move_from_draining();
+        self.report_evacuations();
         let plan = self.decide();
         let decided_in = begun.elapsed();
         log_rotation(&plan);
+        self.count_moves(&plan.stops);
         self.request_approvals(plan.approval_requests);
         if !plan.openings.is_empty() {
             self.open_occurrences(plan.openings).await;
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::registry::Registry;
 
 use super::budget::BudgetUse;
+use super::evacuation_metrics::EvacuationMetrics;
 
 /// Label of metrics that are counted by kind.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -42,6 +43,7 @@
     set_aside: Counter,
     units_given_up: Counter,
     connections: Family<KindLabels, Gauge>,
+    pub(super) evacuations: EvacuationMetrics,
 }
 
 fn duration_histogram() -> Histogram {
@@ -66,6 +68,7 @@
             set_aside: Counter::default(),
             units_given_up: Counter::default(),
             connections: Family::default(),
+            evacuations: EvacuationMetrics::default(),
         }
     }
 }
@@ -95,6 +98,7 @@
         to.register("set_aside", "Upstreams set aside", self.set_aside.clone());
         let given_up = self.units_given_up.clone();
         to.register("units_given_up", "Units given up since upstreams crash under them", given_up);
+        self.evacuations.register(to);
         let connections = self.connections.clone();
         to.register("upstream_connections", "Connections to upstreams, by state", connections);
     }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -8,6 +8,7 @@
 mod clock;
 pub(crate) mod codec;
 mod control;
+mod evacuation_metrics;
 mod http_client;
 mod leader;
 mod leader_client;
--- a/src/cluster/tests/evacuations.rs
+++ b/src/cluster/tests/evacuations.rs
@@ -9,7 +9,7 @@
 use super::fake_worker::{FakeUpstreams, Fault};
 use super::promises::{LEASE_MS, call, submit, wait_until_completed};
 use crate::cluster::{Action, FrontReply, OperatorReply, Reply, Request};
-use crate::tasks::tests::sample::{gang, heartbeat, spec};
+use crate::tasks::tests::sample::{gang, heartbeat, job_id, spec};
 use crate::tasks::{Heartbeat, JobSpec};
 
 /// Time for which a test looks for starts that must not happen; several decisions and repeats of orders.
@@ -144,3 +144,32 @@
     submit(&test, 1).await;
     wait_until_completed(&test, &fake, 1).await;
 }
+
+/// Guards against an evacuation whose consequences operators cannot see: what keeps a job waiting must be in
+/// its explanation, and the guarantees at risk in the metrics, until it is finished.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_consequences_of_an_evacuation_are_reported() {
+    let fake = FakeUpstreams::new(Duration::from_secs(10));
+    let test = TestControl::start(&fake, 6, LEASE_MS).await;
+    wait_until("upstreams take work", || fake.upstreams_held() == 6).await;
+    submit(&test, 1).await;
+    wait_until("it runs", || fake.running() == 1).await;
+    assert_eq!(evacuate(&test, "dc", true).await, DONE);
+    let metrics = || test.control.metrics_text();
+    let at_risk = "guarantee_accelerators_missing{organisation=\"north\"} 32";
+    wait_until("the guarantee is at risk", || metrics().contains(at_risk)).await;
+    assert!(metrics().contains("evacuated_running_tasks{data_centre=\"dc\"} 1"), "{}", metrics());
+    assert!(metrics().contains("evacuated_services 1"), "{}", metrics());
+    let explain = Request::Explain { job: job_id(1) };
+    let Reply::Explanation(lines) = test.call_until_answered(explain).await else {
+        panic!("an explanation");
+    };
+    let explanation = lines.join("\n");
+    for part in ["6 upstreams of pool in data centre dc", "no upstream of pool", "0 of 32"] {
+        assert!(explanation.contains(part), "{explanation}");
+    }
+    assert_eq!(evacuate(&test, "dc", false).await, DONE);
+    wait_until("nothing is at risk", || !metrics().contains("guarantee_accelerators_missing{"))
+        .await;
+    assert!(!metrics().contains("evacuated_running_tasks{"), "{}", metrics());
+}
--- a/src/placement/admission.rs
+++ b/src/placement/admission.rs
@@ -11,6 +11,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
+use super::evacuation::hindrance;
 use super::forecast::Backlog;
 use super::order::{is_covered, useful_ms};
 use super::room::tasks_that_fit;
@@ -101,6 +102,10 @@
         if let Some(reason) = unplaceable(view, queue, spec) {
             return Admission::RetryLater { retry_after_ms: NO_HOST_RETRY_MS, reason };
         }
+        let waits_anyway = spec.repeat.is_some() || spec.is_lasting();
+        if !waits_anyway && let Some(reason) = hindrance(view, queue, spec) {
+            return Admission::RetryLater { retry_after_ms: NO_HOST_RETRY_MS, reason };
+        }
         let admitted_bytes = view.jobs_max_bytes * ADMITTED_MEMORY_PERCENT / 100;
         if self.held_bytes + initial_bytes(spec) > admitted_bytes {
             let reason = format!("the jobs that are held take {} bytes of memory", self.held_bytes);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,6 +7,7 @@
 mod approvals;
 mod departure;
 mod drain;
+mod evacuation;
 mod forecast;
 mod free_capacity;
 mod full_steps;
@@ -39,6 +40,7 @@
 pub(crate) use approvals::{ApprovalRequest, Approvals, StepId, without_pending};
 pub(crate) use departure::must_move;
 use drain::Drains;
+pub(crate) use evacuation::{Consequences, consequences};
 use full_steps::FullSteps;
 pub(crate) use headroom::{Headroom, urgent_demand};
 pub(crate) use learned::Learned;
@@ -59,6 +61,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) service: Arc<str>,
     pub(crate) rack: Arc<str>,
+    pub(crate) data_centre: Arc<str>,
     pub(crate) labels: Vec<Arc<str>>,
     pub(crate) capacity: Resources,
     /// Whether it may get new work: reachable, not draining, not set aside and not evacuated.
@@ -73,6 +76,7 @@
             incarnation: upstream.incarnation(),
             service: Arc::clone(&heartbeat.service),
             rack: Arc::clone(&heartbeat.rack),
+            data_centre: Arc::clone(&heartbeat.data_centre),
             labels: heartbeat.labels.clone(),
             capacity: heartbeat.capacity,
             takes_work: takes_work && !state.evacuations.is_active(&heartbeat.data_centre),
@@ -155,6 +159,9 @@
     /// Its upstream drains and may leave soon.
     #[display("upstream drains")]
     Draining,
+    /// Its data centre is being evacuated, and others have capacity for it.
+    #[display("data centre is evacuated")]
+    Evacuated,
     /// It makes no progress.
     #[display("hangs")]
     Hangs,
@@ -180,7 +187,10 @@
     for unit in &waiting {
         builder.place(view, unit);
     }
-    builder.plan
+    let PlanBuilder { mut pool, full, mut plan, .. } = builder;
+    let moves = evacuation::runs_to_move(view, &mut pool, &full, &ending);
+    plan.stops.extend(moves.into_iter().map(|(id, run)| (id, run, StopCause::Evacuated)));
+    plan
 }
 
 /// Builds a plan unit by unit and tracks the capacity that is left for later units.
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -127,6 +127,19 @@
     waiting
 }
 
+/// Describes a running unit as it will wait once it is stopped.
+pub(super) fn as_waiting<'a>(
+    view: &View<'_>,
+    job: &'a Job,
+    queue: &'a Queue,
+    id: UnitId,
+    unit: &Unit,
+) -> WaitingUnit<'a> {
+    let timeliness = Timeliness::of(view, job, queue, id.occurrence);
+    let turn = Turn { job, queue, is_covered: false, timeliness };
+    WaitingUnit { waited_ms: 0, ..turn.waiting_unit(view, id, unit) }
+}
+
 /// What decides when the units of a job's occurrence have their turn.
 struct Turn<'a> {
     job: &'a Job,
