--- a/src/bin/cactuslatch-task-standin.rs
+++ b/src/bin/cactuslatch-task-standin.rs
@@ -16,6 +16,10 @@
     let service =
         long("service").help("service that it belongs to").argument::<ServiceName>("SERVICE");
     let rack = long("rack").help("rack of the upstream").argument::<RackName>("RACK");
+    let data_centre = long("data-centre")
+        .help("data centre of the upstream")
+        .argument::<String>("NAME")
+        .fallback(String::new());
     let accelerators =
         long("accelerators").help("its accelerators").argument::<u32>("NUMBER").fallback(8);
     let control_hosts = long("host")
@@ -28,6 +32,7 @@
         address,
         service,
         rack,
+        data_centre,
         accelerators,
         control_hosts,
         heartbeat_delay
--- a/src/cluster/leader/evacuations.rs
+++ b/src/cluster/leader/evacuations.rs
@@ -103,9 +103,11 @@
         let inner = self.replica.lock();
         let state = &inner.state;
         let mut upstreams = state.upstreams.values();
-        self.data_centres.contains(data_centre)
-            || state.evacuations.get(data_centre).is_some()
-            || upstreams.any(|upstream| *upstream.heartbeat.data_centre == *data_centre)
+        // Upstreams that name no data centre are in none.
+        !data_centre.is_empty()
+            && (self.data_centres.contains(data_centre)
+                || state.evacuations.get(data_centre).is_some()
+                || upstreams.any(|upstream| *upstream.heartbeat.data_centre == *data_centre))
     }
 }
 
--- a/src/cmd/cluster.rs
+++ b/src/cmd/cluster.rs
@@ -72,5 +72,15 @@
             member.address, member.silent_ms
         );
     }
+    for evacuation in &status.evacuations {
+        _ = writeln!(
+            out,
+            "evacuated: {} for {} ms, {} upstreams, {} tasks running",
+            evacuation.data_centre,
+            evacuation.since_ms,
+            evacuation.upstreams,
+            evacuation.running_tasks
+        );
+    }
     out
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod documents;
 mod drain;
+mod evacuate;
 mod explain;
 mod health;
 mod http;
@@ -49,12 +50,13 @@
     let upstreams = subcommand("upstreams", upstreams::options(), upstreams::run);
     let cluster = subcommand("cluster", cluster::options(), cluster::run);
     let steps = subcommand("steps", steps::options(), steps::run);
+    let evacuate = subcommand("evacuate", evacuate::options(), evacuate::run);
     let trace = subcommand("trace", trace::options(), trace::run);
     let drain = subcommand("drain", drain::options(), drain::run);
     let health = subcommand("health", health::options(), health::run);
     construct!([
         check, demo, send, request, sign_off, submit, status, cancel, explain, documents,
-        upstreams, drain, health, steps, cluster, trace
+        upstreams, drain, health, steps, evacuate, cluster, trace
     ])
     .to_options()
     .descr(USAGE)
--- a/src/cmd/steps.rs
+++ b/src/cmd/steps.rs
@@ -29,10 +29,17 @@
 
 /// Control hosts to call, and options of the call.
 #[derive(Debug, Clone)]
-struct Hosts {
-    addresses: Vec<SocketAddr>,
+pub(super) struct Hosts {
+    pub(super) addresses: Vec<SocketAddr>,
     timeout_ms: u64,
-    json: bool,
+    pub(super) json: bool,
+}
+
+impl Hosts {
+    /// Returns the timeout of the whole command.
+    pub(super) fn timeout(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms)
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -106,7 +113,8 @@
     args.to_options().descr(usage).footer(FOOTER).command(name)
 }
 
-fn hosts() -> impl Parser<Hosts> {
+/// Parses the options of [`Hosts`].
+pub(super) fn hosts() -> impl Parser<Hosts> {
     let addresses = long("host")
         .env("CACTUSLATCH_TASK_HOST")
         .help("Address of a control host for callers; several times to name hosts to fail over to")
@@ -145,8 +153,7 @@
         Action::Status { job } => job.call("ask for the job", Method::GET),
         Action::Cancel { job } => job.call("cancel the job", Method::DELETE),
     };
-    let timeout = Duration::from_millis(args.hosts.timeout_ms);
-    let answer = call.run(&args.hosts.addresses, timeout)?;
+    let answer = call.run(&args.hosts.addresses, args.hosts.timeout())?;
     util::print_answer(&answer, args.hosts.json, util::render_lines)
 }
 
--- a/src/local/tasks.rs
+++ b/src/local/tasks.rs
@@ -20,6 +20,9 @@
 /// Number of accelerators of a stand-in.
 const ACCELERATORS: u32 = 8;
 
+/// Number of data centres over which the stand-ins are spread.
+const DATA_CENTRES: u8 = 2;
+
 /// Longest lease of a stand-in; tasks of a lost stand-in start elsewhere after this time.
 const LEASE_MAX_MS: u64 = 2_000;
 
@@ -33,7 +36,7 @@
 }
 
 impl LocalTasks {
-    /// Starts control hosts, and stand-ins in a single rack.
+    /// Starts control hosts, and stand-ins in a single rack and, in turn, in data centres `dc-0` and `dc-1`.
     ///
     /// # Errors
     /// Returns an error if an address or the folder cannot be used.
@@ -93,6 +96,7 @@
             address: self.addresses.work(FIRST_STANDIN_HOST + number),
             service: "plan".parse().expect("a valid name"),
             rack: "rack-1".parse().expect("a valid name"),
+            data_centre: format!("dc-{}", number % DATA_CENTRES),
             accelerators: ACCELERATORS,
             control_hosts: self.control_addresses(),
             heartbeat_delay: Duration::ZERO,
@@ -161,6 +165,13 @@
         self.standins.iter().flatten().flat_map(RunningTaskStandin::running).collect()
     }
 
+    /// Returns how many tasks have started on one stand-in since its start.
+    #[must_use]
+    pub fn started_on(&self, number: u8) -> u32 {
+        let standin = self.standins.get(usize::from(number)).and_then(Option::as_ref);
+        standin.map_or(0, RunningTaskStandin::started)
+    }
+
     /// Returns how many tasks have started on the stand-ins that run.
     #[must_use]
     pub fn started(&self) -> u32 {
--- a/src/standin/tasks/server.rs
+++ b/src/standin/tasks/server.rs
@@ -55,6 +55,8 @@
     pub service: ServiceName,
     /// Rack that it is in.
     pub rack: RackName,
+    /// Data centre that it is in; empty if it names none.
+    pub data_centre: String,
     /// Number of its accelerators.
     pub accelerators: u32,
     /// Control hosts to which it reports itself.
@@ -176,7 +178,7 @@
             sequence,
             service: settings.service.to_string().into(),
             address: self.address.to_string().into(),
-            data_centre: Arc::from(""),
+            data_centre: settings.data_centre.as_str().into(),
             machine: None,
             draining: false,
             drain_remaining_ms: 0,
--- a/src/task_api/http.rs
+++ b/src/task_api/http.rs
@@ -11,7 +11,8 @@
 use super::documents::{read_configuration, read_job};
 use super::orders::LeaveRequest;
 use crate::cluster::{
-    Action, ClientFault, Control, FrontCall, FrontReply, OperatorReply, Reply, Request,
+    Action, ClientFault, Control, EvacuationStatus, FrontCall, FrontReply, OperatorReply, Reply,
+    Request,
 };
 use crate::http::{FullRequest, FullResponse, error, json, text, with_retry_after};
 use crate::tasks::{Heartbeat, JobState};
@@ -41,6 +42,11 @@
     waiting_jobs: u64,
 }
 
+#[derive(Debug, Serialize)]
+struct EvacuationsBody {
+    evacuations: Vec<EvacuationStatus>,
+}
+
 /// Handles a request.
 pub(super) async fn handle(control: Arc<Control>, received: FullRequest) -> FullResponse {
     let method = received.method.clone();
@@ -56,7 +62,13 @@
         }
     };
     let is_heartbeat = matches!(request, Request::Heartbeat(_));
-    let response = response_to(control.call(request, timeout).await);
+    let reply = match request {
+        Request::Evacuate { data_centre, begin, .. } => {
+            control.evacuate(data_centre, begin, timeout).await
+        }
+        request => control.call(request, timeout).await,
+    };
+    let response = response_to(reply);
     let status = response.status().as_u16();
     if status >= 400 {
         warn!(%method, path, status, "call was not served");
@@ -82,6 +94,9 @@
             Request::SetConfiguration { configuration: Arc::new(configuration), raw }
         }
         ("GET", ["v1", "configuration"]) => Request::ReadConfiguration,
+        ("GET", ["v1", "evacuations"]) => Request::Evacuations,
+        ("PUT", ["v1", "evacuations", name]) => evacuate(name, true),
+        ("DELETE", ["v1", "evacuations", name]) => evacuate(name, false),
         ("POST", ["v1", "upstreams", id, "heartbeat"]) => {
             let heartbeat: Heartbeat =
                 serde_json::from_slice(&received.body).map_err(|fault| fault.to_string())?;
@@ -109,6 +124,11 @@
     Ok(Some(request))
 }
 
+/// Returns a request of an operator for a data centre; the host that takes it sets the revision.
+fn evacuate(data_centre: &str, begin: bool) -> Request {
+    Request::Evacuate { data_centre: data_centre.into(), begin, revision: 0 }
+}
+
 fn parse_action(method: &str, body: &str) -> Result<Option<Action>, String> {
     Ok(match method {
         "POST" => {
@@ -132,6 +152,7 @@
         Ok(Reply::Operator(OperatorReply::Done) | Reply::Done) => {
             json(200, &StateBody { state: "stored" })
         }
+        Ok(Reply::Evacuations(evacuations)) => json(200, &EvacuationsBody { evacuations }),
         Ok(Reply::RunsRemain) => {
             let response = error(503, "runs of the upstream have not ended yet");
             with_retry_after(response, RUNS_REMAIN_RETRY_MS)
--- a/tests/cli/help.rs
+++ b/tests/cli/help.rs
@@ -25,7 +25,11 @@
         "steps configure",
         "steps submit",
         "steps status",
-        "steps cancel"
+        "steps cancel",
+        "evacuate",
+        "evacuate begin",
+        "evacuate finish",
+        "evacuate list"
     )]
     command: &str,
 ) {
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod documents;
+mod evacuate;
 mod failover;
 mod help;
 mod host;
--- a/tests/steps.rs
+++ b/tests/steps.rs
@@ -177,3 +177,45 @@
     assert_eq!(cluster.state(1).await, "completed");
     cluster.local.stop().await;
 }
+
+/// Nothing may start in a data centre that is being evacuated, also not by the next leader and after all
+/// control hosts were killed, until the evacuation is finished.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuation_outlasts_all_control_hosts() {
+    let mut cluster = TestCluster::start(2).await;
+    cluster.submit(1, JOB).await;
+    cluster.wait_for_state(1, "completed").await;
+    assert_eq!(cluster.call("PUT", "/v1/evacuations/dc-9", "").await.status, 422);
+    let evacuation = "/v1/evacuations/dc-0";
+    cluster
+        .wait_until("the evacuation begins", async || {
+            cluster.call("PUT", evacuation, "").await.status == 200
+        })
+        .await;
+    let started = cluster.local.started_on(0);
+    for host in 0..3 {
+        cluster.local.kill_control(host).await;
+    }
+    for host in 0..3 {
+        cluster.local.start_control(host, false).await.unwrap();
+    }
+    cluster.submit(2, JOB).await;
+    let leader = cluster.local.leader();
+    if let Some(leader) = leader {
+        cluster.local.kill_control(leader).await;
+    }
+    cluster.wait_for_state(2, "completed").await;
+    let listed = cluster.call("GET", "/v1/evacuations", "").await.body;
+    assert_eq!(listed["evacuations"][0]["data_centre"], "dc-0");
+    assert_eq!(cluster.local.started_on(0), started, "nothing starts there");
+    cluster
+        .wait_until("the evacuation is finished", async || {
+            cluster.call("DELETE", evacuation, "").await.status == 200
+        })
+        .await;
+    let wide = "{payload: '{\"work_ms\": 300}', steps: [{tasks: 16, need: {accelerators: 1}}]}";
+    cluster.submit(3, wide).await;
+    cluster.wait_for_state(3, "completed").await;
+    assert!(cluster.local.started_on(0) > started, "work returns");
+    cluster.local.stop().await;
+}
