Let load return to an evacuated data centre in a ramp, and prefer warm upstreams

Cause: with the end of an evacuation one decision sent all waiting work to upstreams that may be slow at first, and nothing was known of how long they are.

Change: a quarter of the upstreams takes work at once, the others within 4 s or half of the time that the evacuation lasted; work that may preempt does not wait. Heartbeats report for how long an upstream is slow (`cold-remaining-ms`); the leader keeps it for its term, and gangs and urgent work go to others while these have room. The replays have a scenario in which a data centre is evacuated. The field is appended to the heartbeat, so an older log cannot be read.

--- a/src/cluster/evacuation_metrics.rs
+++ b/src/cluster/evacuation_metrics.rs
@@ -26,6 +26,7 @@
     accelerators_missing: Family<OrganisationLabels, Gauge>,
     services_stopped: Gauge,
     moves: Counter,
+    cold_upstreams: Gauge,
 }
 
 impl EvacuationMetrics {
@@ -40,6 +41,8 @@
         );
         let stopped = self.services_stopped.clone();
         to.register("evacuated_services", "Services without upstreams elsewhere", stopped);
+        let cold = self.cold_upstreams.clone();
+        to.register("cold_upstreams", "Upstreams that are slow for a while", cold);
         let moves = self.moves.clone();
         to.register("evacuation_moves", "Runs moved out of evacuated data centres", moves);
     }
@@ -66,6 +69,11 @@
         self.services_stopped.set(0);
     }
 
+    /// Sets the number of upstreams that are slow for a while.
+    pub(super) fn set_cold(&self, upstreams: usize) {
+        self.cold_upstreams.set(to_gauge(upstreams as u64));
+    }
+
     pub(super) fn record_moves(&self, runs: u64) {
         self.moves.inc_by(runs);
     }
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -110,6 +110,8 @@
     /// Steps with an approval request under way.
     pending_approvals: HashSet<StepId>,
     evacuation_report: EvacuationReport,
+    /// Upstreams that are slow for a while, and until when.
+    cold_until_ms: HashMap<Incarnation, u64>,
     stopped: bool,
 }
 
@@ -157,6 +159,7 @@
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner).abort_all();
         (self.calls.close_idle)();
         self.replica.metrics.evacuations.clear();
+        self.replica.metrics.evacuations.set_cold(0);
         info!(term = self.term, "leader ends its work");
     }
 
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -18,6 +18,9 @@
 /// Time after which a caller may try again while no upstream has registered.
 const NO_UPSTREAMS_RETRY_MS: u64 = 1_000;
 
+/// Longest time for which an upstream is believed to be slow; its next heartbeat renews it.
+const COLD_MAX_MS: u64 = 60_000;
+
 /// What a caller's call addresses.
 struct CallTarget {
     queue: Queue,
@@ -261,6 +264,7 @@
     async fn heartbeat(self: &Arc<Self>, heartbeat: Heartbeat) -> Reply {
         let incarnation =
             Incarnation { id: Arc::clone(&heartbeat.id), born_unix_ms: heartbeat.born_unix_ms };
+        self.record_cold(&incarnation, heartbeat.cold_remaining_ms);
         let known = self.replica.lock().state.upstreams.get(&heartbeat.id).cloned();
         if known.as_ref().is_some_and(|known| known.is_described_by(&heartbeat)) {
             self.record_heartbeat(&heartbeat.id);
@@ -309,6 +313,17 @@
         self.commit(Change::RegisterUpstream { heartbeat }, Reply::Done).await
     }
 
+    /// Records for how long an upstream is slow. A new leader learns it from the next heartbeat.
+    fn record_cold(&self, incarnation: &Incarnation, remaining_ms: u64) {
+        let mut term_state = self.term_state();
+        if remaining_ms == 0 {
+            term_state.cold_until_ms.remove(incarnation);
+        } else {
+            let until_ms = boot_ms() + remaining_ms.min(COLD_MAX_MS);
+            term_state.cold_until_ms.insert(incarnation.clone(), until_ms);
+        }
+    }
+
     /// Records that an upstream is alive.
     fn record_heartbeat(&self, id: &Arc<str>) {
         if let Some(session) = self.term_state().sessions.get_mut(id) {
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -90,6 +90,8 @@
         term_state.paces.retain(|key, _| is_running(key));
         let now_ms = boot_ms();
         term_state.avoid.retain(|_, until_ms| now_ms < *until_ms);
+        term_state.cold_until_ms.retain(|_, until_ms| now_ms < *until_ms);
+        self.replica.metrics.evacuations.set_cold(term_state.cold_until_ms.len());
         let is_open =
             |job: &JobId| inner.state.jobs.get(job).is_some_and(|job| job.outcome.is_none());
         term_state.approvals.retain(|step| is_open(&step.job));
@@ -169,7 +171,9 @@
                 .machine
                 .as_ref()
                 .is_some_and(|machine| term_state.evacuating.contains_key(machine));
-            let host = Host::of(state, upstream, ready && !heartbeat.draining && !evacuated);
+            let takes_work = ready && !heartbeat.draining && !evacuated;
+            let is_cold = term_state.cold_until_ms.get(&incarnation).is_some_and(|ms| *ms > now_ms);
+            let host = Host { is_cold, ..Host::of(state, upstream, takes_work) };
             let until_ms = session.map_or(0, |session| session.set_aside_until_ms);
             if until_ms > now_ms && host.takes_work {
                 set_aside.push((until_ms, hosts.len()));
--- a/src/cluster/tests/evacuations.rs
+++ b/src/cluster/tests/evacuations.rs
@@ -173,3 +173,22 @@
         .await;
     assert!(!metrics().contains("evacuated_running_tasks{"), "{}", metrics());
 }
+
+/// Guards against a report of an upstream that is slow for a while that does not reach the leader, since
+/// nothing else of it has changed, and against one that is kept for slow for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_leader_knows_which_upstreams_are_slow_for_a_while() {
+    let fake = FakeUpstreams::new(Duration::from_millis(200));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    let cold = |cold_remaining_ms, sequence| {
+        Request::Heartbeat(Heartbeat { sequence, cold_remaining_ms, ..heartbeat(0) })
+    };
+    let shows = |upstreams: u32| {
+        let line = format!("cold_upstreams {upstreams}");
+        test.control.metrics_text().lines().any(|shown| shown == line)
+    };
+    test.call_until_answered(cold(u64::MAX, 2)).await;
+    wait_until("one is slow", || shows(1)).await;
+    test.call_until_answered(cold(400, 3)).await;
+    wait_until("none is slow", || shows(0)).await;
+}
--- a/src/placement/evacuation/mod.rs
+++ b/src/placement/evacuation/mod.rs
@@ -5,11 +5,13 @@
 //! capacity that nobody else waits for; the rest stay until they end.
 
 mod consequences;
+mod ramp;
 
 use std::collections::{HashMap, HashSet};
 
 pub(super) use consequences::hindrance;
 pub(crate) use consequences::{Consequences, consequences};
+pub(super) use ramp::held_back;
 
 use super::full_steps::FullSteps;
 use super::order::{WaitingUnit, as_waiting};
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -66,6 +66,8 @@
     pub(crate) capacity: Resources,
     /// Whether it may get new work: reachable, not draining, not set aside and not evacuated.
     pub(crate) takes_work: bool,
+    /// Whether it is slow for a while, as after its start.
+    pub(crate) is_cold: bool,
 }
 
 impl Host {
@@ -80,6 +82,7 @@
             labels: heartbeat.labels.clone(),
             capacity: heartbeat.capacity,
             takes_work: takes_work && !state.evacuations.is_active(&heartbeat.data_centre),
+            is_cold: false,
         }
     }
 }
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -5,6 +5,7 @@
 
 use smallvec::SmallVec;
 
+use super::evacuation::held_back;
 use super::free_capacity::FreeCapacity;
 use super::order::WaitingUnit;
 use super::room::tasks_that_fit;
@@ -51,6 +52,8 @@
     releases: Vec<Vec<Release>>,
     /// Whether each host is being drained for a unit.
     drained: Vec<bool>,
+    /// Whether work that may not preempt is kept from each host; empty if it is from none.
+    held_back: Vec<bool>,
     /// Runs on each host that have not survived their start yet.
     starting: Vec<SmallVec<[StartingRun; 2]>>,
 }
@@ -90,6 +93,7 @@
             tasks_of_step: HashMap::new(),
             releases: vec![Vec::new(); view.hosts.len()],
             drained: vec![false; view.hosts.len()],
+            held_back: held_back(view),
             starting: vec![SmallVec::new(); view.hosts.len()],
         };
         for (number, host) in view.hosts.iter().enumerate() {
@@ -182,6 +186,11 @@
         self.tasks_of_step.get(&step_on_host).copied().unwrap_or(0)
     }
 
+    /// Returns whether a unit is kept from a host whose data centre has just been evacuated.
+    pub(super) fn is_held_back(&self, unit: &WaitingUnit<'_>, host: usize) -> bool {
+        !unit.may_preempt && self.held_back.get(host).copied().unwrap_or(false)
+    }
+
     /// Marks the capacity of a unit's tasks as used.
     pub(super) fn occupy(&mut self, unit: &WaitingUnit<'_>, task_hosts: &[usize]) {
         let need = unit.step.reserved();
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -27,6 +27,34 @@
     unit: &WaitingUnit<'_>,
 ) -> Option<Vec<usize>> {
     let groups = host_groups(view, pool, unit);
+    let warm = warm_groups(view, unit, &groups);
+    warm.and_then(|warm| find_hosts_among(view, pool, free, unit, &warm))
+        .or_else(|| find_hosts_among(view, pool, free, unit, &groups))
+}
+
+/// Returns the groups without hosts that are slow for a while, for a unit that goes to others while these
+/// have room: it is urgent, or a gang, which is as slow as its slowest member. `None` if all hosts are alike.
+fn warm_groups(
+    view: &View<'_>,
+    unit: &WaitingUnit<'_>,
+    groups: &[Vec<usize>],
+) -> Option<Vec<Vec<usize>>> {
+    let is_cold = |host: &usize| view.hosts[*host].is_cold;
+    if !unit.may_preempt && unit.step.unit_size() == 1 || !groups.iter().flatten().any(is_cold) {
+        return None;
+    }
+    let warm = |hosts: &Vec<usize>| hosts.iter().copied().filter(|host| !is_cold(host)).collect();
+    Some(groups.iter().map(warm).collect())
+}
+
+/// Returns the host of each task of the unit within the fullest group in which all of them fit.
+fn find_hosts_among(
+    view: &View<'_>,
+    pool: &Pool,
+    free: &[FreeCapacity],
+    unit: &WaitingUnit<'_>,
+    groups: &[Vec<usize>],
+) -> Option<Vec<usize>> {
     let fitting = groups.iter().filter_map(|hosts| {
         let task_hosts = fill_fullest_hosts(view, pool, free, unit, hosts)?;
         let free_weight: u64 = hosts.iter().map(|host| free[*host].weight_millicores()).sum();
@@ -49,9 +77,10 @@
         let needs_no_approval = unit.queue.advice.is_none();
         needs_no_approval || view.approvals.ticket(&step_id, incarnation, view.now_ms).is_some()
     };
-    let usable = |host: &usize| {
-        let host = &view.hosts[*host];
+    let usable = |number: &usize| {
+        let host = &view.hosts[*number];
         host.takes_work
+            && !pool.is_held_back(unit, *number)
             && is_eligible(host, step, &unit.queue.service)
             && approved(&host.incarnation)
     };
--- a/src/placement/tests/evacuations.rs
+++ b/src/placement/tests/evacuations.rs
@@ -1,5 +1,7 @@
 //! Running work in a data centre that is being evacuated.
 
+use std::collections::BTreeSet;
+
 use rstest::rstest;
 
 use super::pool_view::{Inputs, JOBS_MAX_BYTES, decide, hosts};
@@ -182,3 +184,55 @@
     assert!(accepted(decide(&sample, spec(vec![lasting(None)]))));
     assert_eq!(consequences(&sample.state).stopped_services.len(), 1);
 }
+
+/// Starts 64 single tasks of a queue on eight hosts of a data centre `passed_ms` after an evacuation that
+/// lasted for some time, and returns how many of the hosts get some.
+fn hosts_used(queue: &str, lasted_ms: u64, passed_ms: u64) -> usize {
+    let mut sample = Sample::with_hosts(8);
+    set(&mut sample, "dc", true);
+    sample.at(lasted_ms);
+    set(&mut sample, "dc", false);
+    sample.at(lasted_ms + passed_ms);
+    sample.accept(1, queue, vec![step(64, 1)]);
+    let plan = decide(&sample, &Inputs::default());
+    let used: BTreeSet<_> = plan.starts.iter().map(|start| &start.incarnations[0].id).collect();
+    used.len()
+}
+
+/// Guards against load that returns in one moment to upstreams that may be slow, against one that never
+/// returns, and against urgent work that waits for the others' turn.
+#[rstest]
+#[case::at_once("batch", 60_000, 0, 2)]
+#[case::later("batch", 60_000, 2_000, 5)]
+#[case::all("batch", 60_000, 4_000, 8)]
+#[case::urgent("urgent", 60_000, 0, 8)]
+#[case::short_evacuation("batch", 2_000, 1_000, 8)]
+fn load_returns_in_a_bounded_ramp(
+    #[case] queue: &str,
+    #[case] lasted_ms: u64,
+    #[case] passed_ms: u64,
+    #[case] expected: usize,
+) {
+    assert_eq!(hosts_used(queue, lasted_ms, passed_ms), expected);
+}
+
+/// Guards against urgent work and gangs on upstreams that are still slow while others have room, and against
+/// ones that wait although only slow ones have.
+#[rstest]
+#[case::urgent("urgent", step(1, 8), &["host-01"])]
+#[case::gang("batch", gang(2, 4), &["host-01", "host-01"])]
+#[case::gang_that_needs_both("batch", gang(2, 8), &["host-00", "host-01"])]
+#[case::other("batch", step(1, 8), &["host-00"])]
+fn urgent_work_and_gangs_prefer_warm_hosts(
+    #[case] queue: &str,
+    #[case] task: StepSpec,
+    #[case] expected: &[&str],
+) {
+    let mut sample = Sample::with_hosts(2);
+    sample.accept(1, queue, vec![task]);
+    let inputs = Inputs { cold: vec!["host-00".to_owned()], ..Inputs::default() };
+    let plan = decide(&sample, &inputs);
+    let hosts: Vec<_> =
+        plan.starts[0].incarnations.iter().map(|incarnation| &*incarnation.id).collect();
+    assert_eq!(hosts, expected);
+}
--- a/src/placement/tests/pool_view.rs
+++ b/src/placement/tests/pool_view.rs
@@ -20,6 +20,8 @@
     /// Wall-clock time.
     pub(super) unix_ms: u64,
     pub(super) learned: Learned,
+    /// Hosts that are slow for a while.
+    pub(super) cold: Vec<String>,
     /// Hosts that take no work.
     pub(super) closed: Vec<String>,
 }
@@ -29,7 +31,8 @@
     upstreams
         .map(|upstream| {
             let is_closed = inputs.closed.iter().any(|closed| **closed == *upstream.heartbeat.id);
-            Host::of(&sample.state, upstream, !is_closed)
+            let is_cold = inputs.cold.iter().any(|cold| **cold == *upstream.heartbeat.id);
+            Host { is_cold, ..Host::of(&sample.state, upstream, !is_closed) }
         })
         .collect()
 }
--- a/src/replay/hosts.rs
+++ b/src/replay/hosts.rs
@@ -79,6 +79,14 @@
     pub(super) thrown_core_ms: u64,
 }
 
+/// Number of data centres over which the hosts are spread.
+const DATA_CENTRES: usize = 6;
+
+/// Returns the name of a data centre.
+pub(super) fn data_centre(number: usize) -> Arc<str> {
+    format!("dc-{number}").into()
+}
+
 impl Hosts {
     pub(super) fn new(count: usize) -> Self {
         Self {
@@ -105,10 +113,11 @@
                 born_unix_ms,
                 sequence: 1,
                 service: SERVICE.into(),
-                data_centre: "dc".into(),
+                data_centre: data_centre(number * DATA_CENTRES / self.count),
                 machine: None,
                 draining: false,
                 drain_remaining_ms: 0,
+                cold_remaining_ms: 0,
                 capacity: CAPACITY,
                 labels: vec![Arc::clone(&rack)],
                 rack,
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -8,7 +8,7 @@
 
 use super::callers::{Callers, Told};
 use super::figures::{Ending, ReplayReport, report};
-use super::hosts::Hosts;
+use super::hosts::{self, Hosts};
 use super::load::{MIX, Request, configuration, requests};
 use super::scenario::{SUBMISSION_MS, Scenario};
 use crate::placement::{
@@ -118,6 +118,7 @@
         for change in changes {
             self.apply(change);
         }
+        self.set_evacuated(disturbance.evacuated);
         self.submit_due(disturbance.control_down);
         if disturbance.control_down {
             return;
@@ -133,6 +134,15 @@
         self.apply(Change::Start { starts: plan.starts });
     }
 
+    /// Begins or finishes the evacuation of the data centre of the first hosts.
+    fn set_evacuated(&mut self, evacuated: bool) {
+        let data_centre = hosts::data_centre(0);
+        if self.state.evacuations.is_active(&data_centre) != evacuated {
+            let revision = self.state.evacuations.revision(&data_centre);
+            self.apply(Change::SetEvacuation { data_centre, begin: evacuated, revision });
+        }
+    }
+
     fn apply(&mut self, change: Change) {
         self.state.apply(Command { at_ms: self.now_ms, change });
         for event in self.state.take_events() {
--- a/src/replay/scenario.rs
+++ b/src/replay/scenario.rs
@@ -35,6 +35,8 @@
     HeavyOverload,
     /// A rate of all kinds that rises from half to three times the normal one.
     Ramp,
+    /// A slight overload, in which one of six data centres is evacuated for ten seconds.
+    Evacuation,
     /// No decisions are made for some seconds; all callers wait and the backlog is full after it.
     Recovery,
 }
@@ -46,11 +48,13 @@
     pub(super) hosts_lost_percent: usize,
     /// Whether control makes no decisions and answers no calls.
     pub(super) control_down: bool,
+    /// Whether the data centre of the first hosts is evacuated.
+    pub(super) evacuated: bool,
 }
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Calm,
         Self::UrgentBurst,
         Self::AllKindsBurst,
@@ -60,6 +64,7 @@
         Self::LongOverload,
         Self::HeavyOverload,
         Self::Ramp,
+        Self::Evacuation,
         Self::Recovery,
     ];
 
@@ -76,6 +81,7 @@
             Self::LongOverload => "long-overload",
             Self::HeavyOverload => "heavy-overload",
             Self::Ramp => "ramp",
+            Self::Evacuation => "evacuation",
             Self::Recovery => "recovery",
         }
     }
@@ -84,7 +90,7 @@
     pub(super) fn rates(self, at_ms: u64) -> [f64; KINDS] {
         let in_peak = (PEAK_FROM_MS..PEAK_TO_MS).contains(&at_ms);
         match self {
-            Self::LongOverload => [1.6; KINDS],
+            Self::LongOverload | Self::Evacuation => [1.6; KINDS],
             Self::HeavyOverload => [4.0; KINDS],
             Self::Ramp => [0.5 + 2.5 * at_ms as f64 / SUBMISSION_MS as f64; KINDS],
             Self::UrgentBurst if in_peak => [4.0, 1.0, 1.0],
@@ -100,6 +106,7 @@
         match self {
             Self::CapacityLost if in_peak => Disturbance { hosts_lost_percent: 33, ..calm },
             Self::Returning if in_peak => Disturbance { hosts_lost_percent: 100, ..calm },
+            Self::Evacuation if in_peak => Disturbance { evacuated: true, ..calm },
             Self::Recovery if in_peak => Disturbance { control_down: true, ..calm },
             _ => calm,
         }
--- a/src/replay/tests/mod.rs
+++ b/src/replay/tests/mod.rs
@@ -16,7 +16,13 @@
 /// Every job of a replay has exactly one ending.
 #[test]
 fn every_job_is_counted_once() {
-    for scenario in [Scenario::AllKindsBurst, Scenario::CapacityLost, Scenario::Returning] {
+    let scenarios = [
+        Scenario::AllKindsBurst,
+        Scenario::CapacityLost,
+        Scenario::Returning,
+        Scenario::Evacuation,
+    ];
+    for scenario in scenarios {
         let report = replay(scenario, HOSTS, 1);
         for (queue, kind) in report.kinds {
             let counted = kind.in_time + kind.late + kind.too_late + kind.never_done + kind.refused;
--- a/src/standin/tasks/server.rs
+++ b/src/standin/tasks/server.rs
@@ -182,6 +182,7 @@
             machine: None,
             draining: false,
             drain_remaining_ms: 0,
+            cold_remaining_ms: 0,
             capacity: Resources {
                 cpu_millicores: settings.accelerators * CPU_MILLICORES,
                 memory_mb: settings.accelerators * MEMORY_MB,
--- a/src/tasks/evacuation.rs
+++ b/src/tasks/evacuation.rs
@@ -42,6 +42,11 @@
         self.0.iter().filter(|(_, evacuation)| evacuation.finished_ms.is_none())
     }
 
+    /// Iterates over the evacuations that were finished lately.
+    pub(crate) fn finished(&self) -> impl Iterator<Item = (&Arc<str>, &Evacuation)> {
+        self.0.iter().filter(|(_, evacuation)| evacuation.finished_ms.is_some())
+    }
+
     /// Returns how often the evacuation of a data centre has begun or was finished.
     pub(crate) fn revision(&self, data_centre: &str) -> u64 {
         self.get(data_centre).map_or(0, |evacuation| evacuation.revision)
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -23,6 +23,7 @@
 pub use configuration::{
     Advice, Configuration, ConfigurationFault, FrontLimits, Organisation, Queue, WorkerService,
 };
+pub(crate) use evacuation::Evacuation;
 pub use ids::{InvalidTaskId, JobId, TaskId, UnitId};
 pub use job::JobState;
 pub(crate) use job::{Job, Outcome, Phase, Unit};
--- a/src/tasks/tests/sample.rs
+++ b/src/tasks/tests/sample.rs
@@ -103,6 +103,7 @@
         machine: None,
         draining: false,
         drain_remaining_ms: 0,
+        cold_remaining_ms: 0,
         capacity: HOST,
         labels: vec!["a".into(), format!("rack-{}", host / 8).into()],
         rack: format!("rack-{}", host / 8).into(),
--- a/src/tasks/upstream.rs
+++ b/src/tasks/upstream.rs
@@ -41,6 +41,9 @@
     pub labels: Vec<Arc<str>>,
     /// Rack that it is in.
     pub rack: Arc<str>,
+    /// Time for which it is still slow, as after its start.
+    #[serde(default)]
+    pub cold_remaining_ms: u64,
 }
 
 /// How a run ended.
