Test requests of several operators, and all kinds of work, during evacuations

Cause: nothing guarded against requests at the same time that block each other, nor against a kind of work for which an evacuation does not count.

Change: a test with eight requests at once and two opposed ones, and one for each of six kinds of work.

--- a/src/cluster/tests/evacuations.rs
+++ b/src/cluster/tests/evacuations.rs
@@ -192,3 +192,35 @@
     test.call_until_answered(cold(400, 3)).await;
     wait_until("none is slow", || shows(0)).await;
 }
+
+/// Guards against requests of several operators that block each other or are lost: each of eight at once is
+/// acknowledged, for several data centres and for the same one, and all are in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn several_requests_at_once_are_all_acknowledged() {
+    let fake = FakeUpstreams::new(Duration::from_millis(200));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    move_upstream(&test, 1, "far").await;
+    for begin in [true, false] {
+        let names = ["dc", "far", "other-dc", "dc", "far", "other-dc", "dc", "far"];
+        let mut requests = tokio::task::JoinSet::new();
+        for name in names {
+            let control = Arc::clone(&test.control);
+            let limit = Duration::from_secs(5);
+            requests.spawn(async move { control.evacuate(name.into(), begin, limit).await });
+        }
+        for reply in requests.join_all().await {
+            assert_eq!(reply, Ok(DONE));
+        }
+        let Reply::Evacuations(listed) = test.call_until_answered(Request::Evacuations).await
+        else {
+            panic!("a list of evacuations");
+        };
+        assert_eq!(listed.len(), if begin { 3 } else { 0 });
+    }
+    let opposed = [true, false].map(|begin| evacuate(&test, "dc", begin));
+    let [first, second] = opposed;
+    assert_eq!(tokio::join!(first, second), (DONE, DONE));
+    assert_eq!(evacuate(&test, "dc", false).await, DONE);
+    submit(&test, 1).await;
+    wait_until_completed(&test, &fake, 1).await;
+}
--- a/src/placement/tests/evacuations.rs
+++ b/src/placement/tests/evacuations.rs
@@ -4,10 +4,10 @@
 
 use rstest::rstest;
 
-use super::pool_view::{Inputs, JOBS_MAX_BYTES, decide, hosts};
+use super::pool_view::{Inputs, JOBS_MAX_BYTES, decide, decide_and_start, hosts};
 use crate::placement::{Admission, Admissions, Plan, Progress, StopCause, View, consequences};
 use crate::tasks::tests::sample::{Sample, gang, heartbeat, job_id, queue, spec, step};
-use crate::tasks::{Change, Heartbeat, StepSpec, UnitId};
+use crate::tasks::{Change, Heartbeat, JobSpec, Repeat, StepSpec, UnitId};
 
 /// Progress of a run that has saved a checkpoint lately and has far to go.
 const LONG: Progress = Progress { unsaved_ms: 500, left_ms: 60_000, seen_alive_ms: 9_000 };
@@ -236,3 +236,31 @@
         plan.starts[0].incarnations.iter().map(|incarnation| &*incarnation.id).collect();
     assert_eq!(hosts, expected);
 }
+
+/// Guards against a kind of work for which an evacuation does not count, and against occurrences that are
+/// lost meanwhile: they start when it is finished.
+#[rstest]
+#[case::single(step(1, 1), None)]
+#[case::gang(gang(2, 1), None)]
+#[case::lasting(lasting(Some(0)), None)]
+#[case::filling(StepSpec { fills: true, ..step(1, 1) }, None)]
+#[case::with_copies(StepSpec { copies: true, ..step(1, 1) }, None)]
+#[case::repeated(step(1, 1), Some(Repeat { times: 2, first_unix_ms: 1, interval_ms: 10 }))]
+fn no_kind_of_work_starts(#[case] task: StepSpec, #[case] repeat: Option<Repeat>) {
+    for queue in ["urgent", "batch"] {
+        let mut sample = Sample::with_hosts(2);
+        let spec = JobSpec { repeat, ..spec(vec![task.clone()]) };
+        sample.apply(Change::Accept {
+            id: job_id(1),
+            queue: queue.into(),
+            organisation: Some("north".into()),
+            spec: spec.into(),
+        });
+        let inputs = Inputs { unix_ms: 100, ..Inputs::default() };
+        set(&mut sample, "dc", true);
+        let plan = decide_and_start(&mut sample, &inputs);
+        assert_eq!((plan.starts.len(), moved(&plan)), (0, 0), "{queue}");
+        set(&mut sample, "dc", false);
+        assert!(!decide_and_start(&mut sample, &inputs).starts.is_empty(), "{queue}");
+    }
+}
