Keep the log alive beside the work of a large fleet

Cause: with 3,000 upstreams thousands of tasks of one runtime are ready at the same time. Heartbeats of the log waited for them, so that hosts elected another leader, which began by calling all upstreams at once. Each change of the state also walked all upstreams (0.97 ms), each submission listed them (0.68 ms), and each call of a caller that timed out closed the connection to the leader that all calls of a host share.

Change: - Timer, syncs and messages of the log have a thread and a runtime of their own. - Sessions are synced only when the registered upstreams have changed. - Admissions use the upstreams that the newest decision listed. - A new leader's first calls take turns, upstreams with runs first. - Concurrent calls share one attempt to connect to a host, and a call that times out closes its connection only if it carries no replies to others.

Not yet measured on an installation; ready to measure.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use sha2::{Digest, Sha256};
+use tokio::runtime::Handle;
 use tracing::info;
 
 use super::clock::boot_ms;
 use super::leader::Leader;
 use super::leader_client::{ClientFault, LeaderClient};
+use super::log_thread::LogThread;
 use super::protocol::{Reply, Request};
 use super::replica::{Replica, write_founding_records};
 use super::settings::ClusterSettings;
@@ -90,13 +92,24 @@
         );
         let core =
             Core::new(id, durable, quorum_limits(settings.losses_max), rand::random(), boot_ms());
-        let replica = Replica::new(core, journal, settings.internal_address.to_string())?;
+        let log_thread = LogThread::start()?;
+        let log = log_thread.handle().clone();
+        let own_address = settings.internal_address.to_string();
+        let replica = Replica::new(core, journal, own_address, log.clone())?;
         let client = LeaderClient::new(settings.seeds.clone());
-        let listener = server::listen(settings.internal_address).await?;
+        let listening = log.spawn(server::listen(settings.internal_address));
+        let listener = listening
+            .await
+            .map_err(|error| StepError::new("open the listener", "this host", error))??;
         let control =
             Arc::new(Self { replica, client, leader: Mutex::default(), settings, calls, id });
-        tokio::spawn(Arc::clone(&control.replica).run());
-        tokio::spawn(server::serve(Arc::clone(&control), listener));
+        log.spawn(Arc::clone(&control.replica).run());
+        log.spawn(server::serve(Arc::clone(&control), Handle::current(), listener));
+        tokio::spawn(async move {
+            // The thread ends with the runtime of the other tasks.
+            let _log_thread = log_thread;
+            std::future::pending::<()>().await;
+        });
         tokio::spawn(Arc::clone(&control).run_leader_terms());
         tokio::spawn(Arc::clone(&control).request_membership());
         Ok(control)
--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -3,10 +3,12 @@
 //! One loop per upstream repeats a call that extends the lease and returns the running and ended
 //! tasks. The upstream answers early when a task ends (long polling).
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
 use super::losses::Loss;
@@ -35,6 +37,13 @@
 /// Pause between reads of the lists of an upstream that runs nothing, while connections are scarce.
 const IDLE_POLL_PAUSE: Duration = Duration::from_secs(2);
 
+/// Number of first calls of a term that are under way at the same time. A new leader of thousands of
+/// upstreams that called all of them at once would answer nobody else for more than a second.
+pub(super) const FIRST_CONTACTS_MAX: usize = 64;
+
+/// Time after which a first call without an answer no longer keeps others from theirs.
+const FIRST_CONTACT_SLOT: Duration = Duration::from_millis(100);
+
 /// Time without heartbeats after which an upstream whose leases have ended is removed.
 const REMOVE_SILENT_AFTER_MS: u64 = 20_000;
 
@@ -70,14 +79,27 @@
 impl Leader {
     /// Holds an upstream until it has left or restarted.
     pub(super) async fn hold_upstream(self: Arc<Self>, incarnation: Incarnation) {
+        let mut next = self.hold_first(&incarnation).await;
         loop {
-            match self.hold_once(&incarnation).await {
+            match next {
                 NextStep::Again => {}
                 NextStep::Pause(pause) => tokio::time::sleep(pause).await,
                 NextStep::PauseIdle => self.pause_idle(&incarnation).await,
                 NextStep::End => return,
             }
+            next = self.hold_once(&incarnation).await;
+        }
+    }
+
+    /// Holds an upstream for the first time in this term, when its turn has come.
+    async fn hold_first(&self, incarnation: &Incarnation) -> NextStep {
+        let slot = self.first_contacts.acquire().await;
+        let mut holding = pin!(self.hold_once(incarnation));
+        if let Ok(next) = timeout(FIRST_CONTACT_SLOT, &mut holding).await {
+            return next;
         }
+        drop(slot);
+        holding.await
     }
 
     /// Pauses until the next read of the lists is due or requested.
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -21,7 +21,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::{AbortHandle, JoinSet};
 use tracing::info;
 
@@ -29,7 +29,7 @@
 use super::replica::Replica;
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
-use crate::placement::{Admissions, Approvals, Headroom, Learned, StepId};
+use crate::placement::{Admissions, Approvals, Headroom, Host, Learned, StepId};
 use crate::tasks::{Incarnation, JobId, TaskId, Upstream};
 use replacement::Supersession;
 use session::Session;
@@ -59,6 +59,15 @@
     }
 }
 
+/// Upstreams as the newest decision saw them. Listing all of them for each submission would take a
+/// leader of many upstreams longer than the admission itself.
+#[derive(Debug, Clone)]
+struct KnownHosts {
+    fleet_version: u64,
+    at_ms: u64,
+    hosts: Arc<Vec<Host>>,
+}
+
 /// The leader in one term.
 #[derive(Debug)]
 pub(super) struct Leader {
@@ -70,6 +79,8 @@
     term_state: Mutex<TermState>,
     /// Wakes the scheduling loop.
     wake: Notify,
+    /// Limits the first calls of the term to upstreams.
+    first_contacts: Semaphore,
     tasks: Mutex<JoinSet<()>>,
     /// Reference to itself, for spawned work that must not keep it alive.
     weak: Weak<Self>,
@@ -92,6 +103,7 @@
     /// Holding loops, by upstream.
     holds: HashMap<Incarnation, AbortHandle>,
     headroom: Headroom,
+    known_hosts: Option<KnownHosts>,
     admissions: Admissions,
     /// Upstreams that a job must avoid because it made no progress there, and until when.
     avoid: HashMap<(JobId, Incarnation), u64>,
@@ -123,6 +135,7 @@
             internal_address: settings.internal_address.to_string(),
             term_state: Mutex::default(),
             wake: Notify::new(),
+            first_contacts: Semaphore::new(hold::FIRST_CONTACTS_MAX),
             tasks: Mutex::default(),
             weak: Weak::clone(weak),
         })
@@ -165,8 +178,13 @@
     /// Keeps one session and holding loop for each registered upstream.
     async fn follow_upstreams(self: Arc<Self>) {
         let mut changed = self.replica.changed();
+        let mut synced_version = None;
         loop {
-            self.sync_sessions();
+            // Most entries change no upstream, and the sync walks all of them.
+            let version = self.replica.lock().state.fleet_version();
+            if synced_version.replace(version) != Some(version) {
+                self.sync_sessions();
+            }
             self.wake.notify_one();
             if changed.changed().await.is_err() {
                 return;
@@ -216,6 +234,9 @@
                 }
             }
         }
+        // First contacts take turns in this order. Runs end with their lease, which only a call extends.
+        let has_runs = |incarnation: &Incarnation| self.replica.lock().state.has_runs(incarnation);
+        new.sort_by_cached_key(|incarnation| !has_runs(incarnation));
         for incarnation in new {
             let hold = self.spawn(Arc::clone(self).hold_upstream(incarnation.clone()));
             if let Some(hold) = hold {
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -8,7 +8,7 @@
 use tracing::{debug, info, warn};
 
 use super::failures::{HangingRun, unit_of};
-use super::{Leader, TaskRun, failures};
+use super::{KnownHosts, Leader, TaskRun, failures};
 use crate::cluster::clock::{boot_ms, unix_ms};
 use crate::placement::{
     Host, Plan, Progress, StopCause, View, jobs_to_shrink, plan, urgent_demand,
@@ -96,11 +96,11 @@
         }
     }
 
-    fn decide(&self) -> Plan {
+    pub(super) fn decide(&self) -> Plan {
         let now_ms = boot_ms();
         let inner = self.replica.lock();
         let state = &inner.state;
-        let hosts = self.hosts(state, now_ms);
+        let hosts = self.renewed_hosts(state, now_ms);
         let term_state = self.term_state();
         let approvals = term_state.approvals.clone();
         let learned = Arc::clone(&term_state.learned);
@@ -149,7 +149,25 @@
         plan(&View { reserve_millihosts: reserve, ..view })
     }
 
-    /// Returns the upstreams as input of a placement decision.
+    /// Returns the upstreams as input of an admission, which need not know their newest contacts.
+    pub(super) fn recent_hosts(&self, state: &State, now_ms: u64) -> Arc<Vec<Host>> {
+        let known = self.term_state().known_hosts.clone();
+        match known {
+            Some(known) if known.is_recent(state, now_ms) => known.hosts,
+            _ => self.renewed_hosts(state, now_ms),
+        }
+    }
+
+    /// Returns the upstreams as input of a placement decision, and keeps them for admissions.
+    fn renewed_hosts(&self, state: &State, now_ms: u64) -> Arc<Vec<Host>> {
+        let hosts = Arc::new(self.hosts(state, now_ms));
+        let fleet_version = state.fleet_version();
+        let known = KnownHosts { fleet_version, at_ms: now_ms, hosts: Arc::clone(&hosts) };
+        self.term_state().known_hosts = Some(known);
+        hosts
+    }
+
+    /// Returns the upstreams as they are now.
     pub(super) fn hosts(&self, state: &State, now_ms: u64) -> Vec<Host> {
         let term_state = self.term_state();
         let mut hosts: Vec<Host> = Vec::with_capacity(state.upstreams.len());
@@ -364,6 +382,14 @@
     }
 }
 
+impl KnownHosts {
+    /// Returns whether these are still the registered upstreams, and no older than the input of a pass.
+    fn is_recent(&self, state: &State, now_ms: u64) -> bool {
+        let age = Duration::from_millis(now_ms.saturating_sub(self.at_ms));
+        self.fleet_version == state.fleet_version() && age <= PASS_INTERVAL
+    }
+}
+
 /// Returns the delay before a decision when the latest one took the given time.
 pub(super) fn pass_delay(decided_in: Duration) -> Duration {
     (decided_in * PASS_DELAY_FACTOR).clamp(PASS_DELAY, PASS_INTERVAL)
--- a/src/cluster/leader_client.rs
+++ b/src/cluster/leader_client.rs
@@ -45,6 +45,15 @@
     Unknown,
 }
 
+/// Why a host could not be connected to.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+enum ConnectFault {
+    #[display("{_0}")]
+    Own(tonic::transport::Error),
+    #[display("another call could not connect either")]
+    Shared,
+}
+
 /// Client of the leader; clones share connections and known hosts.
 #[derive(Debug, Clone)]
 pub struct LeaderClient {
@@ -56,12 +65,47 @@
     leader: Option<SocketAddr>,
     seeds: Vec<SocketAddr>,
     members: Vec<SocketAddr>,
-    clients: HashMap<SocketAddr, ClusterClient<Channel>>,
+    clients: HashMap<SocketAddr, HostClient>,
+    /// Locks by which concurrent calls share one attempt to connect; each has the time of the latest
+    /// failed one.
+    connecting: HashMap<SocketAddr, Arc<ConnectLock>>,
     /// Offset of the first host after the leader; each round starts with another host.
     rotation: usize,
 }
 
+/// An open connection to a host.
+#[derive(Debug, Clone)]
+struct HostClient {
+    client: ClusterClient<Channel>,
+    opened_at: Instant,
+    replied_at: Instant,
+}
+
+type ConnectLock = tokio::sync::Mutex<Option<Instant>>;
+
+/// Why one attempt at one host has no reply.
+struct FailedAttempt {
+    /// Whether the host may have received the request.
+    delivered: bool,
+    /// Whether the host has answered other calls meanwhile, so that it is only slow.
+    slow: bool,
+}
+
 impl KnownHosts {
+    /// Closes the connection of a failed call that began at `begun`, unless it is a newer one.
+    ///
+    /// A call that only timed out says nothing of a connection that carries replies to others. Closing
+    /// it would make all of them connect again, to a host that is slow already.
+    fn close_after(&mut self, address: SocketAddr, begun: Instant, timed_out: bool) -> bool {
+        let Some(known) = self.clients.get(&address) else { return false };
+        let is_newer = known.opened_at > begun;
+        let works = timed_out && known.replied_at > begun;
+        if !is_newer && !works {
+            self.clients.remove(&address);
+        }
+        works
+    }
+
     /// Returns the hosts to try, with the presumed leader first.
     fn candidates(&mut self) -> Vec<SocketAddr> {
         let mut others: Vec<_> = self.members.iter().chain(&self.seeds).copied().collect();
@@ -149,8 +193,11 @@
                     self.set_leader(address);
                     return Ok(reply);
                 }
-                Err(delivered) => {
+                Err(FailedAttempt { delivered, slow }) => {
                     maybe_delivered |= delivered;
+                    if slow {
+                        continue;
+                    }
                     None
                 }
             };
@@ -181,37 +228,62 @@
         }
     }
 
-    /// Tries one host; the error is whether it may have received the request.
+    /// Tries one host.
     async fn try_host(
         &self,
         address: SocketAddr,
         payload: Bytes,
         deadline: Instant,
-    ) -> Result<Reply, bool> {
+    ) -> Result<Reply, FailedAttempt> {
         let until = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
         let Ok(Ok(mut client)) = timeout_at(until, self.connect(address)).await else {
-            return Err(false);
+            return Err(FailedAttempt { delivered: false, slow: false });
         };
-        if let Ok(Ok(reply)) = timeout_at(until, client.call(rpc::Frame { payload })).await {
-            return codec::decode_message(&reply.into_inner().payload).map_err(|_| true);
+        let begun = Instant::now();
+        let answer = timeout_at(until, client.call(rpc::Frame { payload })).await;
+        let delivered = true;
+        if let Ok(Ok(reply)) = answer {
+            if let Some(known) = self.lock().clients.get_mut(&address) {
+                known.replied_at = Instant::now();
+            }
+            let reply = codec::decode_message(&reply.into_inner().payload);
+            return reply.map_err(|_| FailedAttempt { delivered, slow: false });
         }
         // The connection may be dead; the next attempt opens a new one.
-        self.lock().clients.remove(&address);
-        Err(true)
+        let slow = self.lock().close_after(address, begun, answer.is_err());
+        Err(FailedAttempt { delivered, slow })
     }
 
     /// Returns a connected client for the address.
     async fn connect(&self, address: SocketAddr) -> Result<ClusterClient<Channel>, StepError> {
-        let known = self.lock().clients.get(&address).cloned();
-        if let Some(client) = known {
+        let begun = Instant::now();
+        if let Some(client) = self.open_client(address) {
+            return Ok(client);
+        }
+        let connecting = Arc::clone(self.lock().connecting.entry(address).or_default());
+        let mut failed_at = connecting.lock().await;
+        if let Some(client) = self.open_client(address) {
             return Ok(client);
         }
-        let channel = endpoint(address)
-            .connect()
-            .await
-            .map_err(|fault| StepError::new("connect to control", address, fault))?;
+        let failed = |fault| StepError::new("connect to control", address, fault);
+        if failed_at.is_some_and(|at| at >= begun) {
+            return Err(failed(ConnectFault::Shared));
+        }
+        let channel = match endpoint(address).connect().await {
+            Ok(channel) => channel,
+            Err(fault) => {
+                *failed_at = Some(Instant::now());
+                return Err(failed(ConnectFault::Own(fault)));
+            }
+        };
         let client = ClusterClient::new(channel).max_decoding_message_size(MESSAGE_LIMIT_BYTES);
-        self.lock().clients.insert(address, client.clone());
+        let now = Instant::now();
+        let known = HostClient { client: client.clone(), opened_at: now, replied_at: now };
+        self.lock().clients.insert(address, known);
         Ok(client)
     }
+
+    fn open_client(&self, address: SocketAddr) -> Option<ClusterClient<Channel>> {
+        self.lock().clients.get(&address).map(|known| known.client.clone())
+    }
 }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -11,6 +11,7 @@
 mod http_client;
 mod leader;
 mod leader_client;
+mod log_thread;
 mod metrics;
 mod peers;
 mod protocol;
--- a/src/cluster/peers.rs
+++ b/src/cluster/peers.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::runtime::Handle;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::timeout;
 
@@ -27,14 +28,16 @@
 #[derive(Debug)]
 pub(super) struct Peers {
     own_address: String,
+    /// Runtime of the tasks that send.
+    runtime: Handle,
     queues: HashMap<String, mpsc::Sender<Message>>,
     /// Addresses to which hosts want replies, used for hosts missing from the known membership.
     addresses: HashMap<MemberId, String>,
 }
 
 impl Peers {
-    pub(super) fn new(own_address: String) -> Self {
-        Self { own_address, queues: HashMap::new(), addresses: HashMap::new() }
+    pub(super) fn new(own_address: String, runtime: Handle) -> Self {
+        Self { own_address, runtime, queues: HashMap::new(), addresses: HashMap::new() }
     }
 
     /// Records the reply address of a host.
@@ -51,7 +54,7 @@
             let Some(address) = member.or_else(|| self.addresses.get(&message.to)) else {
                 continue;
             };
-            let open = || open_queue(address, self.own_address.clone());
+            let open = || open_queue(&self.runtime, address, self.own_address.clone());
             let queue = self.queues.entry(address.clone()).or_insert_with(open);
             // The replicated log resends lost messages.
             _ = queue.try_send(message);
@@ -59,10 +62,10 @@
     }
 }
 
-fn open_queue(address: &str, own_address: String) -> mpsc::Sender<Message> {
+fn open_queue(runtime: &Handle, address: &str, own_address: String) -> mpsc::Sender<Message> {
     let (sender, receiver) = mpsc::channel(QUEUE_CAPACITY);
     match address.parse::<SocketAddr>() {
-        Ok(address) => drop(tokio::spawn(forward(address, own_address, receiver))),
+        Ok(address) => drop(runtime.spawn(forward(address, own_address, receiver))),
         Err(fault) => {
             tracing::error!(address, error = %fault, "invalid address of a cluster member");
         }
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::runtime::Handle;
 use tokio::sync::{Notify, oneshot, watch};
 use tracing::{error, info, warn};
 
@@ -86,6 +87,7 @@
         core: Core,
         journal: Journal,
         own_address: String,
+        runtime: Handle,
     ) -> Result<Arc<Self>, StepError> {
         let snapshot = core.log().snapshot().clone();
         let metrics = ClusterMetrics::new(journal.metrics());
@@ -94,7 +96,7 @@
             applied: snapshot.index,
             applied_bytes: 0,
             core,
-            peers: Peers::new(own_address),
+            peers: Peers::new(own_address, runtime),
             waiters: BTreeMap::new(),
             after_sync: VecDeque::new(),
             clock_base: (0, 0),
--- a/src/cluster/server.rs
+++ b/src/cluster/server.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::task::JoinSet;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Response, Status};
 
@@ -20,6 +22,8 @@
 
 struct Handler {
     control: Arc<Control>,
+    /// Runtime on which requests to the leader are handled.
+    runtime: Handle,
 }
 
 #[tonic::async_trait]
@@ -40,16 +44,23 @@
     ) -> Result<Response<rpc::Frame>, Status> {
         let request = codec::decode_message(&request.get_ref().payload)
             .map_err(|fault| Status::invalid_argument(fault.to_string()))?;
-        let reply = self.control.handle(request).await;
+        let control = Arc::clone(&self.control);
+        // Dropping the set ends the work for a caller that has given up.
+        let mut handling = JoinSet::new();
+        handling.spawn_on(async move { control.handle(request).await }, &self.runtime);
+        let Some(Ok(reply)) = handling.join_next().await else {
+            return Err(Status::unavailable("the host is stopping"));
+        };
         Ok(Response::new(rpc::Frame { payload: codec::encode_message(&reply) }))
     }
 }
 
-/// Serves other hosts until the process ends.
-pub(super) async fn serve(control: Arc<Control>, listener: TcpListener) {
+/// Serves other hosts until the process ends. Messages of the log are handled on the current runtime,
+/// requests to the leader on `runtime`.
+pub(super) async fn serve(control: Arc<Control>, runtime: Handle, listener: TcpListener) {
     let address = listener.local_addr().ok();
-    let service =
-        ClusterServer::new(Handler { control }).max_decoding_message_size(MESSAGE_LIMIT_BYTES);
+    let service = ClusterServer::new(Handler { control, runtime })
+        .max_decoding_message_size(MESSAGE_LIMIT_BYTES);
     let served = tonic::transport::Server::builder()
         .tcp_nodelay(true)
         .http2_keepalive_interval(Some(KEEP_ALIVE))
--- a/src/cluster/tests/control_host.rs
+++ b/src/cluster/tests/control_host.rs
@@ -7,14 +7,14 @@
 use tokio::task::JoinHandle;
 
 use super::fake_worker::FakeUpstreams;
-use crate::cluster::{ClusterSettings, Control, Reply, Request, TaskBounds};
+use crate::cluster::{ClusterSettings, Control, Reply, Request, TaskBounds, UpstreamCalls};
 use crate::tasks::tests::sample::{configuration, heartbeat};
 
 /// Longest time that a test waits for something.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Bounds of the host in most tests.
-pub(super) const BOUNDS: TaskBounds = TaskBounds {
+pub(in crate::cluster) const BOUNDS: TaskBounds = TaskBounds {
     lease_max_ms: 4_000,
     stop_timeout_ms: 200,
     remote_factor: 3,
@@ -25,14 +25,18 @@
 };
 
 /// A control host that leads a cluster of its own, with registered upstreams.
-pub(super) struct TestControl {
-    pub(super) control: Arc<Control>,
+pub(in crate::cluster) struct TestControl {
+    pub(in crate::cluster) control: Arc<Control>,
     _folder: tempfile::TempDir,
 }
 
 impl TestControl {
     /// Starts the host and registers upstreams under the sample's names.
-    pub(super) async fn start(fake: &FakeUpstreams, upstreams: u32, lease_max_ms: u64) -> Self {
+    pub(in crate::cluster) async fn start(
+        fake: &FakeUpstreams,
+        upstreams: u32,
+        lease_max_ms: u64,
+    ) -> Self {
         Self::start_with(fake, upstreams, TaskBounds { lease_max_ms, ..BOUNDS }).await
     }
 
@@ -41,10 +45,19 @@
         fake: &FakeUpstreams,
         upstreams: u32,
         bounds: TaskBounds,
+    ) -> Self {
+        Self::start_with_calls(fake.calls(), upstreams, bounds).await
+    }
+
+    /// Starts the host with other functions that send orders.
+    pub(in crate::cluster) async fn start_with_calls(
+        calls: UpstreamCalls,
+        upstreams: u32,
+        bounds: TaskBounds,
     ) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let settings = settings(folder.path(), bounds).await;
-        let control = Control::start(settings, fake.calls()).await.unwrap();
+        let control = Control::start(settings, calls).await.unwrap();
         let test = Self { control, _folder: folder };
         let set = Request::SetConfiguration {
             configuration: Arc::new(configuration(1)),
@@ -101,7 +114,7 @@
 }
 
 /// Waits until a check holds.
-pub(super) async fn wait_until(what: &str, check: impl Fn() -> bool) {
+pub(in crate::cluster) async fn wait_until(what: &str, check: impl Fn() -> bool) {
     let begun = Instant::now();
     while !check() {
         assert!(begun.elapsed() < TIMEOUT, "not seen within {TIMEOUT:?}: {what}");
--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -75,10 +75,10 @@
 
 /// Upstreams that run tasks for a given time.
 #[derive(Debug, Clone, Default)]
-pub(super) struct FakeUpstreams(Arc<Mutex<Shared>>);
+pub(in crate::cluster) struct FakeUpstreams(Arc<Mutex<Shared>>);
 
 impl FakeUpstreams {
-    pub(super) fn new(work: Duration) -> Self {
+    pub(in crate::cluster) fn new(work: Duration) -> Self {
         let fake = Self::default();
         fake.lock().work = work;
         fake
@@ -124,7 +124,7 @@
     }
 
     /// Returns how many upstreams have answered a hold call.
-    pub(super) fn upstreams_held(&self) -> usize {
+    pub(in crate::cluster) fn upstreams_held(&self) -> usize {
         self.lock().held.len()
     }
 
@@ -178,7 +178,7 @@
         Some(shared.bring_back(&upstream))
     }
 
-    pub(super) fn calls(&self) -> UpstreamCalls {
+    pub(in crate::cluster) fn calls(&self) -> UpstreamCalls {
         let (starts, stops, holds) = (self.clone(), self.clone(), self.clone());
         UpstreamCalls {
             start: Arc::new(move |order| {
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -12,9 +12,9 @@
 
 mod budget;
 mod capacities;
-mod control_host;
+pub(super) mod control_host;
 mod crashes;
-mod fake_worker;
+pub(super) mod fake_worker;
 mod leaves;
 mod messages;
 mod promises;
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -307,11 +307,13 @@
         if let Some(former) = former.map(Upstream::incarnation) {
             self.end_all_runs(&former);
         }
+        self.fleet_version += 1;
         self.upstreams.insert(Arc::clone(&heartbeat.id), Upstream { heartbeat, ends_seen });
     }
 
     pub(super) fn remove_upstream(&mut self, incarnation: &Incarnation) {
         if self.is_registered(incarnation) {
+            self.fleet_version += 1;
             self.upstreams.remove(&incarnation.id);
         }
         self.end_all_runs(incarnation);
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -51,6 +51,9 @@
     /// Job events since the last call of [`State::take_events`].
     #[serde(skip)]
     pub(super) events: Vec<JobEvent>,
+    /// Rises with each change of the registered upstreams on this host; not replicated.
+    #[serde(skip)]
+    pub(super) fleet_version: u64,
     /// Index of the tasks that may be running, by upstream; derived from the jobs.
     #[serde(skip)]
     pub(super) running: HashMap<Incarnation, BTreeMap<TaskId, u32>>,
@@ -62,6 +65,12 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Returns a number that rises with each change of the registered upstreams, so that work on all of
+    /// them can be left out while nothing has changed.
+    pub(crate) const fn fleet_version(&self) -> u64 {
+        self.fleet_version
+    }
+
     /// Rebuilds the derived index after decoding.
     pub(crate) fn rebuild(&mut self) {
         let mut running: HashMap<Incarnation, BTreeMap<TaskId, u32>> = HashMap::new();
