Divide a control host's descriptors by use, and evict idle connections

Cause: with 300 own hosts every control host, followers too, had 3,470 connections. The listener of upstreams and operators accepted 874; the others waited in its backlog, where heartbeats are not acknowledged within a second. Their upstreams then connected to the next host and kept both connections. The same shortage stopped the extension of leases: a hold that got no connection made the upstream look silent.

Change: - One budget covers connections to upstreams and those from upstreams and operators. Each direction has a reserve, the rest goes to whoever needs it first. A connection that this process has none to spare for, also to one address, does not.

--- a/src/cluster/http_client.rs
+++ b/src/cluster/http_client.rs
@@ -163,8 +163,8 @@
             return Ok(connection);
         }
         let of_address = self.with_pool(address, |pool| pool.open().try_acquire(CONNECTIONS_MAX));
-        let of_address =
-            of_address.ok_or_else(|| not_sent("all connections are in use".to_owned()))?;
+        // All connections are in use by calls of this process, which says nothing about the address.
+        let of_address = of_address.ok_or(HttpFault::NoConnection)?;
         let of_budget = self.permit().await.ok_or(HttpFault::NoConnection)?;
         let permits = (of_address, of_budget);
         open(address, permits, &POOL_TIMES).await.map_err(|fault| match io_error(&fault) {
--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -195,8 +195,8 @@
         answer: Result<TaskLists, CallFault>,
         sent_ms: u64,
     ) -> NextStep {
-        if answer.is_err() {
-            self.record_unanswered_hold(incarnation);
+        if let Err(fault) = &answer {
+            self.record_failed_hold(incarnation, fault, sent_ms);
         }
         match answer {
             Ok(lists) if !is_possible_clock(lists.clock_ms) => {
@@ -233,13 +233,16 @@
         }
     }
 
-    /// Records that a hold call had no answer.
-    fn record_unanswered_hold(&self, incarnation: &Incarnation) {
+    /// Records that a hold call failed.
+    fn record_failed_hold(&self, incarnation: &Incarnation, fault: &CallFault, sent_ms: u64) {
         let mut term_state = self.term_state();
         if let Some(session) = term_state.sessions.get_mut(&incarnation.id)
             && session.incarnation == *incarnation
         {
-            session.record_unanswered_hold();
+            session.record_failed_hold();
+            if *fault != CallFault::NoConnection {
+                session.record_unanswered_hold(sent_ms);
+            }
         }
     }
 
@@ -275,7 +278,7 @@
             .filter(|session| session.incarnation == *incarnation)?;
         // Another incarnation counts its ends anew, and would drop those up to this number.
         let ends_seen = if session.is_incarnation_certain(now_ms) { ends_seen } else { 0 };
-        let silent = session.silent_ms(now_ms).is_some_and(|ms| ms > EXTEND_LEASE_SILENCE_MAX_MS);
+        let silent = session.unanswered_ms(now_ms) > EXTEND_LEASE_SILENCE_MAX_MS;
         // If leases were extended without end, the work of a silent upstream could never restart. The
         // runs of one that leaves are being stopped.
         let lease_until_ms =
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -4,6 +4,7 @@
 mod draining;
 mod failures;
 mod hold;
+mod hosts;
 mod lists;
 mod losses;
 mod maintenance;
@@ -29,8 +30,9 @@
 use super::replica::Replica;
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
-use crate::placement::{Admissions, Approvals, Headroom, Host, Learned, StepId};
+use crate::placement::{Admissions, Approvals, Headroom, Learned, StepId};
 use crate::tasks::{Incarnation, JobId, TaskId, Upstream};
+use hosts::KnownHosts;
 use replacement::Supersession;
 use session::Session;
 
@@ -59,15 +61,6 @@
     }
 }
 
-/// Upstreams as the newest decision saw them. Listing all of them for each submission would take a
-/// leader of many upstreams longer than the admission itself.
-#[derive(Debug, Clone)]
-struct KnownHosts {
-    fleet_version: u64,
-    at_ms: u64,
-    hosts: Arc<Vec<Host>>,
-}
-
 /// The leader in one term.
 #[derive(Debug)]
 pub(super) struct Leader {
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -8,17 +8,15 @@
 use tracing::{debug, info, warn};
 
 use super::failures::{HangingRun, unit_of};
-use super::{KnownHosts, Leader, TaskRun, failures};
+use super::{Leader, TaskRun, failures};
 use crate::cluster::clock::{boot_ms, unix_ms};
-use crate::placement::{
-    Host, Plan, Progress, StopCause, View, jobs_to_shrink, plan, urgent_demand,
-};
+use crate::placement::{Plan, Progress, StopCause, View, jobs_to_shrink, plan, urgent_demand};
 use crate::tasks::{
     Change, Incarnation, JobId, Opening, StartRecord, State, StepSpec, TaskId, UnitId,
 };
 
 /// Longest time between two decisions.
-const PASS_INTERVAL: Duration = Duration::from_millis(250);
+pub(super) const PASS_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Delay before a decision, so that several changes are handled together.
 const PASS_DELAY: Duration = Duration::from_millis(10);
@@ -30,9 +28,6 @@
 /// Pause after a command that was not confirmed as committed.
 const UNCONFIRMED_PAUSE: Duration = Duration::from_millis(100);
 
-/// Largest share of the pool that may be set aside.
-const SET_ASIDE_MAX_PERCENT: usize = 34;
-
 /// Maximum number of ended jobs that one command drops.
 const DROP_JOBS_BATCH_MAX: usize = 200;
 
@@ -149,65 +144,6 @@
         plan(&View { reserve_millihosts: reserve, ..view })
     }
 
-    /// Returns the upstreams as input of an admission, which need not know their newest contacts.
-    pub(super) fn recent_hosts(&self, state: &State, now_ms: u64) -> Arc<Vec<Host>> {
-        let known = self.term_state().known_hosts.clone();
-        match known {
-            Some(known) if known.is_recent(state, now_ms) => known.hosts,
-            _ => self.renewed_hosts(state, now_ms),
-        }
-    }
-
-    /// Returns the upstreams as input of a placement decision, and keeps them for admissions.
-    fn renewed_hosts(&self, state: &State, now_ms: u64) -> Arc<Vec<Host>> {
-        let hosts = Arc::new(self.hosts(state, now_ms));
-        let fleet_version = state.fleet_version();
-        let known = KnownHosts { fleet_version, at_ms: now_ms, hosts: Arc::clone(&hosts) };
-        self.term_state().known_hosts = Some(known);
-        hosts
-    }
-
-    /// Returns the upstreams as they are now.
-    pub(super) fn hosts(&self, state: &State, now_ms: u64) -> Vec<Host> {
-        let term_state = self.term_state();
-        let mut hosts: Vec<Host> = Vec::with_capacity(state.upstreams.len());
-        let mut set_aside: Vec<(u64, usize)> = Vec::new();
-        for upstream in state.upstreams.values() {
-            let incarnation = upstream.incarnation();
-            let session = term_state
-                .sessions
-                .get(&incarnation.id)
-                .filter(|session| session.incarnation == incarnation);
-            let ready = session.is_some_and(|s| s.lists_read && s.is_reachable(now_ms))
-                && !term_state.superseded.contains_key(&incarnation);
-            let heartbeat = &upstream.heartbeat;
-            let evacuated = heartbeat
-                .machine
-                .as_ref()
-                .is_some_and(|machine| term_state.evacuating.contains_key(machine));
-            let takes_work = ready && !heartbeat.draining && !evacuated;
-            let until_ms = session.map_or(0, |session| session.set_aside_until_ms);
-            if until_ms > now_ms && takes_work {
-                set_aside.push((until_ms, hosts.len()));
-            }
-            hosts.push(Host {
-                incarnation,
-                service: Arc::clone(&heartbeat.service),
-                rack: Arc::clone(&heartbeat.rack),
-                labels: heartbeat.labels.clone(),
-                capacity: heartbeat.capacity,
-                takes_work,
-            });
-        }
-        // If more than this share fails runs, an upstream that may fail is better than none.
-        set_aside.sort_unstable_by(|a, b| b.cmp(a));
-        let set_aside_max = hosts.len() * SET_ASIDE_MAX_PERCENT / 100;
-        for (_, host) in set_aside.into_iter().take(set_aside_max) {
-            hosts[host].takes_work = false;
-        }
-        hosts
-    }
-
     /// Orders all tasks of a run to stop.
     pub(super) fn stop_unit(&self, unit: &UnitId, run: u32, cause: StopCause) {
         for (member_index, incarnation) in self.open_members(unit, run) {
@@ -382,14 +318,6 @@
     }
 }
 
-impl KnownHosts {
-    /// Returns whether these are still the registered upstreams, and no older than the input of a pass.
-    fn is_recent(&self, state: &State, now_ms: u64) -> bool {
-        let age = Duration::from_millis(now_ms.saturating_sub(self.at_ms));
-        self.fleet_version == state.fleet_version() && age <= PASS_INTERVAL
-    }
-}
-
 /// Returns the delay before a decision when the latest one took the given time.
 pub(super) fn pass_delay(decided_in: Duration) -> Duration {
     (decided_in * PASS_DELAY_FACTOR).clamp(PASS_DELAY, PASS_INTERVAL)
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -95,6 +95,9 @@
     /// How often it was set aside since its last success.
     set_aside_count: u32,
     lease_max_ms: u64,
+    /// When the first call was sent that had no answer since the last contact. While there is none, a
+    /// long time without contact is due to this host, which had no connection to spare or no time.
+    silent_since_ms: Option<u64>,
     /// Whether an order had no answer since the last contact.
     order_unanswered: bool,
     /// When a draining upstream may leave at the earliest.
@@ -132,6 +135,7 @@
             set_aside_until_ms: 0,
             set_aside_count: 0,
             lease_max_ms,
+            silent_since_ms: None,
             order_unanswered: false,
             drain_ends_ms: None,
             leaving_since_ms: None,
@@ -184,6 +188,7 @@
         // Answers on different connections may overtake each other.
         if self.contact.is_none_or(|contact| contact.clock_ms <= clock_ms) {
             self.order_unanswered = false;
+            self.silent_since_ms = None;
             self.contact = Some(Contact { clock_ms, received_ms: now_ms });
         }
     }
@@ -203,11 +208,21 @@
         self.leaving_since_ms.is_some()
     }
 
-    /// Records that a hold call had no answer.
-    pub(super) fn record_unanswered_hold(&mut self) {
+    /// Records that a hold call failed.
+    pub(super) fn record_failed_hold(&mut self) {
         self.lists_read_ms = None;
     }
 
+    /// Records that a hold call which was sent at `sent_ms` had no answer.
+    pub(super) fn record_unanswered_hold(&mut self, sent_ms: u64) {
+        self.silent_since_ms.get_or_insert(sent_ms);
+    }
+
+    /// Returns for how long calls have had no answer.
+    pub(super) fn unanswered_ms(&self, now_ms: u64) -> u64 {
+        self.silent_since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
+    }
+
     /// Returns whether the lists were read so recently that no other incarnation can have taken over.
     pub(super) fn is_incarnation_certain(&self, now_ms: u64) -> bool {
         self.lists_read_ms.is_some_and(|read_ms| now_ms.saturating_sub(read_ms) <= RESTART_MIN_MS)
--- a/src/cluster/leader/tests/sessions.rs
+++ b/src/cluster/leader/tests/sessions.rs
@@ -109,3 +109,18 @@
     let alive_ms = [0, 1, 2].map(|index| session.seen_alive_ms(&run(index)));
     assert_eq!(alive_ms, [None, None, Some(0)]);
 }
+
+/// Guards against a lease that is not extended because this host had no connection to spare or no time:
+/// only calls without an answer show that an upstream is silent.
+#[test]
+fn a_shortage_of_this_host_is_no_silence() {
+    let mut session = session(0);
+    session.record_contact(1_000, 1_000);
+    session.record_failed_hold();
+    assert_eq!(session.unanswered_ms(9_000), 0);
+    session.record_unanswered_hold(9_000);
+    session.record_unanswered_hold(11_000);
+    assert_eq!(session.unanswered_ms(13_000), 4_000);
+    session.record_contact(13_500, 13_500);
+    assert_eq!(session.unanswered_ms(14_000), 0);
+}
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -149,7 +149,9 @@
 
     /// Sets the gauges of the connections to upstreams.
     pub(super) fn set_connections(&self, in_use: BudgetUse) {
-        for (kind, count) in [("open", in_use.open), ("waiting", in_use.waiting)] {
+        for (kind, count) in
+            [("open", in_use.open), ("waiting", in_use.waiting), ("incoming", in_use.incoming)]
+        {
             let gauge = self.connections.get_or_create(&KindLabels { kind });
             gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
         }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -22,7 +22,7 @@
 mod tests;
 mod upstream_calls;
 
-pub use budget::{ConnectionBudget, ConnectionUse};
+pub use budget::{BudgetReserves, ConnectionBudget, ConnectionUse};
 pub use clock::unix_ms;
 pub use control::Control;
 pub use http_client::{HttpClient, HttpFault, HttpReply};
--- a/src/cluster/tests/budget.rs
+++ b/src/cluster/tests/budget.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
-use crate::cluster::budget::{BudgetUse, ConnectionBudget, ConnectionUse};
+use crate::cluster::budget::{BudgetReserves, BudgetUse, ConnectionBudget, ConnectionUse};
 use crate::cluster::{HttpClient, HttpFault};
 
 /// Guards against a stop that waits behind starts: the most urgent request gets the next connection.
@@ -26,7 +26,7 @@
         waiting.spawn(async move { (connection_use, budget.acquire(connection_use).await) });
     }
     tokio::task::yield_now().await;
-    assert_eq!(budget.in_use(), BudgetUse { open: 1, waiting: 3 });
+    assert_eq!(budget.in_use(), BudgetUse { open: 1, waiting: 3, incoming: 0 });
     drop(held);
     let mut order = Vec::new();
     while let Some(Ok((connection_use, permit))) = waiting.join_next().await {
@@ -34,7 +34,7 @@
         order.push(connection_use);
     }
     assert_eq!(order, [ConnectionUse::Stop, ConnectionUse::Lease, ConnectionUse::Start]);
-    assert_eq!(budget.in_use(), BudgetUse { open: 0, waiting: 0 });
+    assert_eq!(budget.in_use(), BudgetUse { open: 0, waiting: 0, incoming: 0 });
 }
 
 /// Guards against long polls that take all connections, so that no order can be sent.
@@ -56,7 +56,7 @@
     let waiting = budget.acquire(ConnectionUse::Stop);
     assert!(tokio::time::timeout(Duration::from_millis(10), waiting).await.is_err());
     drop(held);
-    assert_eq!(budget.in_use(), BudgetUse { open: 0, waiting: 0 });
+    assert_eq!(budget.in_use(), BudgetUse { open: 0, waiting: 0, incoming: 0 });
     assert!(budget.try_acquire(ConnectionUse::Start).is_some());
 }
 
@@ -135,3 +135,22 @@
     assert_eq!(get(&client, free).await, Err(HttpFault::NoConnection));
     assert_eq!(holding.await.unwrap(), Ok(200));
 }
+
+/// Guards against heartbeats that take the connections for orders, and orders that take those for
+/// heartbeats: each has its reserve, and either may use what is left.
+#[test]
+fn each_direction_keeps_its_reserve() {
+    let reserves = BudgetReserves { outgoing: 20, incoming: 8 };
+    let budget = ConnectionBudget::shared(40, reserves);
+    let accept = || std::iter::from_fn(|| budget.try_accept()).collect::<Vec<_>>();
+    let heartbeats = accept();
+    assert_eq!(heartbeats.len(), 20);
+    let orders =
+        || std::iter::from_fn(|| budget.try_acquire(ConnectionUse::Start)).collect::<Vec<_>>();
+    let held = orders();
+    assert_eq!(held.len(), 20);
+    drop((held, heartbeats));
+    let held = orders();
+    assert_eq!(held.len(), 32);
+    assert_eq!(accept().len(), 8);
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,9 +1,13 @@
 //! HTTP server and response helpers on top of `hyper`.
 
 mod body;
+mod open;
 mod server;
+#[cfg(test)]
+mod tests;
 
-pub use server::{FullRequest, ServerLimits, serve};
+pub use open::AcceptPermits;
+pub use server::{FullRequest, ServerLimits, serve, serve_within};
 pub(crate) use server::{serve_recording_peak, wait_for_stop};
 
 use bytes::Bytes;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -7,27 +7,38 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use super::body::{BodyBudget, BodyError};
+use super::open::{AcceptPermits, Lifetime, OpenConnections, Registration};
 use super::{FullResponse, error};
 
 /// Pause after a failed accept, which prevents a busy loop when file descriptors run out.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Pause before another look for a permit, while all connections are in use.
+const PERMIT_RETRY_PAUSE: Duration = Duration::from_millis(10);
+
+/// Time that an evicted connection gets to end in an orderly way.
+const EVICTION_GRACE: Duration = Duration::from_millis(200);
+
 /// Time after `stop` becomes true in which open connections still accept requests.
 const LAST_REQUEST_GRACE: Duration = Duration::from_millis(200);
 
 /// Largest read buffer of a connection, which also limits the size of a request head.
 const READ_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Permit of an open connection, and how long it is served.
+type Permitted = (Box<dyn Send>, Lifetime);
+
 /// Limits of one listener.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
@@ -39,7 +50,8 @@
     pub body_limit_bytes: usize,
     /// Most bytes of all request bodies together, without the uncounted first bytes of each.
     pub all_bodies_limit_bytes: usize,
-    /// Most open connections; further ones wait in the listener's backlog.
+    /// Most open connections. At this limit idle ones are closed, and further ones wait in the listener's
+    /// backlog.
     pub max_connections: usize,
 }
 
@@ -78,7 +90,22 @@
     H: Fn(FullRequest) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = FullResponse> + Send + 'static,
 {
-    serve_recording_peak(listener, limits, &AtomicUsize::new(0), stop, handler).await;
+    let permits = AcceptPermits::up_to(limits.max_connections);
+    serve_within(listener, limits, permits, stop, handler).await;
+}
+
+/// Serves like [`serve`], with permits that the listener shares with other uses of connections.
+pub async fn serve_within<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    permits: AcceptPermits,
+    stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(FullRequest) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = FullResponse> + Send + 'static,
+{
+    serve_all(listener, limits, permits, &AtomicUsize::new(0), stop, handler).await;
 }
 
 /// Serves like [`serve`] and records the highest number of open connections in `open_peak`.
@@ -86,27 +113,44 @@
     listener: TcpListener,
     limits: ServerLimits,
     open_peak: &AtomicUsize,
+    stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(FullRequest) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = FullResponse> + Send + 'static,
+{
+    let permits = AcceptPermits::up_to(limits.max_connections);
+    serve_all(listener, limits, permits, open_peak, stop, handler).await;
+}
+
+async fn serve_all<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    permits: AcceptPermits,
+    open_peak: &AtomicUsize,
     mut stop: watch::Receiver<bool>,
     handler: H,
 ) where
     H: Fn(FullRequest) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = FullResponse> + Send + 'static,
 {
-    let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let open = OpenConnections::new();
     let budget = BodyBudget::new(limits.all_bodies_limit_bytes, limits.body_limit_bytes);
     let mut connections = JoinSet::new();
-    while let Some((stream, permit)) = accept(&listener, &permits, &mut stop).await {
-        let open = limits.max_connections - permits.available_permits();
-        open_peak.fetch_max(open, Ordering::AcqRel);
+    while let Some((stream, permit)) = accept(&listener, &permits, &open, &mut stop).await {
+        let registration = open.register();
+        open_peak.fetch_max(open.count(), Ordering::AcqRel);
+        let held = (permit, registration);
         let bounds = (limits, budget.clone());
-        connections.spawn(serve_connection(stream, permit, bounds, stop.clone(), handler.clone()));
+        connections.spawn(serve_connection(stream, held, bounds, stop.clone(), handler.clone()));
         while connections.try_join_next().is_some() {}
     }
     // Closing the listener resets the connections in its backlog, so they are accepted first.
     while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else { break };
+        let Some(permit) = permits.try_acquire() else { break };
+        let held = (permit, open.register());
         let bounds = (limits, budget.clone());
-        connections.spawn(serve_connection(stream, permit, bounds, stop.clone(), handler.clone()));
+        connections.spawn(serve_connection(stream, held, bounds, stop.clone(), handler.clone()));
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
@@ -115,16 +159,21 @@
 /// Waits for the next connection; returns `None` once `stop` is true.
 async fn accept(
     listener: &TcpListener,
-    permits: &Arc<Semaphore>,
+    permits: &AcceptPermits,
+    open: &OpenConnections,
     stop: &mut watch::Receiver<bool>,
-) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+) -> Option<(TcpStream, Permitted)> {
     loop {
         let next = async {
-            let permit = Arc::clone(permits).acquire_owned().await.ok()?;
-            Some((listener.accept().await, permit))
+            let permit = permit(permits, open).await;
+            (listener.accept().await, permit)
         };
         let (accepted, permit) = tokio::select! {
-            next = next => next?,
+            next = next => next,
+            () = permits.reclaimed() => {
+                open.evict_idle();
+                continue;
+            }
             () = wait_for_stop(stop) => return None,
         };
         match accepted {
@@ -134,6 +183,20 @@
     }
 }
 
+/// Waits for a permit; idle connections make room for it.
+async fn permit(permits: &AcceptPermits, open: &OpenConnections) -> Permitted {
+    loop {
+        let permit = permits.try_acquire();
+        if !permit.as_ref().is_some_and(|(_, lifetime)| *lifetime == Lifetime::KeptAlive) {
+            open.evict_idle();
+        }
+        match permit {
+            Some(permit) => return permit,
+            None => tokio::time::sleep(PERMIT_RETRY_PAUSE).await,
+        }
+    }
+}
+
 /// Waits until `stop` becomes true or its sender is dropped.
 pub(crate) async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
     _ = stop.wait_for(|stopped| *stopped).await;
@@ -149,7 +212,7 @@
 
 async fn serve_connection<H, F>(
     stream: TcpStream,
-    permit: OwnedSemaphorePermit,
+    ((permit, lifetime), registration): (Permitted, Registration),
     (limits, budget): (ServerLimits, BodyBudget),
     mut stop: watch::Receiver<bool>,
     handler: H,
@@ -159,9 +222,20 @@
 {
     // Without this, a response sent in two writes can wait for the peer's delayed acknowledgement.
     _ = stream.set_nodelay(true);
+    let activity = &registration.activity;
+    let request_activity = Arc::clone(activity);
     let service = service_fn(move |request: Request<Incoming>| {
         let (handler, budget) = (handler.clone(), budget.clone());
-        async move { Ok::<_, Infallible>(respond(request, limits, &budget, handler).await) }
+        let activity = Arc::clone(&request_activity);
+        async move {
+            activity.set_busy(true);
+            let mut response = respond(request, limits, &budget, handler).await;
+            if lifetime == Lifetime::OneRequest {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            activity.set_busy(false);
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -171,6 +245,14 @@
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => {}
+        () = activity.evicted.notified() => {
+            connection.as_mut().graceful_shutdown();
+            let ended = timeout(EVICTION_GRACE, connection.as_mut()).await.is_ok();
+            // A request may have arrived just before.
+            if !ended && activity.is_busy() {
+                _ = connection.await;
+            }
+        }
         () = wait_for_stop_and_grace(&mut stop) => {
             connection.as_mut().graceful_shutdown();
             _ = connection.await;
