--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -14,6 +14,7 @@
 mod capacities;
 pub(super) mod control_host;
 mod crashes;
+mod evacuations;
 pub(super) mod fake_worker;
 mod leaves;
 mod messages;
