--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -10,15 +10,13 @@
 use super::failures::{HangingRun, unit_of};
 use super::{Leader, TaskRun, failures};
 use crate::cluster::clock::{boot_ms, unix_ms};
-use crate::placement::{
-    Host, Plan, Progress, StopCause, View, jobs_to_shrink, plan, urgent_demand,
-};
+use crate::placement::{Plan, Progress, StopCause, View, jobs_to_shrink, plan, urgent_demand};
 use crate::tasks::{
     Change, Incarnation, JobId, Opening, StartRecord, State, StepSpec, TaskId, UnitId,
 };
 
 /// Longest time between two decisions.
-const PASS_INTERVAL: Duration = Duration::from_millis(250);
+pub(super) const PASS_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Delay before a decision, so that several changes are handled together.
 const PASS_DELAY: Duration = Duration::from_millis(10);
@@ -30,9 +28,6 @@
 /// Pause after a command that was not confirmed as committed.
 const UNCONFIRMED_PAUSE: Duration = Duration::from_millis(100);
 
-/// Largest share of the pool that may be set aside.
-const SET_ASIDE_MAX_PERCENT: usize = 34;
-
 /// Maximum number of ended jobs that one command drops.
 const DROP_JOBS_BATCH_MAX: usize = 200;
 
@@ -98,11 +93,11 @@
         }
     }
 
-    fn decide(&self) -> Plan {
+    pub(super) fn decide(&self) -> Plan {
         let now_ms = boot_ms();
         let inner = self.replica.lock();
         let state = &inner.state;
-        let hosts = self.hosts(state, now_ms);
+        let hosts = self.renewed_hosts(state, now_ms);
         let term_state = self.term_state();
         let approvals = term_state.approvals.clone();
         let learned = Arc::clone(&term_state.learned);
@@ -151,40 +146,6 @@
         plan(&View { reserve_millihosts: reserve, ..view })
     }
 
-    /// Returns the upstreams as input of a placement decision.
-    pub(super) fn hosts(&self, state: &State, now_ms: u64) -> Vec<Host> {
-        let term_state = self.term_state();
-        let mut hosts: Vec<Host> = Vec::with_capacity(state.upstreams.len());
-        let mut set_aside: Vec<(u64, usize)> = Vec::new();
-        for upstream in state.upstreams.values() {
-            let incarnation = upstream.incarnation();
-            let session = term_state
-                .sessions
-                .get(&incarnation.id)
-                .filter(|session| session.incarnation == incarnation);
-            let ready = session.is_some_and(|s| s.lists_read && s.is_reachable(now_ms))
-                && !term_state.superseded.contains_key(&incarnation);
-            let heartbeat = &upstream.heartbeat;
-            let evacuated = heartbeat
-                .machine
-                .as_ref()
-                .is_some_and(|machine| term_state.evacuating.contains_key(machine));
-            let host = Host::of(state, upstream, ready && !heartbeat.draining && !evacuated);
-            let until_ms = session.map_or(0, |session| session.set_aside_until_ms);
-            if until_ms > now_ms && host.takes_work {
-                set_aside.push((until_ms, hosts.len()));
-            }
-            hosts.push(host);
-        }
-        // If more than this share fails runs, an upstream that may fail is better than none.
-        set_aside.sort_unstable_by(|a, b| b.cmp(a));
-        let set_aside_max = hosts.len() * SET_ASIDE_MAX_PERCENT / 100;
-        for (_, host) in set_aside.into_iter().take(set_aside_max) {
-            hosts[host].takes_work = false;
-        }
-        hosts
-    }
-
     /// Orders all tasks of a run to stop.
     pub(super) fn stop_unit(&self, unit: &UnitId, run: u32, cause: StopCause) {
         for (member_index, incarnation) in self.open_members(unit, run) {
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -12,6 +12,7 @@
 mod http_client;
 mod leader;
 mod leader_client;
+mod log_thread;
 mod metrics;
 mod peers;
 mod protocol;
@@ -22,7 +23,7 @@
 mod tests;
 mod upstream_calls;
 
-pub use budget::{ConnectionBudget, ConnectionUse};
+pub use budget::{BudgetReserves, ConnectionBudget, ConnectionUse};
 pub use clock::unix_ms;
 pub use control::Control;
 pub use http_client::{HttpClient, HttpFault, HttpReply};
