--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -5,6 +5,7 @@
 mod evacuations;
 mod failures;
 mod hold;
+mod hosts;
 mod lists;
 mod losses;
 mod maintenance;
@@ -23,7 +24,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::{AbortHandle, JoinSet};
 use tracing::info;
 
@@ -34,6 +35,7 @@
 use crate::placement::{Admissions, Approvals, Headroom, Learned, StepId};
 use crate::tasks::{Incarnation, JobId, TaskId, Upstream};
 use evacuations::EvacuationReport;
+use hosts::KnownHosts;
 use replacement::Supersession;
 use session::Session;
 
@@ -75,6 +77,8 @@
     term_state: Mutex<TermState>,
     /// Wakes the scheduling loop.
     wake: Notify,
+    /// Limits the first calls of the term to upstreams.
+    first_contacts: Semaphore,
     tasks: Mutex<JoinSet<()>>,
     /// Reference to itself, for spawned work that must not keep it alive.
     weak: Weak<Self>,
@@ -97,6 +101,7 @@
     /// Holding loops, by upstream.
     holds: HashMap<Incarnation, AbortHandle>,
     headroom: Headroom,
+    known_hosts: Option<KnownHosts>,
     admissions: Admissions,
     /// Upstreams that a job must avoid because it made no progress there, and until when.
     avoid: HashMap<(JobId, Incarnation), u64>,
@@ -132,6 +137,7 @@
             internal_address: settings.internal_address.to_string(),
             term_state: Mutex::default(),
             wake: Notify::new(),
+            first_contacts: Semaphore::new(hold::FIRST_CONTACTS_MAX),
             tasks: Mutex::default(),
             weak: Weak::clone(weak),
         })
@@ -176,8 +182,13 @@
     /// Keeps one session and holding loop for each registered upstream.
     async fn follow_upstreams(self: Arc<Self>) {
         let mut changed = self.replica.changed();
+        let mut synced_version = None;
         loop {
-            self.sync_sessions();
+            // Most entries change no upstream, and the sync walks all of them.
+            let version = self.replica.lock().state.fleet_version();
+            if synced_version.replace(version) != Some(version) {
+                self.sync_sessions();
+            }
             self.wake.notify_one();
             if changed.changed().await.is_err() {
                 return;
@@ -227,6 +238,9 @@
                 }
             }
         }
+        // First contacts take turns in this order. Runs end with their lease, which only a call extends.
+        let has_runs = |incarnation: &Incarnation| self.replica.lock().state.has_runs(incarnation);
+        new.sort_by_cached_key(|incarnation| !has_runs(incarnation));
         for incarnation in new {
             let hold = self.spawn(Arc::clone(self).hold_upstream(incarnation.clone()));
             if let Some(hold) = hold {
