Check configurations of the replicated control before they are sent

Cause: `cactuslatch check` knew settings and service documents only. A fault in a configuration was found one at a time, without its line, when a host refused it; entries that can never match, limits that contradict each other, and unintended differences from the version in force were not found at all.

Configuration::faults returns all faults that a host refuses, of which Configuration::check is the first, so that there is one set of rules. The leader logs the warnings, too, when a configuration is set.

--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -18,6 +18,9 @@
 /// Time after which a caller may try again while no upstream has registered.
 const NO_UPSTREAMS_RETRY_MS: u64 = 1_000;
 
+/// Number of warnings about a configuration beyond which no more are logged.
+const CONFIGURATION_WARNINGS_MAX: usize = 20;
+
 /// Longest time for which an upstream is believed to be slow; its next heartbeat renews it.
 const COLD_MAX_MS: u64 = 60_000;
 
@@ -252,6 +255,9 @@
             info!(version, held = current, "configuration is not newer and changes nothing");
             return Reply::Operator(OperatorReply::Done);
         }
+        for warning in configuration.warnings().iter().take(CONFIGURATION_WARNINGS_MAX) {
+            warn!(version, %warning, "configuration has an entry without effect, or limits that contradict");
+        }
         let change = Change::SetConfiguration { configuration, raw };
         let reply = self.commit(change, Reply::Operator(OperatorReply::Done)).await;
         let stored = reply != Reply::Unknown;
--- a/src/config/text.rs
+++ b/src/config/text.rs
@@ -22,7 +22,7 @@
 pub(super) const DUPLICATE_MARK: char = '\u{E000}';
 
 /// Parses text into nodes; duplicate keys are prefixed with [`DUPLICATE_MARK`].
-pub(super) fn load(text: &str) -> Result<Node, Faults> {
+pub(crate) fn load(text: &str) -> Result<Node, Faults> {
     check_structure(text)?;
     // The YAML parser would take a byte order mark as part of the first key.
     let mut text = text.strip_prefix('\u{FEFF}').unwrap_or(text).to_owned();
@@ -122,6 +122,6 @@
 }
 
 /// Returns the line and column of a marker, or of the start of the file if there is none.
-pub(super) fn marker_position(marker: Option<&Marker>) -> (usize, usize) {
+pub(crate) fn marker_position(marker: Option<&Marker>) -> (usize, usize) {
     marker.map_or((1, 1), |marker| (marker.line(), marker.column()))
 }
--- a/src/task_api/documents.rs
+++ b/src/task_api/documents.rs
@@ -32,7 +32,7 @@
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct ConfigurationDocument {
+pub(super) struct ConfigurationDocument {
     version: u64,
     queues: Vec<QueueDocument>,
     services: Vec<ServiceDocument>,
@@ -41,7 +41,7 @@
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct QueueDocument {
+pub(super) struct QueueDocument {
     name: Arc<str>,
     service: Arc<str>,
     priority: u32,
@@ -59,13 +59,13 @@
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct ServiceDocument {
+pub(super) struct ServiceDocument {
     name: Arc<str>,
 }
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct OrganisationDocument {
+pub(super) struct OrganisationDocument {
     name: Arc<str>,
     keys: Vec<Arc<str>>,
     #[serde(default)]
@@ -132,19 +132,24 @@
     }
 }
 
+impl From<ConfigurationDocument> for Configuration {
+    fn from(document: ConfigurationDocument) -> Self {
+        Self {
+            version: document.version,
+            queues: document.queues.into_iter().map(Queue::from).collect(),
+            services: document.services.into_iter().map(WorkerService::from).collect(),
+            organisations: document.organisations.into_iter().map(Organisation::from).collect(),
+            limits: LIMITS,
+        }
+    }
+}
+
 /// Parses and checks a configuration.
 ///
 /// # Errors
 /// Returns an error if the text has unknown or missing keys or contradicts itself.
 pub fn read_configuration(text: &str) -> Result<Configuration, InvalidDocument> {
-    let document: ConfigurationDocument = parse(text)?;
-    let configuration = Configuration {
-        version: document.version,
-        queues: document.queues.into_iter().map(Queue::from).collect(),
-        services: document.services.into_iter().map(WorkerService::from).collect(),
-        organisations: document.organisations.into_iter().map(Organisation::from).collect(),
-        limits: LIMITS,
-    };
+    let configuration = Configuration::from(parse::<ConfigurationDocument>(text)?);
     configuration.check().map_err(|fault| InvalidDocument { reason: fault.to_string() })?;
     Ok(configuration)
 }
--- a/src/tasks/configuration.rs
+++ b/src/tasks/configuration.rs
@@ -107,12 +107,34 @@
     pub limits: FrontLimits,
 }
 
-/// A configuration is invalid.
+/// Entry of a configuration, by its index.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigurationEntry {
+    /// The configuration as a whole.
+    Whole,
+    /// A queue.
+    Queue(usize),
+    /// A service.
+    Service(usize),
+    /// An organisation.
+    Organisation(usize),
+}
+
+/// Something wrong or odd in a configuration.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 #[display("{reason}")]
 pub struct ConfigurationFault {
+    /// The entry that it concerns.
+    #[error(not(source))]
+    pub entry: ConfigurationEntry,
     /// Description for the operator.
-    reason: String,
+    pub reason: String,
+}
+
+impl ConfigurationFault {
+    pub(super) fn new(entry: ConfigurationEntry, reason: String) -> Self {
+        Self { entry, reason }
+    }
 }
 
 impl Configuration {
@@ -121,44 +143,53 @@
     /// # Errors
     /// Returns the first fault found.
     pub fn check(&self) -> Result<(), ConfigurationFault> {
-        let fault = |reason: String| Err(ConfigurationFault { reason });
+        self.faults().into_iter().next().map_or(Ok(()), Err)
+    }
+
+    /// Returns everything for which the configuration is refused.
+    #[must_use]
+    pub fn faults(&self) -> Vec<ConfigurationFault> {
+        let mut faults = Vec::new();
         let services: BTreeSet<_> = self.services.iter().map(|service| &service.name).collect();
         let mut routes = BTreeSet::new();
         let mut names = BTreeSet::new();
-        for queue in &self.queues {
+        for (number, queue) in self.queues.iter().enumerate() {
             let name = &queue.name;
+            let mut fault = |reason: String| {
+                let entry = ConfigurationEntry::Queue(number);
+                faults.push(ConfigurationFault::new(entry, reason));
+            };
             if !services.contains(&queue.service) {
-                return fault(format!("queue {name} names unknown service {}", queue.service));
+                fault(format!("queue {name} names unknown service {}", queue.service));
             }
             if !routes.insert((queue.host.to_ascii_lowercase(), &queue.path_prefix)) {
-                return fault(format!(
-                    "queue {name} has the host and path prefix of another queue"
-                ));
+                fault(format!("queue {name} has the host and path prefix of another queue"));
             }
             if queue.timeout_ms == 0 {
-                return fault(format!("queue {name} has a timeout of 0 ms"));
+                fault(format!("queue {name} has a timeout of 0 ms"));
             }
             if !names.insert(name) {
-                return fault(format!("two queues are named {name}"));
+                fault(format!("two queues are named {name}"));
             }
         }
         let mut keys = BTreeSet::new();
-        for organisation in &self.organisations {
+        for (number, organisation) in self.organisations.iter().enumerate() {
+            let mut fault = |reason: String| {
+                let entry = ConfigurationEntry::Organisation(number);
+                faults.push(ConfigurationFault::new(entry, reason));
+            };
             if !(1..=WEIGHT_MAX).contains(&organisation.weight) {
-                return fault(format!(
+                fault(format!(
                     "organisation {} has a weight of {}, which is not from 1 to {WEIGHT_MAX}",
                     organisation.name, organisation.weight
                 ));
             }
             let own: BTreeSet<_> = organisation.keys.iter().collect();
-            if own.into_iter().any(|key| !keys.insert(key)) {
-                return fault(format!(
-                    "organisation {} shares a key with another",
-                    organisation.name
-                ));
+            if own.into_iter().filter(|key| !keys.insert(*key)).count() > 0 {
+                fault(format!("organisation {} shares a key with another", organisation.name));
             }
         }
-        Ok(())
+        faults
     }
 
     /// Returns the queue of a host with the longest prefix that matches the path.
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -7,6 +7,8 @@
 mod apply;
 mod command;
 mod configuration;
+mod configuration_changes;
+mod configuration_warnings;
 mod crash;
 mod evacuation;
 mod ids;
@@ -21,7 +23,8 @@
 
 pub(crate) use command::{Change, Command, EndRecord, LostRun, Opening, StartRecord};
 pub use configuration::{
-    Advice, Configuration, ConfigurationFault, FrontLimits, Organisation, Queue, WorkerService,
+    Advice, Configuration, ConfigurationEntry, ConfigurationFault, FrontLimits, Organisation,
+    Queue, WorkerService,
 };
 pub(crate) use evacuation::Evacuation;
 pub use ids::{InvalidTaskId, JobId, TaskId, UnitId};
