--- a/src/cluster/leader/hosts.rs
+++ b/src/cluster/leader/hosts.rs
@@ -5,12 +5,16 @@
 
 use super::Leader;
 use super::scheduling::PASS_INTERVAL;
+use crate::cluster::clock::boot_ms;
 use crate::placement::Host;
-use crate::tasks::State;
+use crate::tasks::{Incarnation, State};
 
 /// Largest share of the pool that may be set aside.
 const SET_ASIDE_MAX_PERCENT: usize = 34;
 
+/// Longest time for which an upstream is believed to be slow; its next heartbeat renews it.
+const COLD_MAX_MS: u64 = 60_000;
+
 /// Upstreams as the newest decision saw them. Listing all of them for each submission would take a
 /// leader of many upstreams longer than the admission itself.
 #[derive(Debug, Clone)]
@@ -82,4 +86,15 @@
         }
         hosts
     }
+
+    /// Records for how long an upstream is slow. A new leader learns it from the next heartbeat.
+    pub(super) fn record_cold(&self, incarnation: &Incarnation, remaining_ms: u64) {
+        let mut term_state = self.term_state();
+        if remaining_ms == 0 {
+            term_state.cold_until_ms.remove(incarnation);
+        } else {
+            let until_ms = boot_ms() + remaining_ms.min(COLD_MAX_MS);
+            term_state.cold_until_ms.insert(incarnation.clone(), until_ms);
+        }
+    }
 }
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -21,9 +21,6 @@
 /// Number of warnings about a configuration beyond which no more are logged.
 const CONFIGURATION_WARNINGS_MAX: usize = 20;
 
-/// Longest time for which an upstream is believed to be slow; its next heartbeat renews it.
-const COLD_MAX_MS: u64 = 60_000;
-
 /// What a caller's call addresses.
 struct CallTarget {
     queue: Queue,
@@ -319,17 +316,6 @@
         self.commit(Change::RegisterUpstream { heartbeat }, Reply::Done).await
     }
 
-    /// Records for how long an upstream is slow. A new leader learns it from the next heartbeat.
-    fn record_cold(&self, incarnation: &Incarnation, remaining_ms: u64) {
-        let mut term_state = self.term_state();
-        if remaining_ms == 0 {
-            term_state.cold_until_ms.remove(incarnation);
-        } else {
-            let until_ms = boot_ms() + remaining_ms.min(COLD_MAX_MS);
-            term_state.cold_until_ms.insert(incarnation.clone(), until_ms);
-        }
-    }
-
     /// Records that an upstream is alive.
     fn record_heartbeat(&self, id: &Arc<str>) {
         if let Some(session) = self.term_state().sessions.get_mut(id) {
