Replay short urgent gangs, a shrinking pool and a returning crowd

Cause: the replays counted discarded work as one figure and had no load with many short urgent gangs, bad estimates, a pool that shrinks while large gangs wait, or callers that return while upstreams take work one after the other.

Change: three scenarios (short-gangs, shrinking-pool, returning-crowd); the report counts the runs that end without a result, and the work they lose, by cause.

--- a/src/bin/cactuslatch-measure/policy.rs
+++ b/src/bin/cactuslatch-measure/policy.rs
@@ -127,6 +127,10 @@
         report.thrown_away_core_s,
         report.thrown_away_share
     );
+    for (cause, core_ms) in &report.discarded.core_ms {
+        let runs = report.discarded.runs.get(cause).copied().unwrap_or(0);
+        println!("{name:15} {:>5} {cause}: {runs} runs, {} core-s", report.seed, core_ms / 1_000);
+    }
 }
 
 fn print_kind(name: &str, seed: u64, queue: &str, figures: &KindFigures) {
--- a/src/replay/figures.rs
+++ b/src/replay/figures.rs
@@ -7,6 +7,7 @@
 use super::load::{KINDS, MIX, Request};
 use super::run::Record;
 use super::scenario::Scenario;
+use super::stops::Discarded;
 use crate::placement::USEFUL_OBJECTIVE_FACTOR;
 
 /// Smallest and largest value of a job, as multiples of the mean of its kind.
@@ -104,6 +105,8 @@
     pub thrown_away_core_s: u64,
     /// The same as a share of the work of all jobs.
     pub thrown_away_share: f64,
+    /// Runs that ended without their result, by cause.
+    pub discarded: Discarded,
 }
 
 pub(super) fn report(
@@ -116,7 +119,7 @@
     let kinds: BTreeMap<_, _> =
         (0..KINDS).map(|kind| (MIX[kind].queue, kind_figures(kind, record, unrefused))).collect();
     let offered_core_s: f64 = record.requests.iter().map(Request::work_core_s).sum();
-    let thrown_away_core_s = record.thrown_core_ms / 1_000;
+    let thrown_away_core_s = record.discarded.total_core_ms() / 1_000;
     ReplayReport {
         scenario,
         hosts,
@@ -127,6 +130,7 @@
         refusals: record.refusals,
         thrown_away_core_s,
         thrown_away_share: thrown_away_core_s as f64 / offered_core_s.max(1.0),
+        discarded: record.discarded.clone(),
     }
 }
 
--- a/src/replay/hosts.rs
+++ b/src/replay/hosts.rs
@@ -7,7 +7,8 @@
 use rand::rngs::StdRng;
 
 use super::load::{Request, SERVICE};
-use crate::placement::{Host, Progress};
+use super::stops::Discarded;
+use crate::placement::{Host, Progress, StopCause};
 use crate::tasks::{
     Change, EndKind, EndRecord, Heartbeat, Incarnation, Resources, StartRecord, State, UnitId,
 };
@@ -43,7 +44,8 @@
     done_at_ms: u64,
     /// When it ends if nothing stops it, and how.
     ends: (u64, EndKind),
-    stops_at_ms: Option<u64>,
+    /// When it ends on an order to stop, and the cause of the order.
+    stops: Option<(u64, StopCause)>,
     checkpoints: bool,
     /// Weight of one task in thousandths of a core.
     weight_millicores: u64,
@@ -75,8 +77,8 @@
     runs: BTreeMap<RunKey, Run>,
     /// Saved work of units, which later runs need not repeat.
     saved_ms: HashMap<UnitId, u64>,
-    /// Work that was done and lost, in core-equivalent milliseconds.
-    pub(super) thrown_core_ms: u64,
+    /// Work that was done and lost, and the runs that lost it.
+    pub(super) discarded: Discarded,
 }
 
 impl Hosts {
@@ -87,7 +89,7 @@
             born_unix_ms: 1,
             runs: BTreeMap::new(),
             saved_ms: HashMap::new(),
-            thrown_core_ms: 0,
+            discarded: Discarded::default(),
         }
     }
 
@@ -182,7 +184,7 @@
             working_ms,
             done_at_ms,
             ends,
-            stops_at_ms: None,
+            stops: None,
             checkpoints: step.checkpoints,
             weight_millicores: step.need.weight_millicores(),
         };
@@ -190,15 +192,15 @@
     }
 
     /// Orders a run to stop.
-    pub(super) fn stop(&mut self, unit: &UnitId, run: u32, now_ms: u64) {
+    pub(super) fn stop(&mut self, unit: &UnitId, run: u32, cause: StopCause, now_ms: u64) {
         if let Some(run) = self.runs.get_mut(&(unit.clone(), run)) {
-            run.stops_at_ms.get_or_insert(now_ms + STOP_MS);
+            run.stops.get_or_insert((now_ms + STOP_MS, cause));
         }
     }
 
     /// Returns the runs that were ordered to stop and have not ended.
     pub(super) fn stopping(&self) -> HashSet<RunKey> {
-        let stopping = self.runs.iter().filter(|(_, run)| run.stops_at_ms.is_some());
+        let stopping = self.runs.iter().filter(|(_, run)| run.stops.is_some());
         stopping.map(|(key, _)| key.clone()).collect()
     }
 
@@ -216,8 +218,8 @@
     pub(super) fn end_due(&mut self, now_ms: u64) -> Vec<Change> {
         let due = |run: &Run| {
             let (ends_ms, how) = run.ends;
-            match run.stops_at_ms {
-                Some(stops_ms) if stops_ms <= now_ms && stops_ms < ends_ms => {
+            match run.stops {
+                Some((stops_ms, _)) if stops_ms <= now_ms && stops_ms < ends_ms => {
                     Some(EndKind::Stopped)
                 }
                 _ => (ends_ms <= now_ms).then_some(how),
@@ -248,21 +250,27 @@
         let run = self.runs.remove(key)?;
         let saved_ms = run.saved_ms(now_ms);
         let lost_ms = run.worked_ms(now_ms) - saved_ms;
-        self.thrown_core_ms += lost_ms * tasks * run.weight_millicores / 1_000;
+        let cause = match run.ends {
+            (_, EndKind::Broken) => "upstream lost".to_owned(),
+            (ends_ms, EndKind::Failed) if ends_ms <= now_ms => "failed".to_owned(),
+            _ => run.stops.map(|(_, cause)| cause.to_string()).unwrap_or_default(),
+        };
+        self.discarded.add(cause, lost_ms * tasks * run.weight_millicores / 1_000);
         *self.saved_ms.entry(key.0.clone()).or_default() += saved_ms;
         Some(run)
     }
 
     /// Returns the hosts of the state as input of a decision.
-    pub(super) fn view(state: &State) -> Vec<Host> {
-        let host = |upstream: &crate::tasks::Upstream| Host {
+    pub(super) fn view(state: &State, closed_percent: usize) -> Vec<Host> {
+        let closed = state.upstreams.len() * closed_percent / 100;
+        let host = |(number, upstream): (usize, &crate::tasks::Upstream)| Host {
             incarnation: upstream.incarnation(),
             service: Arc::clone(&upstream.heartbeat.service),
             rack: Arc::clone(&upstream.heartbeat.rack),
             labels: upstream.heartbeat.labels.clone(),
             capacity: upstream.heartbeat.capacity,
-            takes_work: true,
+            takes_work: number >= closed,
         };
-        state.upstreams.values().map(host).collect()
+        state.upstreams.values().enumerate().map(host).collect()
     }
 }
--- a/src/replay/load.rs
+++ b/src/replay/load.rs
@@ -1,11 +1,14 @@
 //! Kinds of jobs, their sizes and run times, and the configuration that they run under.
 
+mod short_gangs;
+
 use std::sync::Arc;
 
 use bytes::Bytes;
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use self::short_gangs::SHORT_GANGS;
 use super::scenario::{SUBMISSION_MS, Scenario};
 use crate::placement::{critical_path_ms, objective_ms};
 use crate::tasks::{
@@ -25,6 +28,13 @@
 /// Step of the generator of submissions.
 const GENERATOR_STEP_MS: u64 = 10;
 
+/// Share of the tasks of badly estimated kinds that take far longer, and how much longer.
+const LONG_CHANCE: f64 = 0.03;
+const LONG_FACTOR: f64 = 7.0;
+
+/// Smallest run time as a share of the estimate.
+const SHORTEST_SHARE: f64 = 0.1;
+
 /// A kind of job.
 #[derive(Debug)]
 pub(super) struct Kind {
@@ -40,6 +50,8 @@
     slack_permille: u64,
     target_ms: u64,
     checkpoint_chance: f64,
+    /// Largest error of the callers' estimates, as a share; `None` for small random errors.
+    estimate_error: Option<f64>,
 }
 
 /// The kinds, by priority: short urgent gangs, large gangs, and wide jobs of single tasks.
@@ -56,6 +68,7 @@
         slack_permille: 1_500,
         target_ms: 500,
         checkpoint_chance: 0.0,
+        estimate_error: None,
     },
     Kind {
         queue: "normal",
@@ -69,6 +82,7 @@
         slack_permille: 3_000,
         target_ms: 1_200,
         checkpoint_chance: 0.45,
+        estimate_error: None,
     },
     Kind {
         queue: "batch",
@@ -82,6 +96,7 @@
         slack_permille: 3_000,
         target_ms: 3_000,
         checkpoint_chance: 0.45,
+        estimate_error: None,
     },
 ];
 
@@ -109,21 +124,21 @@
 
 /// Returns the submissions of a scenario, multiplied by `scale`, in the order of their times.
 pub(super) fn requests(scenario: Scenario, scale: f64, rng: &mut StdRng) -> Vec<Request> {
+    let mix = if scenario.has_short_gangs() { &SHORT_GANGS } else { &MIX };
     let mut requests = Vec::new();
     for at_ms in (0..SUBMISSION_MS).step_by(usize::try_from(GENERATOR_STEP_MS).unwrap_or(1)) {
         let rates = scenario.rates(at_ms);
         for (kind, rate) in (0..).zip(rates) {
-            let chance = MIX[kind].per_s * rate * scale * GENERATOR_STEP_MS as f64 / 1_000.0;
+            let chance = mix[kind].per_s * rate * scale * GENERATOR_STEP_MS as f64 / 1_000.0;
             if rng.random_bool(chance.min(1.0)) {
-                requests.push(request(at_ms, kind, rng));
+                requests.push(request(at_ms, kind, &mix[kind], rng));
             }
         }
     }
     requests
 }
 
-fn request(at_ms: u64, number: usize, rng: &mut StdRng) -> Request {
-    let kind = &MIX[number];
+fn request(at_ms: u64, number: usize, kind: &Kind, rng: &mut StdRng) -> Request {
     let estimate_ms = whole(kind.run_ms * spread(0.3, rng));
     let tasks = u32::try_from(whole(kind.tasks.0 * spread(0.7, rng))).unwrap_or(1);
     let tasks = tasks.clamp(1, kind.tasks.1);
@@ -141,14 +156,21 @@
         ..StepSpec::default()
     };
     let spec = JobSpec { payload: "work".into(), steps: vec![step], repeat: None };
-    let actual_ms = estimate_ms as f64 * spread(0.2, rng);
+    let actual_ms = match kind.estimate_error {
+        None => estimate_ms as f64 * spread(0.2, rng),
+        Some(error) => badly_estimated_ms(estimate_ms as f64, error, rng),
+    };
     let mut run_ms: Vec<u64> =
         (0..tasks).map(|_| whole(actual_ms * rng.random_range(0.8..1.2))).collect();
     if kind.gang {
         // The members of a gang end together.
         run_ms.fill(whole(actual_ms));
     }
-    let objective_ms = objective_ms(&queue(kind), critical_path_ms(&spec, |step| step.estimate_ms));
+    let path_ms = critical_path_ms(&spec, |step| match kind.estimate_error {
+        None => step.estimate_ms,
+        Some(_) => whole(actual_ms),
+    });
+    let objective_ms = objective_ms(&queue(kind), path_ms);
     let total: u32 = ORGANISATIONS.iter().map(|(_, share, _)| share).sum();
     let mut drawn = rng.random_range(0..total);
     let organisation = ORGANISATIONS.iter().find(|(_, share, _)| {
@@ -160,6 +182,13 @@
     Request { at_ms, kind: number, organisation, spec: Arc::new(spec), run_ms, objective_ms }
 }
 
+/// Returns the run time of work whose estimate is off by up to a share.
+fn badly_estimated_ms(estimate_ms: f64, error: f64, rng: &mut StdRng) -> f64 {
+    let share = rng.random_range(1.0 - error..1.0 + error).max(SHORTEST_SHARE);
+    let long = if rng.random_bool(LONG_CHANCE) { LONG_FACTOR } else { 1.0 };
+    estimate_ms * share * long
+}
+
 /// Returns a log-normal factor with median 1.
 fn spread(sigma: f64, rng: &mut StdRng) -> f64 {
     let normal: f64 = (0..12).map(|_| rng.random_range(0.0..1.0)).sum::<f64>() - 6.0;
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -10,9 +10,11 @@
 mod load;
 mod run;
 mod scenario;
+mod stops;
 #[cfg(test)]
 mod tests;
 
 pub use figures::{KindFigures, ReplayReport};
 pub use run::replay;
 pub use scenario::Scenario;
+pub use stops::Discarded;
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -11,6 +11,7 @@
 use super::hosts::Hosts;
 use super::load::{MIX, Request, configuration, requests};
 use super::scenario::{SUBMISSION_MS, Scenario};
+use super::stops::Discarded;
 use crate::placement::{
     Admission, Admissions, Approvals, Headroom, Learned, Plan, View, plan, urgent_demand,
 };
@@ -38,7 +39,7 @@
     pub(super) requests: Vec<Request>,
     pub(super) endings: Vec<Ending>,
     pub(super) refusals: u64,
-    pub(super) thrown_core_ms: u64,
+    pub(super) discarded: Discarded,
 }
 
 /// Replays a scenario on a number of hosts, with the load scaled to them.
@@ -102,7 +103,7 @@
         Record {
             endings,
             refusals: self.callers.refusals,
-            thrown_core_ms: self.hosts.thrown_core_ms,
+            discarded: self.hosts.discarded,
             requests: self.requests,
         }
     }
@@ -123,8 +124,8 @@
             return;
         }
         let plan = self.decide();
-        for (unit, run, _) in &plan.stops {
-            self.hosts.stop(unit, *run, self.now_ms);
+        for (unit, run, cause) in &plan.stops {
+            self.hosts.stop(unit, *run, *cause, self.now_ms);
         }
         for start in &plan.starts {
             let request = &self.requests[job_number(&start.unit.job)];
@@ -194,9 +195,10 @@
 
     fn with_view<T>(&self, reserve_millihosts: u64, decide: impl FnOnce(&View<'_>) -> T) -> T {
         let stopping: HashSet<(UnitId, u32)> = self.hosts.stopping();
+        let closed_percent = self.scenario.disturbance(self.now_ms).hosts_closed_percent;
         decide(&View {
             state: &self.state,
-            hosts: &Hosts::view(&self.state),
+            hosts: &Hosts::view(&self.state, closed_percent),
             now_ms: self.now_ms,
             unix_ms: self.now_ms,
             stopping: &stopping,
--- a/src/replay/scenario.rs
+++ b/src/replay/scenario.rs
@@ -13,6 +13,18 @@
 /// End of a short peak.
 const PEAK_TO_MS: u64 = 18_000;
 
+/// End of the time in which hosts are lost one after the other, and the steps of the loss.
+const SHRUNK_TO_MS: u64 = 26_000;
+const SHRINK_STEP_MS: u64 = 3_000;
+const SHRINK_STEP_PERCENT: u64 = 8;
+const SHRUNK_MAX_PERCENT: u64 = 32;
+
+/// End of an outage of control.
+const BACK_MS: u64 = 13_000;
+
+/// When all hosts take work again after it.
+const ALL_OPEN_MS: u64 = 15_000;
+
 /// A pattern of load and faults.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -37,6 +49,13 @@
     Ramp,
     /// No decisions are made for some seconds; all callers wait and the backlog is full after it.
     Recovery,
+    /// Many short urgent gangs on a well filled pool, with a burst of all kinds for ten seconds.
+    ShortGangs,
+    /// Three times the rate of the large gangs while more and more hosts are lost.
+    ShrinkingPool,
+    /// Control is down for some seconds; then callers return together with new ones, while hosts take
+    /// work again one after the other.
+    ReturningCrowd,
 }
 
 /// What is disturbed at a point in time.
@@ -46,11 +65,13 @@
     pub(super) hosts_lost_percent: usize,
     /// Whether control makes no decisions and answers no calls.
     pub(super) control_down: bool,
+    /// Share of the hosts that take no work yet, in percent.
+    pub(super) hosts_closed_percent: usize,
 }
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 13] = [
         Self::Calm,
         Self::UrgentBurst,
         Self::AllKindsBurst,
@@ -61,6 +82,9 @@
         Self::HeavyOverload,
         Self::Ramp,
         Self::Recovery,
+        Self::ShortGangs,
+        Self::ShrinkingPool,
+        Self::ReturningCrowd,
     ];
 
     /// Returns the name of the scenario.
@@ -77,6 +101,9 @@
             Self::HeavyOverload => "heavy-overload",
             Self::Ramp => "ramp",
             Self::Recovery => "recovery",
+            Self::ShortGangs => "short-gangs",
+            Self::ShrinkingPool => "shrinking-pool",
+            Self::ReturningCrowd => "returning-crowd",
         }
     }
 
@@ -90,6 +117,10 @@
             Self::UrgentBurst if in_peak => [4.0, 1.0, 1.0],
             Self::AllKindsBurst | Self::CapacityLost if in_peak => [4.0; KINDS],
             Self::LargeGangs if in_peak => [1.0, 4.0, 1.0],
+            Self::ShortGangs if in_peak => [4.0, 2.0, 2.0],
+            Self::ShortGangs => [1.5; KINDS],
+            Self::ShrinkingPool if (PEAK_FROM_MS..SHRUNK_TO_MS).contains(&at_ms) => [1.0, 3.0, 1.0],
+            Self::ReturningCrowd if (BACK_MS..PEAK_TO_MS).contains(&at_ms) => [2.5; KINDS],
             _ => [1.0; KINDS],
         }
     }
@@ -101,9 +132,26 @@
             Self::CapacityLost if in_peak => Disturbance { hosts_lost_percent: 33, ..calm },
             Self::Returning if in_peak => Disturbance { hosts_lost_percent: 100, ..calm },
             Self::Recovery if in_peak => Disturbance { control_down: true, ..calm },
+            Self::ShrinkingPool if (PEAK_FROM_MS..SHRUNK_TO_MS).contains(&at_ms) => {
+                let share = (at_ms - PEAK_FROM_MS) / SHRINK_STEP_MS * SHRINK_STEP_PERCENT;
+                let percent = share.min(SHRUNK_MAX_PERCENT);
+                Disturbance { hosts_lost_percent: usize::try_from(percent).unwrap_or(0), ..calm }
+            }
+            Self::ReturningCrowd if (PEAK_FROM_MS..BACK_MS).contains(&at_ms) => {
+                Disturbance { control_down: true, ..calm }
+            }
+            Self::ReturningCrowd if (BACK_MS..ALL_OPEN_MS).contains(&at_ms) => {
+                let percent = (ALL_OPEN_MS - at_ms) * 100 / (ALL_OPEN_MS - BACK_MS);
+                Disturbance { hosts_closed_percent: usize::try_from(percent).unwrap_or(0), ..calm }
+            }
             _ => calm,
         }
     }
+
+    /// Returns whether the jobs are those of a site with many short urgent gangs.
+    pub(super) const fn has_short_gangs(self) -> bool {
+        matches!(self, Self::ShortGangs)
+    }
 }
 
 impl std::str::FromStr for Scenario {
