Stop runs only where that pays off, and the cheapest whole gangs

Cause: every urgent unit that did not fit stopped runs at once, also when as much capacity became free by itself in time, or when the unit was late all the same. The set was chosen host by host: a gang that was stopped on one host did not count on its other hosts, so further runs were stopped there.

Change: a pure cost model (placement/stop_costs.rs) weighs what a stop loses (unsaved work, restart, resume, earlier stops of the unit, whole gangs) against what the urgent unit gains. Guaranteed units preempt in any case and rely on ends for no longer than a stop takes. placement/stop_set.rs searches the cheapest set per group of hosts by whole gangs, counts what members free elsewhere, and drops needless runs. No vector of all hosts is copied per host any more.

--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -209,6 +209,7 @@
             approvals: &Approvals::default(),
             learned: &learned,
             reserve_millihosts: 0,
+            stop_ms: self.bounds.stop_timeout_ms,
             jobs_max_bytes: self.bounds.jobs_max_bytes(),
         };
         let admission = self.term_state().admissions.decide(&view, queue, organisation, job);
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -138,6 +138,7 @@
             approvals: &approvals,
             learned: &learned,
             reserve_millihosts: 0,
+            stop_ms: self.bounds.stop_timeout_ms,
             jobs_max_bytes: self.bounds.jobs_max_bytes(),
         };
         let demand = urgent_demand(&view);
--- a/src/placement/drain.rs
+++ b/src/placement/drain.rs
@@ -33,7 +33,7 @@
         unit: &WaitingUnit<'_>,
     ) {
         let is_gang = unit.step.unit_size() > 1;
-        if !is_gang || unit.is_expired || self.count >= DRAINS_MAX {
+        if !is_gang || unit.is_expired() || self.count >= DRAINS_MAX {
             return;
         }
         if let Some(fit) = first_fit(view, pool, unit) {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -21,6 +21,8 @@
 mod progress;
 mod room;
 mod rotation;
+mod stop_costs;
+mod stop_set;
 mod suspects;
 #[cfg(test)]
 mod tests;
@@ -85,6 +87,8 @@
     pub(crate) learned: &'a Learned,
     /// Capacity reserved for jobs of priority 0, in thousandths of a host.
     pub(crate) reserve_millihosts: u64,
+    /// Time from the order to stop a run until its capacity is listed as free.
+    pub(crate) stop_ms: u64,
     /// Memory that all jobs together may take.
     pub(crate) jobs_max_bytes: u64,
 }
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use super::View;
+use super::stop_costs::Slack;
 use super::suspects::is_suspect;
 use crate::tasks::{Configuration, Job, JobSpec, Phase, Queue, Resources, StepSpec, Unit, UnitId};
 
@@ -71,13 +72,22 @@
     pub(super) run: u32,
     pub(super) rank: Rank,
     pub(super) may_preempt: bool,
+    /// Whether a guarantee covers its job.
+    pub(super) is_covered: bool,
+    /// How much later than now it may start.
+    pub(super) slack: Slack,
     pub(super) waited_ms: u64,
-    /// Whether its result would come too late to be of use.
-    pub(super) is_expired: bool,
     /// Whether upstreams have crashed under it for no known other cause.
     pub(super) is_suspect: bool,
 }
 
+impl WaitingUnit<'_> {
+    /// Returns whether its result would come too late to be of use.
+    pub(super) const fn is_expired(&self) -> bool {
+        self.slack.useful_ms.is_none()
+    }
+}
+
 /// A result is of use until this multiple of the job's objective.
 pub(crate) const USEFUL_OBJECTIVE_FACTOR: u64 = 3;
 
@@ -109,8 +119,8 @@
         let is_covered = queue.priority == 0 && guarantees.try_claim(job);
         let due = |occurrence| job.spec.due_unix_ms(occurrence) <= view.unix_ms;
         for (occurrence, steps) in job.occurrences.iter().filter(|(number, _)| due(*number)) {
-            let timeliness = Timeliness::of(view, job, queue, occurrence);
-            let turn = Turn { job, queue, is_covered, timeliness };
+            let slack = slack(view, job, queue, occurrence);
+            let turn = Turn { job, queue, is_covered, slack, timeliness: slack.into() };
             for (number, state) in (0_u32..).zip(steps) {
                 if !job.is_ready(steps, number as usize) {
                     continue;
@@ -133,12 +143,13 @@
     queue: &'a Queue,
     /// Whether the guarantee of its organisation covers the job.
     is_covered: bool,
+    slack: Slack,
     timeliness: Timeliness,
 }
 
 impl<'a> Turn<'a> {
     fn waiting_unit(&self, view: &View<'_>, id: UnitId, unit: &Unit) -> WaitingUnit<'a> {
-        let Self { job, queue, is_covered, timeliness } = *self;
+        let Self { job, queue, is_covered, slack, timeliness } = *self;
         let step = &job.spec.steps[id.step as usize];
         // By waiting time, so that no preempted lasting task waits much longer than others.
         let since_ms = if step.lasting { unit.waiting_since_ms } else { job.accepted_ms };
@@ -160,37 +171,45 @@
             run: unit.run,
             rank,
             may_preempt: queue.priority == 0 && timeliness != Timeliness::Expired || is_covered,
+            is_covered,
+            slack,
             waited_ms: view.now_ms.saturating_sub(unit.waiting_since_ms),
-            is_expired: timeliness == Timeliness::Expired,
             is_suspect,
         }
     }
 }
 
-impl Timeliness {
-    fn of(view: &View<'_>, job: &Job, queue: &Queue, occurrence: u32) -> Self {
-        if job.spec.is_lasting() {
-            return Self::OnTime;
-        }
-        let objective_ms = objective_ms(queue, view.critical_path_ms(queue, &job.spec));
-        let age_ms = match job.spec.due_unix_ms(occurrence) {
-            0 => view.now_ms.saturating_sub(job.accepted_ms),
-            due_unix_ms => view.unix_ms.saturating_sub(due_unix_ms),
-        };
-        let expected_ms = age_ms + remaining_critical_path_ms(view, job, queue, occurrence);
-        if expected_ms <= objective_ms {
-            Self::OnTime
-        } else if expected_ms <= objective_ms * USEFUL_OBJECTIVE_FACTOR {
-            Self::Late
-        } else {
-            Self::Expired
+/// Returns how much later than now the open steps of a job's occurrence may start.
+fn slack(view: &View<'_>, job: &Job, queue: &Queue, occurrence: u32) -> Slack {
+    if job.spec.is_lasting() {
+        return Slack::UNLIMITED;
+    }
+    let objective_ms = objective_ms(queue, view.critical_path_ms(queue, &job.spec));
+    let age_ms = match job.spec.due_unix_ms(occurrence) {
+        0 => view.now_ms.saturating_sub(job.accepted_ms),
+        due_unix_ms => view.unix_ms.saturating_sub(due_unix_ms),
+    };
+    let expected_ms = age_ms + remaining_critical_path_ms(view, job, queue, occurrence);
+    let useful_ms = objective_ms.saturating_mul(USEFUL_OBJECTIVE_FACTOR);
+    Slack {
+        on_time_ms: objective_ms.checked_sub(expected_ms),
+        useful_ms: useful_ms.checked_sub(expected_ms),
+    }
+}
+
+impl From<Slack> for Timeliness {
+    fn from(slack: Slack) -> Self {
+        match slack {
+            Slack { on_time_ms: Some(_), .. } => Self::OnTime,
+            Slack { useful_ms: Some(_), .. } => Self::Late,
+            _ => Self::Expired,
         }
     }
 }
 
 /// Returns whether the result of a job's occurrence can still be of use to its caller.
 pub(super) fn is_of_use(view: &View<'_>, job: &Job, queue: &Queue, occurrence: u32) -> bool {
-    Timeliness::of(view, job, queue, occurrence) != Timeliness::Expired
+    slack(view, job, queue, occurrence).useful_ms.is_some()
 }
 
 /// Returns the time after which a job's result is of no use to its caller.
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -69,6 +69,8 @@
     /// Estimated time until the task ends.
     pub(super) left_ms: u64,
     pub(super) need: Resources,
+    /// Whether the task is being stopped.
+    is_stopping: bool,
 }
 
 impl Pool {
@@ -124,7 +126,7 @@
                     pool.starting[host].extend(starting.clone());
                     pool.free[host].subtract(&need);
                     if is_stopping || !step.lasting {
-                        pool.releases[host].push(Release { left_ms, need });
+                        pool.releases[host].push(Release { left_ms, need, is_stopping });
                     }
                     if !is_stopping {
                         pool.free_after_stops[host].subtract(&need);
@@ -205,9 +207,25 @@
         self.starting[host].iter().any(|run| run.job != *job)
     }
 
-    /// Counts the capacity of a task on a host as free after the stops.
-    pub(super) fn release(&mut self, host: usize, need: &Resources) {
+    /// Counts the capacity of a task on a host that is stopped now as free after the stops.
+    pub(super) fn release(&mut self, host: usize, need: &Resources, left_ms: u64) {
         self.free_after_stops[host].add(need);
+        let alike = |release: &Release| {
+            !release.is_stopping && release.left_ms == left_ms && release.need == *need
+        };
+        if let Some(release) = self.releases[host].iter_mut().find(|release| alike(release)) {
+            release.is_stopping = true;
+        }
+    }
+
+    /// Returns the capacity that is free after the stops and the ends that are due within a time.
+    pub(super) fn free_within(&self, within_ms: u64) -> Vec<FreeCapacity> {
+        let mut free = self.free_after_stops.clone();
+        for (free, releases) in free.iter_mut().zip(&self.releases) {
+            let due = |release: &&Release| !release.is_stopping && release.left_ms <= within_ms;
+            releases.iter().filter(due).for_each(|release| free.add(&release.need));
+        }
+        free
     }
 
     /// Returns the capacity that running tasks of a host will release.
@@ -230,14 +248,22 @@
 
     /// Reserves capacity for a unit that will start there once the capacity is free.
     pub(super) fn reserve(&mut self, unit: &WaitingUnit<'_>, task_hosts: &[usize]) {
+        self.reserve_unstopped(unit, task_hosts);
+        if unit.may_preempt {
+            let need = unit.step.reserved();
+            for &host in task_hosts {
+                self.reserved_for_urgent[host].add(&need);
+            }
+        }
+    }
+
+    /// Like [`Pool::reserve`], for capacity that becomes free without a stop: it does not change hands.
+    pub(super) fn reserve_unstopped(&mut self, unit: &WaitingUnit<'_>, task_hosts: &[usize]) {
         let need = unit.step.reserved();
         for &host in task_hosts {
             // Capacity that is free already is reserved, too.
             self.free[host].subtract(&need);
             self.free_after_stops[host].subtract(&need);
-            if unit.may_preempt {
-                self.reserved_for_urgent[host].add(&need);
-            }
         }
     }
 }
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -1,20 +1,18 @@
 //! Preemption: stops runs of lower priority to free capacity for an urgent unit.
 //!
-//! Borrowers may fill the pool when jobs under a guarantee arrive. The runs with the least unsaved
-//! work on the fewest hosts are stopped, and the capacity that they free is reserved for the unit.
+//! Borrowers may fill the pool when jobs under a guarantee arrive. If capacity that becomes free by
+//! itself comes too late, the cheapest runs are stopped, and what they free is reserved for the unit.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap, HashSet};
 
 use super::order::WaitingUnit;
 use super::pool::Pool;
-use super::room::{find_hosts_in, host_groups, tasks_for_host};
+use super::room::{find_hosts_in, host_groups};
+use super::stop_costs::{Claim, RunFacts, pays_off, stop_cost_core_ms};
+use super::stop_set::{Bounds, cheapest_set};
 use super::{View, for_each_unit};
 use crate::tasks::{Resources, UnitId};
 
-/// Unsaved run time assumed for a lasting task: about the time until it runs again elsewhere.
-const LASTING_UNSAVED_MS: u64 = 10_000;
-
 /// A run that may be preempted.
 #[derive(Debug, Clone)]
 pub(super) struct Victim {
@@ -23,8 +21,10 @@
     pub(super) priority: u32,
     pub(super) need: Resources,
     pub(super) hosts: Vec<usize>,
-    /// Unsaved work of all its tasks, in core-equivalent milliseconds.
-    unsaved_core_ms: u64,
+    /// Cost of stopping it, in core-equivalent milliseconds.
+    pub(super) cost_core_ms: u64,
+    /// Estimated time until it ends by itself.
+    pub(super) left_ms: u64,
     /// Time that a lasting task has run; `None` for other tasks.
     pub(super) ran_ms: Option<u64>,
 }
@@ -67,15 +67,30 @@
                 let hosts: Vec<_> = members
                     .filter_map(|member| host_of_incarnation.get(&member.incarnation).copied())
                     .collect();
-                let observed_ms = view.progress.get(&run).map_or(0, |progress| progress.unsaved_ms);
-                let unsaved_ms = if step.lasting { LASTING_UNSAVED_MS } else { observed_ms };
-                let unsaved_core_ms =
-                    unsaved_ms * step.need.weight_millicores() / 1000 * hosts.len() as u64;
-                let need = step.reserved();
-                let priority = queue.priority;
-                let ran_ms = step.lasting.then_some(observed_ms);
-                let (unit, run) = run;
-                victims.add(Victim { unit, run, priority, need, hosts, unsaved_core_ms, ran_ms });
+                let progress = view.progress.get(&run).copied();
+                let unsaved_ms = progress.map_or(0, |progress| progress.unsaved_ms);
+                let cost_core_ms = stop_cost_core_ms(&RunFacts {
+                    unsaved_ms,
+                    checkpoints: step.checkpoints,
+                    lasting: step.lasting,
+                    earlier_stops: state.run.saturating_sub(1 + state.failures),
+                    weight_millicores: step.need.weight_millicores() * hosts.len() as u64,
+                });
+                let left_ms = match progress {
+                    _ if step.lasting => u64::MAX,
+                    Some(progress) => progress.left_ms,
+                    None => view.expected_run_ms(queue, step),
+                };
+                victims.add(Victim {
+                    unit: run.0,
+                    run: run.1,
+                    priority: queue.priority,
+                    need: step.reserved(),
+                    hosts,
+                    cost_core_ms,
+                    left_ms,
+                    ran_ms: step.lasting.then_some(unsaved_ms),
+                });
             });
         }
         victims
@@ -95,6 +110,11 @@
         all.filter(|(number, _)| !self.selected.contains(number))
     }
 
+    /// Iterates over the runs on a host that are not selected yet, by number.
+    pub(super) fn on_host(&self, host: usize) -> impl Iterator<Item = usize> {
+        self.on_host[host].iter().copied().filter(|number| !self.selected.contains(number))
+    }
+
     pub(super) fn get(&self, number: usize) -> &Victim {
         &self.all[number]
     }
@@ -104,120 +124,87 @@
         self.selected.insert(number);
         let victim = &self.all[number];
         for &host in &victim.hosts {
-            pool.release(host, &victim.need);
+            pool.release(host, &victim.need, victim.left_ms);
         }
         victim
     }
 }
 
 /// Reserves capacity for the unit and returns the runs to stop for it.
+///
+/// Nothing is stopped if enough capacity becomes free by itself in time, or if it does not pay off.
 pub(super) fn preempt_for(
     view: &View<'_>,
     pool: &mut Pool,
     victims: &mut Victims,
     unit: &WaitingUnit<'_>,
 ) -> Vec<(UnitId, u32)> {
-    let free_after_stops = pool.free_after_stops.clone();
-    if let Some(task_hosts) = find_hosts_in(view, pool, &free_after_stops, unit) {
+    if let Some(task_hosts) = find_hosts_in(view, pool, &pool.free_after_stops, unit) {
         pool.reserve(unit, &task_hosts);
         return Vec::new();
     }
-    let options = host_groups(view, pool, unit);
-    let preemptions =
-        options.iter().filter_map(|hosts| plan_preemption(view, pool, victims, unit, hosts));
-    let Some(preemption) = preemptions.min_by_key(|preemption| preemption.unsaved_core_ms) else {
+    // A run that does not end when it should must not delay a guaranteed unit for ever.
+    let trusts_ends = !unit.is_covered || unit.waited_ms <= view.stop_ms;
+    let soon_ms = trusts_ends.then_some(view.stop_ms);
+    if trusts_ends && let Some(task_hosts) = awaited_hosts(view, pool, unit) {
+        pool.reserve_unstopped(unit, &task_hosts);
         return Vec::new();
+    }
+    let mut free =
+        soon_ms.map_or_else(|| pool.free_after_stops.clone(), |soon_ms| pool.free_within(soon_ms));
+    let mut cheapest: Option<StopSet> = None;
+    for hosts in host_groups(view, pool, unit) {
+        let limit = cheapest.as_ref().map_or(u64::MAX, |set| set.cost_core_ms);
+        let bounds = Bounds { cost_core_ms: limit, soon_ms };
+        let found = cheapest_set((view, pool, victims, unit), &hosts, &mut free, bounds);
+        cheapest = found.or(cheapest);
+    }
+    let Some(set) = cheapest else { return Vec::new() };
+    let run_ms = view.expected_run_ms(unit.queue, unit.step);
+    let claim = Claim {
+        slack: unit.slack,
+        is_guaranteed: unit.is_covered,
+        work_core_ms: run_ms * unit.step.need.weight_millicores() / 1_000
+            * u64::from(unit.step.unit_size()),
     };
-    let mut stops = Vec::with_capacity(preemption.stopped.len());
-    for number in preemption.stopped {
+    if !pays_off(&claim, view.stop_ms, None, set.cost_core_ms) {
+        return Vec::new();
+    }
+    let mut stops = Vec::with_capacity(set.stopped.len());
+    for number in set.stopped {
         let victim = victims.select(number, pool);
         stops.push((victim.unit.clone(), victim.run));
     }
-    pool.reserve(unit, &preemption.task_hosts);
+    pool.reserve(unit, &set.task_hosts);
     stops
 }
 
-/// Hosts for the tasks of a unit, and the runs to stop there.
-struct Preemption {
-    task_hosts: Vec<usize>,
-    stopped: Vec<usize>,
-    unsaved_core_ms: u64,
-}
-
-/// Capacity for one more task on a host, and the runs to stop for it.
-struct Slot {
-    host: usize,
-    unsaved_core_ms: u64,
-    stopped: Vec<usize>,
-}
-
-/// Selects slots with the least unsaved work among the hosts; `None` if the unit does not fit.
-fn plan_preemption(
-    view: &View<'_>,
-    pool: &Pool,
-    victims: &Victims,
-    unit: &WaitingUnit<'_>,
-    hosts: &[usize],
-) -> Option<Preemption> {
-    let wanted = unit.step.unit_size() as usize;
-    let mut per_host: Vec<Vec<Slot>> =
-        hosts.iter().map(|host| slots(view, pool, victims, unit, *host, wanted)).collect();
-    let mut preemption =
-        Preemption { task_hosts: Vec::new(), stopped: Vec::new(), unsaved_core_ms: 0 };
-    while preemption.task_hosts.len() < wanted {
-        let next = per_host.iter_mut().filter(|slots| !slots.is_empty());
-        let cheapest = next.min_by_key(|slots| slots[0].unsaved_core_ms)?;
-        let slot = cheapest.remove(0);
-        preemption.task_hosts.push(slot.host);
-        for number in slot.stopped {
-            if !preemption.stopped.contains(&number) {
-                preemption.unsaved_core_ms += victims.all[number].unsaved_core_ms;
-                preemption.stopped.push(number);
-            }
+/// Returns hosts on which the unit fits soon enough without a stop, those that are free first.
+fn awaited_hosts(view: &View<'_>, pool: &Pool, unit: &WaitingUnit<'_>) -> Option<Vec<usize>> {
+    let can_be_on_time = unit.slack.on_time_ms.is_some_and(|slack_ms| slack_ms >= view.stop_ms);
+    let limit_ms = if unit.is_covered {
+        view.stop_ms
+    } else if can_be_on_time {
+        unit.slack.wait_max_ms(view.stop_ms)
+    } else {
+        unit.slack.useful_ms.unwrap_or(0).max(view.stop_ms)
+    };
+    let mut within_ms = view.stop_ms.max(1);
+    loop {
+        let free = pool.free_within(within_ms);
+        if let Some(task_hosts) = find_hosts_in(view, pool, &free, unit) {
+            return Some(task_hosts);
+        }
+        if within_ms >= limit_ms {
+            return None;
         }
+        within_ms = within_ms.saturating_mul(2).min(limit_ms);
     }
-    Some(preemption)
 }
 
-/// Returns the slots that a host can offer, those with the least unsaved work first.
-fn slots(
-    view: &View<'_>,
-    pool: &Pool,
-    victims: &Victims,
-    unit: &WaitingUnit<'_>,
-    host: usize,
-    wanted: usize,
-) -> Vec<Slot> {
-    let mut free = pool.free_after_stops.clone();
-    let mut candidates: Vec<_> = victims.on_host[host]
-        .iter()
-        .copied()
-        .filter(|number| !victims.selected.contains(number))
-        .filter(|number| victims.all[*number].priority > unit.queue.priority)
-        .collect();
-    candidates.sort_by_key(|number| {
-        let victim = &victims.all[*number];
-        (victim.unsaved_core_ms, Reverse(victim.priority), Reverse(victim.ran_ms), *number)
-    });
-    let mut candidates = candidates.into_iter();
-    let mut slots: Vec<Slot> = Vec::new();
-    let mut pending = Slot { host, unsaved_core_ms: 0, stopped: Vec::new() };
-    while slots.len() < wanted {
-        if tasks_for_host(view, pool, &free, unit, host) as usize > slots.len() {
-            let slot = std::mem::replace(
-                &mut pending,
-                Slot { host, unsaved_core_ms: 0, stopped: Vec::new() },
-            );
-            slots.push(slot);
-            continue;
-        }
-        let Some(number) = candidates.next() else { break };
-        let victim = &victims.all[number];
-        for _ in victim.hosts.iter().filter(|at| **at == host) {
-            free[host].add(&victim.need);
-        }
-        pending.unsaved_core_ms += victim.unsaved_core_ms;
-        pending.stopped.push(number);
-    }
-    slots
+/// Runs to stop for a unit, and the hosts of its tasks.
+pub(super) struct StopSet {
+    pub(super) task_hosts: Vec<usize>,
+    pub(super) stopped: Vec<usize>,
+    pub(super) cost_core_ms: u64,
 }
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -108,7 +108,10 @@
     unit: &WaitingUnit<'_>,
     host: usize,
 ) -> u32 {
-    if view.avoid.contains(&(unit.id.job.clone(), view.hosts[host].incarnation.clone())) {
+    // Most often nothing is avoided, and the key is costly to build for each host.
+    if !view.avoid.is_empty()
+        && view.avoid.contains(&(unit.id.job.clone(), view.hosts[host].incarnation.clone()))
+    {
         return 0;
     }
     if pool.is_kept_for_suspect(&unit.id.job, host) {
--- a/src/placement/tests/admissions.rs
+++ b/src/placement/tests/admissions.rs
@@ -29,6 +29,7 @@
         approvals: &Approvals::default(),
         learned: &inputs.learned,
         reserve_millihosts: 0,
+        stop_ms: 400,
         jobs_max_bytes: JOBS_MAX_BYTES,
     })
 }
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -9,5 +9,6 @@
 mod pool_view;
 mod progress;
 mod services;
+mod stop_costs;
 mod suspects;
 mod times;
--- a/src/placement/tests/pool_view.rs
+++ b/src/placement/tests/pool_view.rs
@@ -7,6 +7,9 @@
 use crate::tasks::tests::sample::Sample;
 use crate::tasks::{Incarnation, JobId, UnitId};
 
+/// Time that a stop takes.
+pub(super) const STOP_MS: u64 = 400;
+
 /// Memory that all jobs together may take.
 pub(super) const JOBS_MAX_BYTES: u64 = 64 * 1024 * 1024;
 
@@ -52,6 +55,7 @@
         approvals: &inputs.approvals,
         learned: &inputs.learned,
         reserve_millihosts: inputs.reserve_millihosts,
+        stop_ms: STOP_MS,
         jobs_max_bytes: JOBS_MAX_BYTES,
     })
 }
--- a/src/replay/hosts.rs
+++ b/src/replay/hosts.rs
@@ -17,7 +17,7 @@
 const START_MS: u64 = 100;
 
 /// Time from the decision to stop a run until it has ended.
-const STOP_MS: u64 = 200;
+pub(super) const STOP_MS: u64 = 200;
 
 /// Work between two checkpoints.
 const CHECKPOINT_MS: u64 = 1_000;
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -8,7 +8,7 @@
 
 use super::callers::{Callers, Told};
 use super::figures::{Ending, ReplayReport, report};
-use super::hosts::Hosts;
+use super::hosts::{Hosts, STOP_MS};
 use super::load::{MIX, Request, configuration, requests};
 use super::scenario::{SUBMISSION_MS, Scenario};
 use super::stops::Discarded;
@@ -207,6 +207,7 @@
             approvals: &Approvals::default(),
             learned: &self.learned,
             reserve_millihosts,
+            stop_ms: STOP_MS,
             jobs_max_bytes: u64::MAX / 100,
         })
     }
