--- a/src/replay/hosts.rs
+++ b/src/replay/hosts.rs
@@ -263,14 +263,7 @@
     /// Returns the hosts of the state as input of a decision.
     pub(super) fn view(state: &State, closed_percent: usize) -> Vec<Host> {
         let closed = state.upstreams.len() * closed_percent / 100;
-        let host = |(number, upstream): (usize, &crate::tasks::Upstream)| Host {
-            incarnation: upstream.incarnation(),
-            service: Arc::clone(&upstream.heartbeat.service),
-            rack: Arc::clone(&upstream.heartbeat.rack),
-            labels: upstream.heartbeat.labels.clone(),
-            capacity: upstream.heartbeat.capacity,
-            takes_work: number >= closed,
-        };
+        let host = |(number, upstream)| Host::of(state, upstream, number >= closed);
         state.upstreams.values().enumerate().map(host).collect()
     }
 }
