Replay loads of organisations that press on others

Cause: no replay showed what one organisation does to the others, and the figures named only the worst organisation.

--- a/src/bin/cactuslatch-measure/policy.rs
+++ b/src/bin/cactuslatch-measure/policy.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use bpaf::{Parser, construct, long};
-use cactuslatch::replay::{KindFigures, ReplayReport, Scenario, replay};
+use cactuslatch::replay::{KindFigures, OrganisationFigures, ReplayReport, Scenario, replay};
 use cactuslatch::scheduler::policy_run::{Figures, OFFERED_LOAD, PolicyReport, User, compare};
 use eyre::Result;
 
@@ -84,7 +84,7 @@
 ) -> Result<ExitCode> {
     if !json {
         println!(
-            "{:15} {:>5} {:6} {:>5} {:>7} {:>5} {:>8} {:>10} {:>7} {:>7} {:>5} {:>8}",
+            "{:15} {:>5} {:6} {:>5} {:>7} {:>5} {:>8} {:>10} {:>7} {:>7} {:>5} {:>8} {:>8}",
             "scenario",
             "seed",
             "queue",
@@ -96,7 +96,8 @@
             "refused",
             "wrongly",
             "worth",
-            "largest"
+            "largest",
+            "next 5th"
         );
     }
     for scenario in scenarios {
@@ -117,6 +118,9 @@
     for (queue, figures) in &report.kinds {
         print_kind(name, report.seed, queue, figures);
     }
+    for (organisation, figures) in &report.organisations {
+        print_organisation(name, report.seed, organisation, figures);
+    }
     println!(
         "{name:15} {:>5} worth {:.3}, worst organisation in time {:.2}, refusals {}, thrown away \
          {} core-s ({:.3} of the work)",
@@ -129,9 +133,24 @@
     );
 }
 
+fn print_organisation(name: &str, seed: u64, organisation: &str, figures: &OrganisationFigures) {
+    println!(
+        "{name:15} {seed:>5} {organisation}: {} jobs, in time {} ({:.2}), late {}, of no use {}, \
+         refused {}, served {:.0} of {:.0} core-s",
+        figures.jobs,
+        figures.in_time,
+        figures.in_time_share(),
+        figures.late,
+        figures.of_no_use,
+        figures.refused,
+        figures.served_core_s,
+        figures.offered_core_s
+    );
+}
+
 fn print_kind(name: &str, seed: u64, queue: &str, figures: &KindFigures) {
     println!(
-        "{name:15} {seed:>5} {queue:6} {:>5} {:>7} {:>5} {:>8} {:>10} {:>7} {:>7} {:>5.2} {:>8.2}",
+        "{name:15} {seed:>5} {queue:6} {:>5} {:>7} {:>5} {:>8} {:>10} {:>7} {:>7} {:>5.2} {:>8.2} {:>8.2}",
         figures.jobs,
         figures.in_time,
         figures.late,
@@ -140,7 +159,8 @@
         figures.refused,
         figures.refused_wrongly,
         figures.worth,
-        figures.worth_of_largest
+        figures.worth_of_largest,
+        figures.worth_of_next_fifth
     );
 }
 
--- a/src/replay/figures.rs
+++ b/src/replay/figures.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+use super::by_organisation::{OrganisationFigures, organisation_figures};
 use super::load::{KINDS, MIX, Request};
 use super::run::Record;
 use super::scenario::Scenario;
@@ -19,6 +20,9 @@
 /// Share of the largest jobs of a kind that are counted by themselves.
 const LARGEST_SHARE: f64 = 0.1;
 
+/// Share of the jobs of a kind below the largest ones that are counted by themselves.
+const NEXT_SHARE: f64 = 0.2;
+
 /// How a job ended for its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Ending {
@@ -34,7 +38,7 @@
 
 /// Usefulness of an ending.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Timeliness {
+pub(super) enum Timeliness {
     InTime,
     Late,
     /// Completed when the result was no longer of use.
@@ -44,7 +48,7 @@
 }
 
 impl Timeliness {
-    fn of(request: &Request, ending: Ending) -> Self {
+    pub(super) fn of(request: &Request, ending: Ending) -> Self {
         let after_ms = match ending {
             Ending::Completed { after_ms } => after_ms,
             Ending::NeverDone => return Self::NeverDone,
@@ -81,6 +85,8 @@
     pub worth: f64,
     /// The same for the largest tenth of the jobs.
     pub worth_of_largest: f64,
+    /// The same for the fifth of the jobs below the largest tenth.
+    pub worth_of_next_fifth: f64,
 }
 
 /// Figures of a replay.
@@ -94,6 +100,8 @@
     pub seed: u64,
     /// Figures by kind of job.
     pub kinds: BTreeMap<&'static str, KindFigures>,
+    /// Figures by organisation.
+    pub organisations: BTreeMap<&'static str, OrganisationFigures>,
     /// Worth over all jobs, each kind as important as the others.
     pub worth: f64,
     /// Smallest share of the jobs of one organisation that were completed in time.
@@ -116,6 +124,9 @@
     let kinds: BTreeMap<_, _> =
         (0..KINDS).map(|kind| (MIX[kind].queue, kind_figures(kind, record, unrefused))).collect();
     let offered_core_s: f64 = record.requests.iter().map(Request::work_core_s).sum();
+    let organisations = organisation_figures(record);
+    let worst_in_time = organisations.values().map(OrganisationFigures::in_time_share);
+    let worst_in_time = worst_in_time.fold(1.0, f64::min);
     let thrown_away_core_s = record.thrown_core_ms / 1_000;
     ReplayReport {
         scenario,
@@ -123,7 +134,8 @@
         seed,
         worth: kinds.values().map(|figures| figures.worth).sum::<f64>() / KINDS as f64,
         kinds,
-        worst_organisation_in_time: worst_organisation_in_time(record),
+        worst_organisation_in_time: worst_in_time,
+        organisations,
         refusals: record.refusals,
         thrown_away_core_s,
         thrown_away_share: thrown_away_core_s as f64 / offered_core_s.max(1.0),
@@ -159,7 +171,8 @@
         };
         jobs.iter().map(earned).sum::<f64>() / jobs.iter().map(value).sum::<f64>().max(1e-9)
     };
-    let largest = largest_count(by_size.len());
+    let largest = share_of(by_size.len(), LARGEST_SHARE);
+    let next = share_of(by_size.len(), LARGEST_SHARE + NEXT_SHARE);
     KindFigures {
         jobs: of_kind.len(),
         in_time: count(Timeliness::InTime),
@@ -170,6 +183,7 @@
         refused_wrongly: refused.filter(|job| is_of_use(**job)).count(),
         worth: worth(&of_kind),
         worth_of_largest: worth(&by_size[..largest]),
+        worth_of_next_fifth: worth(&by_size[largest..next]),
     }
 }
 
@@ -178,17 +192,6 @@
     clippy::cast_sign_loss,
     reason = "a share of a count is a small number that is not negative"
 )]
-fn largest_count(jobs: usize) -> usize {
-    (jobs as f64 * LARGEST_SHARE).ceil() as usize
-}
-
-fn worst_organisation_in_time(record: &Record) -> f64 {
-    let mut by_organisation: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
-    for (request, ending) in record.requests.iter().zip(&record.endings) {
-        let (in_time, all) = by_organisation.entry(request.organisation).or_default();
-        *in_time += usize::from(Timeliness::of(request, *ending) == Timeliness::InTime);
-        *all += 1;
-    }
-    let shares = by_organisation.values().map(|(in_time, all)| *in_time as f64 / *all as f64);
-    shares.fold(1.0, f64::min)
+fn share_of(jobs: usize, share: f64) -> usize {
+    (jobs as f64 * share).ceil() as usize
 }
--- a/src/replay/load.rs
+++ b/src/replay/load.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use super::pressure::flood;
 use super::scenario::{SUBMISSION_MS, Scenario};
 use crate::placement::{critical_path_ms, objective_ms};
 use crate::tasks::{
@@ -113,15 +114,27 @@
     for at_ms in (0..SUBMISSION_MS).step_by(usize::try_from(GENERATOR_STEP_MS).unwrap_or(1)) {
         let rates = scenario.rates(at_ms);
         for (kind, rate) in (0..).zip(rates) {
-            let chance = MIX[kind].per_s * rate * scale * GENERATOR_STEP_MS as f64 / 1_000.0;
-            if rng.random_bool(chance.min(1.0)) {
+            if is_submitted(kind, rate * scale, rng) {
                 requests.push(request(at_ms, kind, rng));
             }
         }
+        let Some(flood) = flood(scenario, at_ms) else { continue };
+        for (kind, rate) in (0..).zip(flood.rates) {
+            if is_submitted(kind, rate * scale, rng) {
+                let organisation = flood.organisation;
+                requests.push(Request { organisation, ..request(at_ms, kind, rng) });
+            }
+        }
     }
     requests
 }
 
+/// Returns whether a job of a kind is submitted within a step of the generator.
+fn is_submitted(kind: usize, rate: f64, rng: &mut StdRng) -> bool {
+    let chance = MIX[kind].per_s * rate * GENERATOR_STEP_MS as f64 / 1_000.0;
+    rng.random_bool(chance.min(1.0))
+}
+
 fn request(at_ms: u64, number: usize, rng: &mut StdRng) -> Request {
     let kind = &MIX[number];
     let estimate_ms = whole(kind.run_ms * spread(0.3, rng));
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -4,15 +4,18 @@
 //! that run tasks. It calls the decisions of `placement` as the leader does, carries them out, and
 //! counts what the callers got. A scenario and a seed always give the same report.
 
+mod by_organisation;
 mod callers;
 mod figures;
 mod hosts;
 mod load;
+mod pressure;
 mod run;
 mod scenario;
 #[cfg(test)]
 mod tests;
 
+pub use by_organisation::OrganisationFigures;
 pub use figures::{KindFigures, ReplayReport};
 pub use run::replay;
 pub use scenario::Scenario;
--- a/src/replay/scenario.rs
+++ b/src/replay/scenario.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use super::load::KINDS;
+use super::pressure;
 
 /// Time during which callers submit new jobs.
 pub(super) const SUBMISSION_MS: u64 = 40_000;
@@ -37,6 +38,12 @@
     Ramp,
     /// No decisions are made for some seconds; all callers wait and the backlog is full after it.
     Recovery,
+    /// One organisation sends ten times its share for 24 seconds.
+    OneOrganisation,
+    /// All organisations send 2.5 times their load for twelve seconds, and callers return together.
+    AllPress,
+    /// One organisation floods the lowest priority for 24 seconds beside urgent work.
+    BatchFlood,
 }
 
 /// What is disturbed at a point in time.
@@ -50,7 +57,7 @@
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 13] = [
         Self::Calm,
         Self::UrgentBurst,
         Self::AllKindsBurst,
@@ -61,6 +68,9 @@
         Self::HeavyOverload,
         Self::Ramp,
         Self::Recovery,
+        Self::OneOrganisation,
+        Self::AllPress,
+        Self::BatchFlood,
     ];
 
     /// Returns the name of the scenario.
@@ -77,6 +87,9 @@
             Self::HeavyOverload => "heavy-overload",
             Self::Ramp => "ramp",
             Self::Recovery => "recovery",
+            Self::OneOrganisation => "one-organisation",
+            Self::AllPress => "all-press",
+            Self::BatchFlood => "batch-flood",
         }
     }
 
@@ -90,7 +103,7 @@
             Self::UrgentBurst if in_peak => [4.0, 1.0, 1.0],
             Self::AllKindsBurst | Self::CapacityLost if in_peak => [4.0; KINDS],
             Self::LargeGangs if in_peak => [1.0, 4.0, 1.0],
-            _ => [1.0; KINDS],
+            _ => pressure::rates(self, at_ms),
         }
     }
 
@@ -101,7 +114,7 @@
             Self::CapacityLost if in_peak => Disturbance { hosts_lost_percent: 33, ..calm },
             Self::Returning if in_peak => Disturbance { hosts_lost_percent: 100, ..calm },
             Self::Recovery if in_peak => Disturbance { control_down: true, ..calm },
-            _ => calm,
+            _ => Disturbance { control_down: pressure::is_unanswered(self, at_ms), ..calm },
         }
     }
 }
