Share scarce capacity fairly among organisations

Cause: waiting work was ranked by age whoever sent it, and admission counted the whole backlog of a priority against everybody, so the flood of one organisation made all others late. What refused callers were promised was lost with the leader.

Change: placement/shares computes weighted max-min parts of the dominant resource; within a priority and timeliness class, work beyond its organisation's part goes last. The forecast counts the own backlog in full and that of others up to what they get meanwhile, attained service included. The state keeps attained service (computed from recorded starts and ends, no entries of its own) and the turns of refused callers (batches of at most 256, one entry a second at most, 4,096 turns at most), so a new leader continues with both. `explain` names the place and the share; metrics organisation_share_permille, organisation_fair_share_permille and jobs_refused; a log line names organisations that have their part.

--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -9,10 +9,12 @@
 mod maintenance;
 mod orders;
 mod pacing;
+mod records;
 mod replacement;
 mod requests;
 mod scheduling;
 mod session;
+mod shares;
 #[cfg(test)]
 mod tests;
 mod unlisted;
@@ -93,6 +95,8 @@
     holds: HashMap<Incarnation, AbortHandle>,
     headroom: Headroom,
     admissions: Admissions,
+    /// Services and organisations that were logged as having their fair part, and when.
+    shares_logged: HashMap<(Arc<str>, Arc<str>), u64>,
     /// Upstreams that a job must avoid because it made no progress there, and until when.
     avoid: HashMap<(JobId, Incarnation), u64>,
     approvals: Approvals,
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -157,9 +157,11 @@
         let queue_name = Arc::clone(&queue.name);
         match admission {
             Admission::RetryLater { retry_after_ms, reason } => {
+                let organisation = organisation.unwrap_or_default();
+                self.replica.metrics.job_refused(&organisation, &queue_name);
                 warn!(
-                    request = %id, queue = %queue_name, tasks, reason, retry_after_ms,
-                    configuration_version, "job was not accepted"
+                    request = %id, queue = %queue_name, %organisation, tasks, reason,
+                    retry_after_ms, configuration_version, "job was not accepted"
                 );
                 Reply::Front(FrontReply::NotAccepted { retry_after_ms, reason })
             }
@@ -401,6 +403,7 @@
             let (opened, all) = (job.occurrences.next(), job.spec.occurrences());
             lines.push(format!("{id}: {opened} of {all} occurrences were opened so far"));
         }
+        lines.extend(self.explain_place(&inner.state, inner.now_ms(), job));
         crate::placement::for_each_unit(job, |unit, state| {
             let upstreams: Vec<_> =
                 state.members().iter().map(|member| &*member.incarnation.id).collect();
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -55,12 +55,14 @@
         let begun = Instant::now();
         self.drop_ended_run_state();
         self.record_begun_jobs();
+        self.record_returns();
         self.stop_hanging_runs();
         self.pace_filling();
         self.move_from_draining();
         let plan = self.decide();
         let decided_in = begun.elapsed();
         log_rotation(&plan);
+        self.note_shares(&plan.shares);
         self.request_approvals(plan.approval_requests);
         if !plan.openings.is_empty() {
             self.open_occurrences(plan.openings).await;
@@ -252,32 +254,6 @@
         }
     }
 
-    /// Notes that a task of a job has begun; the next pass records it.
-    pub(super) fn note_begun(&self, id: &JobId) {
-        let is_news = {
-            let inner = self.replica.lock();
-            inner.state.jobs.get(id).is_some_and(|job| !job.begun && job.outcome.is_none())
-        };
-        if is_news && self.term_state().begun.insert(id.clone()) {
-            self.wake.notify_one();
-        }
-    }
-
-    /// Records the jobs that have begun, which decisions need not wait for. If that fails, later lists
-    /// show them again.
-    fn record_begun_jobs(self: &Arc<Self>) {
-        let jobs: Vec<_> = self.term_state().begun.drain().collect();
-        if jobs.is_empty() {
-            return;
-        }
-        let leader = Arc::clone(self);
-        self.spawn(async move {
-            if leader.replica.propose(Change::RecordBegun { jobs }).await.is_err() {
-                debug!("could not record jobs that have begun");
-            }
-        });
-    }
-
     /// Opens occurrences; the next decision starts their tasks.
     async fn open_occurrences(&self, openings: Vec<Opening>) {
         for Opening { job, until } in &openings {
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::registry::Registry;
 
 use super::budget::BudgetUse;
+use crate::placement::ShareFigures;
 
 /// Label of metrics that are counted by kind.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -25,6 +26,13 @@
     outcome: &'static str,
 }
 
+/// Labels of what an organisation has of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct ShareLabels {
+    organisation: String,
+    service: String,
+}
+
 /// Metrics of a control host; clones share them.
 #[derive(Debug, Clone)]
 pub(super) struct ClusterMetrics {
@@ -42,6 +50,9 @@
     set_aside: Counter,
     units_given_up: Counter,
     connections: Family<KindLabels, Gauge>,
+    jobs_refused: Family<JobLabels, Counter>,
+    shares: Family<ShareLabels, Gauge>,
+    fair_shares: Family<ShareLabels, Gauge>,
 }
 
 fn duration_histogram() -> Histogram {
@@ -66,6 +77,9 @@
             set_aside: Counter::default(),
             units_given_up: Counter::default(),
             connections: Family::default(),
+            jobs_refused: Family::default(),
+            shares: Family::default(),
+            fair_shares: Family::default(),
         }
     }
 }
@@ -97,6 +111,11 @@
         to.register("units_given_up", "Units given up since upstreams crash under them", given_up);
         let connections = self.connections.clone();
         to.register("upstream_connections", "Connections to upstreams, by state", connections);
+        to.register("jobs_refused", "Submissions refused for now", self.jobs_refused.clone());
+        let help = "Share of a service in use beyond the guarantee, in thousandths";
+        to.register("organisation_share_permille", help, self.shares.clone());
+        let help = "Fair part of a service while work exceeds it, in thousandths";
+        to.register("organisation_fair_share_permille", help, self.fair_shares.clone());
     }
 
     pub(super) fn job_started(&self, organisation: &str, queue: &str, after_ms: u64) {
@@ -140,6 +159,27 @@
         self.units_given_up.inc();
     }
 
+    pub(super) fn job_refused(&self, organisation: &str, queue: &str) {
+        self.jobs_refused.get_or_create(&job_labels(organisation, queue, "refused")).inc();
+    }
+
+    /// Sets the gauges of the organisations' shares.
+    pub(super) fn set_shares(&self, shares: &[ShareFigures]) {
+        self.shares.clear();
+        self.fair_shares.clear();
+        let permille = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        for share in shares {
+            let labels = ShareLabels {
+                organisation: share.organisation.to_string(),
+                service: share.service.to_string(),
+            };
+            self.shares.get_or_create(&labels).set(permille(share.used_permille));
+            if let Some(fair_permille) = share.fair_permille {
+                self.fair_shares.get_or_create(&labels).set(permille(fair_permille));
+            }
+        }
+    }
+
     /// Sets the gauges of the replicated log.
     pub(super) fn set_log_state(&self, leads: bool, term: u64, committed: u64) {
         self.leads.set(i64::from(leads));
--- a/src/placement/admission.rs
+++ b/src/placement/admission.rs
@@ -8,14 +8,14 @@
 //! Refused callers return in the order in which they came, spread over the time in which the pool
 //! does their work, and a new caller does not take the place that was promised to an earlier one.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 
-use super::forecast::Backlog;
+use super::forecast::{Applicant, Backlog, PromisedWork};
 use super::order::{is_covered, useful_ms};
 use super::room::tasks_that_fit;
 use super::{View, is_eligible};
-use crate::tasks::{JobId, JobSpec, Queue};
+use crate::tasks::{JobId, JobSpec, PromisedReturn, Queue, RETURNS_MAX};
 
 /// Admission decision on a job.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,20 +42,11 @@
 const RETRY_MIN_MS: u64 = 1_000;
 const RETRY_MAX_MS: u64 = 60_000;
 
-/// Time for which a caller may be late without losing its place.
-const RETURN_MARGIN_MS: u64 = 2_000;
-
-/// A caller that was told to return.
-#[derive(Debug, Clone)]
-struct Return {
-    /// When the caller submitted the job first; the job's objective counts from then.
-    first_ms: u64,
-    at_ms: u64,
-    service: Arc<str>,
-    priority: u32,
-    /// Time in which the whole pool does the job's work.
-    work_ms: u64,
-}
+/// Largest number of turns that one entry of the log records.
+const RETURNS_BATCH_MAX: usize = 256;
+
+/// Time between two entries that record turns; the turns of the latest one are lost with a leader.
+const RETURNS_INTERVAL_MS: u64 = 1_000;
 
 /// When a job would be done.
 #[derive(Debug, Clone, Copy)]
@@ -65,11 +56,18 @@
     excess_ms: u64,
 }
 
-/// State of the admission of jobs; it belongs to one leader and is not replicated.
+/// State of the admission of jobs; it belongs to one leader, and the turns of refused callers are
+/// replicated.
 #[derive(Debug, Default)]
 pub(crate) struct Admissions {
+    /// Whether the replicated turns were read.
+    is_loaded: bool,
     backlog: Backlog,
-    returns: BTreeMap<JobId, Return>,
+    returns: BTreeMap<JobId, PromisedReturn>,
+    /// Callers whose turns are not replicated yet.
+    unrecorded: BTreeSet<JobId>,
+    /// When turns were last handed over to be recorded.
+    recorded_ms: u64,
     /// Jobs whose acceptance is being stored. It can no longer be refused, even if the caller asks
     /// again.
     storing: HashSet<JobId>,
@@ -80,9 +78,37 @@
 impl Admissions {
     /// Renews the backlog and forgets callers that did not return.
     pub(crate) fn update(&mut self, view: &View<'_>) {
+        if !self.is_loaded {
+            self.is_loaded = true;
+            self.returns = view.state.returns.clone();
+        }
         self.backlog = Backlog::of(view);
         self.held_bytes = view.state.held_bytes();
-        self.returns.retain(|_, promised| view.now_ms <= promised.at_ms + RETURN_MARGIN_MS);
+        self.returns.retain(|_, promised| !promised.is_missed(view.now_ms));
+    }
+
+    /// Takes the turns that are to be recorded now, a batch at most once a second.
+    pub(crate) fn take_unrecorded(&mut self, now_ms: u64) -> Vec<(JobId, PromisedReturn)> {
+        if self.unrecorded.is_empty() || now_ms < self.recorded_ms + RETURNS_INTERVAL_MS {
+            return Vec::new();
+        }
+        self.recorded_ms = now_ms;
+        let mut batch = Vec::new();
+        while let Some(id) = self.unrecorded.pop_first() {
+            // Callers that were accepted meanwhile have no turn any more.
+            if let Some(promised) = self.returns.get(&id) {
+                batch.push((id, promised.clone()));
+            }
+            if batch.len() == RETURNS_BATCH_MAX {
+                break;
+            }
+        }
+        batch
+    }
+
+    /// Keeps turns that could not be recorded for the next batch.
+    pub(crate) fn keep_unrecorded(&mut self, batch: Vec<(JobId, PromisedReturn)>) {
+        self.unrecorded.extend(batch.into_iter().map(|(id, _)| id));
     }
 
     /// Decides whether a job is admitted to a queue.
@@ -95,6 +121,9 @@
         organisation: Option<&str>,
         (id, spec): (&JobId, &JobSpec),
     ) -> Admission {
+        if !self.is_loaded {
+            self.update(view);
+        }
         if self.storing.contains(id) {
             return Admission::Accepted { forecast_ms: None };
         }
@@ -107,23 +136,27 @@
             return Admission::RetryLater { retry_after_ms: NO_MEMORY_RETRY_MS, reason };
         }
         let promised = self.returns.remove(id);
-        let Some(forecast) = self.forecast(view, queue, spec, promised.as_ref()) else {
-            return self.accept(view, queue, (id, spec), None);
+        let work_ms = self.backlog.work_ms(view, queue, spec);
+        let applicant =
+            Applicant { queue, organisation: organisation.unwrap_or_default(), work_ms };
+        let Some(forecast) = self.forecast(view, &applicant, spec, promised.as_ref()) else {
+            return self.accept(view, &applicant, (id, spec), None);
         };
         let cannot_wait = spec.repeat.is_some() || spec.is_lasting();
         let is_guaranteed = queue.priority == 0 && is_covered(view, organisation, spec);
         if forecast.excess_ms == 0 || cannot_wait || is_guaranteed {
-            return self.accept(view, queue, (id, spec), Some(forecast.done_after_ms));
+            return self.accept(view, &applicant, (id, spec), Some(forecast.done_after_ms));
         }
         let retry_after_ms = forecast.excess_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
-        let promised = Return {
+        let promised = PromisedReturn {
             first_ms: promised.map_or(view.now_ms, |promised| promised.first_ms),
             at_ms: view.now_ms + retry_after_ms,
             service: Arc::clone(&queue.service),
             priority: queue.priority,
-            work_ms: self.backlog.work_ms(view, queue, spec),
+            organisation: applicant.organisation.into(),
+            work_ms,
         };
-        self.returns.insert(id.clone(), promised);
+        self.promise(id, promised);
         let reason = format!(
             "it would be done in {} ms, which is {} ms after it is of use",
             forecast.done_after_ms, forecast.excess_ms
@@ -131,6 +164,19 @@
         Admission::RetryLater { retry_after_ms, reason }
     }
 
+    /// Keeps a caller's turn; beyond the bound, the latest turn is forgotten.
+    fn promise(&mut self, id: &JobId, promised: PromisedReturn) {
+        self.returns.insert(id.clone(), promised);
+        self.unrecorded.insert(id.clone());
+        if self.returns.len() > RETURNS_MAX {
+            let latest = self.returns.iter().max_by_key(|(_, promised)| promised.at_ms);
+            if let Some(id) = latest.map(|(id, _)| id.clone()) {
+                self.returns.remove(&id);
+                self.unrecorded.remove(&id);
+            }
+        }
+    }
+
     /// Records that the acceptance of a job is stored, or that this leader cannot store it.
     pub(crate) fn end_storing(&mut self, id: &JobId) {
         self.storing.remove(id);
@@ -139,11 +185,11 @@
     fn accept(
         &mut self,
         view: &View<'_>,
-        queue: &Queue,
+        job: &Applicant<'_>,
         (id, spec): (&JobId, &JobSpec),
         forecast_ms: Option<u64>,
     ) -> Admission {
-        self.backlog.add(view, queue, spec);
+        self.backlog.add(view, job.queue, job.organisation, spec);
         self.held_bytes += initial_bytes(spec);
         self.storing.insert(id.clone());
         Admission::Accepted { forecast_ms }
@@ -153,12 +199,13 @@
     fn forecast(
         &self,
         view: &View<'_>,
-        queue: &Queue,
+        job: &Applicant<'_>,
         spec: &JobSpec,
-        promised: Option<&Return>,
+        promised: Option<&PromisedReturn>,
     ) -> Option<Forecast> {
+        let queue = job.queue;
         let own_turn_ms = promised.map(|promised| promised.at_ms);
-        let wait_ms = self.backlog.wait_ms(queue)? + self.promised_ms(queue, own_turn_ms);
+        let wait_ms = self.backlog.wait_ms(job, &self.promised_work(queue, own_turn_ms))?;
         let done_after_ms = wait_ms + view.critical_path_ms(queue, spec);
         let first_ms = promised.map_or(view.now_ms, |promised| promised.first_ms);
         // Without a backlog nothing is gained by a refusal, however long the caller has waited.
@@ -168,13 +215,18 @@
     }
 
     /// Returns the time that the pool needs for the jobs of callers who return earlier.
-    fn promised_ms(&self, queue: &Queue, own_turn_ms: Option<u64>) -> u64 {
-        let is_earlier = |promised: &&Return| {
+    fn promised_work(&self, queue: &Queue, own_turn_ms: Option<u64>) -> PromisedWork {
+        let is_earlier = |promised: &&PromisedReturn| {
             promised.service == queue.service
                 && promised.priority <= queue.priority
                 && own_turn_ms.is_none_or(|own_ms| promised.at_ms < own_ms)
         };
-        self.returns.values().filter(is_earlier).map(|promised| promised.work_ms).sum()
+        let mut work = PromisedWork::new();
+        for promised in self.returns.values().filter(is_earlier) {
+            let key = (promised.priority, Arc::clone(&promised.organisation));
+            *work.entry(key).or_default() += promised.work_ms;
+        }
+        work
     }
 }
 
--- a/src/placement/forecast.rs
+++ b/src/placement/forecast.rs
@@ -3,13 +3,18 @@
 //! Load pattern: at several times the normal load, the backlog grows by more than the pool does. A
 //! job at its end is done long after its result is of use, and its caller is better off with a
 //! refusal, now, that says when to come back.
+//!
+//! Within a priority, the backlog of the job's own organisation counts in full, and that of the others
+//! only up to the part that they get while the job waits (`shares.rs`): a flood of one organisation
+//! delays its own jobs.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use super::View;
 use super::order::is_of_use;
-use crate::tasks::{Job, JobSpec, Phase, Queue, Resources};
+use super::shares::{attained, scaled, weight};
+use crate::tasks::{Job, JobSpec, Organisation, Phase, Queue, Resources, Usage};
 
 /// Share of the capacity that work gets while more of it waits; the rest is lost to fragments that
 /// no waiting unit fits into, and to the time between two runs.
@@ -37,6 +42,14 @@
         }
     }
 
+    /// Returns a usage that is multiplied by milliseconds.
+    fn of_history(history: Usage) -> Self {
+        Self {
+            cpu_millicore_s: history.cpu_millicores / 1_000,
+            accelerator_millis: history.accelerators,
+        }
+    }
+
     fn of_job(view: &View<'_>, queue: &Queue, spec: &JobSpec) -> Self {
         let mut work = Self::default();
         for step in &spec.steps {
@@ -49,14 +62,43 @@
         self.cpu_millicore_s = self.cpu_millicore_s.saturating_add(more.cpu_millicore_s);
         self.accelerator_millis = self.accelerator_millis.saturating_add(more.accelerator_millis);
     }
+
+    fn scaled(self, numerator: u64, denominator: u64) -> Self {
+        Self {
+            cpu_millicore_s: scaled(self.cpu_millicore_s, numerator, denominator),
+            accelerator_millis: scaled(self.accelerator_millis, numerator, denominator),
+        }
+    }
+}
+
+/// What decides the part of an organisation.
+#[derive(Debug, Clone, Copy)]
+struct Claim {
+    weight: u64,
+    /// Recently attained service.
+    history: Work,
+}
+
+/// Time that the pool needs for work that was promised a turn, by priority and organisation.
+pub(super) type PromisedWork = BTreeMap<(u32, Arc<str>), u64>;
+
+/// A job whose wait is to be forecast.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Applicant<'a> {
+    pub(super) queue: &'a Queue,
+    pub(super) organisation: &'a str,
+    /// Time that the pool needs for the job's work.
+    pub(super) work_ms: u64,
 }
 
 /// Capacity of a service, and the work for it by priority of the queue.
 #[derive(Debug, Clone, Default)]
 struct ServiceWork {
     capacity: Resources,
-    /// Work that waits and whose result can still be of use.
-    waiting: BTreeMap<u32, Work>,
+    /// Work by organisation that waits and whose result can still be of use.
+    waiting: BTreeMap<u32, BTreeMap<Arc<str>, Work>>,
+    /// Organisations that are configured or have attained service.
+    claims: HashMap<Arc<str>, Claim>,
 }
 
 /// Capacity and work of all services.
@@ -73,29 +115,52 @@
             let service = backlog.services.entry(Arc::clone(&host.service)).or_default();
             service.capacity.add(&host.capacity);
         }
+        let configuration = view.state.configuration.as_deref();
+        for service in backlog.services.values_mut() {
+            for known in configuration.iter().flat_map(|conf| &conf.organisations) {
+                let claim = Claim { weight: known.weight.into(), history: Work::default() };
+                service.claims.insert(Arc::clone(&known.name), claim);
+            }
+        }
+        for ((service, organisation), attained) in attained(view) {
+            if let Some(service) = backlog.services.get_mut(&service) {
+                let weight = weight(configuration, &organisation);
+                let history = Work::of_history(attained.history);
+                service.claims.insert(organisation, Claim { weight, history });
+            }
+        }
+        let public = Arc::default();
         for job in view.state.jobs.values() {
             let Some(queue) = view.state.queue_of(job) else { continue };
             let Some(service) = backlog.services.get_mut(&queue.service) else { continue };
             if job.outcome.is_none() && !job.spec.is_lasting() {
-                let waiting = service.waiting.entry(queue.priority).or_default();
-                add_waiting(waiting, view, job, queue);
+                let by_organisation = service.waiting.entry(queue.priority).or_default();
+                let organisation = job.organisation.as_ref().unwrap_or(&public);
+                add_waiting(work_of(by_organisation, organisation), view, job, queue);
             }
         }
         backlog
     }
 
     /// Adds a job that was accepted since the backlog was computed.
-    pub(crate) fn add(&mut self, view: &View<'_>, queue: &Queue, spec: &JobSpec) {
+    pub(super) fn add(
+        &mut self,
+        view: &View<'_>,
+        queue: &Queue,
+        organisation: &str,
+        spec: &JobSpec,
+    ) {
         if let Some(service) = self.services.get_mut(&queue.service) {
-            service.waiting.entry(queue.priority).or_default().add(Work::of_job(view, queue, spec));
+            let by_organisation = service.waiting.entry(queue.priority).or_default();
+            work_of(by_organisation, &organisation.into()).add(Work::of_job(view, queue, spec));
         }
     }
 
-    /// Returns the time after which a new job of the queue would start.
+    /// Returns the time after which a new job would start.
     ///
     /// `None` if no host of its service takes work, so that nothing can be told.
-    pub(super) fn wait_ms(&self, queue: &Queue) -> Option<u64> {
-        Some(self.services.get(&queue.service)?.wait_ms(queue.priority))
+    pub(super) fn wait_ms(&self, job: &Applicant<'_>, promised: &PromisedWork) -> Option<u64> {
+        Some(self.services.get(&job.queue.service)?.wait_ms(job, promised))
     }
 
     /// Returns the time in which all hosts of the queue's service together do the job's work.
@@ -105,6 +170,13 @@
     }
 }
 
+fn work_of<'a>(
+    by_organisation: &'a mut BTreeMap<Arc<str>, Work>,
+    organisation: &Arc<str>,
+) -> &'a mut Work {
+    by_organisation.entry(Arc::clone(organisation)).or_default()
+}
+
 /// Adds the work of a job's waiting units.
 fn add_waiting(waiting: &mut Work, view: &View<'_>, job: &Job, queue: &Queue) {
     let counts = |occurrence: u32| {
@@ -121,14 +193,53 @@
 }
 
 impl ServiceWork {
-    /// Returns the time after which a new job of a priority starts: when all work that goes before
-    /// it is done. Work of higher priorities that is still to come is not known and not counted.
-    fn wait_ms(&self, priority: u32) -> u64 {
+    /// Returns the time after which a new job starts: when all work that goes before it is done. Work
+    /// of higher priorities that is still to come is not known and not counted.
+    fn wait_ms(&self, job: &Applicant<'_>, promised: &PromisedWork) -> u64 {
+        let (priority, own) = (job.queue.priority, job.organisation);
         let mut ahead = Work::default();
-        for work in self.waiting.range(..=priority).map(|(_, work)| *work) {
-            ahead.add(work);
+        let mut ahead_ms = 0;
+        for work in self.waiting.range(..priority).flat_map(|(_, by_name)| by_name.values()) {
+            ahead.add(*work);
+        }
+        for (_, promised_ms) in promised.iter().filter(|((other, _), _)| *other < priority) {
+            ahead_ms += promised_ms;
         }
-        self.duration_ms(ahead)
+        let mut same: BTreeMap<&str, (Work, u64)> = BTreeMap::new();
+        for (organisation, work) in self.waiting.get(&priority).into_iter().flatten() {
+            same.entry(organisation).or_default().0 = *work;
+        }
+        for ((_, organisation), promised_ms) in
+            promised.iter().filter(|((other, _), _)| *other == priority)
+        {
+            same.entry(organisation).or_default().1 = *promised_ms;
+        }
+        let (own_work, own_promised_ms) = same.remove(own).unwrap_or_default();
+        let own_ms = self.duration_ms(own_work) + own_promised_ms + job.work_ms;
+        ahead.add(own_work);
+        ahead_ms += own_promised_ms;
+        for (other, (work, promised_ms)) in same {
+            let work_ms = self.duration_ms(work);
+            let part_ms = self.part_ms(own, own_ms, other).min(work_ms + promised_ms);
+            ahead.add(work.scaled(part_ms.min(work_ms), work_ms));
+            ahead_ms += part_ms.saturating_sub(work_ms);
+        }
+        self.duration_ms(ahead) + ahead_ms
+    }
+
+    /// Returns how much of the pool's time another organisation gets while `own_ms` of an
+    /// organisation's work is done, if both get service by weight, what they recently had included.
+    fn part_ms(&self, own: &str, own_ms: u64, other: &str) -> u64 {
+        let (own, other) = (self.claim(own), self.claim(other));
+        let own_total_ms = own_ms.saturating_add(self.duration_ms(own.history));
+        let other_total_ms = scaled(own_total_ms, other.weight, own.weight);
+        other_total_ms.saturating_sub(self.duration_ms(other.history))
+    }
+
+    fn claim(&self, organisation: &str) -> Claim {
+        let unknown =
+            Claim { weight: Organisation::DEFAULT_WEIGHT.into(), history: Work::default() };
+        self.claims.get(organisation).copied().unwrap_or(unknown)
     }
 
     /// Returns the time in which all hosts together do some work.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -21,6 +21,7 @@
 mod progress;
 mod room;
 mod rotation;
+mod shares;
 mod suspects;
 #[cfg(test)]
 mod tests;
@@ -43,13 +44,14 @@
 pub(crate) use headroom::{Headroom, urgent_demand};
 pub(crate) use learned::Learned;
 pub(crate) use memory::jobs_to_shrink;
-pub(crate) use order::{USEFUL_OBJECTIVE_FACTOR, critical_path_ms, objective_ms};
-use order::{WaitingUnit, waiting_units};
+pub(crate) use order::{USEFUL_OBJECTIVE_FACTOR, critical_path_ms, objective_ms, standing};
+use order::{WaitingUnit, ordered_units};
 pub(crate) use pacing::next_pace;
 use pool::Pool;
 use preemption::Victims;
 pub(crate) use progress::{Progress, estimated_left_ms};
 use rotation::Rotation;
+pub(crate) use shares::ShareFigures;
 use suspects::{Probation, SilentUpstreams};
 pub(crate) use upkeep::{Candidate, evacuation_limit_ms, free_wave_slots, order_candidates};
 
@@ -117,6 +119,8 @@
     pub(crate) unplaced: usize,
     /// Those among them that may preempt: capacity is reserved for them.
     pub(crate) unplaced_urgent: usize,
+    /// What the organisations have of the capacity.
+    pub(crate) shares: Vec<ShareFigures>,
 }
 
 /// Why a run is stopped.
@@ -160,8 +164,8 @@
         victims,
         plan: Plan { stops, openings: openings::due_openings(view), ..Plan::default() },
     };
-    let mut waiting = waiting_units(view);
-    waiting.sort_by(|a, b| a.rank.cmp(&b.rank));
+    let (waiting, shares) = ordered_units(view);
+    builder.plan.shares = shares;
     for unit in &waiting {
         builder.place(view, unit);
     }
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -8,8 +8,11 @@
 use std::sync::Arc;
 
 use super::View;
+use super::shares::{ShareFigures, ShareId, Shares};
 use super::suspects::is_suspect;
-use crate::tasks::{Configuration, Job, JobSpec, Phase, Queue, Resources, StepSpec, Unit, UnitId};
+use crate::tasks::{
+    Configuration, Job, JobSpec, Phase, Queue, Resources, StepSpec, Unit, UnitId, Usage,
+};
 
 /// Whether a job can still be finished when its caller needs it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -57,6 +60,8 @@
     timeliness: Timeliness,
     /// Steps of started jobs go first, since a job that is half done is of no use.
     job_not_started: bool,
+    /// Whether its organisation has its fair part of a scarce capacity without it.
+    beyond_share: bool,
     /// When its job was accepted, or when the lasting task last began to wait.
     since_ms: u64,
     id: UnitId,
@@ -70,6 +75,7 @@
     pub(super) queue: &'a Queue,
     pub(super) run: u32,
     pub(super) rank: Rank,
+    share: ShareId,
     pub(super) may_preempt: bool,
     pub(super) waited_ms: u64,
     /// Whether its result would come too late to be of use.
@@ -96,8 +102,62 @@
     (critical_path_ms.saturating_mul(queue.slack_permille) / 1_000).saturating_add(queue.target_ms)
 }
 
+/// Returns the units that are ready to run, in the order in which they are placed, and what the
+/// organisations have.
+pub(super) fn ordered_units<'a>(view: &View<'a>) -> (Vec<WaitingUnit<'a>>, Vec<ShareFigures>) {
+    let mut shares = Shares::of(view);
+    let mut waiting = waiting_units(view, &mut shares);
+    waiting.sort_unstable_by(|a, b| a.rank.cmp(&b.rank));
+    for unit in waiting.iter().filter(|unit| unit.rank.has_share()) {
+        shares.add_demand(unit.share, unit.queue.priority, unit.need());
+    }
+    let mut filling = shares.fill();
+    let figures = filling.figures();
+    if !filling.is_scarce() {
+        return (waiting, figures);
+    }
+    for unit in waiting.iter_mut().filter(|unit| unit.rank.has_share()) {
+        unit.rank.beyond_share = filling.take(unit.share, unit.queue.priority, unit.need());
+    }
+    // Within a class, the order of the units is kept, so that only this key need be compared.
+    for class in waiting.chunk_by_mut(|a, b| a.rank.class() == b.rank.class()) {
+        class.sort_by_key(|unit| unit.rank.beyond_share);
+    }
+    (waiting, figures)
+}
+
+/// Place of a job in the order of waiting work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Standing {
+    /// Place of its first waiting unit, from 1.
+    pub(crate) place: usize,
+    /// Number of units that wait.
+    pub(crate) waiting: usize,
+    /// Whether its organisation has its fair part without that unit.
+    pub(crate) beyond_share: bool,
+    pub(crate) share: Option<ShareFigures>,
+}
+
+/// Returns the place of a job in the order; `None` if none of its units is ready and waits.
+pub(crate) fn standing(view: &View<'_>, job: &Job) -> Option<Standing> {
+    let (waiting, figures) = ordered_units(view);
+    let first = waiting.iter().position(|unit| unit.id.job == job.id)?;
+    let unit = &waiting[first];
+    let organisation = job.organisation.as_deref().unwrap_or_default();
+    let of_job = |figures: &ShareFigures| {
+        *figures.organisation == *organisation && figures.service == unit.queue.service
+    };
+    Some(Standing {
+        place: first + 1,
+        waiting: waiting.len(),
+        beyond_share: unit.rank.beyond_share,
+        share: figures.into_iter().find(of_job),
+    })
+}
+
 /// Returns the units that are ready to run, in no particular order.
-pub(super) fn waiting_units<'a>(view: &View<'a>) -> Vec<WaitingUnit<'a>> {
+fn waiting_units<'a>(view: &View<'a>, shares: &mut Shares) -> Vec<WaitingUnit<'a>> {
+    let public = Arc::default();
     let Some(configuration) = &view.state.configuration else { return Vec::new() };
     let mut guarantees = Guarantees::of(configuration);
     let mut waiting = Vec::new();
@@ -110,7 +170,9 @@
         let due = |occurrence| job.spec.due_unix_ms(occurrence) <= view.unix_ms;
         for (occurrence, steps) in job.occurrences.iter().filter(|(number, _)| due(*number)) {
             let timeliness = Timeliness::of(view, job, queue, occurrence);
-            let turn = Turn { job, queue, is_covered, timeliness };
+            let organisation = job.organisation.as_ref().unwrap_or(&public);
+            let share = shares.id(view, &queue.service, organisation);
+            let turn = Turn { job, queue, is_covered, timeliness, share };
             for (number, state) in (0_u32..).zip(steps) {
                 if !job.is_ready(steps, number as usize) {
                     continue;
@@ -134,11 +196,31 @@
     /// Whether the guarantee of its organisation covers the job.
     is_covered: bool,
     timeliness: Timeliness,
+    share: ShareId,
+}
+
+impl Rank {
+    /// Returns whether the unit is subject to fair shares: neither first come first served, nor too
+    /// late to be of use.
+    fn has_share(&self) -> bool {
+        !self.band.is_fifo() && self.timeliness != Timeliness::Expired
+    }
+
+    /// Returns the part of the key that goes before fair shares.
+    fn class(&self) -> (Band, u32, Timeliness, bool) {
+        (self.band, self.priority, self.timeliness, self.job_not_started)
+    }
+}
+
+impl WaitingUnit<'_> {
+    fn need(&self) -> Usage {
+        Usage::of(&self.step.reserved()).times(self.step.unit_size().into())
+    }
 }
 
 impl<'a> Turn<'a> {
     fn waiting_unit(&self, view: &View<'_>, id: UnitId, unit: &Unit) -> WaitingUnit<'a> {
-        let Self { job, queue, is_covered, timeliness } = *self;
+        let Self { job, queue, is_covered, timeliness, share } = *self;
         let step = &job.spec.steps[id.step as usize];
         // By waiting time, so that no preempted lasting task waits much longer than others.
         let since_ms = if step.lasting { unit.waiting_since_ms } else { job.accepted_ms };
@@ -149,6 +231,7 @@
             priority: queue.priority,
             timeliness: if is_fifo { Timeliness::OnTime } else { timeliness },
             job_not_started: !is_fifo && !job.is_under_way(),
+            beyond_share: false,
             since_ms,
             id: id.clone(),
         };
@@ -159,6 +242,7 @@
             queue,
             run: unit.run,
             rank,
+            share,
             may_preempt: queue.priority == 0 && timeliness != Timeliness::Expired || is_covered,
             waited_ms: view.now_ms.saturating_sub(unit.waiting_since_ms),
             is_expired: timeliness == Timeliness::Expired,
--- a/src/placement/tests/admissions.rs
+++ b/src/placement/tests/admissions.rs
@@ -5,7 +5,7 @@
 use super::pool_view::{Inputs, JOBS_MAX_BYTES, hosts};
 use crate::placement::{Admission, Admissions, Approvals, View, jobs_to_shrink};
 use crate::tasks::tests::sample::{Sample, gang, job_id, queue, spec, step};
-use crate::tasks::{JobSpec, Repeat, StepSpec};
+use crate::tasks::{JobSpec, PromisedReturn, RETURNS_MAX, Repeat, StepSpec};
 
 /// Priority of the queue by its name in the sample.
 fn priority(name: &str) -> u32 {
@@ -201,3 +201,91 @@
 fn without_work(step: &StepSpec) -> StepSpec {
     StepSpec { estimate_ms: 0, ..step.clone() }
 }
+
+/// `jobs` jobs of `organisation` wait, each of which keeps all of four hosts busy for 4 s.
+fn flood(organisation: &str, jobs: u64) -> (Sample, Admissions) {
+    let mut sample = Sample::with_hosts(4);
+    for job in 1..=jobs {
+        sample.accept_for(job, "normal", organisation, vec![step(4, 8)]);
+    }
+    let mut admissions = Admissions::default();
+    with_view(&sample, |view| admissions.update(view));
+    (sample, admissions)
+}
+
+/// Guards against a small organisation that is refused, or told a late time, for the backlog of another:
+/// the flood of one refuses its own jobs and not those of the others.
+#[test]
+fn a_flood_refuses_its_own_jobs() {
+    let (sample, mut admissions) = flood("south", 12);
+    assert_eq!(submit(&sample, &mut admissions, "normal", (20, &whole_pool())), None);
+    let (sample, mut admissions) = flood("north", 12);
+    assert!(submit(&sample, &mut admissions, "normal", (20, &whole_pool())).is_some());
+}
+
+/// Guards against a forecast that is not true for an organisation with a backlog of its own: the others
+/// get their part while it is done.
+#[test]
+fn the_others_get_their_part_meanwhile() {
+    let (mut sample, _) = flood("south", 12);
+    for job in 13..=15 {
+        sample.accept(job, "normal", vec![step(4, 8)]);
+    }
+    let mut admissions = Admissions::default();
+    with_view(&sample, |view| admissions.update(view));
+    // Three jobs of its own, and as many of the other and one for the new one, take 33 s.
+    assert!(submit(&sample, &mut admissions, "normal", (20, &whole_pool())).is_some());
+}
+
+/// Guards against callers who lose their turn with the leader: a new one, which has only what was
+/// recorded, lets the earlier caller return first and gives nobody its turn.
+#[test]
+fn turns_survive_a_change_of_leader() {
+    let (mut sample, mut former) = backlog(6);
+    sample.at(5_000);
+    with_view(&sample, |view| former.update(view));
+    let told = [10, 11].map(|number| {
+        submit(&sample, &mut former, "normal", (number, &whole_pool())).expect("refused")
+    });
+    let returns = former.take_unrecorded(sample.state.now_ms);
+    assert_eq!(returns.len(), 2);
+    assert!(former.take_unrecorded(sample.state.now_ms).is_empty(), "recorded once");
+    sample.apply(crate::tasks::Change::RecordReturns { returns });
+
+    let mut next = Admissions::default();
+    let late = submit(&sample, &mut next, "normal", (12, &whole_pool())).expect("refused");
+    assert!(late > told[1], "{late} after {told:?}");
+    for job in 1..=3 {
+        sample.apply(crate::tasks::Change::Cancel { id: job_id(job) });
+    }
+    sample.at(5_000 + told[0]);
+    with_view(&sample, |view| next.update(view));
+    assert_eq!(submit(&sample, &mut next, "normal", (10, &whole_pool())), None);
+    sample.accept(10, "normal", whole_pool().steps);
+    assert!(!sample.state.returns.contains_key(&job_id(10)), "its turn is over");
+}
+
+/// Guards against turns that take ever more memory when callers do not return.
+#[test]
+fn turns_are_bounded_in_number_and_age() {
+    let mut sample = Sample::with_hosts(1);
+    let promised = |number: u64| PromisedReturn {
+        first_ms: 0,
+        at_ms: 10_000 + number,
+        service: "pool".into(),
+        priority: 1,
+        organisation: "north".into(),
+        work_ms: 1,
+    };
+    let number_max = RETURNS_MAX as u64 + 50;
+    for first in (0..number_max).step_by(256) {
+        let numbers = first..number_max.min(first + 256);
+        let returns = numbers.map(|number| (job_id(number), promised(number))).collect();
+        sample.apply(crate::tasks::Change::RecordReturns { returns });
+    }
+    assert_eq!(sample.state.returns.len(), RETURNS_MAX);
+    assert!(sample.state.returns.contains_key(&job_id(0)), "those that return first are kept");
+    sample.at(60_000);
+    sample.apply(crate::tasks::Change::RecordReturns { returns: Vec::new() });
+    assert!(sample.state.returns.is_empty());
+}
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -3,6 +3,7 @@
 mod admissions;
 mod capacities;
 mod departure;
+mod fair_order;
 mod loads;
 mod openings;
 mod places;
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use smallvec::SmallVec;
 
+use super::attained::Usage;
 use super::command::{Change, Command, EndRecord, LostRun, StartRecord};
 use super::configuration::Configuration;
 use super::ids::{JobId, TaskId, UnitId};
@@ -51,6 +52,7 @@
                     self.early_cancellations.remove(id);
                 }
                 self.crashes.retain(|task| !jobs.contains(&task.job));
+                self.forget_missed_returns();
             }
             Change::RecordCrash { incarnation, runs, silent_ms } => {
                 self.record_crash(&incarnation, &runs, silent_ms);
@@ -64,6 +66,7 @@
                 }
             }
             Change::RecordBegun { jobs } => jobs.iter().for_each(|id| self.record_begun(id)),
+            Change::RecordReturns { returns } => self.record_returns(returns),
             Change::DropSteps { jobs } => {
                 for id in &jobs {
                     if let Some(job) = self.jobs.get_mut(id) {
@@ -90,6 +93,7 @@
         }
         self.configuration = Some(configuration);
         self.raw_configuration = raw;
+        self.recount_usage();
     }
 
     fn accept(
@@ -99,6 +103,7 @@
         organisation: Option<Arc<str>>,
         spec: Arc<JobSpec>,
     ) {
+        self.returns.remove(id);
         // The caller has withdrawn the job before it arrived.
         if self.was_cancelled_early(id) {
             return;
@@ -121,6 +126,7 @@
         if !start.incarnations.iter().all(|incarnation| self.is_registered(incarnation)) {
             return;
         }
+        let account = self.jobs.get(&start.unit.job).and_then(|job| self.account_of(job));
         let Some(job) = self.jobs.get_mut(&start.unit.job) else { return };
         if job.outcome.is_some() {
             return;
@@ -147,8 +153,13 @@
             .map(|incarnation| Member { incarnation, end: None })
             .collect();
         unit.run = start.run;
+        let tasks = members.len() as u64;
         unit.phase = Phase::Running { members };
         job.running_units += 1;
+        let need = Usage::of(&job.spec.steps[unit_id.step as usize].reserved());
+        if let Some(account) = account {
+            self.add_usage(account, need.times(tasks));
+        }
     }
 
     /// Records that a task of a job has begun on an upstream.
@@ -203,6 +214,8 @@
         let Some((unit_number, member_index)) = job.locate_task(task.step, task.index) else {
             return;
         };
+        let account = self.account_of(job);
+        let need = Usage::of(&job.spec.steps[task.step as usize].reserved());
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let lasting = job.spec.steps[task.step as usize].lasting;
         let Some(unit) = job.unit_mut(task.occurrence, task.step, unit_number) else { return };
@@ -253,6 +266,9 @@
         if given_up {
             self.events.extend(end_job(job, Outcome::Failed, now_ms));
         }
+        if let Some(account) = account {
+            self.subtract_usage(&account, need);
+        }
         if newly_done {
             self.close_unit(task, now_ms);
         }
--- a/src/tasks/command.rs
+++ b/src/tasks/command.rs
@@ -8,6 +8,7 @@
 
 use super::configuration::Configuration;
 use super::ids::{JobId, TaskId, UnitId};
+use super::returns::PromisedReturn;
 use super::spec::JobSpec;
 use super::upstream::{EndKind, Heartbeat, Incarnation};
 use super::wave::MachineState;
@@ -85,6 +86,8 @@
     DropSteps { jobs: Vec<JobId> },
     /// Records that tasks of jobs have begun on upstreams.
     RecordBegun { jobs: Vec<JobId> },
+    /// Records callers that were refused and told to return.
+    RecordReturns { returns: Vec<(JobId, PromisedReturn)> },
 }
 
 /// A change and the cluster time at which the leader proposed it.
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -5,12 +5,14 @@
 //! and `cluster` does the I/O.
 
 mod apply;
+mod attained;
 mod command;
 mod configuration;
 mod crash;
 mod ids;
 mod job;
 mod occurrences;
+mod returns;
 mod spec;
 mod state;
 #[cfg(test)]
@@ -18,6 +20,7 @@
 mod upstream;
 mod wave;
 
+pub(crate) use attained::{ATTAINED_DECAY_MS, Usage};
 pub(crate) use command::{Change, Command, EndRecord, LostRun, Opening, StartRecord};
 pub use configuration::{
     Advice, Configuration, ConfigurationFault, FrontLimits, Organisation, Queue, WorkerService,
@@ -25,6 +28,7 @@
 pub use ids::{InvalidTaskId, JobId, TaskId, UnitId};
 pub use job::JobState;
 pub(crate) use job::{Job, Outcome, Phase, Unit};
+pub(crate) use returns::{PromisedReturn, RETURNS_MAX};
 pub use spec::{InvalidJob, JobSpec, Repeat, Resources, StepSpec};
 pub(crate) use state::{JobEvent, State};
 pub use upstream::{EndKind, Heartbeat};
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -6,10 +6,12 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use super::attained::{Account, Attained};
 use super::configuration::{Configuration, Queue};
 use super::crash::TaskCrashes;
 use super::ids::{JobId, TaskId};
 use super::job::{Job, Outcome, Unit};
+use super::returns::PromisedReturn;
 use super::upstream::{Incarnation, Upstream};
 use super::wave::Wave;
 
@@ -48,6 +50,10 @@
     pub(crate) lapsed_runs: BTreeMap<Incarnation, Vec<(TaskId, u32)>>,
     /// Jobs that were cancelled before their submission arrived, and when. It may be on its way still.
     pub(crate) early_cancellations: BTreeMap<JobId, u64>,
+    /// Service that organisations have attained.
+    pub(crate) attained: BTreeMap<Account, Attained>,
+    /// Callers that were refused and told to return, by the job that they submit.
+    pub(crate) returns: BTreeMap<JobId, PromisedReturn>,
     /// Job events since the last call of [`State::take_events`].
     #[serde(skip)]
     pub(super) events: Vec<JobEvent>,
@@ -69,6 +75,7 @@
             running.entry(member.incarnation.clone()).or_default().insert(task, run);
         });
         self.running = running;
+        self.rebuild_usage();
         self.jobs.values_mut().for_each(Job::recount_running_units);
     }
 
--- a/src/tasks/tests/mod.rs
+++ b/src/tasks/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the replicated state.
 
+mod attained;
 mod cancellations;
 mod configurations;
 mod jobs;
