--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -3,10 +3,12 @@
 //! One loop per upstream repeats a call that extends the lease and returns the running and ended
 //! tasks. The upstream answers early when a task ends (long polling).
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
 use super::losses::Loss;
@@ -35,6 +37,13 @@
 /// Pause between reads of the lists of an upstream that runs nothing, while connections are scarce.
 const IDLE_POLL_PAUSE: Duration = Duration::from_secs(2);
 
+/// Number of first calls of a term that are under way at the same time. A new leader of thousands of
+/// upstreams that called all of them at once would answer nobody else for more than a second.
+pub(super) const FIRST_CONTACTS_MAX: usize = 64;
+
+/// Time after which a first call without an answer no longer keeps others from theirs.
+const FIRST_CONTACT_SLOT: Duration = Duration::from_millis(100);
+
 /// Time without heartbeats after which an upstream whose leases have ended is removed.
 const REMOVE_SILENT_AFTER_MS: u64 = 20_000;
 
@@ -70,14 +79,27 @@
 impl Leader {
     /// Holds an upstream until it has left or restarted.
     pub(super) async fn hold_upstream(self: Arc<Self>, incarnation: Incarnation) {
+        let mut next = self.hold_first(&incarnation).await;
         loop {
-            match self.hold_once(&incarnation).await {
+            match next {
                 NextStep::Again => {}
                 NextStep::Pause(pause) => tokio::time::sleep(pause).await,
                 NextStep::PauseIdle => self.pause_idle(&incarnation).await,
                 NextStep::End => return,
             }
+            next = self.hold_once(&incarnation).await;
+        }
+    }
+
+    /// Holds an upstream for the first time in this term, when its turn has come.
+    async fn hold_first(&self, incarnation: &Incarnation) -> NextStep {
+        let slot = self.first_contacts.acquire().await;
+        let mut holding = pin!(self.hold_once(incarnation));
+        if let Ok(next) = timeout(FIRST_CONTACT_SLOT, &mut holding).await {
+            return next;
         }
+        drop(slot);
+        holding.await
     }
 
     /// Pauses until the next read of the lists is due or requested.
@@ -173,8 +195,8 @@
         answer: Result<TaskLists, CallFault>,
         sent_ms: u64,
     ) -> NextStep {
-        if answer.is_err() {
-            self.record_unanswered_hold(incarnation);
+        if let Err(fault) = &answer {
+            self.record_failed_hold(incarnation, fault, sent_ms);
         }
         match answer {
             Ok(lists) if !is_possible_clock(lists.clock_ms) => {
@@ -211,13 +233,16 @@
         }
     }
 
-    /// Records that a hold call had no answer.
-    fn record_unanswered_hold(&self, incarnation: &Incarnation) {
+    /// Records that a hold call failed.
+    fn record_failed_hold(&self, incarnation: &Incarnation, fault: &CallFault, sent_ms: u64) {
         let mut term_state = self.term_state();
         if let Some(session) = term_state.sessions.get_mut(&incarnation.id)
             && session.incarnation == *incarnation
         {
-            session.record_unanswered_hold();
+            session.record_failed_hold();
+            if *fault != CallFault::NoConnection {
+                session.record_unanswered_hold(sent_ms);
+            }
         }
     }
 
@@ -253,7 +278,7 @@
             .filter(|session| session.incarnation == *incarnation)?;
         // Another incarnation counts its ends anew, and would drop those up to this number.
         let ends_seen = if session.is_incarnation_certain(now_ms) { ends_seen } else { 0 };
-        let silent = session.silent_ms(now_ms).is_some_and(|ms| ms > EXTEND_LEASE_SILENCE_MAX_MS);
+        let silent = session.unanswered_ms(now_ms) > EXTEND_LEASE_SILENCE_MAX_MS;
         // If leases were extended without end, the work of a silent upstream could never restart. The
         // runs of one that leaves are being stopped.
         let lease_until_ms =
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::registry::Registry;
 
 use super::budget::BudgetUse;
+use super::evacuation_metrics::EvacuationMetrics;
 use crate::placement::ShareFigures;
 
 /// Label of metrics that are counted by kind.
@@ -53,6 +54,7 @@
     jobs_refused: Family<JobLabels, Counter>,
     shares: Family<ShareLabels, Gauge>,
     fair_shares: Family<ShareLabels, Gauge>,
+    pub(super) evacuations: EvacuationMetrics,
 }
 
 fn duration_histogram() -> Histogram {
@@ -80,6 +82,7 @@
             jobs_refused: Family::default(),
             shares: Family::default(),
             fair_shares: Family::default(),
+            evacuations: EvacuationMetrics::default(),
         }
     }
 }
@@ -109,6 +112,7 @@
         to.register("set_aside", "Upstreams set aside", self.set_aside.clone());
         let given_up = self.units_given_up.clone();
         to.register("units_given_up", "Units given up since upstreams crash under them", given_up);
+        self.evacuations.register(to);
         let connections = self.connections.clone();
         to.register("upstream_connections", "Connections to upstreams, by state", connections);
         to.register("jobs_refused", "Submissions refused for now", self.jobs_refused.clone());
@@ -189,7 +193,9 @@
 
     /// Sets the gauges of the connections to upstreams.
     pub(super) fn set_connections(&self, in_use: BudgetUse) {
-        for (kind, count) in [("open", in_use.open), ("waiting", in_use.waiting)] {
+        for (kind, count) in
+            [("open", in_use.open), ("waiting", in_use.waiting), ("incoming", in_use.incoming)]
+        {
             let gauge = self.connections.get_or_create(&KindLabels { kind });
             gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
         }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -8,9 +8,11 @@
 mod clock;
 pub(crate) mod codec;
 mod control;
+mod evacuation_metrics;
 mod http_client;
 mod leader;
 mod leader_client;
+mod log_thread;
 mod metrics;
 mod peers;
 mod protocol;
@@ -21,13 +23,14 @@
 mod tests;
 mod upstream_calls;
 
-pub use budget::{ConnectionBudget, ConnectionUse};
+pub use budget::{BudgetReserves, ConnectionBudget, ConnectionUse};
 pub use clock::unix_ms;
 pub use control::Control;
 pub use http_client::{HttpClient, HttpFault, HttpReply};
 pub use leader_client::{ClientFault, LeaderClient};
 pub use protocol::{
-    Action, ClusterStatus, FrontCall, FrontReply, MemberStatus, OperatorReply, Reply, Request,
+    Action, ClusterStatus, EvacuationStatus, FrontCall, FrontReply, MemberStatus, OperatorReply,
+    Reply, Request,
 };
 pub use settings::{ClusterSettings, TaskBounds};
 pub use upstream_calls::{
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::runtime::Handle;
 use tokio::sync::{Notify, oneshot, watch};
 use tracing::{error, info, warn};
 
@@ -27,7 +28,7 @@
 const COMPACT_AFTER_BYTES: usize = 16 * 1024 * 1024;
 
 /// Number of collections at the end of the state that snapshots of an earlier build lack.
-const NEWEST_COLLECTIONS: usize = 4;
+const NEWEST_COLLECTIONS: usize = 5;
 
 /// Role of this host, as other tasks observe it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -86,6 +87,7 @@
         core: Core,
         journal: Journal,
         own_address: String,
+        runtime: Handle,
     ) -> Result<Arc<Self>, StepError> {
         let snapshot = core.log().snapshot().clone();
         let metrics = ClusterMetrics::new(journal.metrics());
@@ -94,7 +96,7 @@
             applied: snapshot.index,
             applied_bytes: 0,
             core,
-            peers: Peers::new(own_address),
+            peers: Peers::new(own_address, runtime),
             waiters: BTreeMap::new(),
             after_sync: VecDeque::new(),
             clock_base: (0, 0),
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -75,7 +75,8 @@
     pub(super) queue: &'a Queue,
     pub(super) run: u32,
     pub(super) rank: Rank,
-    share: ShareId,
+    /// Absent if it does not wait yet.
+    share: Option<ShareId>,
     pub(super) may_preempt: bool,
     pub(super) waited_ms: u64,
     /// Whether its result would come too late to be of use.
@@ -109,7 +110,9 @@
     let mut waiting = waiting_units(view, &mut shares);
     waiting.sort_unstable_by(|a, b| a.rank.cmp(&b.rank));
     for unit in waiting.iter().filter(|unit| unit.rank.has_share()) {
-        shares.add_demand(unit.share, unit.queue.priority, unit.need());
+        if let Some(share) = unit.share {
+            shares.add_demand(share, unit.queue.priority, unit.need());
+        }
     }
     let mut filling = shares.fill();
     let figures = filling.figures();
@@ -117,7 +120,9 @@
         return (waiting, figures);
     }
     for unit in waiting.iter_mut().filter(|unit| unit.rank.has_share()) {
-        unit.rank.beyond_share = filling.take(unit.share, unit.queue.priority, unit.need());
+        if let Some(share) = unit.share {
+            unit.rank.beyond_share = filling.take(share, unit.queue.priority, unit.need());
+        }
     }
     // Within a class, the order of the units is kept, so that only this key need be compared.
     for class in waiting.chunk_by_mut(|a, b| a.rank.class() == b.rank.class()) {
@@ -171,7 +176,7 @@
         for (occurrence, steps) in job.occurrences.iter().filter(|(number, _)| due(*number)) {
             let timeliness = Timeliness::of(view, job, queue, occurrence);
             let organisation = job.organisation.as_ref().unwrap_or(&public);
-            let share = shares.id(view, &queue.service, organisation);
+            let share = Some(shares.id(view, &queue.service, organisation));
             let turn = Turn { job, queue, is_covered, timeliness, share };
             for (number, state) in (0_u32..).zip(steps) {
                 if !job.is_ready(steps, number as usize) {
@@ -189,6 +194,19 @@
     waiting
 }
 
+/// Describes a running unit as it will wait once it is stopped.
+pub(super) fn as_waiting<'a>(
+    view: &View<'_>,
+    job: &'a Job,
+    queue: &'a Queue,
+    id: UnitId,
+    unit: &Unit,
+) -> WaitingUnit<'a> {
+    let timeliness = Timeliness::of(view, job, queue, id.occurrence);
+    let turn = Turn { job, queue, is_covered: false, timeliness, share: None };
+    WaitingUnit { waited_ms: 0, ..turn.waiting_unit(view, id, unit) }
+}
+
 /// What decides when the units of a job's occurrence have their turn.
 struct Turn<'a> {
     job: &'a Job,
@@ -196,7 +214,7 @@
     /// Whether the guarantee of its organisation covers the job.
     is_covered: bool,
     timeliness: Timeliness,
-    share: ShareId,
+    share: Option<ShareId>,
 }
 
 impl Rank {
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -9,6 +9,7 @@
 mod command;
 mod configuration;
 mod crash;
+mod evacuation;
 mod ids;
 mod job;
 mod occurrences;
--- a/src/tasks/tests/mod.rs
+++ b/src/tasks/tests/mod.rs
@@ -3,6 +3,7 @@
 mod attained;
 mod cancellations;
 mod configurations;
+mod evacuations;
 mod jobs;
 mod occurrences;
 pub(crate) mod sample;
