--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -158,9 +158,11 @@
         let queue_name = Arc::clone(&queue.name);
         match admission {
             Admission::RetryLater { retry_after_ms, reason } => {
+                let organisation = organisation.unwrap_or_default();
+                self.replica.metrics.job_refused(&organisation, &queue_name);
                 warn!(
-                    request = %id, queue = %queue_name, tasks, reason, retry_after_ms,
-                    configuration_version, "job was not accepted"
+                    request = %id, queue = %queue_name, %organisation, tasks, reason,
+                    retry_after_ms, configuration_version, "job was not accepted"
                 );
                 Reply::Front(FrontReply::NotAccepted { retry_after_ms, reason })
             }
--- a/src/placement/tests/evacuations.rs
+++ b/src/placement/tests/evacuations.rs
@@ -165,6 +165,7 @@
             approvals: &inputs.approvals,
             learned: &inputs.learned,
             reserve_millihosts: 0,
+            stop_ms: STOP_MS,
             jobs_max_bytes: JOBS_MAX_BYTES,
         };
         let mut admissions = Admissions::default();
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -4,6 +4,7 @@
 mod capacities;
 mod departure;
 mod evacuations;
+mod fair_order;
 mod loads;
 mod openings;
 mod places;
--- a/src/replay/scenario.rs
+++ b/src/replay/scenario.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use super::load::KINDS;
+use super::pressure;
 
 /// Time during which callers submit new jobs.
 pub(super) const SUBMISSION_MS: u64 = 40_000;
@@ -56,6 +57,12 @@
     /// Control is down for some seconds; then callers return together with new ones, while hosts take
     /// work again one after the other.
     ReturningCrowd,
+    /// One organisation sends ten times its share for 24 seconds.
+    OneOrganisation,
+    /// All organisations send 2.5 times their load for twelve seconds, and callers return together.
+    AllPress,
+    /// One organisation floods the lowest priority for 24 seconds beside urgent work.
+    BatchFlood,
 }
 
 /// What is disturbed at a point in time.
@@ -71,7 +78,7 @@
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 16] = [
         Self::Calm,
         Self::UrgentBurst,
         Self::AllKindsBurst,
@@ -85,6 +92,9 @@
         Self::ShortGangs,
         Self::ShrinkingPool,
         Self::ReturningCrowd,
+        Self::OneOrganisation,
+        Self::AllPress,
+        Self::BatchFlood,
     ];
 
     /// Returns the name of the scenario.
@@ -104,6 +114,9 @@
             Self::ShortGangs => "short-gangs",
             Self::ShrinkingPool => "shrinking-pool",
             Self::ReturningCrowd => "returning-crowd",
+            Self::OneOrganisation => "one-organisation",
+            Self::AllPress => "all-press",
+            Self::BatchFlood => "batch-flood",
         }
     }
 
@@ -121,7 +134,7 @@
             Self::ShortGangs => [1.5; KINDS],
             Self::ShrinkingPool if (PEAK_FROM_MS..SHRUNK_TO_MS).contains(&at_ms) => [1.0, 3.0, 1.0],
             Self::ReturningCrowd if (BACK_MS..PEAK_TO_MS).contains(&at_ms) => [2.5; KINDS],
-            _ => [1.0; KINDS],
+            _ => pressure::rates(self, at_ms),
         }
     }
 
@@ -144,7 +157,7 @@
                 let percent = (ALL_OPEN_MS - at_ms) * 100 / (ALL_OPEN_MS - BACK_MS);
                 Disturbance { hosts_closed_percent: usize::try_from(percent).unwrap_or(0), ..calm }
             }
-            _ => calm,
+            _ => Disturbance { control_down: pressure::is_unanswered(self, at_ms), ..calm },
         }
     }
 
--- a/src/tasks/command.rs
+++ b/src/tasks/command.rs
@@ -8,6 +8,7 @@
 
 use super::configuration::Configuration;
 use super::ids::{JobId, TaskId, UnitId};
+use super::returns::PromisedReturn;
 use super::spec::JobSpec;
 use super::upstream::{EndKind, Heartbeat, Incarnation};
 use super::wave::MachineState;
@@ -88,6 +89,8 @@
     /// Begins or finishes the evacuation of a data centre, unless its state has changed since the request
     /// was made for this revision of it.
     SetEvacuation { data_centre: Arc<str>, begin: bool, revision: u64 },
+    /// Records callers that were refused and told to return.
+    RecordReturns { returns: Vec<(JobId, PromisedReturn)> },
 }
 
 /// A change and the cluster time at which the leader proposed it.
