--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -12,13 +12,15 @@
 
 mod budget;
 mod capacities;
-mod control_host;
+pub(super) mod control_host;
 mod crashes;
-mod fake_worker;
+mod evacuations;
+pub(super) mod fake_worker;
 mod leaves;
 mod messages;
 mod promises;
 mod successors;
+mod turns;
 
 async fn call(address: SocketAddr, limit: Duration) -> ClientFault {
     let client = LeaderClient::new(vec![address]);
