--- a/src/placement/tests/evacuations.rs
+++ b/src/placement/tests/evacuations.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use super::pool_view::{Inputs, JOBS_MAX_BYTES, decide, hosts};
+use super::pool_view::{Inputs, JOBS_MAX_BYTES, STOP_MS, decide, hosts};
 use crate::placement::{Admission, Admissions, Plan, Progress, StopCause, View, consequences};
 use crate::tasks::tests::sample::{Sample, gang, heartbeat, job_id, queue, spec, step};
 use crate::tasks::{Change, Heartbeat, StepSpec, UnitId};
