--- a/src/cluster/leader/hosts.rs
+++ b/src/cluster/leader/hosts.rs
@@ -65,7 +65,9 @@
                 .machine
                 .as_ref()
                 .is_some_and(|machine| term_state.evacuating.contains_key(machine));
-            let host = Host::of(state, upstream, ready && !heartbeat.draining && !evacuated);
+            let takes_work = ready && !heartbeat.draining && !evacuated;
+            let is_cold = term_state.cold_until_ms.get(&incarnation).is_some_and(|ms| *ms > now_ms);
+            let host = Host { is_cold, ..Host::of(state, upstream, takes_work) };
             let until_ms = session.map_or(0, |session| session.set_aside_until_ms);
             if until_ms > now_ms && host.takes_work {
                 set_aside.push((until_ms, hosts.len()));
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -87,6 +87,8 @@
         term_state.paces.retain(|key, _| is_running(key));
         let now_ms = boot_ms();
         term_state.avoid.retain(|_, until_ms| now_ms < *until_ms);
+        term_state.cold_until_ms.retain(|_, until_ms| now_ms < *until_ms);
+        self.replica.metrics.evacuations.set_cold(term_state.cold_until_ms.len());
         let is_open =
             |job: &JobId| inner.state.jobs.get(job).is_some_and(|job| job.outcome.is_none());
         term_state.approvals.retain(|step| is_open(&step.job));
