--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -161,9 +161,11 @@
         let queue_name = Arc::clone(&queue.name);
         match admission {
             Admission::RetryLater { retry_after_ms, reason } => {
+                let organisation = organisation.unwrap_or_default();
+                self.replica.metrics.job_refused(&organisation, &queue_name);
                 warn!(
-                    request = %id, queue = %queue_name, tasks, reason, retry_after_ms,
-                    configuration_version, "job was not accepted"
+                    request = %id, queue = %queue_name, %organisation, tasks, reason,
+                    retry_after_ms, configuration_version, "job was not accepted"
                 );
                 Reply::Front(FrontReply::NotAccepted { retry_after_ms, reason })
             }
@@ -213,6 +215,7 @@
             approvals: &Approvals::default(),
             learned: &learned,
             reserve_millihosts: 0,
+            stop_ms: self.bounds.stop_timeout_ms,
             jobs_max_bytes: self.bounds.jobs_max_bytes(),
         };
         let admission = self.term_state().admissions.decide(&view, queue, organisation, job);
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -20,6 +20,7 @@
 mod messages;
 mod promises;
 mod successors;
+mod turns;
 
 async fn call(address: SocketAddr, limit: Duration) -> ClientFault {
     let client = LeaderClient::new(vec![address]);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -22,6 +22,9 @@
 mod progress;
 mod room;
 mod rotation;
+mod shares;
+mod stop_costs;
+mod stop_set;
 mod suspects;
 #[cfg(test)]
 mod tests;
@@ -45,13 +48,14 @@
 pub(crate) use headroom::{Headroom, urgent_demand};
 pub(crate) use learned::Learned;
 pub(crate) use memory::jobs_to_shrink;
-pub(crate) use order::{USEFUL_OBJECTIVE_FACTOR, critical_path_ms, objective_ms};
-use order::{WaitingUnit, waiting_units};
+pub(crate) use order::{USEFUL_OBJECTIVE_FACTOR, critical_path_ms, objective_ms, standing};
+use order::{WaitingUnit, ordered_units};
 pub(crate) use pacing::next_pace;
 use pool::Pool;
 use preemption::Victims;
 pub(crate) use progress::{Progress, estimated_left_ms};
 use rotation::Rotation;
+pub(crate) use shares::ShareFigures;
 use suspects::{Probation, SilentUpstreams};
 pub(crate) use upkeep::{Candidate, evacuation_limit_ms, free_wave_slots, order_candidates};
 
@@ -107,6 +111,8 @@
     pub(crate) learned: &'a Learned,
     /// Capacity reserved for jobs of priority 0, in thousandths of a host.
     pub(crate) reserve_millihosts: u64,
+    /// Time from the order to stop a run until its capacity is listed as free.
+    pub(crate) stop_ms: u64,
     /// Memory that all jobs together may take.
     pub(crate) jobs_max_bytes: u64,
 }
@@ -139,6 +145,8 @@
     pub(crate) unplaced: usize,
     /// Those among them that may preempt: capacity is reserved for them.
     pub(crate) unplaced_urgent: usize,
+    /// What the organisations have of the capacity.
+    pub(crate) shares: Vec<ShareFigures>,
 }
 
 /// Why a run is stopped.
@@ -185,8 +193,8 @@
         victims,
         plan: Plan { stops, openings: openings::due_openings(view), ..Plan::default() },
     };
-    let mut waiting = waiting_units(view);
-    waiting.sort_by(|a, b| a.rank.cmp(&b.rank));
+    let (waiting, shares) = ordered_units(view);
+    builder.plan.shares = shares;
     for unit in &waiting {
         builder.place(view, unit);
     }
--- a/src/placement/tests/evacuations.rs
+++ b/src/placement/tests/evacuations.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 
-use super::pool_view::{Inputs, JOBS_MAX_BYTES, decide, decide_and_start, hosts};
+use super::pool_view::{Inputs, JOBS_MAX_BYTES, STOP_MS, decide, decide_and_start, hosts};
 use crate::placement::{Admission, Admissions, Plan, Progress, StopCause, View, consequences};
 use crate::tasks::tests::sample::{Sample, gang, heartbeat, job_id, queue, spec, step};
 use crate::tasks::{Change, Heartbeat, JobSpec, Repeat, StepSpec, UnitId};
@@ -167,6 +167,7 @@
             approvals: &inputs.approvals,
             learned: &inputs.learned,
             reserve_millihosts: 0,
+            stop_ms: STOP_MS,
             jobs_max_bytes: JOBS_MAX_BYTES,
         };
         let mut admissions = Admissions::default();
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -5,6 +5,7 @@
 //! and `cluster` does the I/O.
 
 mod apply;
+mod attained;
 mod command;
 mod configuration;
 mod configuration_changes;
@@ -14,6 +15,7 @@
 mod ids;
 mod job;
 mod occurrences;
+mod returns;
 mod spec;
 mod state;
 #[cfg(test)]
@@ -21,6 +23,7 @@
 mod upstream;
 mod wave;
 
+pub(crate) use attained::{ATTAINED_DECAY_MS, Usage};
 pub(crate) use command::{Change, Command, EndRecord, LostRun, Opening, StartRecord};
 pub use configuration::{
     Advice, Configuration, ConfigurationEntry, ConfigurationFault, FrontLimits, Organisation,
@@ -30,6 +33,7 @@
 pub use ids::{InvalidTaskId, JobId, TaskId, UnitId};
 pub use job::JobState;
 pub(crate) use job::{Job, Outcome, Phase, Unit};
+pub(crate) use returns::{PromisedReturn, RETURNS_MAX};
 pub use spec::{InvalidJob, JobSpec, Repeat, Resources, StepSpec};
 pub(crate) use state::{JobEvent, State};
 pub use upstream::{EndKind, Heartbeat};
