Measure the steps of a leader's recovery, and shorten some

Cause: nothing told which step of a recovery took long. While the lists of the upstreams were still being read, forecasts counted only the upstreams that had answered, so that callers who returned early met a pool that looked tiny. A call tried the control hosts one after the other; each silent one held it up for its whole time limit. The election timeout began after the log was read.

Change: the leader logs and measures each step (sessions, lists, first decision, first start; metric recovery_ms), a control host the time for its log and until it leads. Forecasts count upstreams whose lists are about to be read for the first time. Racks are contacted as a whole, those with runs first. A call goes to the next host after 300 ms, at most three at a time. The election timeout counts from the start of the process. Stops and the work that they discard are counted by cause (tasks_stopped, work_discarded_core_ms).

Measured: the call past two silent hosts takes less than 2 s in all orders (silent_hosts_do_not_hide_the_leader).

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -59,6 +59,8 @@
     settings: ClusterSettings,
     calls: UpstreamCalls,
     id: MemberId,
+    /// When this process started, on its host's boot clock.
+    started_ms: u64,
 }
 
 impl Control {
@@ -70,6 +72,7 @@
         settings: ClusterSettings,
         calls: UpstreamCalls,
     ) -> Result<Arc<Self>, StepError> {
+        let started_ms = boot_ms();
         let (journal, records) = Journal::open(&settings.data_dir)?;
         let mut recovered = recover(&records)?;
         drop(records);
@@ -87,15 +90,25 @@
             last_index = log.last_index(),
             members = log.membership().members.len(),
             founding = settings.founding,
+            log_read_ms = boot_ms().saturating_sub(started_ms),
             "control host starts"
         );
-        let core =
-            Core::new(id, durable, quorum_limits(settings.losses_max), rand::random(), boot_ms());
+        // What this host promised to a leader, it promised before it started. So the time in which it
+        // reads its log counts as a part of the election timeout.
+        let limits = quorum_limits(settings.losses_max);
+        let core = Core::new(id, durable, limits, rand::random(), started_ms);
         let replica = Replica::new(core, journal, settings.internal_address.to_string())?;
         let client = LeaderClient::new(settings.seeds.clone());
         let listener = server::listen(settings.internal_address).await?;
-        let control =
-            Arc::new(Self { replica, client, leader: Mutex::default(), settings, calls, id });
+        let control = Arc::new(Self {
+            replica,
+            client,
+            leader: Mutex::default(),
+            settings,
+            calls,
+            id,
+            started_ms,
+        });
         tokio::spawn(Arc::clone(&control.replica).run());
         tokio::spawn(server::serve(Arc::clone(&control), listener));
         tokio::spawn(Arc::clone(&control).run_leader_terms());
@@ -176,6 +189,12 @@
         self.replica.metrics.text()
     }
 
+    /// Returns the address at which other hosts reach this one.
+    #[cfg(test)]
+    pub(super) fn address(&self) -> SocketAddr {
+        self.settings.internal_address
+    }
+
     /// Returns whether this host leads.
     #[must_use]
     pub fn is_leading(&self) -> bool {
@@ -236,6 +255,8 @@
                 Err(_) => return,
             };
             let leader = self.new_leader(term);
+            let since_start_ms = boot_ms().saturating_sub(self.started_ms);
+            info!(term, since_start_ms, "leadership is won");
             *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(&leader));
             let work = tokio::spawn(Arc::clone(&leader).run());
             let ended = role.wait_for(|role| role.leading_term != Some(term)).await.is_err();
--- a/src/cluster/leader/lists.rs
+++ b/src/cluster/leader/lists.rs
@@ -53,6 +53,7 @@
                 upstream = %incarnation.id, running, ended = lists.ended.len(),
                 "upstream in touch"
             );
+            self.reach_list_steps();
             self.wake.notify_one();
         }
         let mut ends = self.listed_ends(incarnation, lists);
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -10,10 +10,12 @@
 mod maintenance;
 mod orders;
 mod pacing;
+mod recovery;
 mod replacement;
 mod requests;
 mod scheduling;
 mod session;
+mod stops;
 #[cfg(test)]
 mod tests;
 mod unlisted;
@@ -31,7 +33,8 @@
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
 use crate::placement::{Admissions, Approvals, Headroom, Learned, StepId};
-use crate::tasks::{Incarnation, JobId, TaskId, Upstream};
+use crate::tasks::{Incarnation, JobId, State, TaskId, Upstream};
+use recovery::{RecoverySteps, Step, contact_order};
 use replacement::Supersession;
 use session::Session;
 
@@ -45,16 +48,21 @@
 struct RegisteredUpstream {
     incarnation: Incarnation,
     address: Arc<str>,
+    rack: Arc<str>,
+    /// Number of tasks that may be running on it.
+    runs: usize,
     /// For how long it stays at least, if it drains.
     drain_remaining_ms: Option<u64>,
 }
 
 impl RegisteredUpstream {
-    fn of(upstream: &Upstream) -> Self {
+    fn of(upstream: &Upstream, state: &State) -> Self {
         let heartbeat = &upstream.heartbeat;
         Self {
             incarnation: upstream.incarnation(),
             address: Arc::clone(&heartbeat.address),
+            rack: Arc::clone(&heartbeat.rack),
+            runs: state.count_runs(&upstream.incarnation()),
             drain_remaining_ms: heartbeat.draining.then_some(heartbeat.drain_remaining_ms),
         }
     }
@@ -64,6 +72,8 @@
 #[derive(Debug)]
 pub(super) struct Leader {
     pub(super) term: u64,
+    /// When the term began on this host, on its boot clock.
+    begun_ms: u64,
     replica: Arc<Replica>,
     calls: UpstreamCalls,
     bounds: TaskBounds,
@@ -108,6 +118,8 @@
     /// Steps with an approval request under way.
     pending_approvals: HashSet<StepId>,
     stopped: bool,
+    /// Steps of the recovery that were reached.
+    recovery: RecoverySteps,
 }
 
 impl Leader {
@@ -120,6 +132,7 @@
     ) -> Arc<Self> {
         Arc::new_cyclic(|weak| Self {
             term,
+            begun_ms: boot_ms(),
             replica,
             calls,
             bounds,
@@ -183,7 +196,9 @@
     fn sync_sessions(self: &Arc<Self>) {
         let upstreams: Vec<RegisteredUpstream> = {
             let inner = self.replica.lock();
-            inner.state.upstreams.values().map(RegisteredUpstream::of).collect()
+            let state = &inner.state;
+            let registered = |upstream| RegisteredUpstream::of(upstream, state);
+            state.upstreams.values().map(registered).collect()
         };
         let mut new = Vec::new();
         {
@@ -206,13 +221,15 @@
                 }
             }
             term_state.superseded.retain(|incarnation, _| known.contains(incarnation));
-            for RegisteredUpstream { incarnation, address, drain_remaining_ms } in upstreams {
+            for upstream in upstreams {
+                let RegisteredUpstream { incarnation, address, rack, runs, drain_remaining_ms } =
+                    upstream;
                 let now_ms = boot_ms();
                 if !term_state.holds.contains_key(&incarnation) {
                     let lease_max_ms = self.bounds.lease_max_ms;
                     let session = Session::new(incarnation.clone(), address, lease_max_ms, now_ms);
                     term_state.sessions.insert(Arc::clone(&incarnation.id), session);
-                    new.push(incarnation.clone());
+                    new.push((incarnation.clone(), rack, runs));
                 }
                 let session = term_state.sessions.get_mut(&incarnation.id);
                 if let Some(session) = session.filter(|known| known.incarnation == incarnation) {
@@ -220,7 +237,11 @@
                 }
             }
         }
-        for incarnation in new {
+        let new = contact_order(new, |(_, rack, runs)| (Arc::clone(rack), *runs));
+        if !new.is_empty() {
+            self.reach_step(Step::Sessions);
+        }
+        for (incarnation, ..) in new {
             let hold = self.spawn(Arc::clone(self).hold_upstream(incarnation.clone()));
             if let Some(hold) = hold {
                 self.term_state().holds.insert(incarnation, hold);
--- a/src/cluster/leader/orders.rs
+++ b/src/cluster/leader/orders.rs
@@ -5,6 +5,7 @@
 
 use tracing::{info, warn};
 
+use super::recovery::Step;
 use super::session::Session;
 use super::unlisted::AnsweredOrder;
 use super::{Leader, TaskRun};
@@ -56,6 +57,7 @@
     ) {
         let key = (unit.task(member_index), run);
         let outcome = self.try_start(&key, &incarnation).await;
+        self.reach_step(Step::FirstStart);
         let how = match &outcome {
             StartOutcome::Begun | StartOutcome::Old => "settled",
             StartOutcome::Refused(_) => "refused",
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -195,7 +195,7 @@
     ) -> (Admission, u64) {
         let inner = self.replica.lock();
         let version = inner.state.configuration_version();
-        let hosts = self.hosts(&inner.state, boot_ms());
+        let hosts = self.hosts_for_forecast(&inner.state, boot_ms());
         if hosts.is_empty() {
             let reason = "no upstream has registered yet".to_owned();
             let retry_after_ms = NO_UPSTREAMS_RETRY_MS;
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -8,6 +8,7 @@
 use tracing::{debug, info, warn};
 
 use super::failures::{HangingRun, unit_of};
+use super::recovery::Step;
 use super::{Leader, TaskRun, failures};
 use crate::cluster::clock::{boot_ms, unix_ms};
 use crate::placement::{
@@ -59,6 +60,7 @@
         self.pace_filling();
         self.move_from_draining();
         let plan = self.decide();
+        self.reach_step(Step::FirstDecision);
         let decided_in = begun.elapsed();
         log_rotation(&plan);
         self.request_approvals(plan.approval_requests);
@@ -101,6 +103,7 @@
         let inner = self.replica.lock();
         let state = &inner.state;
         let hosts = self.hosts(state, now_ms);
+        let forecast_hosts = self.hosts_for_forecast(state, now_ms);
         let term_state = self.term_state();
         let approvals = term_state.approvals.clone();
         let learned = Arc::clone(&term_state.learned);
@@ -144,7 +147,7 @@
         let demand = urgent_demand(&view);
         let reserve = {
             let mut term_state = self.term_state();
-            term_state.admissions.update(&view);
+            term_state.admissions.update(&View { hosts: &forecast_hosts, ..view });
             term_state.headroom.update(view.now_ms, demand, hosts.len())
         };
         plan(&View { reserve_millihosts: reserve, ..view })
@@ -184,36 +187,6 @@
         hosts
     }
 
-    /// Orders all tasks of a run to stop.
-    pub(super) fn stop_unit(&self, unit: &UnitId, run: u32, cause: StopCause) {
-        for (member_index, incarnation) in self.open_members(unit, run) {
-            self.order_stop(&incarnation, unit.task(member_index), run, &cause.to_string());
-        }
-    }
-
-    /// Orders the other members of a gang to stop.
-    pub(super) fn stop_others(&self, unit: &UnitId, run: u32, member_index: u32) {
-        let cause = StopCause::GangBroken.to_string();
-        for (other, incarnation) in self.open_members(unit, run) {
-            if other != member_index {
-                self.order_stop(&incarnation, unit.task(other), run, &cause);
-            }
-        }
-    }
-
-    /// Returns the members of a run that may be running, with their index.
-    fn open_members(&self, unit: &UnitId, run: u32) -> Vec<(u32, Incarnation)> {
-        let inner = self.replica.lock();
-        let job = inner.state.jobs.get(&unit.job);
-        let Some(state) = job.and_then(|job| job.unit(unit.occurrence, unit.step, unit.unit))
-        else {
-            return Vec::new();
-        };
-        let open = (0_u32..).zip(state.members()).filter(|(_, member)| member.end.is_none());
-        let members = open.map(|(member_index, member)| (member_index, member.incarnation.clone()));
-        if state.run == run { members.collect() } else { Vec::new() }
-    }
-
     /// Records runs in the replicated state, and orders their start once the record is committed.
     async fn start_units(self: &Arc<Self>, starts: Vec<StartRecord>) {
         for start in &starts {
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -18,7 +18,7 @@
 const LAPSE_MARGIN_MS: u64 = 300;
 
 /// Time without an answer after which an upstream gets no new work.
-const SILENT_AFTER_MS: u64 = 3_300;
+pub(super) const SILENT_AFTER_MS: u64 = 3_300;
 
 /// Time in which an upstream does not crash, restart and answer a call.
 const RESTART_MIN_MS: u64 = 150;
--- a/src/cluster/leader/tests/mod.rs
+++ b/src/cluster/leader/tests/mod.rs
@@ -2,5 +2,6 @@
 
 mod hanging;
 mod passes;
+mod recovery;
 mod sessions;
 mod unlisted;
--- a/src/cluster/leader_client.rs
+++ b/src/cluster/leader_client.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tonic::transport::Channel;
 use tracing::{info, warn};
 
@@ -28,6 +29,13 @@
 /// Pause between two rounds of attempts at all known hosts.
 const RETRY_PAUSE: Duration = Duration::from_millis(80);
 
+/// Time without an answer after which the next host is tried as well. It is longer than most commits
+/// across regions take, so that a leader at work is rarely asked beside others.
+const NEXT_HOST_AFTER: Duration = Duration::from_millis(300);
+
+/// Maximum number of hosts that are tried at the same time.
+const ATTEMPTS_MAX: usize = 3;
+
 /// Maximum number of redirects to a named leader in one round.
 const REDIRECTS_MAX: u32 = 2;
 
@@ -133,13 +141,33 @@
 
     /// Tries each known host once, and the leaders that they name.
     ///
-    /// The error is whether a leader may have received the request.
+    /// A host that does not answer soon holds no other one up: the next is tried beside it. The error is
+    /// whether a leader may have received the request.
     async fn try_all_hosts(&self, payload: &Bytes, deadline: Instant) -> Result<Reply, bool> {
         let mut candidates = VecDeque::from(self.lock().candidates());
         let mut redirects_left = REDIRECTS_MAX;
         let mut maybe_delivered = false;
-        while let Some(address) = candidates.pop_front() {
-            let redirect = match self.try_host(address, payload.clone(), deadline).await {
+        let mut trying: Vec<SocketAddr> = Vec::new();
+        let mut attempts = JoinSet::new();
+        loop {
+            if attempts.len() < ATTEMPTS_MAX
+                && let Some(address) = candidates.pop_front()
+            {
+                trying.push(address);
+                let (client, payload) = (self.clone(), payload.clone());
+                attempts.spawn(async move {
+                    (address, client.try_host(address, payload, deadline).await)
+                });
+            }
+            let may_add = !candidates.is_empty() && attempts.len() < ATTEMPTS_MAX;
+            let pause = if may_add { NEXT_HOST_AFTER } else { ATTEMPT_TIMEOUT };
+            let (address, answer) = match timeout(pause, attempts.join_next()).await {
+                Ok(Some(Ok(ended))) => ended,
+                Err(_) | Ok(Some(Err(_))) => continue,
+                Ok(None) => return Err(maybe_delivered),
+            };
+            trying.retain(|other| *other != address);
+            let redirect = match answer {
                 Ok(Reply::NotLeader { leader }) => leader.filter(|leader| *leader != address),
                 Ok(Reply::Unknown) => {
                     maybe_delivered = true;
@@ -155,15 +183,15 @@
                 }
             };
             self.forget_leader(address);
+            let redirect = redirect.filter(|leader| !trying.contains(leader));
             if let Some(leader) = redirect.filter(|_| redirects_left > 0) {
                 redirects_left -= 1;
                 candidates.push_front(leader);
             }
             if Instant::now() >= deadline {
-                break;
+                return Err(maybe_delivered | !trying.is_empty());
             }
         }
-        Err(maybe_delivered)
     }
 
     fn set_leader(&self, address: SocketAddr) {
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -41,6 +41,9 @@
     committed: Gauge,
     set_aside: Counter,
     units_given_up: Counter,
+    tasks_stopped: Family<KindLabels, Counter>,
+    work_discarded_core_ms: Family<KindLabels, Counter>,
+    recovery_ms: Family<KindLabels, Gauge>,
     connections: Family<KindLabels, Gauge>,
 }
 
@@ -65,6 +68,9 @@
             committed: Gauge::default(),
             set_aside: Counter::default(),
             units_given_up: Counter::default(),
+            tasks_stopped: Family::default(),
+            work_discarded_core_ms: Family::default(),
+            recovery_ms: Family::default(),
             connections: Family::default(),
         }
     }
@@ -95,6 +101,11 @@
         to.register("set_aside", "Upstreams set aside", self.set_aside.clone());
         let given_up = self.units_given_up.clone();
         to.register("units_given_up", "Units given up since upstreams crash under them", given_up);
+        to.register("tasks_stopped", "Tasks ordered to stop, by cause", self.tasks_stopped.clone());
+        let discarded = self.work_discarded_core_ms.clone();
+        to.register("work_discarded_core_ms", "Unsaved work of stopped tasks, by cause", discarded);
+        let recovery = self.recovery_ms.clone();
+        to.register("recovery_ms", "Time to each step of this host's latest term", recovery);
         let connections = self.connections.clone();
         to.register("upstream_connections", "Connections to upstreams, by state", connections);
     }
@@ -136,6 +147,19 @@
         self.set_aside.inc();
     }
 
+    /// Counts tasks that are ordered to stop and the work that they have not saved.
+    pub(super) fn tasks_stopped(&self, cause: &'static str, tasks: u64, discarded_core_ms: u64) {
+        let labels = KindLabels { kind: cause };
+        self.tasks_stopped.get_or_create(&labels).inc_by(tasks);
+        self.work_discarded_core_ms.get_or_create(&labels).inc_by(discarded_core_ms);
+    }
+
+    /// Records the time from the start of the term to a step of the recovery.
+    pub(super) fn recovery_step(&self, step: &'static str, after_ms: u64) {
+        let gauge = self.recovery_ms.get_or_create(&KindLabels { kind: step });
+        gauge.set(i64::try_from(after_ms).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn unit_given_up(&self) {
         self.units_given_up.inc();
     }
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -19,6 +19,7 @@
 mod leaves;
 mod messages;
 mod promises;
+mod recovery;
 mod successors;
 
 async fn call(address: SocketAddr, limit: Duration) -> ClientFault {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -164,6 +164,21 @@
     Hangs,
 }
 
+impl StopCause {
+    /// Returns the name of the cause in metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::JobEnded => "job ended",
+            Self::GangBroken => "gang broken",
+            Self::Preempted => "preempted",
+            Self::Rotated => "rotated",
+            Self::Maintenance => "maintenance",
+            Self::Draining => "draining",
+            Self::Hangs => "hangs",
+        }
+    }
+}
+
 /// Decides which runs to start and to stop.
 pub(crate) fn plan(view: &View<'_>) -> Plan {
     let stops = stops_for_ended_work(view);
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -86,6 +86,11 @@
         runs.map(|(task, run)| (task.clone(), *run)).collect()
     }
 
+    /// Returns the number of tasks that may be running on an upstream.
+    pub(crate) fn count_runs(&self, incarnation: &Incarnation) -> usize {
+        self.running.get(incarnation).map_or(0, BTreeMap::len)
+    }
+
     /// Returns whether some task may be running on an upstream.
     pub(crate) fn has_runs(&self, incarnation: &Incarnation) -> bool {
         self.running.get(incarnation).is_some_and(|runs| !runs.is_empty())
