Elect a leader sooner after a restart of all hosts

Cause: after a power loss of all hosts the first upstream was in touch 67 ms after the election, but the election came 929 ms after a quorum had started. Hosts that start first ask for votes before the last ones may vote (these may have promised a leader not to, 500 ms before at the most), and asked again only 500 to 750 ms later. Two candidates at a time divide the votes; with four of six hosts back, all four have to vote for the same one. A client forgot the leader that it had just found when an attempt on an old connection to it failed.

Change: a pre-vote is repeated after 125 to 190 ms. A host that asks itself yields to one with a longer log or, if equal, a larger identity. Clients keep a leader that has answered since the failed attempt began.

--- a/src/cluster/leader_client.rs
+++ b/src/cluster/leader_client.rs
@@ -62,6 +62,8 @@
 #[derive(Debug, Default)]
 struct KnownHosts {
     leader: Option<SocketAddr>,
+    /// When the leader last answered.
+    leader_answered: Option<Instant>,
     seeds: Vec<SocketAddr>,
     members: Vec<SocketAddr>,
     clients: HashMap<SocketAddr, ClusterClient<Channel>>,
@@ -156,12 +158,13 @@
                 trying.push(address);
                 let (client, payload) = (self.clone(), payload.clone());
                 attempts.spawn(async move {
-                    (address, client.try_host(address, payload, deadline).await)
+                    let begun = Instant::now();
+                    (address, begun, client.try_host(address, payload, deadline).await)
                 });
             }
             let may_add = !candidates.is_empty() && attempts.len() < ATTEMPTS_MAX;
             let pause = if may_add { NEXT_HOST_AFTER } else { ATTEMPT_TIMEOUT };
-            let (address, answer) = match timeout(pause, attempts.join_next()).await {
+            let (address, begun, answer) = match timeout(pause, attempts.join_next()).await {
                 Ok(Some(Ok(ended))) => ended,
                 Err(_) | Ok(Some(Err(_))) => continue,
                 Ok(None) => return Err(maybe_delivered),
@@ -182,7 +185,7 @@
                     None
                 }
             };
-            self.forget_leader(address);
+            self.forget_leader(address, begun);
             let redirect = redirect.filter(|leader| !trying.contains(leader));
             if let Some(leader) = redirect.filter(|_| redirects_left > 0) {
                 redirects_left -= 1;
@@ -195,15 +198,22 @@
     }
 
     fn set_leader(&self, address: SocketAddr) {
-        let before = self.lock().leader.replace(address);
+        let mut hosts = self.lock();
+        let before = hosts.leader.replace(address);
+        hosts.leader_answered = Some(Instant::now());
+        drop(hosts);
         if before != Some(address) {
             info!(leader = %address, "leader of control found");
         }
     }
 
-    fn forget_leader(&self, address: SocketAddr) {
+    /// Forgets the leader after an attempt that failed, unless it has answered since the attempt began.
+    ///
+    /// After an outage, attempts on old connections fail while those on new ones succeed.
+    fn forget_leader(&self, address: SocketAddr, begun: Instant) {
         let mut hosts = self.lock();
-        if hosts.leader == Some(address) {
+        let has_answered = hosts.leader_answered.is_some_and(|answered| answered > begun);
+        if hosts.leader == Some(address) && !has_answered {
             hosts.leader = None;
             warn!(leader = %address, "leader of control lost");
         }
--- a/src/quorum/core.rs
+++ b/src/quorum/core.rs
@@ -381,11 +381,16 @@
     }
 
     pub(super) fn reset_election_timer(&mut self, now_ms: u64) {
+        self.set_election_timer(self.limits.election_ms, now_ms);
+    }
+
+    /// Sets the time of the next pre-vote, at least `after_ms` from now and up to half as much later.
+    pub(super) fn set_election_timer(&mut self, after_ms: u64, now_ms: u64) {
         // Random timeouts (xorshift) keep hosts from starting elections at the same time.
         self.random ^= self.random << 13;
         self.random ^= self.random >> 7;
         self.random ^= self.random << 17;
-        let spread = self.random % (self.limits.election_ms / 2).max(1);
-        self.election_due_ms = now_ms + self.limits.election_ms + spread;
+        let spread = self.random % (after_ms / 2).max(1);
+        self.election_due_ms = now_ms + after_ms + spread;
     }
 }
--- a/src/quorum/election.rs
+++ b/src/quorum/election.rs
@@ -6,8 +6,11 @@
 
 impl Core {
     /// Starts a pre-vote, which shows whether an election could be won without raising the term.
+    ///
+    /// It is repeated sooner than an election: after a restart of all hosts it fails until the last ones
+    /// of a quorum are free to vote, and each repetition that comes later prolongs the outage.
     pub(super) fn start_pre_vote(&mut self, now_ms: u64) {
-        self.reset_election_timer(now_ms);
+        self.set_election_timer(self.limits.election_ms / 4, now_ms);
         if !self.membership().is_voter(self.id) {
             self.role = Role::Follower { leader: None };
             return;
@@ -62,6 +65,12 @@
     ) {
         let no_leader = !self.is_leader() && !self.has_recent_leader(now_ms);
         let granted = term > self.term && no_leader && self.is_up_to_date(last);
+        let own = (self.log.last_term(), self.log.last_index(), self.id);
+        let asks_too = matches!(self.role, Role::PreCandidate { .. });
+        if granted && asks_too && (last.0, last.1, from) > own {
+            // Two candidates divide the votes, and where just a quorum is left neither can win.
+            self.role = Role::Follower { leader: None };
+        }
         let body = Body::PreVoteReply { granted };
         let reply_term = if granted { term } else { self.term };
         self.output.send.push(Message { from: self.id, to: from, term: reply_term, body });
--- a/src/quorum/tests/mod.rs
+++ b/src/quorum/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod recovery;
 mod replacement;
+mod restarts;
 mod runs;
 mod steps;
 mod world;
