--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -5,6 +5,7 @@
 mod evacuations;
 mod failures;
 mod hold;
+mod hosts;
 mod lists;
 mod losses;
 mod maintenance;
@@ -12,6 +13,7 @@
 mod pacing;
 mod recovery;
 mod replacement;
+mod reports;
 mod requests;
 mod scheduling;
 mod session;
@@ -24,7 +26,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::{AbortHandle, JoinSet};
 use tracing::info;
 
@@ -34,6 +36,8 @@
 use super::upstream_calls::UpstreamCalls;
 use crate::placement::{Admissions, Approvals, Headroom, Learned, StepId};
 use crate::tasks::{Incarnation, JobId, State, TaskId, Upstream};
+use evacuations::EvacuationReport;
+use hosts::KnownHosts;
 use recovery::{RecoverySteps, Step, contact_order};
 use replacement::Supersession;
 use session::Session;
@@ -83,6 +87,8 @@
     term_state: Mutex<TermState>,
     /// Wakes the scheduling loop.
     wake: Notify,
+    /// Limits the first calls of the term to upstreams.
+    first_contacts: Semaphore,
     tasks: Mutex<JoinSet<()>>,
     /// Reference to itself, for spawned work that must not keep it alive.
     weak: Weak<Self>,
@@ -105,6 +111,7 @@
     /// Holding loops, by upstream.
     holds: HashMap<Incarnation, AbortHandle>,
     headroom: Headroom,
+    known_hosts: Option<KnownHosts>,
     admissions: Admissions,
     /// Upstreams that a job must avoid because it made no progress there, and until when.
     avoid: HashMap<(JobId, Incarnation), u64>,
@@ -117,6 +124,7 @@
     evacuating: HashMap<Arc<str>, u64>,
     /// Steps with an approval request under way.
     pending_approvals: HashSet<StepId>,
+    evacuation_report: EvacuationReport,
     stopped: bool,
     /// Steps of the recovery that were reached.
     recovery: RecoverySteps,
@@ -140,6 +148,7 @@
             internal_address: settings.internal_address.to_string(),
             term_state: Mutex::default(),
             wake: Notify::new(),
+            first_contacts: Semaphore::new(hold::FIRST_CONTACTS_MAX),
             tasks: Mutex::default(),
             weak: Weak::clone(weak),
         })
@@ -166,6 +175,7 @@
         self.term_state().stopped = true;
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner).abort_all();
         (self.calls.close_idle)();
+        self.replica.metrics.evacuations.clear();
         info!(term = self.term, "leader ends its work");
     }
 
@@ -182,8 +192,13 @@
     /// Keeps one session and holding loop for each registered upstream.
     async fn follow_upstreams(self: Arc<Self>) {
         let mut changed = self.replica.changed();
+        let mut synced_version = None;
         loop {
-            self.sync_sessions();
+            // Most entries change no upstream, and the sync walks all of them.
+            let version = self.replica.lock().state.fleet_version();
+            if synced_version.replace(version) != Some(version) {
+                self.sync_sessions();
+            }
             self.wake.notify_one();
             if changed.changed().await.is_err() {
                 return;
@@ -237,6 +252,7 @@
                 }
             }
         }
+        // First contacts take turns in this order.
         let new = contact_order(new, |(_, rack, runs)| (Arc::clone(rack), *runs));
         if !new.is_empty() {
             self.reach_step(Step::Sessions);
--- a/src/cluster/leader/recovery.rs
+++ b/src/cluster/leader/recovery.rs
@@ -4,6 +4,10 @@
 //! are still being read. Until an upstream's lists were read its capacity is not in use, but a forecast
 //! that counted only the upstreams that have answered would refuse nearly all callers.
 
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::sync::Arc;
+
 use tracing::info;
 
 use super::Leader;
@@ -28,7 +32,7 @@
     MostLists,
     #[display("first decision is made")]
     FirstDecision,
-    #[display("first start is answered")]
+    #[display("first start is ordered")]
     FirstStart,
 }
 
@@ -77,16 +81,16 @@
 /// other, so that gangs fit early, and first the racks in which runs wait for their leases.
 pub(super) fn contact_order<T>(
     mut upstreams: Vec<T>,
-    rack_and_runs: impl Fn(&T) -> (std::sync::Arc<str>, usize),
+    rack_and_runs: impl Fn(&T) -> (Arc<str>, usize),
 ) -> Vec<T> {
-    let mut runs_of_rack = std::collections::HashMap::new();
+    let mut runs_of_rack = HashMap::new();
     for upstream in &upstreams {
         let (rack, runs) = rack_and_runs(upstream);
         *runs_of_rack.entry(rack).or_insert(0) += runs;
     }
     upstreams.sort_by_cached_key(|upstream| {
         let (rack, _) = rack_and_runs(upstream);
-        (std::cmp::Reverse(runs_of_rack[&rack]), rack)
+        (Reverse(runs_of_rack[&rack]), rack)
     });
     upstreams
 }
@@ -116,19 +120,26 @@
 
     /// Returns the upstreams as input of a forecast: those whose lists are about to be read for the first
     /// time count as taking work.
-    pub(super) fn hosts_for_forecast(&self, state: &State, now_ms: u64) -> Vec<Host> {
-        let mut hosts = self.hosts(state, now_ms);
+    pub(super) fn hosts_for_forecast(
+        &self,
+        state: &State,
+        hosts: &Arc<Vec<Host>>,
+        now_ms: u64,
+    ) -> Arc<Vec<Host>> {
         if now_ms > self.begun_ms + FIRST_CONTACT_MS {
-            return hosts;
+            return Arc::clone(hosts);
         }
         let term_state = self.term_state();
-        for host in &mut hosts {
+        let forecast = |host: &Host| {
             let session = term_state.sessions.get(&host.incarnation.id);
             let is_read = session.is_some_and(|session| session.lists_read);
-            if !is_read && let Some(upstream) = state.upstreams.get(&host.incarnation.id) {
-                *host = Host::of(state, upstream, !upstream.heartbeat.draining);
+            match state.upstreams.get(&host.incarnation.id) {
+                Some(upstream) if !is_read => {
+                    Host::of(state, upstream, !upstream.heartbeat.draining)
+                }
+                _ => host.clone(),
             }
-        }
-        hosts
+        };
+        Arc::new(hosts.iter().map(forecast).collect())
     }
 }
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::registry::Registry;
 
 use super::budget::BudgetUse;
+use super::evacuation_metrics::EvacuationMetrics;
 
 /// Label of metrics that are counted by kind.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -45,6 +46,7 @@
     work_discarded_core_ms: Family<KindLabels, Counter>,
     recovery_ms: Family<KindLabels, Gauge>,
     connections: Family<KindLabels, Gauge>,
+    pub(super) evacuations: EvacuationMetrics,
 }
 
 fn duration_histogram() -> Histogram {
@@ -72,6 +74,7 @@
             work_discarded_core_ms: Family::default(),
             recovery_ms: Family::default(),
             connections: Family::default(),
+            evacuations: EvacuationMetrics::default(),
         }
     }
 }
@@ -106,6 +109,7 @@
         to.register("work_discarded_core_ms", "Unsaved work of stopped tasks, by cause", discarded);
         let recovery = self.recovery_ms.clone();
         to.register("recovery_ms", "Time to each step of this host's latest term", recovery);
+        self.evacuations.register(to);
         let connections = self.connections.clone();
         to.register("upstream_connections", "Connections to upstreams, by state", connections);
     }
@@ -173,7 +177,9 @@
 
     /// Sets the gauges of the connections to upstreams.
     pub(super) fn set_connections(&self, in_use: BudgetUse) {
-        for (kind, count) in [("open", in_use.open), ("waiting", in_use.waiting)] {
+        for (kind, count) in
+            [("open", in_use.open), ("waiting", in_use.waiting), ("incoming", in_use.incoming)]
+        {
             let gauge = self.connections.get_or_create(&KindLabels { kind });
             gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
         }
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -12,10 +12,10 @@
 
 mod budget;
 mod capacities;
-mod control_host;
+pub(super) mod control_host;
 mod crashes;
 mod evacuations;
-mod fake_worker;
+pub(super) mod fake_worker;
 mod leaves;
 mod messages;
 mod promises;
