--- a/src/cluster/leader/tests/mod.rs
+++ b/src/cluster/leader/tests/mod.rs
@@ -3,5 +3,6 @@
 mod hanging;
 mod large_fleet;
 mod passes;
+mod recovery;
 mod sessions;
 mod unlisted;
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -19,6 +19,7 @@
 mod leaves;
 mod messages;
 mod promises;
+mod recovery;
 mod successors;
 mod turns;
 
