Replay conditions that the scheduler is not told

Cause: the replays gave the scheduler right estimates, equally fast hosts and the actual time that runs have left, so they showed nothing of wrong estimates, slow hosts or images that slow each other down.

Change: five scenarios with such conditions (speeds, wrong-estimates, noisy-pair, noisy-many, hard-load); lists are read as late and as coarse as in operation; each report has the worth of the same scheduler when callers declare the actual run times.

--- a/src/bin/cactuslatch-measure/policy.rs
+++ b/src/bin/cactuslatch-measure/policy.rs
@@ -127,6 +127,9 @@
         report.thrown_away_core_s,
         report.thrown_away_share
     );
+    if let Some(worth) = report.worth_knowing_all {
+        println!("{name:15} {:>5} worth if all were known {worth:.3}", report.seed);
+    }
 }
 
 fn print_kind(name: &str, seed: u64, queue: &str, figures: &KindFigures) {
--- a/src/replay/figures.rs
+++ b/src/replay/figures.rs
@@ -96,6 +96,8 @@
     pub kinds: BTreeMap<&'static str, KindFigures>,
     /// Worth over all jobs, each kind as important as the others.
     pub worth: f64,
+    /// The same for a scheduler that knows actual run times and speeds; only where these are hidden.
+    pub worth_knowing_all: Option<f64>,
     /// Smallest share of the jobs of one organisation that were completed in time.
     pub worst_organisation_in_time: f64,
     /// Number of refusals; a caller may be refused several times.
@@ -112,16 +114,24 @@
     seed: u64,
     record: &Record,
     unrefused: &Record,
+    informed: Option<&Record>,
 ) -> ReplayReport {
-    let kinds: BTreeMap<_, _> =
-        (0..KINDS).map(|kind| (MIX[kind].queue, kind_figures(kind, record, unrefused))).collect();
+    let figures = |record: &Record| -> BTreeMap<_, _> {
+        let of_kind = |kind: usize| (MIX[kind].queue, kind_figures(kind, record, unrefused));
+        (0..KINDS).map(of_kind).collect()
+    };
+    let mean_worth = |kinds: &BTreeMap<&str, KindFigures>| {
+        kinds.values().map(|figures| figures.worth).sum::<f64>() / KINDS as f64
+    };
+    let kinds = figures(record);
     let offered_core_s: f64 = record.requests.iter().map(Request::work_core_s).sum();
     let thrown_away_core_s = record.thrown_core_ms / 1_000;
     ReplayReport {
         scenario,
         hosts,
         seed,
-        worth: kinds.values().map(|figures| figures.worth).sum::<f64>() / KINDS as f64,
+        worth: mean_worth(&kinds),
+        worth_knowing_all: informed.map(|record| mean_worth(&figures(record))),
         kinds,
         worst_organisation_in_time: worst_organisation_in_time(record),
         refusals: record.refusals,
--- a/src/replay/hosts.rs
+++ b/src/replay/hosts.rs
@@ -1,11 +1,13 @@
 //! Simulated hosts: run tasks for their actual run times and end them on orders and failures.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use super::conditions::{Conditions, FULL_RATE};
+use super::lists::{Reads, Reported};
 use super::load::{Request, SERVICE};
 use crate::placement::{Host, Progress};
 use crate::tasks::{
@@ -39,10 +41,18 @@
     members: Vec<(u32, Incarnation)>,
     /// When it begins to work.
     working_ms: u64,
-    /// When its work would be done.
-    done_at_ms: u64,
-    /// When it ends if nothing stops it, and how.
+    /// Work that it has to do, in milliseconds on a host of speed 1.
+    work_ms: u64,
+    /// Work after which it ends if nothing stops it, and how.
     ends: (u64, EndKind),
+    /// Work done so far, multiplied by [`FULL_RATE`].
+    done: u64,
+    /// Rate at which it works, in thousandths.
+    rate: u64,
+    /// Work that earlier runs have saved.
+    resumed_ms: u64,
+    image: Option<Arc<str>>,
+    reported: Reported,
     stops_at_ms: Option<u64>,
     checkpoints: bool,
     /// Weight of one task in thousandths of a core.
@@ -54,13 +64,20 @@
         self.members.iter().any(|(_, member)| member == host)
     }
 
-    fn worked_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.working_ms)
+    const fn worked_ms(&self) -> u64 {
+        self.done / FULL_RATE
     }
 
-    /// Returns the worked time that a stop keeps.
-    fn saved_ms(&self, now_ms: u64) -> u64 {
-        let worked_ms = self.worked_ms(now_ms);
+    /// Returns the share of the unit's work that is done, in percent.
+    fn percent(&self) -> u32 {
+        let all_ms = self.resumed_ms + self.work_ms;
+        let percent = (self.resumed_ms + self.worked_ms()) * 100 / all_ms.max(1);
+        u32::try_from(percent.min(100)).unwrap_or(100)
+    }
+
+    /// Returns the work that a stop keeps.
+    const fn saved_ms(&self) -> u64 {
+        let worked_ms = self.worked_ms();
         if self.checkpoints { worked_ms - worked_ms % CHECKPOINT_MS } else { 0 }
     }
 }
@@ -69,6 +86,12 @@
 #[derive(Debug)]
 pub(super) struct Hosts {
     count: usize,
+    conditions: Conditions,
+    /// Time up to which the work of the runs is counted.
+    advanced_ms: u64,
+    reads: Reads,
+    /// Hosts on which a run has ended since the lists were last read.
+    ended_on: BTreeSet<usize>,
     lost: usize,
     /// Rises each time that lost hosts return.
     born_unix_ms: u64,
@@ -80,9 +103,13 @@
 }
 
 impl Hosts {
-    pub(super) fn new(count: usize) -> Self {
+    pub(super) fn new(count: usize, conditions: Conditions) -> Self {
         Self {
             count,
+            conditions,
+            advanced_ms: 0,
+            reads: Reads::new(count),
+            ended_on: BTreeSet::new(),
             lost: 0,
             born_unix_ms: 1,
             runs: BTreeMap::new(),
@@ -122,13 +149,13 @@
     }
 
     /// Loses hosts or lets the lost ones return, and returns the commands that record it.
-    pub(super) fn set_lost(&mut self, percent: usize, now_ms: u64) -> Vec<Change> {
+    pub(super) fn set_lost(&mut self, percent: usize) -> Vec<Change> {
         let lost = self.count * percent / 100;
         let before = std::mem::replace(&mut self.lost, lost);
         if lost > before {
             let gone: Vec<_> = (before..lost).map(|number| self.incarnation(number)).collect();
             for incarnation in &gone {
-                self.lose(incarnation, now_ms);
+                self.lose(incarnation);
             }
             return gone
                 .into_iter()
@@ -142,7 +169,7 @@
         (lost..before).map(|number| self.register(number)).collect()
     }
 
-    fn lose(&mut self, incarnation: &Incarnation, now_ms: u64) {
+    fn lose(&mut self, incarnation: &Incarnation) {
         let hit = self.runs.iter_mut().filter(|(_, run)| run.is_on(incarnation));
         let mut ended = Vec::new();
         for (key, run) in hit {
@@ -154,7 +181,7 @@
             }
         }
         for key in ended {
-            self.remove(&key, now_ms, 1);
+            self.remove(&key, 1);
         }
     }
 
@@ -167,21 +194,26 @@
         rng: &mut StdRng,
     ) {
         let step = &request.spec.steps[0];
+        let expected_ms = step.estimate_ms;
         let total_ms = request.run_ms[start.unit.unit as usize];
         let saved_ms = self.saved_ms.get(&start.unit).copied().unwrap_or(0);
         let left_ms = total_ms.saturating_sub(saved_ms).max(1);
         let working_ms = now_ms + START_MS;
-        let done_at_ms = working_ms + left_ms;
         let ends = if rng.random_bool(FAILURE_CHANCE) {
-            (working_ms + rng.random_range(0..left_ms), EndKind::Failed)
+            (rng.random_range(0..left_ms), EndKind::Failed)
         } else {
-            (done_at_ms, EndKind::Done)
+            (left_ms, EndKind::Done)
         };
         let run = Run {
             members: (0..).zip(start.incarnations.iter().cloned()).collect(),
             working_ms,
-            done_at_ms,
+            work_ms: left_ms,
             ends,
+            done: 0,
+            rate: FULL_RATE,
+            resumed_ms: saved_ms,
+            image: step.image.clone(),
+            reported: Reported::new(expected_ms),
             stops_at_ms: None,
             checkpoints: step.checkpoints,
             weight_millicores: step.need.weight_millicores(),
@@ -202,12 +234,53 @@
         stopping.map(|(key, _)| key.clone()).collect()
     }
 
+    /// Counts the work of the runs since the last call.
+    pub(super) fn advance(&mut self, now_ms: u64) {
+        let from_ms = std::mem::replace(&mut self.advanced_ms, now_ms);
+        let mut images: HashMap<Arc<str>, BTreeSet<Arc<str>>> = HashMap::new();
+        for run in self.runs.values().filter(|run| run.image.is_some()) {
+            for (_, host) in &run.members {
+                images.entry(Arc::clone(&host.id)).or_default().extend(run.image.clone());
+            }
+        }
+        let (conditions, count) = (self.conditions, self.count);
+        for run in self.runs.values_mut() {
+            let rate_on = |host: &Incarnation| {
+                let beside = Conditions::rate_beside(run.image.as_ref(), images.get(&host.id));
+                conditions.speed(host_number(host), count, from_ms) * beside / FULL_RATE
+            };
+            // A gang advances at the pace of its slowest member.
+            let slowest = run.members.iter().map(|(_, host)| rate_on(host)).min();
+            run.rate = slowest.unwrap_or(FULL_RATE);
+            let worked_ms = now_ms.saturating_sub(from_ms.max(run.working_ms));
+            run.done += worked_ms * run.rate;
+        }
+    }
+
+    /// Reads the lists that are due.
+    pub(super) fn read_lists(&mut self, now_ms: u64) {
+        let due = self.reads.due(&std::mem::take(&mut self.ended_on), now_ms);
+        for run in self.runs.values_mut().filter(|run| run.working_ms <= now_ms) {
+            if run.members.iter().any(|(_, host)| due.contains(&host_number(host))) {
+                run.reported.record(run.percent(), now_ms);
+            }
+        }
+    }
+
     /// Returns what the leader knows of the progress of the runs.
-    pub(super) fn progress(&self, now_ms: u64) -> HashMap<RunKey, Progress> {
+    ///
+    /// Without hidden conditions, and for a scheduler that knows all, the time left is the actual one.
+    pub(super) fn progress(&self, now_ms: u64, knows_all: bool) -> HashMap<RunKey, Progress> {
+        let knows_all = knows_all || !self.conditions.are_hidden();
         let progress = |run: &Run| Progress {
-            unsaved_ms: run.worked_ms(now_ms) - run.saved_ms(now_ms),
-            left_ms: run.done_at_ms.saturating_sub(now_ms),
-            seen_alive_ms: run.worked_ms(now_ms),
+            unsaved_ms: run.worked_ms() - run.saved_ms(),
+            left_ms: if knows_all {
+                let left_ms = run.work_ms.saturating_sub(run.worked_ms());
+                left_ms * FULL_RATE / run.rate.max(1) + run.working_ms.saturating_sub(now_ms)
+            } else {
+                run.reported.left_ms(now_ms)
+            },
+            seen_alive_ms: now_ms.saturating_sub(run.working_ms),
         };
         self.runs.iter().map(|(key, run)| (key.clone(), progress(run))).collect()
     }
@@ -215,13 +288,12 @@
     /// Ends the runs that are due and returns the commands that record it.
     pub(super) fn end_due(&mut self, now_ms: u64) -> Vec<Change> {
         let due = |run: &Run| {
-            let (ends_ms, how) = run.ends;
-            match run.stops_at_ms {
-                Some(stops_ms) if stops_ms <= now_ms && stops_ms < ends_ms => {
-                    Some(EndKind::Stopped)
-                }
-                _ => (ends_ms <= now_ms).then_some(how),
+            let (ends_after_ms, how) = run.ends;
+            if now_ms >= run.working_ms && run.worked_ms() >= ends_after_ms {
+                return Some(how);
             }
+            let is_stopped = run.stops_at_ms.is_some_and(|stops_ms| stops_ms <= now_ms);
+            is_stopped.then_some(EndKind::Stopped)
         };
         let ended: Vec<_> =
             self.runs.iter().filter_map(|(key, run)| Some((key.clone(), due(run)?))).collect();
@@ -231,10 +303,11 @@
             let run = if how == EndKind::Done {
                 self.runs.remove(&key)
             } else {
-                self.remove(&key, now_ms, tasks)
+                self.remove(&key, tasks)
             };
             let Some(run) = run else { continue };
             for (member, incarnation) in run.members {
+                self.ended_on.insert(host_number(&incarnation));
                 let task = key.0.task(member);
                 let end = EndRecord { task, run: key.1, how, checkpoint: None };
                 changes.push(Change::RecordEnds { incarnation, up_to: 0, ends: vec![end] });
@@ -244,10 +317,10 @@
     }
 
     /// Removes a run that did not finish, and counts its unsaved work as thrown away.
-    fn remove(&mut self, key: &RunKey, now_ms: u64, tasks: u64) -> Option<Run> {
+    fn remove(&mut self, key: &RunKey, tasks: u64) -> Option<Run> {
         let run = self.runs.remove(key)?;
-        let saved_ms = run.saved_ms(now_ms);
-        let lost_ms = run.worked_ms(now_ms) - saved_ms;
+        let saved_ms = run.saved_ms();
+        let lost_ms = run.worked_ms() - saved_ms;
         self.thrown_core_ms += lost_ms * tasks * run.weight_millicores / 1_000;
         *self.saved_ms.entry(key.0.clone()).or_default() += saved_ms;
         Some(run)
@@ -266,3 +339,8 @@
         state.upstreams.values().map(host).collect()
     }
 }
+
+/// Returns the number of a host.
+fn host_number(host: &Incarnation) -> usize {
+    host.id.rsplit('-').next().and_then(|number| number.parse().ok()).expect("made of a number")
+}
--- a/src/replay/load.rs
+++ b/src/replay/load.rs
@@ -160,6 +160,16 @@
     Request { at_ms, kind: number, organisation, spec: Arc::new(spec), run_ms, objective_ms }
 }
 
+/// Gives a request an image and an estimate that is off by a factor; its objective counts from the
+/// actual run time.
+pub(super) fn revise(request: &mut Request, factor: f64, image: Option<Arc<str>>) {
+    let actual_ms = request.run_ms.iter().copied().max().unwrap_or(0);
+    request.objective_ms = objective_ms(&queue(&MIX[request.kind]), actual_ms);
+    let spec = Arc::make_mut(&mut request.spec);
+    spec.steps[0].estimate_ms = whole(actual_ms as f64 * factor);
+    spec.steps[0].image = image;
+}
+
 /// Returns a log-normal factor with median 1.
 fn spread(sigma: f64, rng: &mut StdRng) -> f64 {
     let normal: f64 = (0..12).map(|_| rng.random_range(0.0..1.0)).sum::<f64>() - 6.0;
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -5,8 +5,10 @@
 //! counts what the callers got. A scenario and a seed always give the same report.
 
 mod callers;
+mod conditions;
 mod figures;
 mod hosts;
+mod lists;
 mod load;
 mod run;
 mod scenario;
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -7,6 +7,7 @@
 use rand::rngs::StdRng;
 
 use super::callers::{Callers, Told};
+use super::conditions::Conditions;
 use super::figures::{Ending, ReplayReport, report};
 use super::hosts::Hosts;
 use super::load::{MIX, Request, configuration, requests};
@@ -32,6 +33,15 @@
     Everything,
 }
 
+/// What the scheduler knows of run times and hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Knowledge {
+    /// What callers declare and lists show.
+    Observed,
+    /// The actual run times and speeds, for comparison.
+    All,
+}
+
 /// What a run of a scenario left behind.
 #[derive(Debug)]
 pub(super) struct Record {
@@ -44,15 +54,21 @@
 /// Replays a scenario on a number of hosts, with the load scaled to them.
 #[must_use]
 pub fn replay(scenario: Scenario, hosts: usize, seed: u64) -> ReplayReport {
-    let record = Replay::new(scenario, hosts, seed, Admitting::ByForecast).run();
-    let unrefused = Replay::new(scenario, hosts, seed, Admitting::Everything).run();
-    report(scenario, hosts, seed, &record, &unrefused)
+    use Admitting::{ByForecast, Everything};
+    let play =
+        |admitting, knowledge| Replay::new(scenario, hosts, seed, admitting, knowledge).run();
+    let record = play(ByForecast, Knowledge::Observed);
+    let unrefused = play(Everything, Knowledge::Observed);
+    let hidden = Conditions::of(scenario).are_hidden();
+    let informed = hidden.then(|| play(ByForecast, Knowledge::All));
+    report(scenario, hosts, seed, &record, &unrefused, informed.as_ref())
 }
 
 /// State of a replay.
 struct Replay {
     scenario: Scenario,
     admitting: Admitting,
+    knowledge: Knowledge,
     requests: Vec<Request>,
     callers: Callers,
     hosts: Hosts,
@@ -67,16 +83,25 @@
 }
 
 impl Replay {
-    fn new(scenario: Scenario, hosts: usize, seed: u64, admitting: Admitting) -> Self {
+    fn new(
+        scenario: Scenario,
+        hosts: usize,
+        seed: u64,
+        admitting: Admitting,
+        knowledge: Knowledge,
+    ) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let requests = requests(scenario, hosts as f64 / NORMAL_HOSTS as f64, &mut rng);
+        let conditions = Conditions::of(scenario);
+        let mut requests = requests(scenario, hosts as f64 / NORMAL_HOSTS as f64, &mut rng);
+        conditions.revise_all(&mut requests, seed, knowledge == Knowledge::All);
         let callers = Callers::new(requests.iter().map(|request| request.at_ms));
         let completed_ms = vec![None; requests.len()];
         let mut replay = Self {
             scenario,
             admitting,
+            knowledge,
             callers,
-            hosts: Hosts::new(hosts),
+            hosts: Hosts::new(hosts, conditions),
             state: State::default(),
             headroom: Headroom::default(),
             admissions: Admissions::default(),
@@ -113,7 +138,8 @@
 
     fn step(&mut self) {
         let disturbance = self.scenario.disturbance(self.now_ms);
-        let mut changes = self.hosts.set_lost(disturbance.hosts_lost_percent, self.now_ms);
+        self.hosts.advance(self.now_ms);
+        let mut changes = self.hosts.set_lost(disturbance.hosts_lost_percent);
         changes.extend(self.hosts.end_due(self.now_ms));
         for change in changes {
             self.apply(change);
@@ -122,6 +148,7 @@
         if disturbance.control_down {
             return;
         }
+        self.hosts.read_lists(self.now_ms);
         let plan = self.decide();
         for (unit, run, _) in &plan.stops {
             self.hosts.stop(unit, *run, self.now_ms);
@@ -200,7 +227,7 @@
             now_ms: self.now_ms,
             unix_ms: self.now_ms,
             stopping: &stopping,
-            progress: &self.hosts.progress(self.now_ms),
+            progress: &self.hosts.progress(self.now_ms, self.knowledge == Knowledge::All),
             avoid: &HashSet::new(),
             approvals: &Approvals::default(),
             learned: &self.learned,
--- a/src/replay/scenario.rs
+++ b/src/replay/scenario.rs
@@ -37,6 +37,16 @@
     Ramp,
     /// No decisions are made for some seconds; all callers wait and the backlog is full after it.
     Recovery,
+    /// Hosts of speeds 0.8, 1.0 and 1.25; a fifth of them becomes three times slower for ten seconds.
+    Speeds,
+    /// Estimates that are off by up to 0.9 of the run time for two kinds, and a few very long units.
+    WrongEstimates,
+    /// All work has one of two images, which slow each other down.
+    NoisyPair,
+    /// Two images among many slow each other down.
+    NoisyMany,
+    /// Differing speeds, wrong estimates and images that slow each other down, under overload.
+    HardLoad,
 }
 
 /// What is disturbed at a point in time.
@@ -50,7 +60,7 @@
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 15] = [
         Self::Calm,
         Self::UrgentBurst,
         Self::AllKindsBurst,
@@ -61,6 +71,11 @@
         Self::HeavyOverload,
         Self::Ramp,
         Self::Recovery,
+        Self::Speeds,
+        Self::WrongEstimates,
+        Self::NoisyPair,
+        Self::NoisyMany,
+        Self::HardLoad,
     ];
 
     /// Returns the name of the scenario.
@@ -77,6 +92,11 @@
             Self::HeavyOverload => "heavy-overload",
             Self::Ramp => "ramp",
             Self::Recovery => "recovery",
+            Self::Speeds => "speeds",
+            Self::WrongEstimates => "wrong-estimates",
+            Self::NoisyPair => "noisy-pair",
+            Self::NoisyMany => "noisy-many",
+            Self::HardLoad => "hard-load",
         }
     }
 
@@ -84,7 +104,8 @@
     pub(super) fn rates(self, at_ms: u64) -> [f64; KINDS] {
         let in_peak = (PEAK_FROM_MS..PEAK_TO_MS).contains(&at_ms);
         match self {
-            Self::LongOverload => [1.6; KINDS],
+            Self::LongOverload | Self::HardLoad => [1.6; KINDS],
+            Self::WrongEstimates => [2.5; KINDS],
             Self::HeavyOverload => [4.0; KINDS],
             Self::Ramp => [0.5 + 2.5 * at_ms as f64 / SUBMISSION_MS as f64; KINDS],
             Self::UrgentBurst if in_peak => [4.0, 1.0, 1.0],
--- a/src/replay/tests/mod.rs
+++ b/src/replay/tests/mod.rs
@@ -38,3 +38,14 @@
         }
     }
 }
+
+/// Guards against hidden conditions that change nothing, or that change the figures of each replay.
+#[test]
+fn hidden_conditions_repeat_and_are_compared_with_full_knowledge() {
+    for scenario in [Scenario::Speeds, Scenario::WrongEstimates, Scenario::NoisyPair] {
+        let report = replay(scenario, HOSTS, 3);
+        assert_eq!(report, replay(scenario, HOSTS, 3));
+        assert!(report.worth_knowing_all.is_some_and(|worth| worth > 0.0));
+    }
+    assert_eq!(replay(Scenario::Calm, HOSTS, 3).worth_knowing_all, None);
+}
