Learn run times, speeds and noisy pairs from lists

Cause: decisions trusted every declared run time, took all upstreams for equally fast, and placed images that slow each other down side by side. The limit after which a run hangs came from the declared time alone, so a low estimate could stop a healthy run.

Change: placement/learned follows runs by the upstreams' own clocks: a regression per queue of observed on declared run times with offsets by image and shape, speeds of upstreams and slow spells by the runs' own pace, and pairs of images that slow each other down. Runs away from their data or in several racks, lasting and filling ones, and implausible input teach nothing. The figures feed order, forecast and admission, the time that runs have left, the choice of upstreams (placement/preference, which only orders hosts that fit), draining and the limit for hanging runs; the replays switch each feed (--feeds). A metric, log lines and explain show them. A new leader starts without figures.

--- a/src/bin/cactuslatch-measure/policy.rs
+++ b/src/bin/cactuslatch-measure/policy.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use bpaf::{Parser, construct, long};
-use cactuslatch::replay::{KindFigures, ReplayReport, Scenario, replay};
+use cactuslatch::replay::{Feeds, KindFigures, ReplayReport, Scenario, replay};
 use cactuslatch::scheduler::policy_run::{Figures, OFFERED_LOAD, PolicyReport, User, compare};
 use eyre::Result;
 
@@ -14,7 +14,7 @@
 #[derive(Debug, Clone)]
 pub(crate) enum Args {
     Compare { users: User, seed: u64, load: f64, json: bool },
-    Replay { scenario: Scenarios, hosts: usize, seed: u64, seeds: u64, json: bool },
+    Replay { scenario: Scenarios, hosts: usize, seed: u64, seeds: u64, feeds: Feeds, json: bool },
 }
 
 /// Scenarios to replay.
@@ -48,7 +48,11 @@
     let seed = long("seed").help("Seed of the first replay").argument("N").fallback(1);
     let seeds = long("seeds").help("Number of replays").argument("N").fallback(1);
     let json = long("json").help("Print the reports as JSON").switch();
-    construct!(Args::Replay { scenario, hosts, seed, seeds, json })
+    let feeds = long("feeds")
+        .help("Decisions that use learned figures: all, none, or a list of names")
+        .argument("NAMES")
+        .fallback(Feeds::default());
+    construct!(Args::Replay { scenario, hosts, seed, seeds, feeds, json })
 }
 
 fn compare_args() -> impl Parser<Args> {
@@ -66,19 +70,19 @@
 pub(crate) fn run(args: &Args) -> Result<ExitCode> {
     match *args {
         Args::Compare { users, seed, load, json } => run_comparison(users, seed, load, json),
-        Args::Replay { scenario, hosts, seed, seeds, json } => {
+        Args::Replay { scenario, hosts, seed, seeds, feeds, json } => {
             let scenarios = match scenario {
                 Scenarios::All => Scenario::ALL.to_vec(),
                 Scenarios::One(scenario) => vec![scenario],
             };
-            run_replays(&scenarios, hosts, seed..seed + seeds, json)
+            run_replays(&scenarios, (hosts, feeds), seed..seed + seeds, json)
         }
     }
 }
 
 fn run_replays(
     scenarios: &[Scenario],
-    hosts: usize,
+    (hosts, feeds): (usize, Feeds),
     seeds: std::ops::Range<u64>,
     json: bool,
 ) -> Result<ExitCode> {
@@ -101,7 +105,7 @@
     }
     for scenario in scenarios {
         for seed in seeds.clone() {
-            let report = replay(*scenario, hosts, seed);
+            let report = replay(*scenario, hosts, seed, feeds);
             if json {
                 println!("{}", serde_json::to_string(&report)?);
             } else {
--- a/src/cluster/leader/draining.rs
+++ b/src/cluster/leader/draining.rs
@@ -2,6 +2,7 @@
 
 use super::Leader;
 use super::hold::LAST_RUNS_MARGIN_MS;
+use super::learning::expected_ms;
 use super::scheduling::step_of;
 use super::session::Session;
 use crate::cluster::clock::boot_ms;
@@ -26,7 +27,9 @@
                 let (task, run) = &key;
                 let Some(step) = step_of(&inner.state, task) else { continue };
                 let session = &term_state.sessions[&incarnation.id];
-                let left_ms = session.estimated_left_ms(&key, step.estimate_ms, now_ms);
+                let Some(job) = inner.state.jobs.get(&task.job) else { continue };
+                let expected_ms = expected_ms(&term_state.learned, &inner.state, job, step);
+                let left_ms = session.estimated_left_ms(&key, expected_ms, now_ms);
                 if !term_state.stopping.contains(&key) && must_move(step, left_ms, remaining_ms) {
                     let unit = if step.gang { 0 } else { task.index };
                     let (job, occurrence, step) = (task.job.clone(), task.occurrence, task.step);
--- a/src/cluster/leader/failures.rs
+++ b/src/cluster/leader/failures.rs
@@ -2,9 +2,13 @@
 
 use std::collections::HashSet;
 
-use super::TaskRun;
-use super::session::Session;
-use crate::tasks::{Incarnation, State, UnitId};
+use tracing::warn;
+
+use super::session::{ObservedRun, Session};
+use super::{Leader, TaskRun, learning};
+use crate::cluster::clock::boot_ms;
+use crate::placement::StopCause;
+use crate::tasks::{Incarnation, Job, State, StepSpec, UnitId};
 
 /// Number of different jobs that must fail in a row on an upstream before it is set aside.
 pub(super) const FAILED_JOBS_TO_SET_ASIDE: usize = 2;
@@ -18,7 +22,7 @@
 /// Time without progress after which a run counts as hanging.
 const HANG_AFTER_MS: u64 = 2_500;
 
-/// Share of its estimated run time that a run may spend without progress.
+/// Share of its longest usual run time that a run may spend without progress.
 const HANG_ESTIMATE_PERCENT: u64 = 30;
 
 /// Time for which a job avoids an upstream on which it hung.
@@ -29,9 +33,21 @@
     (SET_ASIDE_MIN_MS << set_aside_before.min(4)).min(SET_ASIDE_MAX_MS)
 }
 
-/// Returns the time without progress after which a run of a step counts as hanging.
-pub(super) fn hang_after_ms(estimate_ms: u64) -> u64 {
-    HANG_AFTER_MS.max(estimate_ms * HANG_ESTIMATE_PERCENT / 100)
+/// Time without progress, as a multiple of the mean time that the run took for one percent so far, before
+/// it can count as hanging. An upstream may become three times slower for a while, and neighbours may
+/// double that.
+const HANG_PACE_FACTOR: u64 = 8;
+
+/// Returns the time without progress after which a run counts as hanging.
+///
+/// The run's own pace counts as well, since a long run whose estimate is far too low would otherwise seem
+/// to hang between two percentages.
+pub(super) fn hang_after_ms(usual_max_ms: u64, observed: &ObservedRun) -> u64 {
+    let by_estimate_ms = usual_max_ms.saturating_mul(HANG_ESTIMATE_PERCENT) / 100;
+    let progressed = u64::from(observed.percent.saturating_sub(observed.first_percent));
+    let worked_ms = observed.advanced_ms.saturating_sub(observed.first_listed_ms);
+    let by_pace_ms = (worked_ms * HANG_PACE_FACTOR).checked_div(progressed).unwrap_or(0);
+    HANG_AFTER_MS.max(by_estimate_ms).max(by_pace_ms)
 }
 
 /// A run without progress on one of its upstreams.
@@ -44,11 +60,56 @@
     pub(super) percent: u32,
 }
 
+impl Leader {
+    /// Stops hanging runs and counts them as failures of their upstreams.
+    ///
+    /// It is unknown which member of a gang hangs, so the job avoids all of its upstreams. When
+    /// another job hangs on the faulty one, that one is set aside.
+    pub(super) fn stop_hanging_runs(&self) {
+        let now_ms = boot_ms();
+        let mut judged: HashSet<(UnitId, u32, Incarnation)> = HashSet::new();
+        let hanging = {
+            let inner = self.replica.lock();
+            let term_state = self.term_state();
+            let learned = &term_state.learned;
+            let usual_max_ms = |job: &Job, step: &StepSpec| {
+                learning::usual_max_ms(learned, &inner.state, job, step)
+            };
+            find_hanging_runs(
+                &inner.state,
+                usual_max_ms,
+                term_state.sessions.values(),
+                &term_state.stopping,
+                now_ms,
+            )
+        };
+        for HangingRun { unit, run, incarnation, stalled_ms, percent } in hanging {
+            if !judged.insert((unit.clone(), run, incarnation.clone())) {
+                continue;
+            }
+            let set_aside_ms = {
+                let mut term_state = self.term_state();
+                term_state.avoid.insert((unit.job.clone(), incarnation.clone()), now_ms + AVOID_MS);
+                term_state
+                    .sessions
+                    .get_mut(&incarnation.id)
+                    .and_then(|session| session.record_outcome(unit.job.clone(), false, now_ms))
+            };
+            warn!(
+                request = %unit.job, unit = %unit, run, upstream = %incarnation.id,
+                still_ms = stalled_ms, percent, set_aside_ms, "run makes no progress"
+            );
+            self.stop_unit(&unit, run, StopCause::Hangs);
+        }
+    }
+}
+
 /// Returns the hanging runs, one entry for each of their upstreams.
 ///
 /// When one member of a gang hangs, all of its members stop making progress.
 pub(super) fn find_hanging_runs<'a>(
     state: &State,
+    usual_max_ms: impl Fn(&Job, &StepSpec) -> u64,
     sessions: impl Iterator<Item = &'a Session>,
     stopping: &HashSet<TaskRun>,
     now_ms: u64,
@@ -65,7 +126,8 @@
             let stalled_ms = known_until_ms.saturating_sub(observed.advanced_ms);
             // A member of a gang that has finished its part waits for the others.
             let unfinished = observed.percent < 100;
-            let over_limit = unfinished && stalled_ms > hang_after_ms(step.estimate_ms);
+            let limit_ms = hang_after_ms(usual_max_ms(job, step), observed);
+            let over_limit = unfinished && stalled_ms > limit_ms;
             if over_limit && !step.lasting && !stopping.contains(&key) {
                 let incarnation = session.incarnation.clone();
                 hanging.push(HangingRun {
--- a/src/cluster/leader/lists.rs
+++ b/src/cluster/leader/lists.rs
@@ -55,6 +55,7 @@
             );
             self.wake.notify_one();
         }
+        self.learn(incarnation, lists);
         let mut ends = self.listed_ends(incarnation, lists);
         let verdict = |key: &TaskRun| {
             let answered = answered_orders.get(key).copied();
@@ -104,6 +105,9 @@
                 EndKind::Failed => Some(false),
                 _ => None,
             };
+            if succeeded.is_some() {
+                self.learn_end(end);
+            }
             if let Some(succeeded) = succeeded
                 && let Some(session) = self.term_state().sessions.get_mut(&incarnation.id)
                 && let Some(pause_ms) =
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -4,6 +4,7 @@
 mod draining;
 mod failures;
 mod hold;
+mod learning;
 mod lists;
 mod losses;
 mod maintenance;
@@ -29,7 +30,7 @@
 use super::replica::Replica;
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
-use crate::placement::{Admissions, Approvals, Headroom, Learned, StepId};
+use crate::placement::{Admissions, Approvals, Headroom, Learned, Observer, StepId};
 use crate::tasks::{Incarnation, JobId, TaskId, Upstream};
 use replacement::Supersession;
 use session::Session;
@@ -98,6 +99,7 @@
     approvals: Approvals,
     /// What runs have shown of upstreams and of work.
     learned: Arc<Learned>,
+    observer: Observer,
     /// Paces in percent that were set for filling tasks, and when.
     paces: HashMap<TaskRun, (u32, u64)>,
     /// Physical hosts that are being evacuated for maintenance, and since when.
@@ -202,6 +204,9 @@
                 }
             }
             term_state.superseded.retain(|incarnation, _| known.contains(incarnation));
+            let names: HashSet<&str> = known.iter().map(|incarnation| &*incarnation.id).collect();
+            let TermState { learned, observer, .. } = &mut *term_state;
+            observer.retain(learned, |name| names.contains(name));
             for RegisteredUpstream { incarnation, address, drain_remaining_ms } in upstreams {
                 let now_ms = boot_ms();
                 if !term_state.holds.contains_key(&incarnation) {
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -401,6 +401,13 @@
             let (opened, all) = (job.occurrences.next(), job.spec.occurrences());
             lines.push(format!("{id}: {opened} of {all} occurrences were opened so far"));
         }
+        let learned = Arc::clone(&self.term_state().learned);
+        if let Some(queue) = inner.state.queue_of(job) {
+            for (number, step) in job.spec.steps.iter().enumerate().filter(|(_, s)| !s.lasting) {
+                let expected = learned.explain(queue, step);
+                lines.push(format!("{id}: step {number}: {expected}"));
+            }
+        }
         crate::placement::for_each_unit(job, |unit, state| {
             let upstreams: Vec<_> =
                 state.members().iter().map(|member| &*member.incarnation.id).collect();
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -7,8 +7,8 @@
 use tokio::time::{Instant, timeout};
 use tracing::{debug, info, warn};
 
-use super::failures::{HangingRun, unit_of};
-use super::{Leader, TaskRun, failures};
+use super::failures::unit_of;
+use super::{Leader, TaskRun, learning};
 use crate::cluster::clock::{boot_ms, unix_ms};
 use crate::placement::{
     Host, Plan, Progress, StopCause, View, jobs_to_shrink, plan, urgent_demand,
@@ -107,6 +107,10 @@
         let avoid: HashSet<(JobId, Incarnation)> = term_state.avoid.keys().cloned().collect();
         let stopping: HashSet<(UnitId, u32)> =
             term_state.stopping.iter().filter_map(|key| unit_of(state, key)).collect();
+        let expected_ms = |task: &TaskId| {
+            let known = state.jobs.get(&task.job).zip(step_of(state, task));
+            known.map_or(0, |(job, step)| learning::expected_ms(&learned, state, job, step))
+        };
         let mut progress: HashMap<(UnitId, u32), Progress> = HashMap::new();
         for session in term_state.sessions.values() {
             for (task, observed) in &session.runs {
@@ -116,7 +120,7 @@
                 let since_ms =
                     if checkpoints { observed.saved_ms } else { observed.first_listed_ms };
                 let unsaved_ms = now_ms.saturating_sub(since_ms);
-                let left_ms = observed.estimated_left_ms(estimate_ms(state, task), now_ms);
+                let left_ms = observed.estimated_left_ms(expected_ms(task), now_ms);
                 let seen_alive_ms = session.seen_alive_ms(&key).unwrap_or(0);
                 let known = progress
                     .entry(unit)
@@ -288,45 +292,6 @@
         }
     }
 
-    /// Stops hanging runs and counts them as failures of their upstreams.
-    ///
-    /// It is unknown which member of a gang hangs, so the job avoids all of its upstreams. When
-    /// another job hangs on the faulty one, that one is set aside.
-    fn stop_hanging_runs(&self) {
-        let now_ms = boot_ms();
-        let mut judged: HashSet<(UnitId, u32, Incarnation)> = HashSet::new();
-        let hanging = {
-            let inner = self.replica.lock();
-            let term_state = self.term_state();
-            failures::find_hanging_runs(
-                &inner.state,
-                term_state.sessions.values(),
-                &term_state.stopping,
-                now_ms,
-            )
-        };
-        for HangingRun { unit, run, incarnation, stalled_ms, percent } in hanging {
-            if !judged.insert((unit.clone(), run, incarnation.clone())) {
-                continue;
-            }
-            let set_aside_ms = {
-                let mut term_state = self.term_state();
-                term_state
-                    .avoid
-                    .insert((unit.job.clone(), incarnation.clone()), now_ms + failures::AVOID_MS);
-                term_state
-                    .sessions
-                    .get_mut(&incarnation.id)
-                    .and_then(|session| session.record_outcome(unit.job.clone(), false, now_ms))
-            };
-            warn!(
-                request = %unit.job, unit = %unit, run, upstream = %incarnation.id,
-                still_ms = stalled_ms, percent, set_aside_ms, "run makes no progress"
-            );
-            self.stop_unit(&unit, run, StopCause::Hangs);
-        }
-    }
-
     /// Drops ended jobs and early cancellations whose retention period is over.
     async fn drop_ended_jobs(&self) {
         let jobs: Vec<JobId> = {
@@ -394,10 +359,6 @@
     step_of(state, task).is_some_and(|step| step.checkpoints)
 }
 
-fn estimate_ms(state: &State, task: &TaskId) -> u64 {
-    step_of(state, task).map_or(0, |step| step.estimate_ms)
-}
-
 pub(super) fn step_of<'a>(state: &'a State, task: &TaskId) -> Option<&'a StepSpec> {
     state.jobs.get(&task.job)?.spec.steps.get(task.step as usize)
 }
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -8,7 +8,7 @@
 use super::TaskRun;
 use super::unlisted::{AnsweredOrder, Coverage};
 use crate::cluster::upstream_calls::TaskLists;
-use crate::placement::estimated_left_ms;
+use crate::placement::{Reports, estimated_left_ms};
 use crate::tasks::{Incarnation, JobId, TaskId};
 
 /// Slowest rate of an upstream's clock, in thousandths of real time.
@@ -61,9 +61,14 @@
 
 impl ObservedRun {
     /// Returns the estimated time until the run ends by itself.
-    pub(super) fn estimated_left_ms(&self, estimate_ms: u64, now_ms: u64) -> u64 {
-        let observed_ms = now_ms.saturating_sub(self.first_listed_ms);
-        estimated_left_ms(estimate_ms, observed_ms, self.first_percent, self.percent)
+    pub(super) fn estimated_left_ms(&self, expected_ms: u64, now_ms: u64) -> u64 {
+        let reports = Reports {
+            observed_ms: self.last_listed_ms.saturating_sub(self.first_listed_ms),
+            age_ms: now_ms.saturating_sub(self.last_listed_ms),
+            first_percent: self.first_percent,
+            percent: self.percent,
+        };
+        estimated_left_ms(expected_ms, &reports)
     }
 }
 
@@ -300,11 +305,11 @@
     pub(super) fn estimated_left_ms(
         &self,
         (task, run): &TaskRun,
-        estimate_ms: u64,
+        expected_ms: u64,
         now_ms: u64,
     ) -> Option<u64> {
         let observed = self.runs.get(task).filter(|observed| observed.run == *run)?;
-        Some(observed.estimated_left_ms(estimate_ms, now_ms))
+        Some(observed.estimated_left_ms(expected_ms, now_ms))
     }
 
     /// Returns for how long a run was seen alive, or `None` if it may not have started at all.
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -42,6 +42,7 @@
     set_aside: Counter,
     units_given_up: Counter,
     connections: Family<KindLabels, Gauge>,
+    learned: Family<KindLabels, Gauge>,
 }
 
 fn duration_histogram() -> Histogram {
@@ -66,6 +67,7 @@
             set_aside: Counter::default(),
             units_given_up: Counter::default(),
             connections: Family::default(),
+            learned: Family::default(),
         }
     }
 }
@@ -95,6 +97,8 @@
         to.register("set_aside", "Upstreams set aside", self.set_aside.clone());
         let given_up = self.units_given_up.clone();
         to.register("units_given_up", "Units given up since upstreams crash under them", given_up);
+        let learned = self.learned.clone();
+        to.register("learned", "Kinds of work, slow upstreams and noisy pairs learned", learned);
         let connections = self.connections.clone();
         to.register("upstream_connections", "Connections to upstreams, by state", connections);
     }
@@ -140,6 +144,14 @@
         self.units_given_up.inc();
     }
 
+    /// Sets the numbers of kinds of work with figures, slow upstreams and pairs of noisy images.
+    pub(super) fn set_learned(&self, kinds: usize, slow: usize, pairs: usize) {
+        for (kind, count) in [("kinds", kinds), ("slow_upstreams", slow), ("noisy_pairs", pairs)] {
+            let gauge = self.learned.get_or_create(&KindLabels { kind });
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Sets the gauges of the replicated log.
     pub(super) fn set_log_state(&self, leads: bool, term: u64, committed: u64) {
         self.leads.set(i64::from(leads));
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -7,6 +7,7 @@
 
 use super::free_capacity::FreeCapacity;
 use super::order::WaitingUnit;
+use super::preference::Preferences;
 use super::room::tasks_that_fit;
 use super::suspects::{is_suspect, survived_start};
 use super::{View, for_each_unit, is_eligible};
@@ -53,6 +54,7 @@
     drained: Vec<bool>,
     /// Runs on each host that have not survived their start yet.
     starting: Vec<SmallVec<[StartingRun; 2]>>,
+    pub(super) preferences: Preferences,
 }
 
 /// A run that has not survived its start yet.
@@ -91,6 +93,7 @@
             releases: vec![Vec::new(); view.hosts.len()],
             drained: vec![false; view.hosts.len()],
             starting: vec![SmallVec::new(); view.hosts.len()],
+            preferences: Preferences::of(view),
         };
         for (number, host) in view.hosts.iter().enumerate() {
             pool.racks.entry(Arc::clone(&host.rack)).or_default().push(number);
@@ -122,6 +125,7 @@
                         continue;
                     };
                     pool.starting[host].extend(starting.clone());
+                    pool.preferences.add_task(host, step);
                     pool.free[host].subtract(&need);
                     if is_stopping || !step.lasting {
                         pool.releases[host].push(Release { left_ms, need });
@@ -186,6 +190,7 @@
     pub(super) fn occupy(&mut self, unit: &WaitingUnit<'_>, task_hosts: &[usize]) {
         let need = unit.step.reserved();
         for &host in task_hosts {
+            self.preferences.add_task(host, unit.step);
             self.free[host].subtract(&need);
             self.free_after_stops[host].subtract(&need);
             let run = StartingRun { job: unit.id.job.clone(), is_suspect: unit.is_suspect };
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -30,9 +30,11 @@
     let fitting = groups.iter().filter_map(|hosts| {
         let task_hosts = fill_fullest_hosts(view, pool, free, unit, hosts)?;
         let free_weight: u64 = hosts.iter().map(|host| free[*host].weight_millicores()).sum();
-        Some((free_weight, task_hosts))
+        let reluctance = |host: &usize| pool.preferences.reluctance(view, unit, *host);
+        let reluctance = task_hosts.iter().map(reluctance).max();
+        Some(((reluctance, free_weight), task_hosts))
     });
-    fitting.min_by_key(|(free_weight, _)| *free_weight).map(|(_, task_hosts)| task_hosts)
+    fitting.min_by_key(|(rank, _)| *rank).map(|(_, task_hosts)| task_hosts)
 }
 
 /// A unit waits for a host near its data for this multiple of its estimated run time.
@@ -139,8 +141,11 @@
     if total < wanted {
         return None;
     }
-    fullest.sort_by_key(|(_, host)| {
-        (free[*host].accelerators, free[*host].weight_millicores(), *host)
+    fullest.sort_by_cached_key(|(_, host)| {
+        let reluctance = pool.preferences.reluctance(view, unit, *host);
+        let slowness = pool.preferences.slowness(unit, *host);
+        let free = &free[*host];
+        (reluctance, slowness, free.accelerators, free.weight_millicores(), *host)
     });
     if unit.is_suspect {
         // The emptiest first: as few runs as possible are lost if it crashes the host.
--- a/src/replay/conditions.rs
+++ b/src/replay/conditions.rs
@@ -105,19 +105,25 @@
         }
     }
 
-    /// Returns the speed of a host at a time, in thousandths.
-    pub(super) const fn speed(&self, host: usize, hosts: usize, at_ms: u64) -> u64 {
+    /// Returns the usual speed of a host and the one at a time, in thousandths.
+    pub(super) const fn speeds(&self, host: usize, hosts: usize, at_ms: u64) -> (u64, u64) {
         if !self.speeds {
-            return FULL_RATE;
+            return (FULL_RATE, FULL_RATE);
         }
         // The offset by rack keeps the hosts of a rack from having only some of the speeds.
         let speed = SPEEDS[(host + host / 8) % SPEEDS.len()];
         if host % SPELL_EVERY != SPELL_EVERY - 1 {
-            return speed;
+            return (speed, speed);
         }
         let from_ms = SPELLS_WITHIN_MS * host as u64 / hosts as u64;
         let is_slow = at_ms >= from_ms && at_ms < from_ms + SPELL_MS;
-        if is_slow { speed / SPELL_FACTOR } else { speed }
+        (speed, if is_slow { speed / SPELL_FACTOR } else { speed })
+    }
+
+    /// Returns the two images that slow each other down, and the factor.
+    pub(super) fn noisy_pair(&self) -> Option<(Arc<str>, Arc<str>, f64)> {
+        let factor = NOISE_PERMILLE as f64 / 1_000.0;
+        (self.images > 0).then(|| (image_name(NOISY[0]), image_name(NOISY[1]), factor))
     }
 
     /// Returns the rate of a task beside tasks of other images on a host, in thousandths.
--- a/src/replay/hosts.rs
+++ b/src/replay/hosts.rs
@@ -9,7 +9,9 @@
 use super::conditions::{Conditions, FULL_RATE};
 use super::lists::{Reads, Reported};
 use super::load::{Request, SERVICE};
-use crate::placement::{Host, Progress};
+use super::runs::{Run, RunKey};
+
+use crate::placement::{Host, Learned, ListedProgress, Progress};
 use crate::tasks::{
     Change, EndKind, EndRecord, Heartbeat, Incarnation, Resources, StartRecord, State, UnitId,
 };
@@ -20,9 +22,6 @@
 /// Time from the decision to stop a run until it has ended.
 const STOP_MS: u64 = 200;
 
-/// Work between two checkpoints.
-const CHECKPOINT_MS: u64 = 1_000;
-
 /// Probability that a run fails by itself.
 const FAILURE_CHANCE: f64 = 0.02;
 
@@ -31,57 +30,6 @@
 const CAPACITY: Resources =
     Resources { cpu_millicores: 128_000, memory_mb: 512_000, accelerators: 8 };
 
-/// A unit and the number of its run.
-type RunKey = (UnitId, u32);
-
-/// A run in execution.
-#[derive(Debug)]
-struct Run {
-    /// Tasks that have not ended, by their index in the unit, and the host of each.
-    members: Vec<(u32, Incarnation)>,
-    /// When it begins to work.
-    working_ms: u64,
-    /// Work that it has to do, in milliseconds on a host of speed 1.
-    work_ms: u64,
-    /// Work after which it ends if nothing stops it, and how.
-    ends: (u64, EndKind),
-    /// Work done so far, multiplied by [`FULL_RATE`].
-    done: u64,
-    /// Rate at which it works, in thousandths.
-    rate: u64,
-    /// Work that earlier runs have saved.
-    resumed_ms: u64,
-    image: Option<Arc<str>>,
-    reported: Reported,
-    stops_at_ms: Option<u64>,
-    checkpoints: bool,
-    /// Weight of one task in thousandths of a core.
-    weight_millicores: u64,
-}
-
-impl Run {
-    fn is_on(&self, host: &Incarnation) -> bool {
-        self.members.iter().any(|(_, member)| member == host)
-    }
-
-    const fn worked_ms(&self) -> u64 {
-        self.done / FULL_RATE
-    }
-
-    /// Returns the share of the unit's work that is done, in percent.
-    fn percent(&self) -> u32 {
-        let all_ms = self.resumed_ms + self.work_ms;
-        let percent = (self.resumed_ms + self.worked_ms()) * 100 / all_ms.max(1);
-        u32::try_from(percent.min(100)).unwrap_or(100)
-    }
-
-    /// Returns the work that a stop keeps.
-    const fn saved_ms(&self) -> u64 {
-        let worked_ms = self.worked_ms();
-        if self.checkpoints { worked_ms - worked_ms % CHECKPOINT_MS } else { 0 }
-    }
-}
-
 /// All hosts and what runs on them.
 #[derive(Debug)]
 pub(super) struct Hosts {
@@ -92,6 +40,8 @@
     reads: Reads,
     /// Hosts on which a run has ended since the lists were last read.
     ended_on: BTreeSet<usize>,
+    /// Runs that are done and were not listed as such yet.
+    done: Vec<(RunKey, Run)>,
     lost: usize,
     /// Rises each time that lost hosts return.
     born_unix_ms: u64,
@@ -110,6 +60,7 @@
             advanced_ms: 0,
             reads: Reads::new(count),
             ended_on: BTreeSet::new(),
+            done: Vec::new(),
             lost: 0,
             born_unix_ms: 1,
             runs: BTreeMap::new(),
@@ -189,12 +140,11 @@
     pub(super) fn start(
         &mut self,
         start: &StartRecord,
-        request: &Request,
+        (request, expected_ms): (&Request, u64),
         now_ms: u64,
         rng: &mut StdRng,
     ) {
         let step = &request.spec.steps[0];
-        let expected_ms = step.estimate_ms;
         let total_ms = request.run_ms[start.unit.unit as usize];
         let saved_ms = self.saved_ms.get(&start.unit).copied().unwrap_or(0);
         let left_ms = total_ms.saturating_sub(saved_ms).max(1);
@@ -212,7 +162,8 @@
             done: 0,
             rate: FULL_RATE,
             resumed_ms: saved_ms,
-            image: step.image.clone(),
+            kind: request.kind_of_work(),
+            declared_ms: step.estimate_ms,
             reported: Reported::new(expected_ms),
             stops_at_ms: None,
             checkpoints: step.checkpoints,
@@ -238,16 +189,16 @@
     pub(super) fn advance(&mut self, now_ms: u64) {
         let from_ms = std::mem::replace(&mut self.advanced_ms, now_ms);
         let mut images: HashMap<Arc<str>, BTreeSet<Arc<str>>> = HashMap::new();
-        for run in self.runs.values().filter(|run| run.image.is_some()) {
+        for run in self.runs.values().filter(|run| run.kind.image.is_some()) {
             for (_, host) in &run.members {
-                images.entry(Arc::clone(&host.id)).or_default().extend(run.image.clone());
+                images.entry(Arc::clone(&host.id)).or_default().extend(run.kind.image.clone());
             }
         }
         let (conditions, count) = (self.conditions, self.count);
         for run in self.runs.values_mut() {
             let rate_on = |host: &Incarnation| {
-                let beside = Conditions::rate_beside(run.image.as_ref(), images.get(&host.id));
-                conditions.speed(host_number(host), count, from_ms) * beside / FULL_RATE
+                let beside = Conditions::rate_beside(run.kind.image.as_ref(), images.get(&host.id));
+                conditions.speeds(host_number(host), count, from_ms).1 * beside / FULL_RATE
             };
             // A gang advances at the pace of its slowest member.
             let slowest = run.members.iter().map(|(_, host)| rate_on(host)).min();
@@ -257,14 +208,52 @@
         }
     }
 
-    /// Reads the lists that are due.
-    pub(super) fn read_lists(&mut self, now_ms: u64) {
+    /// Sets what a scheduler that knows all knows of the hosts and images.
+    pub(super) fn tell_all(&self, learned: &mut Learned, now_ms: u64) {
+        if !self.conditions.are_hidden() {
+            return;
+        }
+        for host in 0..self.count {
+            let (usual, now) = self.conditions.speeds(host, self.count, now_ms);
+            let usual_factor = usual as f64 / FULL_RATE as f64;
+            let recent_factor = now as f64 / usual as f64;
+            learned.assume_speed(&self.incarnation(host), (usual_factor, recent_factor), now_ms);
+        }
+        if let Some((one, other, factor)) = self.conditions.noisy_pair() {
+            learned.assume_noisy(&one, &other, factor);
+        }
+    }
+
+    /// Reads the lists that are due and returns what they show.
+    pub(super) fn read_lists(&mut self, now_ms: u64) -> Vec<(Incarnation, Vec<ListedProgress>)> {
         let due = self.reads.due(&std::mem::take(&mut self.ended_on), now_ms);
-        for run in self.runs.values_mut().filter(|run| run.working_ms <= now_ms) {
-            if run.members.iter().any(|(_, host)| due.contains(&host_number(host))) {
+        let done = std::mem::take(&mut self.done);
+        let mut lists: BTreeMap<Incarnation, Vec<ListedProgress>> = BTreeMap::new();
+        for host in &due {
+            lists.insert(self.incarnation(*host), Vec::new());
+        }
+        let working = self.runs.iter_mut().filter(|(_, run)| run.working_ms <= now_ms);
+        for (key, run) in working {
+            let mut is_listed = false;
+            for (_, host) in &run.members {
+                let Some(list) = lists.get_mut(host) else { continue };
+                if !list.iter().any(|listed| listed.unit == key.0) {
+                    list.push(run.listed(key, false));
+                }
+                is_listed = true;
+            }
+            if is_listed {
                 run.reported.record(run.percent(), now_ms);
             }
         }
+        for (key, run) in &done {
+            for (_, host) in &run.members {
+                if let Some(list) = lists.get_mut(host) {
+                    list.push(run.listed(key, true));
+                }
+            }
+        }
+        lists.into_iter().collect()
     }
 
     /// Returns what the leader knows of the progress of the runs.
@@ -306,12 +295,15 @@
                 self.remove(&key, tasks)
             };
             let Some(run) = run else { continue };
-            for (member, incarnation) in run.members {
+            for (member, incarnation) in run.members.iter().cloned() {
                 self.ended_on.insert(host_number(&incarnation));
                 let task = key.0.task(member);
                 let end = EndRecord { task, run: key.1, how, checkpoint: None };
                 changes.push(Change::RecordEnds { incarnation, up_to: 0, ends: vec![end] });
             }
+            if how == EndKind::Done {
+                self.done.push((key, run));
+            }
         }
         changes
     }
--- a/src/replay/lists.rs
+++ b/src/replay/lists.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::placement::estimated_left_ms;
+use crate::placement::{Reports, estimated_left_ms};
 
 /// Longest time between two reads of a host's lists.
 const READ_EVERY_MS: u64 = 2_000;
@@ -15,24 +15,31 @@
     /// When it was first listed, and its percentage then.
     first: Option<(u64, u32)>,
     percent: u32,
+    last_ms: u64,
 }
 
 impl Reported {
     pub(super) const fn new(expected_ms: u64) -> Self {
-        Self { expected_ms, first: None, percent: 0 }
+        Self { expected_ms, first: None, percent: 0, last_ms: 0 }
     }
 
     /// Records that a run was listed.
     pub(super) fn record(&mut self, percent: u32, now_ms: u64) {
         self.first.get_or_insert((now_ms, percent));
         self.percent = percent;
+        self.last_ms = now_ms;
     }
 
     /// Returns the time until the run ends, as the scheduler estimates it.
     pub(super) fn left_ms(&self, now_ms: u64) -> u64 {
         let Some((first_ms, first_percent)) = self.first else { return self.expected_ms };
-        let observed_ms = now_ms.saturating_sub(first_ms);
-        estimated_left_ms(self.expected_ms, observed_ms, first_percent, self.percent)
+        let reports = Reports {
+            observed_ms: self.last_ms - first_ms,
+            age_ms: now_ms.saturating_sub(self.last_ms),
+            first_percent,
+            percent: self.percent,
+        };
+        estimated_left_ms(self.expected_ms, &reports)
     }
 }
 
--- a/src/replay/load.rs
+++ b/src/replay/load.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 
 use super::scenario::{SUBMISSION_MS, Scenario};
-use crate::placement::{critical_path_ms, objective_ms};
+use crate::placement::{Kind, critical_path_ms, objective_ms};
 use crate::tasks::{
     Change, Configuration, FrontLimits, JobSpec, Organisation, Queue, Resources, StepSpec,
     WorkerService,
@@ -27,7 +27,7 @@
 
 /// A kind of job.
 #[derive(Debug)]
-pub(super) struct Kind {
+pub(super) struct JobKind {
     pub(super) queue: &'static str,
     priority: u32,
     per_s: f64,
@@ -43,8 +43,8 @@
 }
 
 /// The kinds, by priority: short urgent gangs, large gangs, and wide jobs of single tasks.
-pub(super) const MIX: [Kind; KINDS] = [
-    Kind {
+pub(super) const MIX: [JobKind; KINDS] = [
+    JobKind {
         queue: "urgent",
         priority: 0,
         per_s: 1.9,
@@ -57,7 +57,7 @@
         target_ms: 500,
         checkpoint_chance: 0.0,
     },
-    Kind {
+    JobKind {
         queue: "normal",
         priority: 1,
         per_s: 0.8,
@@ -70,7 +70,7 @@
         target_ms: 1_200,
         checkpoint_chance: 0.45,
     },
-    Kind {
+    JobKind {
         queue: "batch",
         priority: 2,
         per_s: 0.75,
@@ -99,6 +99,11 @@
 }
 
 impl Request {
+    /// Returns the kind of work by which run times are learned.
+    pub(super) fn kind_of_work(&self) -> Kind {
+        Kind::of(&queue(&MIX[self.kind]), &self.spec.steps[0])
+    }
+
     /// Returns the work in core-equivalent seconds.
     pub(super) fn work_core_s(&self) -> f64 {
         let step = &self.spec.steps[0];
@@ -185,7 +190,7 @@
     value.round().max(1.0) as u64
 }
 
-fn queue(kind: &Kind) -> Queue {
+fn queue(kind: &JobKind) -> Queue {
     Queue {
         name: kind.queue.into(),
         host: "jobs.example".into(),
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -11,10 +11,12 @@
 mod lists;
 mod load;
 mod run;
+mod runs;
 mod scenario;
 #[cfg(test)]
 mod tests;
 
+pub use crate::placement::Feeds;
 pub use figures::{KindFigures, ReplayReport};
 pub use run::replay;
 pub use scenario::Scenario;
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -13,7 +13,8 @@
 use super::load::{MIX, Request, configuration, requests};
 use super::scenario::{SUBMISSION_MS, Scenario};
 use crate::placement::{
-    Admission, Admissions, Approvals, Headroom, Learned, Plan, View, plan, urgent_demand,
+    Admission, Admissions, Approvals, Feeds, Headroom, Learned, ListRead, Observer, Plan, View,
+    plan, urgent_demand,
 };
 use crate::tasks::{Change, Command, JobId, Outcome, State, UnitId};
 
@@ -53,10 +54,11 @@
 
 /// Replays a scenario on a number of hosts, with the load scaled to them.
 #[must_use]
-pub fn replay(scenario: Scenario, hosts: usize, seed: u64) -> ReplayReport {
+pub fn replay(scenario: Scenario, hosts: usize, seed: u64, feeds: Feeds) -> ReplayReport {
     use Admitting::{ByForecast, Everything};
-    let play =
-        |admitting, knowledge| Replay::new(scenario, hosts, seed, admitting, knowledge).run();
+    let play = |admitting, knowledge| {
+        Replay::new(scenario, hosts, seed, admitting, (knowledge, feeds)).run()
+    };
     let record = play(ByForecast, Knowledge::Observed);
     let unrefused = play(Everything, Knowledge::Observed);
     let hidden = Conditions::of(scenario).are_hidden();
@@ -76,6 +78,7 @@
     headroom: Headroom,
     admissions: Admissions,
     learned: Learned,
+    observer: Observer,
     rng: StdRng,
     now_ms: u64,
     /// When each job was completed.
@@ -88,7 +91,7 @@
         hosts: usize,
         seed: u64,
         admitting: Admitting,
-        knowledge: Knowledge,
+        (knowledge, feeds): (Knowledge, Feeds),
     ) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let conditions = Conditions::of(scenario);
@@ -105,7 +108,8 @@
             state: State::default(),
             headroom: Headroom::default(),
             admissions: Admissions::default(),
-            learned: Learned::default(),
+            learned: Learned::with_feeds(feeds),
+            observer: Observer::default(),
             rng,
             now_ms: 0,
             completed_ms,
@@ -148,18 +152,41 @@
         if disturbance.control_down {
             return;
         }
-        self.hosts.read_lists(self.now_ms);
+        self.learn();
         let plan = self.decide();
         for (unit, run, _) in &plan.stops {
             self.hosts.stop(unit, *run, self.now_ms);
         }
         for start in &plan.starts {
             let request = &self.requests[job_number(&start.unit.job)];
-            self.hosts.start(start, request, self.now_ms, &mut self.rng);
+            let expected = self.expected(request);
+            self.hosts.start(start, (request, expected), self.now_ms, &mut self.rng);
         }
         self.apply(Change::Start { starts: plan.starts });
     }
 
+    /// Reads the lists that are due, and learns from them.
+    fn learn(&mut self) {
+        let lists = self.hosts.read_lists(self.now_ms);
+        if self.knowledge == Knowledge::All {
+            self.hosts.tell_all(&mut self.learned, self.now_ms);
+            return;
+        }
+        for (upstream, runs) in &lists {
+            let read = ListRead { upstream, clock_ms: self.now_ms, runs };
+            self.observer.record(&mut self.learned, &read, self.now_ms);
+        }
+    }
+
+    /// Returns the run time that the scheduler expects of the units of a job.
+    fn expected(&self, request: &Request) -> u64 {
+        let declared_ms = request.spec.steps[0].estimate_ms;
+        if !self.learned.feeds.time_left {
+            return declared_ms;
+        }
+        self.learned.expected(&request.kind_of_work(), declared_ms).run_ms
+    }
+
     fn apply(&mut self, change: Change) {
         self.state.apply(Command { at_ms: self.now_ms, change });
         for event in self.state.take_events() {
--- a/src/replay/tests/mod.rs
+++ b/src/replay/tests/mod.rs
@@ -1,10 +1,14 @@
 //! Replays of the load patterns.
 
-use super::{Scenario, replay};
+use super::{Feeds, ReplayReport, Scenario};
 
 /// Number of hosts of the replays in tests.
 const HOSTS: usize = 12;
 
+fn replay(scenario: Scenario, hosts: usize, seed: u64) -> ReplayReport {
+    super::replay(scenario, hosts, seed, Feeds::default())
+}
+
 /// A scenario and a seed give the same report each time, so that figures of two builds compare.
 #[test]
 fn a_replay_repeats() {
