--- a/src/cluster/leader/learning.rs
+++ b/src/cluster/leader/learning.rs
@@ -25,11 +25,9 @@
         let super::TermState { learned, observer, .. } = &mut *term_state;
         // Decisions hold the lock of the replica while they read the figures, so nothing is copied.
         let learned = Arc::make_mut(learned);
-        let [_, _, pairs_before] = learned.counts(now_ms);
+        let pairs_before = learned.noisy_pair_count();
         let read = ListRead { upstream: incarnation, clock_ms: lists.clock_ms, runs: &runs };
         let change = observer.record(learned, &read, now_ms);
-        let [kinds, slow, pairs] = learned.counts(now_ms);
-        self.replica.metrics.set_learned(kinds, slow, pairs);
         match change {
             Some(SpellChange::Began) => {
                 let pace = learned.speed(incarnation, now_ms).recent;
@@ -40,7 +38,7 @@
             }
             None => {}
         }
-        if pairs != pairs_before {
+        if learned.noisy_pair_count() != pairs_before {
             for (one, other, factor) in learned.noisy_pairs() {
                 info!(%one, %other, factor, "images slow each other down");
             }
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -2,8 +2,10 @@
 
 mod advice;
 mod draining;
+mod evacuations;
 mod failures;
 mod hold;
+mod hosts;
 mod learning;
 mod lists;
 mod losses;
@@ -11,6 +13,7 @@
 mod orders;
 mod pacing;
 mod replacement;
+mod reports;
 mod requests;
 mod scheduling;
 mod session;
@@ -18,11 +21,11 @@
 mod tests;
 mod unlisted;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::{AbortHandle, JoinSet};
 use tracing::info;
 
@@ -32,6 +35,8 @@
 use super::upstream_calls::UpstreamCalls;
 use crate::placement::{Admissions, Approvals, Headroom, Learned, Observer, StepId};
 use crate::tasks::{Incarnation, JobId, TaskId, Upstream};
+use evacuations::EvacuationReport;
+use hosts::KnownHosts;
 use replacement::Supersession;
 use session::Session;
 
@@ -67,10 +72,14 @@
     replica: Arc<Replica>,
     calls: UpstreamCalls,
     bounds: TaskBounds,
+    /// Data centres that the settings name.
+    data_centres: BTreeSet<Arc<str>>,
     internal_address: String,
     term_state: Mutex<TermState>,
     /// Wakes the scheduling loop.
     wake: Notify,
+    /// Limits the first calls of the term to upstreams.
+    first_contacts: Semaphore,
     tasks: Mutex<JoinSet<()>>,
     /// Reference to itself, for spawned work that must not keep it alive.
     weak: Weak<Self>,
@@ -93,6 +102,7 @@
     /// Holding loops, by upstream.
     holds: HashMap<Incarnation, AbortHandle>,
     headroom: Headroom,
+    known_hosts: Option<KnownHosts>,
     admissions: Admissions,
     /// Upstreams that a job must avoid because it made no progress there, and until when.
     avoid: HashMap<(JobId, Incarnation), u64>,
@@ -106,6 +116,7 @@
     evacuating: HashMap<Arc<str>, u64>,
     /// Steps with an approval request under way.
     pending_approvals: HashSet<StepId>,
+    evacuation_report: EvacuationReport,
     stopped: bool,
 }
 
@@ -122,9 +133,11 @@
             replica,
             calls,
             bounds,
+            data_centres: settings.data_centres.clone(),
             internal_address: settings.internal_address.to_string(),
             term_state: Mutex::default(),
             wake: Notify::new(),
+            first_contacts: Semaphore::new(hold::FIRST_CONTACTS_MAX),
             tasks: Mutex::default(),
             weak: Weak::clone(weak),
         })
@@ -151,6 +164,7 @@
         self.term_state().stopped = true;
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner).abort_all();
         (self.calls.close_idle)();
+        self.replica.metrics.evacuations.clear();
         info!(term = self.term, "leader ends its work");
     }
 
@@ -167,8 +181,13 @@
     /// Keeps one session and holding loop for each registered upstream.
     async fn follow_upstreams(self: Arc<Self>) {
         let mut changed = self.replica.changed();
+        let mut synced_version = None;
         loop {
-            self.sync_sessions();
+            // Most entries change no upstream, and the sync walks all of them.
+            let version = self.replica.lock().state.fleet_version();
+            if synced_version.replace(version) != Some(version) {
+                self.sync_sessions();
+            }
             self.wake.notify_one();
             if changed.changed().await.is_err() {
                 return;
@@ -221,6 +240,9 @@
                 }
             }
         }
+        // First contacts take turns in this order. Runs end with their lease, which only a call extends.
+        let has_runs = |incarnation: &Incarnation| self.replica.lock().state.has_runs(incarnation);
+        new.sort_by_cached_key(|incarnation| !has_runs(incarnation));
         for incarnation in new {
             let hold = self.spawn(Arc::clone(self).hold_upstream(incarnation.clone()));
             if let Some(hold) = hold {
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::registry::Registry;
 
 use super::budget::BudgetUse;
+use super::evacuation_metrics::EvacuationMetrics;
 
 /// Label of metrics that are counted by kind.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -43,6 +44,7 @@
     units_given_up: Counter,
     connections: Family<KindLabels, Gauge>,
     learned: Family<KindLabels, Gauge>,
+    pub(super) evacuations: EvacuationMetrics,
 }
 
 fn duration_histogram() -> Histogram {
@@ -68,6 +70,7 @@
             units_given_up: Counter::default(),
             connections: Family::default(),
             learned: Family::default(),
+            evacuations: EvacuationMetrics::default(),
         }
     }
 }
@@ -99,6 +102,7 @@
         to.register("units_given_up", "Units given up since upstreams crash under them", given_up);
         let learned = self.learned.clone();
         to.register("learned", "Kinds of work, slow upstreams and noisy pairs learned", learned);
+        self.evacuations.register(to);
         let connections = self.connections.clone();
         to.register("upstream_connections", "Connections to upstreams, by state", connections);
     }
@@ -161,7 +165,9 @@
 
     /// Sets the gauges of the connections to upstreams.
     pub(super) fn set_connections(&self, in_use: BudgetUse) {
-        for (kind, count) in [("open", in_use.open), ("waiting", in_use.waiting)] {
+        for (kind, count) in
+            [("open", in_use.open), ("waiting", in_use.waiting), ("incoming", in_use.incoming)]
+        {
             let gauge = self.connections.get_or_create(&KindLabels { kind });
             gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
         }
--- a/src/placement/learned/mod.rs
+++ b/src/placement/learned/mod.rs
@@ -147,6 +147,11 @@
         self.interference.slowdown_log(image, beside).exp()
     }
 
+    /// Returns the number of pairs of images that slow each other down.
+    pub(crate) fn noisy_pair_count(&self) -> usize {
+        self.interference.known().count()
+    }
+
     /// Returns the pairs of images that slow each other down, with the factor.
     pub(crate) fn noisy_pairs(&self) -> Vec<(Arc<str>, Arc<str>, f64)> {
         let known = self.interference.known();
@@ -173,7 +178,7 @@
 
     /// Returns the numbers of kinds with figures, slow upstreams and noisy pairs.
     pub(crate) fn counts(&self, now_ms: u64) -> [usize; 3] {
-        [self.run_times.len(), self.speeds.slow(now_ms), self.interference.known().count()]
+        [self.run_times.len(), self.speeds.slow(now_ms), self.noisy_pair_count()]
     }
 
     /// Sets the speed of an upstream; replays with a scheduler that knows all use it.
