--- a/src/bin/cactuslatch-measure/policy.rs
+++ b/src/bin/cactuslatch-measure/policy.rs
@@ -3,7 +3,9 @@
 use std::process::ExitCode;
 
 use bpaf::{Parser, construct, long};
-use cactuslatch::replay::{KindFigures, OrganisationFigures, ReplayReport, Scenario, replay};
+use cactuslatch::replay::{
+    Feeds, KindFigures, OrganisationFigures, ReplayReport, Scenario, replay,
+};
 use cactuslatch::scheduler::policy_run::{Figures, OFFERED_LOAD, PolicyReport, User, compare};
 use eyre::Result;
 
@@ -14,7 +16,7 @@
 #[derive(Debug, Clone)]
 pub(crate) enum Args {
     Compare { users: User, seed: u64, load: f64, json: bool },
-    Replay { scenario: Scenarios, hosts: usize, seed: u64, seeds: u64, json: bool },
+    Replay { scenario: Scenarios, hosts: usize, seed: u64, seeds: u64, feeds: Feeds, json: bool },
 }
 
 /// Scenarios to replay.
@@ -48,7 +50,11 @@
     let seed = long("seed").help("Seed of the first replay").argument("N").fallback(1);
     let seeds = long("seeds").help("Number of replays").argument("N").fallback(1);
     let json = long("json").help("Print the reports as JSON").switch();
-    construct!(Args::Replay { scenario, hosts, seed, seeds, json })
+    let feeds = long("feeds")
+        .help("Decisions that use learned figures: all, none, or a list of names")
+        .argument("NAMES")
+        .fallback(Feeds::default());
+    construct!(Args::Replay { scenario, hosts, seed, seeds, feeds, json })
 }
 
 fn compare_args() -> impl Parser<Args> {
@@ -66,19 +72,19 @@
 pub(crate) fn run(args: &Args) -> Result<ExitCode> {
     match *args {
         Args::Compare { users, seed, load, json } => run_comparison(users, seed, load, json),
-        Args::Replay { scenario, hosts, seed, seeds, json } => {
+        Args::Replay { scenario, hosts, seed, seeds, feeds, json } => {
             let scenarios = match scenario {
                 Scenarios::All => Scenario::ALL.to_vec(),
                 Scenarios::One(scenario) => vec![scenario],
             };
-            run_replays(&scenarios, hosts, seed..seed + seeds, json)
+            run_replays(&scenarios, (hosts, feeds), seed..seed + seeds, json)
         }
     }
 }
 
 fn run_replays(
     scenarios: &[Scenario],
-    hosts: usize,
+    (hosts, feeds): (usize, Feeds),
     seeds: std::ops::Range<u64>,
     json: bool,
 ) -> Result<ExitCode> {
@@ -102,7 +108,7 @@
     }
     for scenario in scenarios {
         for seed in seeds.clone() {
-            let report = replay(*scenario, hosts, seed);
+            let report = replay(*scenario, hosts, seed, feeds);
             if json {
                 println!("{}", serde_json::to_string(&report)?);
             } else {
@@ -135,6 +141,9 @@
         let runs = report.discarded.runs.get(cause).copied().unwrap_or(0);
         println!("{name:15} {:>5} {cause}: {runs} runs, {} core-s", report.seed, core_ms / 1_000);
     }
+    if let Some(worth) = report.worth_knowing_all {
+        println!("{name:15} {:>5} worth if all were known {worth:.3}", report.seed);
+    }
 }
 
 fn print_organisation(name: &str, seed: u64, organisation: &str, figures: &OrganisationFigures) {
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -6,6 +6,7 @@
 mod failures;
 mod hold;
 mod hosts;
+mod learning;
 mod lists;
 mod losses;
 mod maintenance;
@@ -36,7 +37,7 @@
 use super::replica::Replica;
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
-use crate::placement::{Admissions, Approvals, Headroom, Learned, StepId};
+use crate::placement::{Admissions, Approvals, Headroom, Learned, Observer, StepId};
 use crate::tasks::{Incarnation, JobId, State, TaskId, Upstream};
 use evacuations::EvacuationReport;
 use hosts::KnownHosts;
@@ -122,6 +123,7 @@
     approvals: Approvals,
     /// What runs have shown of upstreams and of work.
     learned: Arc<Learned>,
+    observer: Observer,
     /// Paces in percent that were set for filling tasks, and when.
     paces: HashMap<TaskRun, (u32, u64)>,
     /// Physical hosts that are being evacuated for maintenance, and since when.
@@ -243,6 +245,9 @@
                 }
             }
             term_state.superseded.retain(|incarnation, _| known.contains(incarnation));
+            let names: HashSet<&str> = known.iter().map(|incarnation| &*incarnation.id).collect();
+            let TermState { learned, observer, .. } = &mut *term_state;
+            observer.retain(learned, |name| names.contains(name));
             for upstream in upstreams {
                 let RegisteredUpstream { incarnation, address, rack, runs, drain_remaining_ms } =
                     upstream;
--- a/src/cluster/leader/reports.rs
+++ b/src/cluster/leader/reports.rs
@@ -56,6 +56,13 @@
             lines.push(format!("{id}: {opened} of {all} occurrences were opened so far"));
         }
         lines.extend(self.explain_place(&inner.state, inner.now_ms(), job));
+        let learned = std::sync::Arc::clone(&self.term_state().learned);
+        if let Some(queue) = inner.state.queue_of(job) {
+            for (number, step) in job.spec.steps.iter().enumerate().filter(|(_, s)| !s.lasting) {
+                let expected = learned.explain(queue, step);
+                lines.push(format!("{id}: step {number}: {expected}"));
+            }
+        }
         crate::placement::for_each_unit(job, |unit, state| {
             let upstreams: Vec<_> =
                 state.members().iter().map(|member| &*member.incarnation.id).collect();
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -57,6 +57,7 @@
     jobs_refused: Family<JobLabels, Counter>,
     shares: Family<ShareLabels, Gauge>,
     fair_shares: Family<ShareLabels, Gauge>,
+    learned: Family<KindLabels, Gauge>,
     pub(super) evacuations: EvacuationMetrics,
 }
 
@@ -88,6 +89,7 @@
             jobs_refused: Family::default(),
             shares: Family::default(),
             fair_shares: Family::default(),
+            learned: Family::default(),
             evacuations: EvacuationMetrics::default(),
         }
     }
@@ -123,6 +125,8 @@
         to.register("work_discarded_core_ms", "Unsaved work of stopped tasks, by cause", discarded);
         let recovery = self.recovery_ms.clone();
         to.register("recovery_ms", "Time to each step of this host's latest term", recovery);
+        let learned = self.learned.clone();
+        to.register("learned", "Kinds of work, slow upstreams and noisy pairs learned", learned);
         self.evacuations.register(to);
         let connections = self.connections.clone();
         to.register("upstream_connections", "Connections to upstreams, by state", connections);
@@ -208,6 +212,14 @@
         }
     }
 
+    /// Sets the numbers of kinds of work with figures, slow upstreams and pairs of noisy images.
+    pub(super) fn set_learned(&self, kinds: usize, slow: usize, pairs: usize) {
+        for (kind, count) in [("kinds", kinds), ("slow_upstreams", slow), ("noisy_pairs", pairs)] {
+            let gauge = self.learned.get_or_create(&KindLabels { kind });
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Sets the gauges of the replicated log.
     pub(super) fn set_log_state(&self, leads: bool, term: u64, committed: u64) {
         self.leads.set(i64::from(leads));
--- a/src/replay/hosts.rs
+++ b/src/replay/hosts.rs
@@ -1,14 +1,17 @@
 //! Simulated hosts: run tasks for their actual run times and end them on orders and failures.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use super::conditions::{Conditions, FULL_RATE};
+use super::lists::{Reads, Reported};
 use super::load::{Request, SERVICE};
+use super::runs::{Run, RunKey};
 use super::stops::Discarded;
-use crate::placement::{Host, Progress, StopCause};
+use crate::placement::{Host, Learned, ListedProgress, Progress, StopCause};
 use crate::tasks::{
     Change, EndKind, EndRecord, Heartbeat, Incarnation, Resources, StartRecord, State, UnitId,
 };
@@ -19,9 +22,6 @@
 /// Time from the decision to stop a run until it has ended.
 pub(super) const STOP_MS: u64 = 200;
 
-/// Work between two checkpoints.
-const CHECKPOINT_MS: u64 = 1_000;
-
 /// Probability that a run fails by itself.
 const FAILURE_CHANCE: f64 = 0.02;
 
@@ -30,47 +30,18 @@
 const CAPACITY: Resources =
     Resources { cpu_millicores: 128_000, memory_mb: 512_000, accelerators: 8 };
 
-/// A unit and the number of its run.
-type RunKey = (UnitId, u32);
-
-/// A run in execution.
-#[derive(Debug)]
-struct Run {
-    /// Tasks that have not ended, by their index in the unit, and the host of each.
-    members: Vec<(u32, Incarnation)>,
-    /// When it begins to work.
-    working_ms: u64,
-    /// When its work would be done.
-    done_at_ms: u64,
-    /// When it ends if nothing stops it, and how.
-    ends: (u64, EndKind),
-    /// When it ends on an order to stop, and the cause of the order.
-    stops: Option<(u64, StopCause)>,
-    checkpoints: bool,
-    /// Weight of one task in thousandths of a core.
-    weight_millicores: u64,
-}
-
-impl Run {
-    fn is_on(&self, host: &Incarnation) -> bool {
-        self.members.iter().any(|(_, member)| member == host)
-    }
-
-    fn worked_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.working_ms)
-    }
-
-    /// Returns the worked time that a stop keeps.
-    fn saved_ms(&self, now_ms: u64) -> u64 {
-        let worked_ms = self.worked_ms(now_ms);
-        if self.checkpoints { worked_ms - worked_ms % CHECKPOINT_MS } else { 0 }
-    }
-}
-
 /// All hosts and what runs on them.
 #[derive(Debug)]
 pub(super) struct Hosts {
     count: usize,
+    conditions: Conditions,
+    /// Time up to which the work of the runs is counted.
+    advanced_ms: u64,
+    reads: Reads,
+    /// Hosts on which a run has ended since the lists were last read.
+    ended_on: BTreeSet<usize>,
+    /// Runs that are done and were not listed as such yet.
+    done: Vec<(RunKey, Run)>,
     lost: usize,
     /// Rises each time that lost hosts return.
     born_unix_ms: u64,
@@ -90,9 +61,14 @@
 }
 
 impl Hosts {
-    pub(super) fn new(count: usize) -> Self {
+    pub(super) fn new(count: usize, conditions: Conditions) -> Self {
         Self {
             count,
+            conditions,
+            advanced_ms: 0,
+            reads: Reads::new(count),
+            ended_on: BTreeSet::new(),
+            done: Vec::new(),
             lost: 0,
             born_unix_ms: 1,
             runs: BTreeMap::new(),
@@ -133,13 +109,13 @@
     }
 
     /// Loses hosts or lets the lost ones return, and returns the commands that record it.
-    pub(super) fn set_lost(&mut self, percent: usize, now_ms: u64) -> Vec<Change> {
+    pub(super) fn set_lost(&mut self, percent: usize) -> Vec<Change> {
         let lost = self.count * percent / 100;
         let before = std::mem::replace(&mut self.lost, lost);
         if lost > before {
             let gone: Vec<_> = (before..lost).map(|number| self.incarnation(number)).collect();
             for incarnation in &gone {
-                self.lose(incarnation, now_ms);
+                self.lose(incarnation);
             }
             return gone
                 .into_iter()
@@ -153,7 +129,7 @@
         (lost..before).map(|number| self.register(number)).collect()
     }
 
-    fn lose(&mut self, incarnation: &Incarnation, now_ms: u64) {
+    fn lose(&mut self, incarnation: &Incarnation) {
         let hit = self.runs.iter_mut().filter(|(_, run)| run.is_on(incarnation));
         let mut ended = Vec::new();
         for (key, run) in hit {
@@ -165,7 +141,7 @@
             }
         }
         for key in ended {
-            self.remove(&key, now_ms, 1);
+            self.remove(&key, 1);
         }
     }
 
@@ -173,7 +149,7 @@
     pub(super) fn start(
         &mut self,
         start: &StartRecord,
-        request: &Request,
+        (request, expected_ms): (&Request, u64),
         now_ms: u64,
         rng: &mut StdRng,
     ) {
@@ -182,17 +158,22 @@
         let saved_ms = self.saved_ms.get(&start.unit).copied().unwrap_or(0);
         let left_ms = total_ms.saturating_sub(saved_ms).max(1);
         let working_ms = now_ms + START_MS;
-        let done_at_ms = working_ms + left_ms;
         let ends = if rng.random_bool(FAILURE_CHANCE) {
-            (working_ms + rng.random_range(0..left_ms), EndKind::Failed)
+            (rng.random_range(0..left_ms), EndKind::Failed)
         } else {
-            (done_at_ms, EndKind::Done)
+            (left_ms, EndKind::Done)
         };
         let run = Run {
             members: (0..).zip(start.incarnations.iter().cloned()).collect(),
             working_ms,
-            done_at_ms,
+            work_ms: left_ms,
             ends,
+            done: 0,
+            rate: FULL_RATE,
+            resumed_ms: saved_ms,
+            kind: request.kind_of_work(),
+            declared_ms: step.estimate_ms,
+            reported: Reported::new(expected_ms),
             stops: None,
             checkpoints: step.checkpoints,
             weight_millicores: step.need.weight_millicores(),
@@ -213,12 +194,91 @@
         stopping.map(|(key, _)| key.clone()).collect()
     }
 
+    /// Counts the work of the runs since the last call.
+    pub(super) fn advance(&mut self, now_ms: u64) {
+        let from_ms = std::mem::replace(&mut self.advanced_ms, now_ms);
+        let mut images: HashMap<Arc<str>, BTreeSet<Arc<str>>> = HashMap::new();
+        for run in self.runs.values().filter(|run| run.kind.image.is_some()) {
+            for (_, host) in &run.members {
+                images.entry(Arc::clone(&host.id)).or_default().extend(run.kind.image.clone());
+            }
+        }
+        let (conditions, count) = (self.conditions, self.count);
+        for run in self.runs.values_mut() {
+            let rate_on = |host: &Incarnation| {
+                let beside = Conditions::rate_beside(run.kind.image.as_ref(), images.get(&host.id));
+                conditions.speeds(host_number(host), count, from_ms).1 * beside / FULL_RATE
+            };
+            // A gang advances at the pace of its slowest member.
+            let slowest = run.members.iter().map(|(_, host)| rate_on(host)).min();
+            run.rate = slowest.unwrap_or(FULL_RATE);
+            let worked_ms = now_ms.saturating_sub(from_ms.max(run.working_ms));
+            run.done += worked_ms * run.rate;
+        }
+    }
+
+    /// Sets what a scheduler that knows all knows of the hosts and images.
+    pub(super) fn tell_all(&self, learned: &mut Learned, now_ms: u64) {
+        if !self.conditions.are_hidden() {
+            return;
+        }
+        for host in 0..self.count {
+            let (usual, now) = self.conditions.speeds(host, self.count, now_ms);
+            let usual_factor = usual as f64 / FULL_RATE as f64;
+            let recent_factor = now as f64 / usual as f64;
+            learned.assume_speed(&self.incarnation(host), (usual_factor, recent_factor), now_ms);
+        }
+        if let Some((one, other, factor)) = self.conditions.noisy_pair() {
+            learned.assume_noisy(&one, &other, factor);
+        }
+    }
+
+    /// Reads the lists that are due and returns what they show.
+    pub(super) fn read_lists(&mut self, now_ms: u64) -> Vec<(Incarnation, Vec<ListedProgress>)> {
+        let due = self.reads.due(&std::mem::take(&mut self.ended_on), now_ms);
+        let done = std::mem::take(&mut self.done);
+        let mut lists: BTreeMap<Incarnation, Vec<ListedProgress>> = BTreeMap::new();
+        for host in &due {
+            lists.insert(self.incarnation(*host), Vec::new());
+        }
+        let working = self.runs.iter_mut().filter(|(_, run)| run.working_ms <= now_ms);
+        for (key, run) in working {
+            let mut is_listed = false;
+            for (_, host) in &run.members {
+                let Some(list) = lists.get_mut(host) else { continue };
+                if !list.iter().any(|listed| listed.unit == key.0) {
+                    list.push(run.listed(key, false));
+                }
+                is_listed = true;
+            }
+            if is_listed {
+                run.reported.record(run.percent(), now_ms);
+            }
+        }
+        for (key, run) in &done {
+            for (_, host) in &run.members {
+                if let Some(list) = lists.get_mut(host) {
+                    list.push(run.listed(key, true));
+                }
+            }
+        }
+        lists.into_iter().collect()
+    }
+
     /// Returns what the leader knows of the progress of the runs.
-    pub(super) fn progress(&self, now_ms: u64) -> HashMap<RunKey, Progress> {
+    ///
+    /// Without hidden conditions, and for a scheduler that knows all, the time left is the actual one.
+    pub(super) fn progress(&self, now_ms: u64, knows_all: bool) -> HashMap<RunKey, Progress> {
+        let knows_all = knows_all || !self.conditions.are_hidden();
         let progress = |run: &Run| Progress {
-            unsaved_ms: run.worked_ms(now_ms) - run.saved_ms(now_ms),
-            left_ms: run.done_at_ms.saturating_sub(now_ms),
-            seen_alive_ms: run.worked_ms(now_ms),
+            unsaved_ms: run.worked_ms() - run.saved_ms(),
+            left_ms: if knows_all {
+                let left_ms = run.work_ms.saturating_sub(run.worked_ms());
+                left_ms * FULL_RATE / run.rate.max(1) + run.working_ms.saturating_sub(now_ms)
+            } else {
+                run.reported.left_ms(now_ms)
+            },
+            seen_alive_ms: now_ms.saturating_sub(run.working_ms),
         };
         self.runs.iter().map(|(key, run)| (key.clone(), progress(run))).collect()
     }
@@ -226,13 +286,12 @@
     /// Ends the runs that are due and returns the commands that record it.
     pub(super) fn end_due(&mut self, now_ms: u64) -> Vec<Change> {
         let due = |run: &Run| {
-            let (ends_ms, how) = run.ends;
-            match run.stops {
-                Some((stops_ms, _)) if stops_ms <= now_ms && stops_ms < ends_ms => {
-                    Some(EndKind::Stopped)
-                }
-                _ => (ends_ms <= now_ms).then_some(how),
+            let (ends_after_ms, how) = run.ends;
+            if now_ms >= run.working_ms && run.worked_ms() >= ends_after_ms {
+                return Some(how);
             }
+            let is_stopped = run.stops.is_some_and(|(stops_ms, _)| stops_ms <= now_ms);
+            is_stopped.then_some(EndKind::Stopped)
         };
         let ended: Vec<_> =
             self.runs.iter().filter_map(|(key, run)| Some((key.clone(), due(run)?))).collect();
@@ -242,26 +301,32 @@
             let run = if how == EndKind::Done {
                 self.runs.remove(&key)
             } else {
-                self.remove(&key, now_ms, tasks)
+                self.remove(&key, tasks)
             };
             let Some(run) = run else { continue };
-            for (member, incarnation) in run.members {
+            for (member, incarnation) in run.members.iter().cloned() {
+                self.ended_on.insert(host_number(&incarnation));
                 let task = key.0.task(member);
                 let end = EndRecord { task, run: key.1, how, checkpoint: None };
                 changes.push(Change::RecordEnds { incarnation, up_to: 0, ends: vec![end] });
             }
+            if how == EndKind::Done {
+                self.done.push((key, run));
+            }
         }
         changes
     }
 
     /// Removes a run that did not finish, and counts its unsaved work as thrown away.
-    fn remove(&mut self, key: &RunKey, now_ms: u64, tasks: u64) -> Option<Run> {
+    fn remove(&mut self, key: &RunKey, tasks: u64) -> Option<Run> {
         let run = self.runs.remove(key)?;
-        let saved_ms = run.saved_ms(now_ms);
-        let lost_ms = run.worked_ms(now_ms) - saved_ms;
+        let saved_ms = run.saved_ms();
+        let lost_ms = run.worked_ms() - saved_ms;
         let cause = match run.ends {
             (_, EndKind::Broken) => "upstream lost".to_owned(),
-            (ends_ms, EndKind::Failed) if ends_ms <= now_ms => "failed".to_owned(),
+            (ends_after_ms, EndKind::Failed) if run.worked_ms() >= ends_after_ms => {
+                "failed".to_owned()
+            }
             _ => run.stops.map(|(_, cause)| cause.to_string()).unwrap_or_default(),
         };
         self.discarded.add(cause, lost_ms * tasks * run.weight_millicores / 1_000);
@@ -276,3 +341,8 @@
         state.upstreams.values().enumerate().map(host).collect()
     }
 }
+
+/// Returns the number of a host.
+fn host_number(host: &Incarnation) -> usize {
+    host.id.rsplit('-').next().and_then(|number| number.parse().ok()).expect("made of a number")
+}
--- a/src/replay/load.rs
+++ b/src/replay/load.rs
@@ -11,7 +11,7 @@
 use self::short_gangs::SHORT_GANGS;
 use super::pressure::flood;
 use super::scenario::{SUBMISSION_MS, Scenario};
-use crate::placement::{critical_path_ms, objective_ms};
+use crate::placement::{Kind, critical_path_ms, objective_ms};
 use crate::tasks::{
     Change, Configuration, FrontLimits, JobSpec, Organisation, Queue, Resources, StepSpec,
     WorkerService,
@@ -38,7 +38,7 @@
 
 /// A kind of job.
 #[derive(Debug)]
-pub(super) struct Kind {
+pub(super) struct JobKind {
     pub(super) queue: &'static str,
     priority: u32,
     per_s: f64,
@@ -56,8 +56,8 @@
 }
 
 /// The kinds, by priority: short urgent gangs, large gangs, and wide jobs of single tasks.
-pub(super) const MIX: [Kind; KINDS] = [
-    Kind {
+pub(super) const MIX: [JobKind; KINDS] = [
+    JobKind {
         queue: "urgent",
         priority: 0,
         per_s: 1.9,
@@ -71,7 +71,7 @@
         checkpoint_chance: 0.0,
         estimate_error: None,
     },
-    Kind {
+    JobKind {
         queue: "normal",
         priority: 1,
         per_s: 0.8,
@@ -85,7 +85,7 @@
         checkpoint_chance: 0.45,
         estimate_error: None,
     },
-    Kind {
+    JobKind {
         queue: "batch",
         priority: 2,
         per_s: 0.75,
@@ -115,6 +115,11 @@
 }
 
 impl Request {
+    /// Returns the kind of work by which run times are learned.
+    pub(super) fn kind_of_work(&self) -> Kind {
+        Kind::of(&queue(&MIX[self.kind]), &self.spec.steps[0])
+    }
+
     /// Returns the work in core-equivalent seconds.
     pub(super) fn work_core_s(&self) -> f64 {
         let step = &self.spec.steps[0];
@@ -146,12 +151,12 @@
 }
 
 /// Returns whether a job of a kind is submitted within a step of the generator.
-fn is_submitted(kind: &Kind, rate: f64, rng: &mut StdRng) -> bool {
+fn is_submitted(kind: &JobKind, rate: f64, rng: &mut StdRng) -> bool {
     let chance = kind.per_s * rate * GENERATOR_STEP_MS as f64 / 1_000.0;
     rng.random_bool(chance.min(1.0))
 }
 
-fn request(at_ms: u64, number: usize, kind: &Kind, rng: &mut StdRng) -> Request {
+fn request(at_ms: u64, number: usize, kind: &JobKind, rng: &mut StdRng) -> Request {
     let estimate_ms = whole(kind.run_ms * spread(0.3, rng));
     let tasks = u32::try_from(whole(kind.tasks.0 * spread(0.7, rng))).unwrap_or(1);
     let tasks = tasks.clamp(1, kind.tasks.1);
@@ -202,6 +207,16 @@
     estimate_ms * share * long
 }
 
+/// Gives a request an image and an estimate that is off by a factor; its objective counts from the
+/// actual run time.
+pub(super) fn revise(request: &mut Request, factor: f64, image: Option<Arc<str>>) {
+    let actual_ms = request.run_ms.iter().copied().max().unwrap_or(0);
+    request.objective_ms = objective_ms(&queue(&MIX[request.kind]), actual_ms);
+    let spec = Arc::make_mut(&mut request.spec);
+    spec.steps[0].estimate_ms = whole(actual_ms as f64 * factor);
+    spec.steps[0].image = image;
+}
+
 /// Returns a log-normal factor with median 1.
 fn spread(sigma: f64, rng: &mut StdRng) -> f64 {
     let normal: f64 = (0..12).map(|_| rng.random_range(0.0..1.0)).sum::<f64>() - 6.0;
@@ -217,7 +232,7 @@
     value.round().max(1.0) as u64
 }
 
-fn queue(kind: &Kind) -> Queue {
+fn queue(kind: &JobKind) -> Queue {
     Queue {
         name: kind.queue.into(),
         host: "jobs.example".into(),
--- a/src/replay/load/short_gangs.rs
+++ b/src/replay/load/short_gangs.rs
@@ -1,10 +1,10 @@
 //! Mix of a site with many short urgent gangs, whose callers estimate badly.
 
-use super::{KINDS, Kind, MIX};
+use super::{JobKind, KINDS, MIX};
 
 /// Callers' estimates are off by up to the given share, and 3% of the tasks take seven times as long.
-pub(super) const SHORT_GANGS: [Kind; KINDS] = [
-    Kind {
+pub(super) const SHORT_GANGS: [JobKind; KINDS] = [
+    JobKind {
         per_s: 1.33,
         tasks: (4.2, 32),
         cpu_millicores: 3_700,
@@ -13,7 +13,7 @@
         estimate_error: Some(0.5),
         ..MIX[0]
     },
-    Kind {
+    JobKind {
         per_s: 0.2,
         tasks: (10.2, 78),
         cpu_millicores: 13_000,
@@ -22,7 +22,7 @@
         estimate_error: Some(0.2),
         ..MIX[1]
     },
-    Kind {
+    JobKind {
         per_s: 0.255,
         tasks: (30.0, 230),
         cpu_millicores: 2_800,
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -6,16 +6,20 @@
 
 mod by_organisation;
 mod callers;
+mod conditions;
 mod figures;
 mod hosts;
+mod lists;
 mod load;
 mod pressure;
 mod run;
+mod runs;
 mod scenario;
 mod stops;
 #[cfg(test)]
 mod tests;
 
+pub use crate::placement::Feeds;
 pub use by_organisation::OrganisationFigures;
 pub use figures::{KindFigures, ReplayReport};
 pub use run::replay;
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -7,13 +7,15 @@
 use rand::rngs::StdRng;
 
 use super::callers::{Callers, Told};
+use super::conditions::Conditions;
 use super::figures::{Ending, ReplayReport, report};
 use super::hosts::{self, Hosts, STOP_MS};
 use super::load::{MIX, Request, configuration, requests};
 use super::scenario::{SUBMISSION_MS, Scenario};
 use super::stops::Discarded;
 use crate::placement::{
-    Admission, Admissions, Approvals, Headroom, Learned, Plan, View, plan, urgent_demand,
+    Admission, Admissions, Approvals, Feeds, Headroom, Learned, ListRead, Observer, Plan, View,
+    plan, urgent_demand,
 };
 use crate::tasks::{Change, Command, JobId, Outcome, State, UnitId};
 
@@ -33,6 +35,15 @@
     Everything,
 }
 
+/// What the scheduler knows of run times and hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Knowledge {
+    /// What callers declare and lists show.
+    Observed,
+    /// The actual run times and speeds, for comparison.
+    All,
+}
+
 /// What a run of a scenario left behind.
 #[derive(Debug)]
 pub(super) struct Record {
@@ -44,16 +55,23 @@
 
 /// Replays a scenario on a number of hosts, with the load scaled to them.
 #[must_use]
-pub fn replay(scenario: Scenario, hosts: usize, seed: u64) -> ReplayReport {
-    let record = Replay::new(scenario, hosts, seed, Admitting::ByForecast).run();
-    let unrefused = Replay::new(scenario, hosts, seed, Admitting::Everything).run();
-    report(scenario, hosts, seed, &record, &unrefused)
+pub fn replay(scenario: Scenario, hosts: usize, seed: u64, feeds: Feeds) -> ReplayReport {
+    use Admitting::{ByForecast, Everything};
+    let play = |admitting, knowledge| {
+        Replay::new(scenario, hosts, seed, admitting, (knowledge, feeds)).run()
+    };
+    let record = play(ByForecast, Knowledge::Observed);
+    let unrefused = play(Everything, Knowledge::Observed);
+    let hidden = Conditions::of(scenario).are_hidden();
+    let informed = hidden.then(|| play(ByForecast, Knowledge::All));
+    report(scenario, hosts, seed, &record, &unrefused, informed.as_ref())
 }
 
 /// State of a replay.
 struct Replay {
     scenario: Scenario,
     admitting: Admitting,
+    knowledge: Knowledge,
     requests: Vec<Request>,
     callers: Callers,
     hosts: Hosts,
@@ -61,6 +79,7 @@
     headroom: Headroom,
     admissions: Admissions,
     learned: Learned,
+    observer: Observer,
     rng: StdRng,
     now_ms: u64,
     /// When each job was completed.
@@ -68,20 +87,30 @@
 }
 
 impl Replay {
-    fn new(scenario: Scenario, hosts: usize, seed: u64, admitting: Admitting) -> Self {
+    fn new(
+        scenario: Scenario,
+        hosts: usize,
+        seed: u64,
+        admitting: Admitting,
+        (knowledge, feeds): (Knowledge, Feeds),
+    ) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let requests = requests(scenario, hosts as f64 / NORMAL_HOSTS as f64, &mut rng);
+        let conditions = Conditions::of(scenario);
+        let mut requests = requests(scenario, hosts as f64 / NORMAL_HOSTS as f64, &mut rng);
+        conditions.revise_all(&mut requests, seed, knowledge == Knowledge::All);
         let callers = Callers::new(requests.iter().map(|request| request.at_ms));
         let completed_ms = vec![None; requests.len()];
         let mut replay = Self {
             scenario,
             admitting,
+            knowledge,
             callers,
-            hosts: Hosts::new(hosts),
+            hosts: Hosts::new(hosts, conditions),
             state: State::default(),
             headroom: Headroom::default(),
             admissions: Admissions::default(),
-            learned: Learned::default(),
+            learned: Learned::with_feeds(feeds),
+            observer: Observer::default(),
             rng,
             now_ms: 0,
             completed_ms,
@@ -114,7 +143,8 @@
 
     fn step(&mut self) {
         let disturbance = self.scenario.disturbance(self.now_ms);
-        let mut changes = self.hosts.set_lost(disturbance.hosts_lost_percent, self.now_ms);
+        self.hosts.advance(self.now_ms);
+        let mut changes = self.hosts.set_lost(disturbance.hosts_lost_percent);
         changes.extend(self.hosts.end_due(self.now_ms));
         for change in changes {
             self.apply(change);
@@ -124,13 +154,15 @@
         if disturbance.control_down {
             return;
         }
+        self.learn();
         let plan = self.decide();
         for (unit, run, cause) in &plan.stops {
             self.hosts.stop(unit, *run, *cause, self.now_ms);
         }
         for start in &plan.starts {
             let request = &self.requests[job_number(&start.unit.job)];
-            self.hosts.start(start, request, self.now_ms, &mut self.rng);
+            let expected = self.expected(request);
+            self.hosts.start(start, (request, expected), self.now_ms, &mut self.rng);
         }
         self.apply(Change::Start { starts: plan.starts });
     }
@@ -144,6 +176,28 @@
         }
     }
 
+    /// Reads the lists that are due, and learns from them.
+    fn learn(&mut self) {
+        let lists = self.hosts.read_lists(self.now_ms);
+        if self.knowledge == Knowledge::All {
+            self.hosts.tell_all(&mut self.learned, self.now_ms);
+            return;
+        }
+        for (upstream, runs) in &lists {
+            let read = ListRead { upstream, clock_ms: self.now_ms, runs };
+            self.observer.record(&mut self.learned, &read, self.now_ms);
+        }
+    }
+
+    /// Returns the run time that the scheduler expects of the units of a job.
+    fn expected(&self, request: &Request) -> u64 {
+        let declared_ms = request.spec.steps[0].estimate_ms;
+        if !self.learned.feeds.time_left {
+            return declared_ms;
+        }
+        self.learned.expected(&request.kind_of_work(), declared_ms).run_ms
+    }
+
     fn apply(&mut self, change: Change) {
         self.state.apply(Command { at_ms: self.now_ms, change });
         for event in self.state.take_events() {
@@ -212,7 +266,7 @@
             now_ms: self.now_ms,
             unix_ms: self.now_ms,
             stopping: &stopping,
-            progress: &self.hosts.progress(self.now_ms),
+            progress: &self.hosts.progress(self.now_ms, self.knowledge == Knowledge::All),
             avoid: &HashSet::new(),
             approvals: &Approvals::default(),
             learned: &self.learned,
