Order work beyond the fair part by how far it is beyond

Cause: with one flag, an organisation that floods the others passed those that had a little more than their part, since its jobs had been sent earlier.

Change: four degrees instead of a flag: below the part, from the part on, from twice and from four times the part on.

--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use super::View;
-use super::shares::{ShareFigures, ShareId, Shares};
+use super::shares::{Excess, ShareFigures, ShareId, Shares};
 use super::stop_costs::Slack;
 use super::suspects::is_suspect;
 use crate::tasks::{
@@ -61,8 +61,8 @@
     timeliness: Timeliness,
     /// Steps of started jobs go first, since a job that is half done is of no use.
     job_not_started: bool,
-    /// Whether its organisation has its fair part of a scarce capacity without it.
-    beyond_share: bool,
+    /// How far its organisation is beyond its fair part of a scarce capacity without it.
+    excess: Excess,
     /// When its job was accepted, or when the lasting task last began to wait.
     since_ms: u64,
     id: UnitId,
@@ -131,12 +131,12 @@
     }
     for unit in waiting.iter_mut().filter(|unit| unit.rank.has_share()) {
         if let Some(share) = unit.share {
-            unit.rank.beyond_share = filling.take(share, unit.queue.priority, unit.need());
+            unit.rank.excess = filling.take(share, unit.queue.priority, unit.need());
         }
     }
     // Within a class, the order of the units is kept, so that only this key need be compared.
     for class in waiting.chunk_by_mut(|a, b| a.rank.class() == b.rank.class()) {
-        class.sort_by_key(|unit| unit.rank.beyond_share);
+        class.sort_by_key(|unit| unit.rank.excess);
     }
     (waiting, figures)
 }
@@ -165,7 +165,7 @@
     Some(Standing {
         place: first + 1,
         waiting: waiting.len(),
-        beyond_share: unit.rank.beyond_share,
+        beyond_share: unit.rank.excess > Excess::None,
         share: figures.into_iter().find(of_job),
     })
 }
@@ -261,7 +261,7 @@
             priority: queue.priority,
             timeliness: if is_fifo { Timeliness::OnTime } else { timeliness },
             job_not_started: !is_fifo && !job.is_under_way(),
-            beyond_share: false,
+            excess: Excess::None,
             since_ms,
             id: id.clone(),
         };
--- a/src/placement/shares.rs
+++ b/src/placement/shares.rs
@@ -187,6 +187,32 @@
     }
 }
 
+/// How far an organisation is beyond its fair part.
+///
+/// In doublings, so that small differences leave the order by age, and a flood still goes after the
+/// organisations that have a little more than their part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Excess {
+    None,
+    /// It has its part.
+    Part,
+    /// It has twice its part.
+    Double,
+    /// It has four times its part.
+    Fourfold,
+}
+
+impl Excess {
+    fn of(share: u64, level: u64) -> Self {
+        match share {
+            _ if share < level => Self::None,
+            _ if share < level.saturating_mul(2) => Self::Part,
+            _ if share < level.saturating_mul(4) => Self::Double,
+            _ => Self::Fourfold,
+        }
+    }
+}
+
 /// The capacity as it is filled by waiting work, unit by unit.
 #[derive(Debug)]
 pub(super) struct Filling {
@@ -221,17 +247,17 @@
         figures.collect()
     }
 
-    /// Takes the next unit and returns whether its organisation has its fair part without it.
+    /// Takes the next unit and returns how far its organisation is beyond its fair part without it.
     ///
     /// What the unit itself needs does not count, so that large jobs are not beyond their part for
     /// their size.
-    pub(super) fn take(&mut self, id: ShareId, priority: u32, need: Usage) -> bool {
+    pub(super) fn take(&mut self, id: ShareId, priority: u32, need: Usage) -> Excess {
         let entry = &self.shares.entries[id.0];
         let taken = &mut self.taken[id.0];
         let before = dominant_share(*taken, self.shares.capacities[entry.service]);
         taken.add(need);
         let level = self.levels.get(&(entry.service, priority));
-        level.is_some_and(|level| before / entry.weight >= *level)
+        level.map_or(Excess::None, |level| Excess::of(before / entry.weight, *level))
     }
 }
 
--- a/src/placement/tests/shares.rs
+++ b/src/placement/tests/shares.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use super::{beyond, water_level};
+use super::{Excess, beyond, water_level};
 use crate::tasks::Usage;
 
 /// Guards against a level that leaves capacity idle or gives one organisation the part of another.
@@ -25,3 +25,16 @@
     assert_eq!(beyond(usage(1_000, 8), 20), usage(0, 0));
     assert_eq!(beyond(usage(1_000, 0), 20), usage(1_000, 0));
 }
+
+/// Guards against a flood that passes the work of an organisation that has only a little more than its
+/// part, because it was sent earlier, and against small differences that change the order by age.
+#[rstest]
+#[case::below(99, Excess::None)]
+#[case::its_part(100, Excess::Part)]
+#[case::a_little_more(199, Excess::Part)]
+#[case::twice(200, Excess::Double)]
+#[case::flood(900, Excess::Fourfold)]
+fn a_flood_is_told_from_a_small_excess(#[case] share: u64, #[case] excess: Excess) {
+    assert_eq!(Excess::of(share, 100), excess);
+    assert!(Excess::None < Excess::Part && Excess::Double < Excess::Fourfold);
+}
