--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -12,12 +12,14 @@
 mod orders;
 mod pacing;
 mod records;
+mod recovery;
 mod replacement;
 mod reports;
 mod requests;
 mod scheduling;
 mod session;
 mod shares;
+mod stops;
 #[cfg(test)]
 mod tests;
 mod unlisted;
@@ -35,9 +37,10 @@
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
 use crate::placement::{Admissions, Approvals, Headroom, Learned, StepId};
-use crate::tasks::{Incarnation, JobId, TaskId, Upstream};
+use crate::tasks::{Incarnation, JobId, State, TaskId, Upstream};
 use evacuations::EvacuationReport;
 use hosts::KnownHosts;
+use recovery::{RecoverySteps, Step, contact_order};
 use replacement::Supersession;
 use session::Session;
 
@@ -51,16 +54,21 @@
 struct RegisteredUpstream {
     incarnation: Incarnation,
     address: Arc<str>,
+    rack: Arc<str>,
+    /// Number of tasks that may be running on it.
+    runs: usize,
     /// For how long it stays at least, if it drains.
     drain_remaining_ms: Option<u64>,
 }
 
 impl RegisteredUpstream {
-    fn of(upstream: &Upstream) -> Self {
+    fn of(upstream: &Upstream, state: &State) -> Self {
         let heartbeat = &upstream.heartbeat;
         Self {
             incarnation: upstream.incarnation(),
             address: Arc::clone(&heartbeat.address),
+            rack: Arc::clone(&heartbeat.rack),
+            runs: state.count_runs(&upstream.incarnation()),
             drain_remaining_ms: heartbeat.draining.then_some(heartbeat.drain_remaining_ms),
         }
     }
@@ -70,6 +78,8 @@
 #[derive(Debug)]
 pub(super) struct Leader {
     pub(super) term: u64,
+    /// When the term began on this host, on its boot clock.
+    begun_ms: u64,
     replica: Arc<Replica>,
     calls: UpstreamCalls,
     bounds: TaskBounds,
@@ -119,7 +129,11 @@
     /// Steps with an approval request under way.
     pending_approvals: HashSet<StepId>,
     evacuation_report: EvacuationReport,
+    /// Upstreams that are slow for a while, and until when.
+    cold_until_ms: HashMap<Incarnation, u64>,
     stopped: bool,
+    /// Steps of the recovery that were reached.
+    recovery: RecoverySteps,
 }
 
 impl Leader {
@@ -132,6 +146,7 @@
     ) -> Arc<Self> {
         Arc::new_cyclic(|weak| Self {
             term,
+            begun_ms: boot_ms(),
             replica,
             calls,
             bounds,
@@ -167,6 +182,7 @@
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner).abort_all();
         (self.calls.close_idle)();
         self.replica.metrics.evacuations.clear();
+        self.replica.metrics.evacuations.set_cold(0);
         info!(term = self.term, "leader ends its work");
     }
 
@@ -202,7 +218,9 @@
     fn sync_sessions(self: &Arc<Self>) {
         let upstreams: Vec<RegisteredUpstream> = {
             let inner = self.replica.lock();
-            inner.state.upstreams.values().map(RegisteredUpstream::of).collect()
+            let state = &inner.state;
+            let registered = |upstream| RegisteredUpstream::of(upstream, state);
+            state.upstreams.values().map(registered).collect()
         };
         let mut new = Vec::new();
         {
@@ -225,13 +243,15 @@
                 }
             }
             term_state.superseded.retain(|incarnation, _| known.contains(incarnation));
-            for RegisteredUpstream { incarnation, address, drain_remaining_ms } in upstreams {
+            for upstream in upstreams {
+                let RegisteredUpstream { incarnation, address, rack, runs, drain_remaining_ms } =
+                    upstream;
                 let now_ms = boot_ms();
                 if !term_state.holds.contains_key(&incarnation) {
                     let lease_max_ms = self.bounds.lease_max_ms;
                     let session = Session::new(incarnation.clone(), address, lease_max_ms, now_ms);
                     term_state.sessions.insert(Arc::clone(&incarnation.id), session);
-                    new.push(incarnation.clone());
+                    new.push((incarnation.clone(), rack, runs));
                 }
                 let session = term_state.sessions.get_mut(&incarnation.id);
                 if let Some(session) = session.filter(|known| known.incarnation == incarnation) {
@@ -239,10 +259,12 @@
                 }
             }
         }
-        // First contacts take turns in this order. Runs end with their lease, which only a call extends.
-        let has_runs = |incarnation: &Incarnation| self.replica.lock().state.has_runs(incarnation);
-        new.sort_by_cached_key(|incarnation| !has_runs(incarnation));
-        for incarnation in new {
+        // First contacts take turns in this order.
+        let new = contact_order(new, |(_, rack, runs)| (Arc::clone(rack), *runs));
+        if !new.is_empty() {
+            self.reach_step(Step::Sessions);
+        }
+        for (incarnation, ..) in new {
             let hold = self.spawn(Arc::clone(self).hold_upstream(incarnation.clone()));
             if let Some(hold) = hold {
                 self.term_state().holds.insert(incarnation, hold);
--- a/src/cluster/leader_client.rs
+++ b/src/cluster/leader_client.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tonic::transport::Channel;
 use tracing::{info, warn};
 
@@ -28,6 +29,13 @@
 /// Pause between two rounds of attempts at all known hosts.
 const RETRY_PAUSE: Duration = Duration::from_millis(80);
 
+/// Time without an answer after which the next host is tried as well. It is longer than most commits
+/// across regions take, so that a leader at work is rarely asked beside others.
+const NEXT_HOST_AFTER: Duration = Duration::from_millis(300);
+
+/// Maximum number of hosts that are tried at the same time.
+const ATTEMPTS_MAX: usize = 3;
+
 /// Maximum number of redirects to a named leader in one round.
 const REDIRECTS_MAX: u32 = 2;
 
@@ -63,6 +71,8 @@
 #[derive(Debug, Default)]
 struct KnownHosts {
     leader: Option<SocketAddr>,
+    /// When the leader last answered.
+    leader_answered: Option<Instant>,
     seeds: Vec<SocketAddr>,
     members: Vec<SocketAddr>,
     clients: HashMap<SocketAddr, HostClient>,
@@ -177,13 +187,34 @@
 
     /// Tries each known host once, and the leaders that they name.
     ///
-    /// The error is whether a leader may have received the request.
+    /// A host that does not answer soon holds no other one up: the next is tried beside it. The error is
+    /// whether a leader may have received the request.
     async fn try_all_hosts(&self, payload: &Bytes, deadline: Instant) -> Result<Reply, bool> {
         let mut candidates = VecDeque::from(self.lock().candidates());
         let mut redirects_left = REDIRECTS_MAX;
         let mut maybe_delivered = false;
-        while let Some(address) = candidates.pop_front() {
-            let redirect = match self.try_host(address, payload.clone(), deadline).await {
+        let mut trying: Vec<SocketAddr> = Vec::new();
+        let mut attempts = JoinSet::new();
+        loop {
+            if attempts.len() < ATTEMPTS_MAX
+                && let Some(address) = candidates.pop_front()
+            {
+                trying.push(address);
+                let (client, payload) = (self.clone(), payload.clone());
+                attempts.spawn(async move {
+                    let begun = Instant::now();
+                    (address, begun, client.try_host(address, payload, deadline).await)
+                });
+            }
+            let may_add = !candidates.is_empty() && attempts.len() < ATTEMPTS_MAX;
+            let pause = if may_add { NEXT_HOST_AFTER } else { ATTEMPT_TIMEOUT };
+            let (address, begun, answer) = match timeout(pause, attempts.join_next()).await {
+                Ok(Some(Ok(ended))) => ended,
+                Err(_) | Ok(Some(Err(_))) => continue,
+                Ok(None) => return Err(maybe_delivered),
+            };
+            trying.retain(|other| *other != address);
+            let redirect = match answer {
                 Ok(Reply::NotLeader { leader }) => leader.filter(|leader| *leader != address),
                 Ok(Reply::Unknown) => {
                     maybe_delivered = true;
@@ -201,28 +232,35 @@
                     None
                 }
             };
-            self.forget_leader(address);
+            self.forget_leader(address, begun);
+            let redirect = redirect.filter(|leader| !trying.contains(leader));
             if let Some(leader) = redirect.filter(|_| redirects_left > 0) {
                 redirects_left -= 1;
                 candidates.push_front(leader);
             }
             if Instant::now() >= deadline {
-                break;
+                return Err(maybe_delivered | !trying.is_empty());
             }
         }
-        Err(maybe_delivered)
     }
 
     fn set_leader(&self, address: SocketAddr) {
-        let before = self.lock().leader.replace(address);
+        let mut hosts = self.lock();
+        let before = hosts.leader.replace(address);
+        hosts.leader_answered = Some(Instant::now());
+        drop(hosts);
         if before != Some(address) {
             info!(leader = %address, "leader of control found");
         }
     }
 
-    fn forget_leader(&self, address: SocketAddr) {
+    /// Forgets the leader after an attempt that failed, unless it has answered since the attempt began.
+    ///
+    /// After an outage, attempts on old connections fail while those on new ones succeed.
+    fn forget_leader(&self, address: SocketAddr, begun: Instant) {
         let mut hosts = self.lock();
-        if hosts.leader == Some(address) {
+        let has_answered = hosts.leader_answered.is_some_and(|answered| answered > begun);
+        if hosts.leader == Some(address) && !has_answered {
             hosts.leader = None;
             warn!(leader = %address, "leader of control lost");
         }
--- a/src/cluster/tests/evacuations.rs
+++ b/src/cluster/tests/evacuations.rs
@@ -173,3 +173,54 @@
         .await;
     assert!(!metrics().contains("evacuated_running_tasks{"), "{}", metrics());
 }
+
+/// Guards against a report of an upstream that is slow for a while that does not reach the leader, since
+/// nothing else of it has changed, and against one that is kept for slow for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_leader_knows_which_upstreams_are_slow_for_a_while() {
+    let fake = FakeUpstreams::new(Duration::from_millis(200));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    let cold = |cold_remaining_ms, sequence| {
+        Request::Heartbeat(Heartbeat { sequence, cold_remaining_ms, ..heartbeat(0) })
+    };
+    let shows = |upstreams: u32| {
+        let line = format!("cold_upstreams {upstreams}");
+        test.control.metrics_text().lines().any(|shown| shown == line)
+    };
+    test.call_until_answered(cold(u64::MAX, 2)).await;
+    wait_until("one is slow", || shows(1)).await;
+    test.call_until_answered(cold(400, 3)).await;
+    wait_until("none is slow", || shows(0)).await;
+}
+
+/// Guards against requests of several operators that block each other or are lost: each of eight at once is
+/// acknowledged, for several data centres and for the same one, and all are in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn several_requests_at_once_are_all_acknowledged() {
+    let fake = FakeUpstreams::new(Duration::from_millis(200));
+    let test = TestControl::start(&fake, 2, LEASE_MS).await;
+    move_upstream(&test, 1, "far").await;
+    for begin in [true, false] {
+        let names = ["dc", "far", "other-dc", "dc", "far", "other-dc", "dc", "far"];
+        let mut requests = tokio::task::JoinSet::new();
+        for name in names {
+            let control = Arc::clone(&test.control);
+            let limit = Duration::from_secs(5);
+            requests.spawn(async move { control.evacuate(name.into(), begin, limit).await });
+        }
+        for reply in requests.join_all().await {
+            assert_eq!(reply, Ok(DONE));
+        }
+        let Reply::Evacuations(listed) = test.call_until_answered(Request::Evacuations).await
+        else {
+            panic!("a list of evacuations");
+        };
+        assert_eq!(listed.len(), if begin { 3 } else { 0 });
+    }
+    let opposed = [true, false].map(|begin| evacuate(&test, "dc", begin));
+    let [first, second] = opposed;
+    assert_eq!(tokio::join!(first, second), (DONE, DONE));
+    assert_eq!(evacuate(&test, "dc", false).await, DONE);
+    submit(&test, 1).await;
+    wait_until_completed(&test, &fake, 1).await;
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -70,6 +70,8 @@
     pub(crate) capacity: Resources,
     /// Whether it may get new work: reachable, not draining, not set aside and not evacuated.
     pub(crate) takes_work: bool,
+    /// Whether it is slow for a while, as after its start.
+    pub(crate) is_cold: bool,
 }
 
 impl Host {
@@ -84,6 +86,7 @@
             labels: heartbeat.labels.clone(),
             capacity: heartbeat.capacity,
             takes_work: takes_work && !state.evacuations.is_active(&heartbeat.data_centre),
+            is_cold: false,
         }
     }
 }
@@ -175,6 +178,22 @@
     Hangs,
 }
 
+impl StopCause {
+    /// Returns the name of the cause in metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::JobEnded => "job ended",
+            Self::GangBroken => "gang broken",
+            Self::Preempted => "preempted",
+            Self::Rotated => "rotated",
+            Self::Maintenance => "maintenance",
+            Self::Draining => "draining",
+            Self::Hangs => "hangs",
+            Self::Evacuated => "evacuated",
+        }
+    }
+}
+
 /// Decides which runs to start and to stop.
 pub(crate) fn plan(view: &View<'_>) -> Plan {
     let stops = stops_for_ended_work(view);
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -8,6 +8,8 @@
 mod attained;
 mod command;
 mod configuration;
+mod configuration_changes;
+mod configuration_warnings;
 mod crash;
 mod evacuation;
 mod ids;
@@ -24,8 +26,10 @@
 pub(crate) use attained::{ATTAINED_DECAY_MS, Usage};
 pub(crate) use command::{Change, Command, EndRecord, LostRun, Opening, StartRecord};
 pub use configuration::{
-    Advice, Configuration, ConfigurationFault, FrontLimits, Organisation, Queue, WorkerService,
+    Advice, Configuration, ConfigurationEntry, ConfigurationFault, FrontLimits, Organisation,
+    Queue, WorkerService,
 };
+pub(crate) use evacuation::Evacuation;
 pub use ids::{InvalidTaskId, JobId, TaskId, UnitId};
 pub use job::JobState;
 pub(crate) use job::{Job, Outcome, Phase, Unit};
