--- a/src/placement/forecast.rs
+++ b/src/placement/forecast.rs
@@ -13,7 +13,7 @@
 
 use super::View;
 use super::order::is_of_use;
-use super::shares::{attained, scaled, weight};
+use super::shares::{attained, by_weight, scaled, weight};
 use crate::tasks::{Job, JobSpec, Organisation, Phase, Queue, Resources, Usage};
 
 /// Share of the capacity that work gets while more of it waits; the rest is lost to fragments that
@@ -99,6 +99,8 @@
     waiting: BTreeMap<u32, BTreeMap<Arc<str>, Work>>,
     /// Organisations that are configured or have attained service.
     claims: HashMap<Arc<str>, Claim>,
+    /// Whether organisations share by weight; otherwise the work of all counts in full.
+    by_weight: bool,
 }
 
 /// Capacity and work of all services.
@@ -117,8 +119,10 @@
         }
         let configuration = view.state.configuration.as_deref();
         for service in backlog.services.values_mut() {
+            service.by_weight = by_weight(view);
             for known in configuration.iter().flat_map(|conf| &conf.organisations) {
-                let claim = Claim { weight: known.weight.into(), history: Work::default() };
+                let claim =
+                    Claim { weight: weight(configuration, &known.name), history: Work::default() };
                 service.claims.insert(Arc::clone(&known.name), claim);
             }
         }
@@ -230,6 +234,9 @@
     /// Returns how much of the pool's time another organisation gets while `own_ms` of an
     /// organisation's work is done, if both get service by weight, what they recently had included.
     fn part_ms(&self, own: &str, own_ms: u64, other: &str) -> u64 {
+        if !self.by_weight {
+            return u64::MAX;
+        }
         let (own, other) = (self.claim(own), self.claim(other));
         let own_total_ms = own_ms.saturating_add(self.duration_ms(own.history));
         let other_total_ms = scaled(own_total_ms, other.weight, own.weight);
--- a/src/placement/shares.rs
+++ b/src/placement/shares.rs
@@ -44,10 +44,15 @@
     by_key
 }
 
+/// Returns whether organisations share scarce capacity by weight, as the configuration asks.
+pub(super) fn by_weight(view: &View<'_>) -> bool {
+    view.state.configuration.as_ref().is_some_and(|configuration| configuration.shares_by_weight())
+}
+
 /// Returns the weight of an organisation; one that is not configured has the default.
 pub(super) fn weight(configuration: Option<&Configuration>, organisation: &str) -> u64 {
     let known = configuration.and_then(|configuration| find(configuration, organisation));
-    known.map_or(Organisation::DEFAULT_WEIGHT, |known| known.weight).max(1).into()
+    known.and_then(|known| known.weight).unwrap_or(Organisation::DEFAULT_WEIGHT).max(1).into()
 }
 
 fn find<'a>(configuration: &'a Configuration, organisation: &str) -> Option<&'a Organisation> {
@@ -105,6 +110,8 @@
     services: HashMap<Arc<str>, usize>,
     entries: Vec<Entry>,
     index: HashMap<ServiceKey, ShareId>,
+    /// Whether organisations share by weight at all.
+    by_weight: bool,
 }
 
 /// Number of an organisation at a service, valid for one decision.
@@ -113,7 +120,7 @@
 
 impl Shares {
     pub(super) fn of(view: &View<'_>) -> Self {
-        let mut shares = Self::default();
+        let mut shares = Self { by_weight: by_weight(view), ..Self::default() };
         for host in view.hosts.iter().filter(|host| host.takes_work) {
             let service = shares.service(&host.service);
             shares.capacities[service].add(Usage::of(&host.capacity));
@@ -164,7 +171,8 @@
         let priorities: Vec<u32> =
             self.entries.iter().flat_map(|entry| entry.demand.keys().copied()).collect();
         let mut levels = HashMap::new();
-        for service in 0..self.capacities.len() {
+        let services = if self.by_weight { self.capacities.len() } else { 0 };
+        for service in 0..services {
             for priority in &priorities {
                 if let Some(level) = self.level(service, *priority) {
                     levels.insert((service, *priority), level);
@@ -187,6 +195,32 @@
     }
 }
 
+/// How far an organisation is beyond its fair part.
+///
+/// In doublings, so that small differences leave the order by age, and a flood still goes after the
+/// organisations that have a little more than their part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Excess {
+    None,
+    /// It has its part.
+    Part,
+    /// It has twice its part.
+    Double,
+    /// It has four times its part.
+    Fourfold,
+}
+
+impl Excess {
+    fn of(share: u64, level: u64) -> Self {
+        match share {
+            _ if share < level => Self::None,
+            _ if share < level.saturating_mul(2) => Self::Part,
+            _ if share < level.saturating_mul(4) => Self::Double,
+            _ => Self::Fourfold,
+        }
+    }
+}
+
 /// The capacity as it is filled by waiting work, unit by unit.
 #[derive(Debug)]
 pub(super) struct Filling {
@@ -221,17 +255,17 @@
         figures.collect()
     }
 
-    /// Takes the next unit and returns whether its organisation has its fair part without it.
+    /// Takes the next unit and returns how far its organisation is beyond its fair part without it.
     ///
     /// What the unit itself needs does not count, so that large jobs are not beyond their part for
     /// their size.
-    pub(super) fn take(&mut self, id: ShareId, priority: u32, need: Usage) -> bool {
+    pub(super) fn take(&mut self, id: ShareId, priority: u32, need: Usage) -> Excess {
         let entry = &self.shares.entries[id.0];
         let taken = &mut self.taken[id.0];
         let before = dominant_share(*taken, self.shares.capacities[entry.service]);
         taken.add(need);
         let level = self.levels.get(&(entry.service, priority));
-        level.is_some_and(|level| before / entry.weight >= *level)
+        level.map_or(Excess::None, |level| Excess::of(before / entry.weight, *level))
     }
 }
 
--- a/src/placement/tests/fair_order.rs
+++ b/src/placement/tests/fair_order.rs
@@ -62,7 +62,7 @@
     }
     assert_eq!(started_jobs(&sample), [1, 2, 50, 51]);
     let mut weighted = Configuration { version: 9, ..configuration(9) };
-    weighted.organisations[0].weight = 3;
+    weighted.organisations[0].weight = Some(3);
     sample.apply(Change::SetConfiguration {
         configuration: Arc::new(weighted),
         raw: bytes::Bytes::new(),
--- a/src/replay/load.rs
+++ b/src/replay/load.rs
@@ -255,7 +255,7 @@
         keys: vec![format!("key-of-{name}").into()],
         priority: 0,
         guaranteed: Resources { accelerators: *accelerators, ..Resources::default() },
-        weight: Organisation::DEFAULT_WEIGHT,
+        weight: Some(Organisation::DEFAULT_WEIGHT),
     };
     let service = WorkerService { name: SERVICE.into(), guards_capacity: true, standby: false };
     let configuration = Configuration {
--- a/src/task_api/documents.rs
+++ b/src/task_api/documents.rs
@@ -70,8 +70,8 @@
     keys: Vec<Arc<str>>,
     #[serde(default)]
     guaranteed_accelerators: u32,
-    #[serde(default = "weight")]
-    weight: u32,
+    #[serde(default)]
+    weight: Option<u32>,
 }
 
 fn timeout_ms() -> u64 {
@@ -82,10 +82,6 @@
     DEFAULT_ATTEMPTS_MAX
 }
 
-fn weight() -> u32 {
-    Organisation::DEFAULT_WEIGHT
-}
-
 fn slack_permille() -> u64 {
     DEFAULT_SLACK_PERMILLE
 }
--- a/src/tasks/configuration.rs
+++ b/src/tasks/configuration.rs
@@ -67,8 +67,9 @@
     pub priority: u32,
     /// Capacity guaranteed to its jobs of priority 0.
     pub guaranteed: Resources,
-    /// Weight of its share of what guarantees and priorities leave.
-    pub weight: u32,
+    /// Weight of its share of what guarantees and priorities leave. Organisations share by weight if any
+    /// of them states one.
+    pub weight: Option<u32>,
 }
 
 impl Organisation {
@@ -178,10 +179,12 @@
                 let entry = ConfigurationEntry::Organisation(number);
                 faults.push(ConfigurationFault::new(entry, reason));
             };
-            if !(1..=WEIGHT_MAX).contains(&organisation.weight) {
+            if let Some(weight) = organisation.weight
+                && !(1..=WEIGHT_MAX).contains(&weight)
+            {
                 fault(format!(
-                    "organisation {} has a weight of {}, which is not from 1 to {WEIGHT_MAX}",
-                    organisation.name, organisation.weight
+                    "organisation {} has a weight of {weight}, which is not from 1 to {WEIGHT_MAX}",
+                    organisation.name
                 ));
             }
             let own: BTreeSet<_> = organisation.keys.iter().collect();
@@ -192,6 +195,11 @@
         faults
     }
 
+    /// Returns whether organisations share scarce capacity by weight.
+    pub(crate) fn shares_by_weight(&self) -> bool {
+        self.organisations.iter().any(|organisation| organisation.weight.is_some())
+    }
+
     /// Returns the queue of a host with the longest prefix that matches the path.
     pub(crate) fn queue_for(&self, host: &str, path: &str) -> Option<&Queue> {
         let host = host.split(':').next().unwrap_or(host);
