--- a/src/replay/tests/mod.rs
+++ b/src/replay/tests/mod.rs
@@ -38,3 +38,18 @@
         }
     }
 }
+
+/// Guards against stops that do not pay off: with many short urgent gangs, running work is stopped far less
+/// often than for each gang that does not fit at once, and urgent jobs are on time as before.
+#[test]
+fn short_urgent_gangs_discard_little_work() {
+    let mut discarded_core_s = 0;
+    for seed in 1..=2 {
+        let report = replay(Scenario::ShortGangs, 48, seed);
+        let preempted_core_ms = report.discarded.core_ms.get("preempted").copied().unwrap_or(0);
+        discarded_core_s += preempted_core_ms / 1_000;
+        let urgent = &report.kinds["urgent"];
+        assert!(urgent.in_time * 100 >= urgent.jobs * 93, "{urgent:?} with seed {seed}");
+    }
+    assert!(discarded_core_s < 24_000, "{discarded_core_s} core-s");
+}
