--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -11,12 +11,14 @@
 mod maintenance;
 mod orders;
 mod pacing;
+mod records;
 mod recovery;
 mod replacement;
 mod reports;
 mod requests;
 mod scheduling;
 mod session;
+mod shares;
 mod stops;
 #[cfg(test)]
 mod tests;
@@ -113,6 +115,8 @@
     headroom: Headroom,
     known_hosts: Option<KnownHosts>,
     admissions: Admissions,
+    /// Services and organisations that were logged as having their fair part, and when.
+    shares_logged: HashMap<(Arc<str>, Arc<str>), u64>,
     /// Upstreams that a job must avoid because it made no progress there, and until when.
     avoid: HashMap<(JobId, Incarnation), u64>,
     approvals: Approvals,
@@ -125,6 +129,8 @@
     /// Steps with an approval request under way.
     pending_approvals: HashSet<StepId>,
     evacuation_report: EvacuationReport,
+    /// Upstreams that are slow for a while, and until when.
+    cold_until_ms: HashMap<Incarnation, u64>,
     stopped: bool,
     /// Steps of the recovery that were reached.
     recovery: RecoverySteps,
@@ -176,6 +182,7 @@
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner).abort_all();
         (self.calls.close_idle)();
         self.replica.metrics.evacuations.clear();
+        self.replica.metrics.evacuations.set_cold(0);
         info!(term = self.term, "leader ends its work");
     }
 
--- a/src/cluster/leader/reports.rs
+++ b/src/cluster/leader/reports.rs
@@ -55,6 +55,7 @@
             let (opened, all) = (job.occurrences.next(), job.spec.occurrences());
             lines.push(format!("{id}: {opened} of {all} occurrences were opened so far"));
         }
+        lines.extend(self.explain_place(&inner.state, inner.now_ms(), job));
         crate::placement::for_each_unit(job, |unit, state| {
             let upstreams: Vec<_> =
                 state.members().iter().map(|member| &*member.incarnation.id).collect();
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -18,6 +18,9 @@
 /// Time after which a caller may try again while no upstream has registered.
 const NO_UPSTREAMS_RETRY_MS: u64 = 1_000;
 
+/// Number of warnings about a configuration beyond which no more are logged.
+const CONFIGURATION_WARNINGS_MAX: usize = 20;
+
 /// What a caller's call addresses.
 struct CallTarget {
     queue: Queue,
@@ -158,9 +161,11 @@
         let queue_name = Arc::clone(&queue.name);
         match admission {
             Admission::RetryLater { retry_after_ms, reason } => {
+                let organisation = organisation.unwrap_or_default();
+                self.replica.metrics.job_refused(&organisation, &queue_name);
                 warn!(
-                    request = %id, queue = %queue_name, tasks, reason, retry_after_ms,
-                    configuration_version, "job was not accepted"
+                    request = %id, queue = %queue_name, %organisation, tasks, reason,
+                    retry_after_ms, configuration_version, "job was not accepted"
                 );
                 Reply::Front(FrontReply::NotAccepted { retry_after_ms, reason })
             }
@@ -250,6 +255,9 @@
             info!(version, held = current, "configuration is not newer and changes nothing");
             return Reply::Operator(OperatorReply::Done);
         }
+        for warning in configuration.warnings().iter().take(CONFIGURATION_WARNINGS_MAX) {
+            warn!(version, %warning, "configuration has an entry without effect, or limits that contradict");
+        }
         let change = Change::SetConfiguration { configuration, raw };
         let reply = self.commit(change, Reply::Operator(OperatorReply::Done)).await;
         let stored = reply != Reply::Unknown;
@@ -262,6 +270,7 @@
     async fn heartbeat(self: &Arc<Self>, heartbeat: Heartbeat) -> Reply {
         let incarnation =
             Incarnation { id: Arc::clone(&heartbeat.id), born_unix_ms: heartbeat.born_unix_ms };
+        self.record_cold(&incarnation, heartbeat.cold_remaining_ms);
         let known = self.replica.lock().state.upstreams.get(&heartbeat.id).cloned();
         if known.as_ref().is_some_and(|known| known.is_described_by(&heartbeat)) {
             self.record_heartbeat(&heartbeat.id);
--- a/src/replay/scenario.rs
+++ b/src/replay/scenario.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use super::load::KINDS;
+use super::pressure;
 
 /// Time during which callers submit new jobs.
 pub(super) const SUBMISSION_MS: u64 = 40_000;
@@ -47,6 +48,8 @@
     HeavyOverload,
     /// A rate of all kinds that rises from half to three times the normal one.
     Ramp,
+    /// A slight overload, in which one of six data centres is evacuated for ten seconds.
+    Evacuation,
     /// No decisions are made for some seconds; all callers wait and the backlog is full after it.
     Recovery,
     /// Many short urgent gangs on a well filled pool, with a burst of all kinds for ten seconds.
@@ -56,6 +59,12 @@
     /// Control is down for some seconds; then callers return together with new ones, while hosts take
     /// work again one after the other.
     ReturningCrowd,
+    /// One organisation sends ten times its share for 24 seconds.
+    OneOrganisation,
+    /// All organisations send 2.5 times their load for twelve seconds, and callers return together.
+    AllPress,
+    /// One organisation floods the lowest priority for 24 seconds beside urgent work.
+    BatchFlood,
 }
 
 /// What is disturbed at a point in time.
@@ -67,11 +76,13 @@
     pub(super) control_down: bool,
     /// Share of the hosts that take no work yet, in percent.
     pub(super) hosts_closed_percent: usize,
+    /// Whether the data centre of the first hosts is evacuated.
+    pub(super) evacuated: bool,
 }
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 17] = [
         Self::Calm,
         Self::UrgentBurst,
         Self::AllKindsBurst,
@@ -81,10 +92,14 @@
         Self::LongOverload,
         Self::HeavyOverload,
         Self::Ramp,
+        Self::Evacuation,
         Self::Recovery,
         Self::ShortGangs,
         Self::ShrinkingPool,
         Self::ReturningCrowd,
+        Self::OneOrganisation,
+        Self::AllPress,
+        Self::BatchFlood,
     ];
 
     /// Returns the name of the scenario.
@@ -100,10 +115,14 @@
             Self::LongOverload => "long-overload",
             Self::HeavyOverload => "heavy-overload",
             Self::Ramp => "ramp",
+            Self::Evacuation => "evacuation",
             Self::Recovery => "recovery",
             Self::ShortGangs => "short-gangs",
             Self::ShrinkingPool => "shrinking-pool",
             Self::ReturningCrowd => "returning-crowd",
+            Self::OneOrganisation => "one-organisation",
+            Self::AllPress => "all-press",
+            Self::BatchFlood => "batch-flood",
         }
     }
 
@@ -111,7 +130,7 @@
     pub(super) fn rates(self, at_ms: u64) -> [f64; KINDS] {
         let in_peak = (PEAK_FROM_MS..PEAK_TO_MS).contains(&at_ms);
         match self {
-            Self::LongOverload => [1.6; KINDS],
+            Self::LongOverload | Self::Evacuation => [1.6; KINDS],
             Self::HeavyOverload => [4.0; KINDS],
             Self::Ramp => [0.5 + 2.5 * at_ms as f64 / SUBMISSION_MS as f64; KINDS],
             Self::UrgentBurst if in_peak => [4.0, 1.0, 1.0],
@@ -121,7 +140,7 @@
             Self::ShortGangs => [1.5; KINDS],
             Self::ShrinkingPool if (PEAK_FROM_MS..SHRUNK_TO_MS).contains(&at_ms) => [1.0, 3.0, 1.0],
             Self::ReturningCrowd if (BACK_MS..PEAK_TO_MS).contains(&at_ms) => [2.5; KINDS],
-            _ => [1.0; KINDS],
+            _ => pressure::rates(self, at_ms),
         }
     }
 
@@ -131,6 +150,7 @@
         match self {
             Self::CapacityLost if in_peak => Disturbance { hosts_lost_percent: 33, ..calm },
             Self::Returning if in_peak => Disturbance { hosts_lost_percent: 100, ..calm },
+            Self::Evacuation if in_peak => Disturbance { evacuated: true, ..calm },
             Self::Recovery if in_peak => Disturbance { control_down: true, ..calm },
             Self::ShrinkingPool if (PEAK_FROM_MS..SHRUNK_TO_MS).contains(&at_ms) => {
                 let share = (at_ms - PEAK_FROM_MS) / SHRINK_STEP_MS * SHRINK_STEP_PERCENT;
@@ -144,7 +164,7 @@
                 let percent = (ALL_OPEN_MS - at_ms) * 100 / (ALL_OPEN_MS - BACK_MS);
                 Disturbance { hosts_closed_percent: usize::try_from(percent).unwrap_or(0), ..calm }
             }
-            _ => calm,
+            _ => Disturbance { control_down: pressure::is_unanswered(self, at_ms), ..calm },
         }
     }
 
