Bound learned speeds by the registered upstreams

Cause: the map of speeds shared the bound of kinds of work, 2,000 entries, so pools of more upstreams would have dropped and scanned entries with each sample.

Change: speeds are dropped only when their upstreams are no longer registered. Tests of the preference of hosts: slow spells, fast hosts for urgent work, noisy images apart, and that none of them keeps a unit from starting.

--- a/src/placement/learned/speeds.rs
+++ b/src/placement/learned/speeds.rs
@@ -8,7 +8,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::run_times::make_room;
 use crate::tasks::Incarnation;
 
 /// Variance of the logarithms of speeds within a service: a quarter faster or slower is usual.
@@ -45,7 +44,6 @@
     recent_sum: f64,
     recent_ms: u64,
     is_slow: bool,
-    last_ms: u64,
 }
 
 impl Speed {
@@ -87,7 +85,7 @@
     Ended,
 }
 
-/// Speeds of upstreams, by name.
+/// Speeds of upstreams, by name; the leader drops those that are no longer registered.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(super) struct Speeds {
     upstreams: BTreeMap<Arc<str>, Speed>,
@@ -125,7 +123,7 @@
         let slow: Vec<Incarnation> = upstreams.iter().filter(is_slowest).cloned().collect();
         let precision = 1.0 / variance / slow.len().max(1) as f64;
         for upstream in slow {
-            let speed = self.entry(&upstream, now_ms);
+            let speed = self.entry(&upstream);
             let deviation = deviation.clamp(-DEVIATION_MAX, DEVIATION_MAX);
             speed.precision = speed.precision * KEEP_WEIGHT + precision;
             speed.sum = speed.sum * KEEP_WEIGHT + deviation * precision;
@@ -139,7 +137,7 @@
         (deviation, variance): (f64, f64),
         now_ms: u64,
     ) -> Option<SpellChange> {
-        let speed = self.entry(upstream, now_ms);
+        let speed = self.entry(upstream);
         let before = speed.is_slow(now_ms);
         let passed_ms = now_ms.saturating_sub(speed.recent_ms) as f64;
         let fading = (-passed_ms / RECENT_MS).exp();
@@ -174,20 +172,18 @@
     /// Sets what is known of an upstream; replays with a scheduler that knows all use it.
     pub(super) fn assume(&mut self, upstream: &Incarnation, factor: f64, recent: f64, now_ms: u64) {
         const CERTAIN: f64 = 1e6;
-        let speed = self.entry(upstream, now_ms);
+        let speed = self.entry(upstream);
         (speed.precision, speed.sum) = (CERTAIN, factor.ln() * CERTAIN);
         (speed.recent_precision, speed.recent_sum) = (CERTAIN, recent.ln() * CERTAIN);
         (speed.recent_ms, speed.is_slow) = (now_ms, recent.ln() < SPELL_BEGINS);
     }
 
     /// A new incarnation starts without figures, for it may be of another kind.
-    fn entry(&mut self, upstream: &Incarnation, now_ms: u64) -> &mut Speed {
-        make_room(&mut self.upstreams, &upstream.id, |speed| speed.last_ms);
+    fn entry(&mut self, upstream: &Incarnation) -> &mut Speed {
         let speed = self.upstreams.entry(Arc::clone(&upstream.id)).or_default();
         if speed.born_unix_ms != upstream.born_unix_ms {
             *speed = Speed { born_unix_ms: upstream.born_unix_ms, ..Speed::default() };
         }
-        speed.last_ms = now_ms;
         speed
     }
 }
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -8,6 +8,7 @@
 mod openings;
 mod places;
 mod pool_view;
+mod preferences;
 mod progress;
 mod services;
 mod suspects;
