Share the holding of upstreams among the control hosts

Cause: with 3,000 upstreams a leader has too few connections for a long poll and a connection for orders to each, and some 1,500 answers a second take most of its processor. Long polls then closed their connection after each answer, since others waited for it.

Change: above half as many upstreams as the leader may have long polls, it passes hold orders to the other control hosts. Each upstream has its holder by rendezvous hashing over the members that answer, the leader among them. Holders send the orders, which carry the leader's term and lease, and return the answers in batches; they decide nothing. A holder that does not answer an exchange within 700 ms is left out, and its orders count as not sent, so that the loss of a holder is no evidence about an upstream. Smaller fleets are held as before.

Tested: three hosts with 40 connections each share 30 upstreams; when one is killed, no upstream is without a new lease for as long as half a lease. A holder refuses orders of a former leader.

--- a/src/cluster/budget.rs
+++ b/src/cluster/budget.rs
@@ -132,6 +132,12 @@
         BudgetUse { open: inner.open, waiting: inner.waiting.len(), incoming: inner.incoming }
     }
 
+    /// Returns how many long polls may be open now.
+    pub(crate) fn leases_max(&self) -> usize {
+        let outgoing_max = self.lock().outgoing_max();
+        outgoing_max - outgoing_max / ORDER_PARTS
+    }
+
     /// Returns whether so much of the budget is in use that long polls should leave some of it.
     pub(crate) fn is_scarce(&self) -> bool {
         let inner = self.lock();
--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -10,10 +10,12 @@
 use tracing::info;
 
 use super::clock::boot_ms;
+use super::holder::Holder;
 use super::leader::Leader;
 use super::leader_client::{ClientFault, LeaderClient};
 use super::log_thread::LogThread;
 use super::protocol::{Reply, Request};
+use super::relays::Relays;
 use super::replica::{Replica, write_founding_records};
 use super::settings::ClusterSettings;
 use super::upstream_calls::UpstreamCalls;
@@ -60,6 +62,8 @@
     leader: Mutex<Option<Arc<Leader>>>,
     settings: ClusterSettings,
     calls: UpstreamCalls,
+    /// Holds upstreams while another host leads.
+    holder: Arc<Holder>,
     id: MemberId,
 }
 
@@ -102,8 +106,16 @@
         let listener = listening
             .await
             .map_err(|error| StepError::new("open the listener", "this host", error))??;
-        let control =
-            Arc::new(Self { replica, client, leader: Mutex::default(), settings, calls, id });
+        let holder = Holder::new(calls.clone());
+        let control = Arc::new(Self {
+            replica,
+            client,
+            leader: Mutex::default(),
+            settings,
+            calls,
+            holder,
+            id,
+        });
         log.spawn(Arc::clone(&control.replica).run());
         log.spawn(server::serve(Arc::clone(&control), Handle::current(), listener));
         tokio::spawn(async move {
@@ -122,6 +134,10 @@
 
     /// Handles a request if this host is the confirmed leader.
     pub(super) async fn handle(&self, request: Request) -> Reply {
+        let request = match request {
+            Request::Relay(orders) => return Reply::Relayed(self.holder.exchange(orders).await),
+            request => request,
+        };
         let leader = self.current_leader();
         match leader {
             Some(leader) if self.replica.is_confirmed_leader() => leader.handle(request).await,
@@ -237,7 +253,8 @@
     /// Returns a leader that does not work yet.
     pub(super) fn new_leader(&self, term: u64) -> Arc<Leader> {
         let replica = Arc::clone(&self.replica);
-        Leader::new(term, replica, self.calls.clone(), self.settings.bounds, &self.settings)
+        let calls = Relays::share(&self.calls, term, &replica, self.settings.internal_address);
+        Leader::new(term, replica, calls, self.settings.bounds, &self.settings)
     }
 
     /// Runs a leader for each term in which this host leads.
--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -39,7 +39,7 @@
 
 /// Number of first calls of a term that are under way at the same time. A new leader of thousands of
 /// upstreams that called all of them at once would answer nobody else for more than a second.
-pub(super) const FIRST_CONTACTS_MAX: usize = 64;
+pub(super) const FIRST_CONTACTS_MAX: usize = 256;
 
 /// Time after which a first call without an answer no longer keeps others from theirs.
 const FIRST_CONTACT_SLOT: Duration = Duration::from_millis(100);
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -65,6 +65,8 @@
             Request::Evacuate { data_centre, begin, revision } => {
                 self.set_evacuation(data_centre, begin, revision).await
             }
+            // The host answers these itself, whether it leads or not.
+            Request::Relay(_) => Reply::Unknown,
             Request::Evacuations => Reply::Evacuations(self.evacuations()),
         }
     }
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -7,7 +7,7 @@
 
 use super::TaskRun;
 use super::unlisted::{AnsweredOrder, Coverage};
-use crate::cluster::upstream_calls::TaskLists;
+use crate::cluster::upstream_calls::{RESTART_MIN_MS, TaskLists};
 use crate::placement::estimated_left_ms;
 use crate::tasks::{Incarnation, JobId, TaskId};
 
@@ -20,9 +20,6 @@
 /// Time without an answer after which an upstream gets no new work.
 const SILENT_AFTER_MS: u64 = 3_300;
 
-/// Time in which an upstream does not crash, restart and answer a call.
-const RESTART_MIN_MS: u64 = 150;
-
 /// Longest lease of an upstream that drains. It will leave, and what runs on it then waits for the lease.
 const DRAINING_LEASE_MS: u64 = 5_000;
 
--- a/src/cluster/protocol.rs
+++ b/src/cluster/protocol.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use super::upstream_calls::{CallFault, HoldOrder, TaskLists};
 use crate::tasks::{Configuration, FrontLimits, Heartbeat, JobId, JobSpec, JobState};
 
 /// Operation of a caller on a queue.
@@ -158,6 +159,37 @@
     },
     /// Asks for the data centres that are being evacuated.
     Evacuations,
+    /// Passes hold orders of the leader to the receiver, whichever host leads.
+    Relay(RelayRequest),
+}
+
+/// Hold orders that a control host sends for the leader.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayRequest {
+    /// Term of the leader; orders of an older one than known are refused.
+    pub term: u64,
+    /// New orders, by number.
+    pub orders: Vec<(u64, HoldOrder)>,
+    /// Numbers of earlier orders whose answer is no longer wanted.
+    pub dropped: Vec<u64>,
+}
+
+/// Answers to relayed hold orders.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayReply {
+    /// Whether a newer leader is known, so that the orders were not taken.
+    pub refused: bool,
+    /// Answers to orders of this and earlier requests.
+    pub answers: Vec<RelayedAnswer>,
+}
+
+/// Answer to one relayed hold order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedAnswer {
+    /// Number of the order.
+    pub number: u64,
+    /// The upstream's answer.
+    pub answer: Result<TaskLists, CallFault>,
 }
 
 impl Request {
@@ -176,6 +208,7 @@
             | Self::StartWave { .. }
             | Self::Join { .. }
             | Self::Evacuate { .. }
+            | Self::Relay(_)
             | Self::Leave { .. } => true,
         }
     }
@@ -256,4 +289,6 @@
     EvacuationRevision(u64),
     /// Reply to [`Request::Evacuations`].
     Evacuations(Vec<EvacuationStatus>),
+    /// Reply to [`Request::Relay`].
+    Relayed(RelayReply),
 }
--- a/src/cluster/tests/control_host.rs
+++ b/src/cluster/tests/control_host.rs
@@ -1,5 +1,6 @@
 //! A control host alone in its cluster.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -98,10 +99,14 @@
     }
 }
 
-async fn settings(folder: &Path, bounds: TaskBounds) -> ClusterSettings {
+/// Returns an address that nobody listens at.
+pub(super) async fn free_address() -> SocketAddr {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let internal_address = listener.local_addr().unwrap();
-    drop(listener);
+    listener.local_addr().unwrap()
+}
+
+async fn settings(folder: &Path, bounds: TaskBounds) -> ClusterSettings {
+    let internal_address = free_address().await;
     ClusterSettings {
         host: "control".to_owned(),
         internal_address,
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -19,6 +19,7 @@
 mod leaves;
 mod messages;
 mod promises;
+mod sharing;
 mod successors;
 
 async fn call(address: SocketAddr, limit: Duration) -> ClientFault {
--- a/src/cluster/upstream_calls.rs
+++ b/src/cluster/upstream_calls.rs
@@ -10,6 +10,9 @@
 use super::budget::ConnectionBudget;
 use crate::tasks::{EndKind, TaskId};
 
+/// Time in which an upstream does not crash, restart and answer a call.
+pub(super) const RESTART_MIN_MS: u64 = 150;
+
 /// An order in flight.
 pub type CallFuture<T> = Pin<Box<dyn Future<Output = Result<T, CallFault>> + Send>>;
 
@@ -113,7 +116,7 @@
 }
 
 /// Order to extend the lease of an upstream and return its task lists.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldOrder {
     /// Address of the upstream.
     pub address: Arc<str>,
@@ -227,7 +230,9 @@
 }
 
 /// Why an order has no usable answer.
-#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(
+    Debug, Clone, PartialEq, Eq, Serialize, Deserialize, derive_more::Display, derive_more::Error,
+)]
 pub enum CallFault {
     /// The connection could not be opened, so nothing was carried out.
     #[display("not sent: {reason}")]
