--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
+use super::lag::Shedding;
 use super::losses::Loss;
 use super::replacement::Supersession;
 use super::session::{Session, is_possible_clock};
@@ -110,9 +111,10 @@
     }
 
     /// Returns whether the upstream is polled at intervals, since it runs nothing and connections
-    /// are scarce. Its heartbeats show meanwhile that it is alive.
+    /// are scarce or the leader falls behind. Its heartbeats show meanwhile that it is alive.
     fn polls_at_intervals(&self, incarnation: &Incarnation) -> bool {
-        self.calls.budget.is_scarce() && !self.replica.lock().state.has_runs(incarnation)
+        let is_short = self.calls.budget.is_scarce() || self.lag.shedding() >= Shedding::Optional;
+        is_short && !self.replica.lock().state.has_runs(incarnation)
     }
 
     async fn hold_once(&self, incarnation: &Incarnation) -> NextStep {
--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -6,6 +6,7 @@
 mod failures;
 mod hold;
 mod hosts;
+mod lag;
 mod lists;
 mod losses;
 mod maintenance;
@@ -36,6 +37,7 @@
 use crate::tasks::{Incarnation, JobId, TaskId, Upstream};
 use evacuations::EvacuationReport;
 use hosts::KnownHosts;
+use lag::Lag;
 use replacement::Supersession;
 use session::Session;
 
@@ -77,6 +79,7 @@
     term_state: Mutex<TermState>,
     /// Wakes the scheduling loop.
     wake: Notify,
+    lag: Lag,
     /// Limits the first calls of the term to upstreams.
     first_contacts: Semaphore,
     tasks: Mutex<JoinSet<()>>,
@@ -135,6 +138,7 @@
             internal_address: settings.internal_address.to_string(),
             term_state: Mutex::default(),
             wake: Notify::new(),
+            lag: Lag::default(),
             first_contacts: Semaphore::new(hold::FIRST_CONTACTS_MAX),
             tasks: Mutex::default(),
             weak: Weak::clone(weak),
@@ -153,7 +157,8 @@
         tokio::join!(
             self.schedule_forever(),
             following.follow_upstreams(),
-            maintaining.maintain_forever()
+            maintaining.maintain_forever(),
+            self.lag.measure_forever(&self.replica.metrics)
         );
     }
 
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -8,6 +8,7 @@
 
 use super::Leader;
 use super::hold::LastRuns;
+use super::lag::Shedding;
 use crate::cluster::clock::{boot_ms, unix_ms};
 use crate::cluster::protocol::{Action, FrontCall, FrontReply, OperatorReply, Reply, Request};
 use crate::placement::{Admission, Approvals, View, critical_path_ms, objective_ms};
@@ -18,6 +19,10 @@
 /// Time after which a caller may try again while no upstream has registered.
 const NO_UPSTREAMS_RETRY_MS: u64 = 1_000;
 
+/// Time after which a caller may try again while the leader is behind. It needs less to catch up once
+/// optional work is shed.
+const BEHIND_RETRY_MS: u64 = 2_000;
+
 /// What a caller's call addresses.
 struct CallTarget {
     queue: Queue,
@@ -200,6 +205,13 @@
             let retry_after_ms = NO_UPSTREAMS_RETRY_MS;
             return (Admission::RetryLater { retry_after_ms, reason }, version);
         }
+        // An acceptance that is being stored can no longer be refused, even if its caller asks again.
+        let is_storing = self.term_state().admissions.is_storing(job.0);
+        if self.lag.shedding() == Shedding::Submissions && !is_storing {
+            let reason = format!("control is {} ms behind", self.lag.smoothed_ms());
+            let retry_after_ms = BEHIND_RETRY_MS;
+            return (Admission::RetryLater { retry_after_ms, reason }, version);
+        }
         let learned = Arc::clone(&self.term_state().learned);
         let view = View {
             state: &inner.state,
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -8,6 +8,7 @@
 use tracing::{debug, info, warn};
 
 use super::failures::{HangingRun, unit_of};
+use super::lag::Shedding;
 use super::{Leader, TaskRun, failures};
 use crate::cluster::clock::{boot_ms, unix_ms};
 use crate::placement::{Plan, Progress, StopCause, View, jobs_to_shrink, plan, urgent_demand};
@@ -51,14 +52,19 @@
         self.drop_ended_run_state();
         self.record_begun_jobs();
         self.stop_hanging_runs();
-        self.pace_filling();
+        let spares_optional = self.lag.shedding() >= Shedding::Optional;
+        if !spares_optional {
+            self.pace_filling();
+        }
         self.move_from_draining();
         self.report_evacuations();
         let plan = self.decide();
         let decided_in = begun.elapsed();
         log_rotation(&plan);
         self.count_moves(&plan.stops);
-        self.request_approvals(plan.approval_requests);
+        if !spares_optional {
+            self.request_approvals(plan.approval_requests);
+        }
         if !plan.openings.is_empty() {
             self.open_occurrences(plan.openings).await;
         }
--- a/src/cluster/leader/tests/mod.rs
+++ b/src/cluster/leader/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of sessions with upstreams, of what lists prove, of the detection of hanging runs and of the pace of decisions.
 
 mod hanging;
+mod lag;
 mod large_fleet;
 mod passes;
 mod sessions;
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -43,6 +43,8 @@
     set_aside: Counter,
     units_given_up: Counter,
     connections: Family<KindLabels, Gauge>,
+    holds: Family<KindLabels, Counter>,
+    lag_ms: Gauge,
     pub(super) evacuations: EvacuationMetrics,
 }
 
@@ -68,6 +70,8 @@
             set_aside: Counter::default(),
             units_given_up: Counter::default(),
             connections: Family::default(),
+            holds: Family::default(),
+            lag_ms: Gauge::default(),
             evacuations: EvacuationMetrics::default(),
         }
     }
@@ -101,6 +105,8 @@
         self.evacuations.register(to);
         let connections = self.connections.clone();
         to.register("upstream_connections", "Connections to upstreams, by state", connections);
+        to.register("holds", "Hold orders of this leader, by who sent them", self.holds.clone());
+        to.register("leader_lag_ms", "Smoothed delay of the leader's tasks", self.lag_ms.clone());
     }
 
     pub(super) fn job_started(&self, organisation: &str, queue: &str, after_ms: u64) {
@@ -128,6 +134,14 @@
         self.runs_ended.get_or_create(&KindLabels { kind: how }).inc();
     }
 
+    pub(super) fn hold(&self, by: &'static str) {
+        self.holds.get_or_create(&KindLabels { kind: by }).inc();
+    }
+
+    pub(super) fn set_lag(&self, lag_ms: u64) {
+        self.lag_ms.set(i64::try_from(lag_ms).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn order(&self, result: &'static str) {
         self.orders.get_or_create(&KindLabels { kind: result }).inc();
     }
--- a/src/cluster/relays.rs
+++ b/src/cluster/relays.rs
@@ -80,9 +80,11 @@
     }
 
     fn hold(&self, order: HoldOrder) -> CallFuture<TaskLists> {
-        let Some(queue) = self.holder_of(&order.upstream) else {
-            return (self.direct.hold)(order);
-        };
+        let queue = self.holder_of(&order.upstream);
+        if let Some(replica) = self.replica.upgrade() {
+            replica.metrics.hold(if queue.is_some() { "other host" } else { "leader" });
+        }
+        let Some(queue) = queue else { return (self.direct.hold)(order) };
         let (answer, answered) = oneshot::channel();
         // If the queue is closed, the answer's sender is dropped with the order.
         _ = queue.orders.send(QueuedOrder { order, answer });
--- a/src/placement/admission.rs
+++ b/src/placement/admission.rs
@@ -136,6 +136,11 @@
         Admission::RetryLater { retry_after_ms, reason }
     }
 
+    /// Returns whether the acceptance of a job is being stored.
+    pub(crate) fn is_storing(&self, id: &JobId) -> bool {
+        self.storing.contains(id)
+    }
+
     /// Records that the acceptance of a job is stored, or that this leader cannot store it.
     pub(crate) fn end_storing(&mut self, id: &JobId) {
         self.storing.remove(id);
