--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -23,6 +23,12 @@
 /// optional work is shed.
 const BEHIND_RETRY_MS: u64 = 2_000;
 
+/// Number of warnings about a configuration beyond which no more are logged.
+const CONFIGURATION_WARNINGS_MAX: usize = 20;
+
+/// Longest time for which an upstream is believed to be slow; its next heartbeat renews it.
+const COLD_MAX_MS: u64 = 60_000;
+
 /// What a caller's call addresses.
 struct CallTarget {
     queue: Queue,
@@ -165,9 +171,11 @@
         let queue_name = Arc::clone(&queue.name);
         match admission {
             Admission::RetryLater { retry_after_ms, reason } => {
+                let organisation = organisation.unwrap_or_default();
+                self.replica.metrics.job_refused(&organisation, &queue_name);
                 warn!(
-                    request = %id, queue = %queue_name, tasks, reason, retry_after_ms,
-                    configuration_version, "job was not accepted"
+                    request = %id, queue = %queue_name, %organisation, tasks, reason,
+                    retry_after_ms, configuration_version, "job was not accepted"
                 );
                 Reply::Front(FrontReply::NotAccepted { retry_after_ms, reason })
             }
@@ -224,6 +232,7 @@
             approvals: &Approvals::default(),
             learned: &learned,
             reserve_millihosts: 0,
+            stop_ms: self.bounds.stop_timeout_ms,
             jobs_max_bytes: self.bounds.jobs_max_bytes(),
         };
         let admission = self.term_state().admissions.decide(&view, queue, organisation, job);
@@ -263,6 +272,9 @@
             info!(version, held = current, "configuration is not newer and changes nothing");
             return Reply::Operator(OperatorReply::Done);
         }
+        for warning in configuration.warnings().iter().take(CONFIGURATION_WARNINGS_MAX) {
+            warn!(version, %warning, "configuration has an entry without effect, or limits that contradict");
+        }
         let change = Change::SetConfiguration { configuration, raw };
         let reply = self.commit(change, Reply::Operator(OperatorReply::Done)).await;
         let stored = reply != Reply::Unknown;
@@ -275,6 +287,7 @@
     async fn heartbeat(self: &Arc<Self>, heartbeat: Heartbeat) -> Reply {
         let incarnation =
             Incarnation { id: Arc::clone(&heartbeat.id), born_unix_ms: heartbeat.born_unix_ms };
+        self.record_cold(&incarnation, heartbeat.cold_remaining_ms);
         let known = self.replica.lock().state.upstreams.get(&heartbeat.id).cloned();
         if known.as_ref().is_some_and(|known| known.is_described_by(&heartbeat)) {
             self.record_heartbeat(&heartbeat.id);
@@ -323,6 +336,17 @@
         self.commit(Change::RegisterUpstream { heartbeat }, Reply::Done).await
     }
 
+    /// Records for how long an upstream is slow. A new leader learns it from the next heartbeat.
+    fn record_cold(&self, incarnation: &Incarnation, remaining_ms: u64) {
+        let mut term_state = self.term_state();
+        if remaining_ms == 0 {
+            term_state.cold_until_ms.remove(incarnation);
+        } else {
+            let until_ms = boot_ms() + remaining_ms.min(COLD_MAX_MS);
+            term_state.cold_until_ms.insert(incarnation.clone(), until_ms);
+        }
+    }
+
     /// Records that an upstream is alive.
     fn record_heartbeat(&self, id: &Arc<str>) {
         if let Some(session) = self.term_state().sessions.get_mut(id) {
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -51,6 +51,7 @@
         let begun = Instant::now();
         self.drop_ended_run_state();
         self.record_begun_jobs();
+        self.record_returns();
         self.stop_hanging_runs();
         let spares_optional = self.lag.shedding() >= Shedding::Optional;
         if !spares_optional {
@@ -61,6 +62,7 @@
         let plan = self.decide();
         let decided_in = begun.elapsed();
         log_rotation(&plan);
+        self.note_shares(&plan.shares);
         self.count_moves(&plan.stops);
         if !spares_optional {
             self.request_approvals(plan.approval_requests);
@@ -91,6 +93,8 @@
         term_state.paces.retain(|key, _| is_running(key));
         let now_ms = boot_ms();
         term_state.avoid.retain(|_, until_ms| now_ms < *until_ms);
+        term_state.cold_until_ms.retain(|_, until_ms| now_ms < *until_ms);
+        self.replica.metrics.evacuations.set_cold(term_state.cold_until_ms.len());
         let is_open =
             |job: &JobId| inner.state.jobs.get(job).is_some_and(|job| job.outcome.is_none());
         term_state.approvals.retain(|step| is_open(&step.job));
@@ -141,6 +145,7 @@
             approvals: &approvals,
             learned: &learned,
             reserve_millihosts: 0,
+            stop_ms: self.bounds.stop_timeout_ms,
             jobs_max_bytes: self.bounds.jobs_max_bytes(),
         };
         let demand = urgent_demand(&view);
@@ -214,32 +219,6 @@
         }
     }
 
-    /// Notes that a task of a job has begun; the next pass records it.
-    pub(super) fn note_begun(&self, id: &JobId) {
-        let is_news = {
-            let inner = self.replica.lock();
-            inner.state.jobs.get(id).is_some_and(|job| !job.begun && job.outcome.is_none())
-        };
-        if is_news && self.term_state().begun.insert(id.clone()) {
-            self.wake.notify_one();
-        }
-    }
-
-    /// Records the jobs that have begun, which decisions need not wait for. If that fails, later lists
-    /// show them again.
-    fn record_begun_jobs(self: &Arc<Self>) {
-        let jobs: Vec<_> = self.term_state().begun.drain().collect();
-        if jobs.is_empty() {
-            return;
-        }
-        let leader = Arc::clone(self);
-        self.spawn(async move {
-            if leader.replica.propose(Change::RecordBegun { jobs }).await.is_err() {
-                debug!("could not record jobs that have begun");
-            }
-        });
-    }
-
     /// Opens occurrences; the next decision starts their tasks.
     async fn open_occurrences(&self, openings: Vec<Opening>) {
         for Opening { job, until } in &openings {
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -11,6 +11,7 @@
 
 use super::budget::BudgetUse;
 use super::evacuation_metrics::EvacuationMetrics;
+use crate::placement::ShareFigures;
 
 /// Label of metrics that are counted by kind.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -26,6 +27,13 @@
     outcome: &'static str,
 }
 
+/// Labels of what an organisation has of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct ShareLabels {
+    organisation: String,
+    service: String,
+}
+
 /// Metrics of a control host; clones share them.
 #[derive(Debug, Clone)]
 pub(super) struct ClusterMetrics {
@@ -45,6 +53,9 @@
     connections: Family<KindLabels, Gauge>,
     holds: Family<KindLabels, Counter>,
     lag_ms: Gauge,
+    jobs_refused: Family<JobLabels, Counter>,
+    shares: Family<ShareLabels, Gauge>,
+    fair_shares: Family<ShareLabels, Gauge>,
     pub(super) evacuations: EvacuationMetrics,
 }
 
@@ -72,6 +83,9 @@
             connections: Family::default(),
             holds: Family::default(),
             lag_ms: Gauge::default(),
+            jobs_refused: Family::default(),
+            shares: Family::default(),
+            fair_shares: Family::default(),
             evacuations: EvacuationMetrics::default(),
         }
     }
@@ -107,6 +121,11 @@
         to.register("upstream_connections", "Connections to upstreams, by state", connections);
         to.register("holds", "Hold orders of this leader, by who sent them", self.holds.clone());
         to.register("leader_lag_ms", "Smoothed delay of the leader's tasks", self.lag_ms.clone());
+        to.register("jobs_refused", "Submissions refused for now", self.jobs_refused.clone());
+        let help = "Share of a service in use beyond the guarantee, in thousandths";
+        to.register("organisation_share_permille", help, self.shares.clone());
+        let help = "Fair part of a service while work exceeds it, in thousandths";
+        to.register("organisation_fair_share_permille", help, self.fair_shares.clone());
     }
 
     pub(super) fn job_started(&self, organisation: &str, queue: &str, after_ms: u64) {
@@ -158,6 +177,27 @@
         self.units_given_up.inc();
     }
 
+    pub(super) fn job_refused(&self, organisation: &str, queue: &str) {
+        self.jobs_refused.get_or_create(&job_labels(organisation, queue, "refused")).inc();
+    }
+
+    /// Sets the gauges of the organisations' shares.
+    pub(super) fn set_shares(&self, shares: &[ShareFigures]) {
+        self.shares.clear();
+        self.fair_shares.clear();
+        let permille = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        for share in shares {
+            let labels = ShareLabels {
+                organisation: share.organisation.to_string(),
+                service: share.service.to_string(),
+            };
+            self.shares.get_or_create(&labels).set(permille(share.used_permille));
+            if let Some(fair_permille) = share.fair_permille {
+                self.fair_shares.get_or_create(&labels).set(permille(fair_permille));
+            }
+        }
+    }
+
     /// Sets the gauges of the replicated log.
     pub(super) fn set_log_state(&self, leads: bool, term: u64, committed: u64) {
         self.leads.set(i64::from(leads));
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -21,6 +21,7 @@
 mod promises;
 mod sharing;
 mod successors;
+mod turns;
 
 async fn call(address: SocketAddr, limit: Duration) -> ClientFault {
     let client = LeaderClient::new(vec![address]);
--- a/src/placement/tests/pool_view.rs
+++ b/src/placement/tests/pool_view.rs
@@ -6,6 +6,9 @@
 use crate::tasks::tests::sample::Sample;
 use crate::tasks::{Incarnation, JobId, UnitId};
 
+/// Time that a stop takes.
+pub(super) const STOP_MS: u64 = 400;
+
 /// Memory that all jobs together may take.
 pub(super) const JOBS_MAX_BYTES: u64 = 64 * 1024 * 1024;
 
@@ -20,6 +23,8 @@
     /// Wall-clock time.
     pub(super) unix_ms: u64,
     pub(super) learned: Learned,
+    /// Hosts that are slow for a while.
+    pub(super) cold: Vec<String>,
     /// Hosts that take no work.
     pub(super) closed: Vec<String>,
 }
@@ -29,7 +34,8 @@
     upstreams
         .map(|upstream| {
             let is_closed = inputs.closed.iter().any(|closed| **closed == *upstream.heartbeat.id);
-            Host::of(&sample.state, upstream, !is_closed)
+            let is_cold = inputs.cold.iter().any(|cold| **cold == *upstream.heartbeat.id);
+            Host { is_cold, ..Host::of(&sample.state, upstream, !is_closed) }
         })
         .collect()
 }
@@ -47,6 +53,7 @@
         approvals: &inputs.approvals,
         learned: &inputs.learned,
         reserve_millihosts: inputs.reserve_millihosts,
+        stop_ms: STOP_MS,
         jobs_max_bytes: JOBS_MAX_BYTES,
     })
 }
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -5,13 +5,17 @@
 //! and `cluster` does the I/O.
 
 mod apply;
+mod attained;
 mod command;
 mod configuration;
+mod configuration_changes;
+mod configuration_warnings;
 mod crash;
 mod evacuation;
 mod ids;
 mod job;
 mod occurrences;
+mod returns;
 mod spec;
 mod state;
 #[cfg(test)]
@@ -19,13 +23,17 @@
 mod upstream;
 mod wave;
 
+pub(crate) use attained::{ATTAINED_DECAY_MS, Usage};
 pub(crate) use command::{Change, Command, EndRecord, LostRun, Opening, StartRecord};
 pub use configuration::{
-    Advice, Configuration, ConfigurationFault, FrontLimits, Organisation, Queue, WorkerService,
+    Advice, Configuration, ConfigurationEntry, ConfigurationFault, FrontLimits, Organisation,
+    Queue, WorkerService,
 };
+pub(crate) use evacuation::Evacuation;
 pub use ids::{InvalidTaskId, JobId, TaskId, UnitId};
 pub use job::JobState;
 pub(crate) use job::{Job, Outcome, Phase, Unit};
+pub(crate) use returns::{PromisedReturn, RETURNS_MAX};
 pub use spec::{InvalidJob, JobSpec, Repeat, Resources, StepSpec};
 pub(crate) use state::{JobEvent, State};
 pub use upstream::{EndKind, Heartbeat};
