--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -18,7 +18,7 @@
 const LAPSE_MARGIN_MS: u64 = 300;
 
 /// Time without an answer after which an upstream gets no new work.
-const SILENT_AFTER_MS: u64 = 3_300;
+pub(super) const SILENT_AFTER_MS: u64 = 3_300;
 
 /// Longest lease of an upstream that drains. It will leave, and what runs on it then waits for the lease.
 const DRAINING_LEASE_MS: u64 = 5_000;
--- a/src/cluster/leader/tests/mod.rs
+++ b/src/cluster/leader/tests/mod.rs
@@ -4,5 +4,6 @@
 mod lag;
 mod large_fleet;
 mod passes;
+mod recovery;
 mod sessions;
 mod unlisted;
