--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
+use super::lag::Shedding;
 use super::losses::Loss;
 use super::replacement::Supersession;
 use super::session::{Session, is_possible_clock};
@@ -39,7 +40,7 @@
 
 /// Number of first calls of a term that are under way at the same time. A new leader of thousands of
 /// upstreams that called all of them at once would answer nobody else for more than a second.
-pub(super) const FIRST_CONTACTS_MAX: usize = 64;
+pub(super) const FIRST_CONTACTS_MAX: usize = 256;
 
 /// Time after which a first call without an answer no longer keeps others from theirs.
 const FIRST_CONTACT_SLOT: Duration = Duration::from_millis(100);
@@ -110,9 +111,10 @@
     }
 
     /// Returns whether the upstream is polled at intervals, since it runs nothing and connections
-    /// are scarce. Its heartbeats show meanwhile that it is alive.
+    /// are scarce or the leader falls behind. Its heartbeats show meanwhile that it is alive.
     fn polls_at_intervals(&self, incarnation: &Incarnation) -> bool {
-        self.calls.budget.is_scarce() && !self.replica.lock().state.has_runs(incarnation)
+        let is_short = self.calls.budget.is_scarce() || self.lag.shedding() >= Shedding::Optional;
+        is_short && !self.replica.lock().state.has_runs(incarnation)
     }
 
     async fn hold_once(&self, incarnation: &Incarnation) -> NextStep {
--- a/src/cluster/metrics.rs
+++ b/src/cluster/metrics.rs
@@ -54,6 +54,8 @@
     work_discarded_core_ms: Family<KindLabels, Counter>,
     recovery_ms: Family<KindLabels, Gauge>,
     connections: Family<KindLabels, Gauge>,
+    holds: Family<KindLabels, Counter>,
+    lag_ms: Gauge,
     jobs_refused: Family<JobLabels, Counter>,
     shares: Family<ShareLabels, Gauge>,
     fair_shares: Family<ShareLabels, Gauge>,
@@ -86,6 +88,8 @@
             work_discarded_core_ms: Family::default(),
             recovery_ms: Family::default(),
             connections: Family::default(),
+            holds: Family::default(),
+            lag_ms: Gauge::default(),
             jobs_refused: Family::default(),
             shares: Family::default(),
             fair_shares: Family::default(),
@@ -130,6 +134,8 @@
         self.evacuations.register(to);
         let connections = self.connections.clone();
         to.register("upstream_connections", "Connections to upstreams, by state", connections);
+        to.register("holds", "Hold orders of this leader, by who sent them", self.holds.clone());
+        to.register("leader_lag_ms", "Smoothed delay of the leader's tasks", self.lag_ms.clone());
         to.register("jobs_refused", "Submissions refused for now", self.jobs_refused.clone());
         let help = "Share of a service in use beyond the guarantee, in thousandths";
         to.register("organisation_share_permille", help, self.shares.clone());
@@ -162,6 +168,14 @@
         self.runs_ended.get_or_create(&KindLabels { kind: how }).inc();
     }
 
+    pub(super) fn hold(&self, by: &'static str) {
+        self.holds.get_or_create(&KindLabels { kind: by }).inc();
+    }
+
+    pub(super) fn set_lag(&self, lag_ms: u64) {
+        self.lag_ms.set(i64::try_from(lag_ms).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn order(&self, result: &'static str) {
         self.orders.get_or_create(&KindLabels { kind: result }).inc();
     }
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -20,6 +20,7 @@
 mod messages;
 mod promises;
 mod recovery;
+mod sharing;
 mod successors;
 mod turns;
 
