Use learned run times only where the settings ask for it

Cause: on pools of 48 upstreams, learned run times come from few samples.

Change: the feeds run times and time left are off unless learned_run_times is set; slow spells, speeds and noisy pairs stay on.

--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -38,7 +38,7 @@
 use super::replica::Replica;
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
-use crate::placement::{Admissions, Approvals, Headroom, Learned, Observer, StepId};
+use crate::placement::{Admissions, Approvals, Feeds, Headroom, Learned, Observer, StepId};
 use crate::tasks::{Incarnation, JobId, State, TaskId, Upstream};
 use evacuations::EvacuationReport;
 use hosts::KnownHosts;
@@ -149,6 +149,10 @@
         bounds: TaskBounds,
         settings: &ClusterSettings,
     ) -> Arc<Self> {
+        let run_times = settings.learned_run_times;
+        let feeds = Feeds { run_times, time_left: run_times, ..Feeds::default() };
+        let term_state =
+            TermState { learned: Arc::new(Learned::with_feeds(feeds)), ..TermState::default() };
         Arc::new_cyclic(|weak| Self {
             term,
             begun_ms: boot_ms(),
@@ -157,7 +161,7 @@
             bounds,
             data_centres: settings.data_centres.clone(),
             internal_address: settings.internal_address.to_string(),
-            term_state: Mutex::default(),
+            term_state: Mutex::new(term_state),
             wake: Notify::new(),
             lag: Lag::default(),
             first_contacts: Semaphore::new(hold::FIRST_CONTACTS_MAX),
--- a/src/cluster/settings.rs
+++ b/src/cluster/settings.rs
@@ -54,4 +54,6 @@
     pub bounds: TaskBounds,
     /// Data centres of the installation, as far as its settings name them.
     pub data_centres: BTreeSet<Arc<str>>,
+    /// Whether learned run times replace callers' estimates in decisions.
+    pub learned_run_times: bool,
 }
--- a/src/cluster/tests/control_host.rs
+++ b/src/cluster/tests/control_host.rs
@@ -116,6 +116,7 @@
         losses_max: 1,
         bounds,
         data_centres: [Arc::from("other-dc")].into(),
+        learned_run_times: false,
     }
 }
 
--- a/src/local/tasks.rs
+++ b/src/local/tasks.rs
@@ -87,6 +87,7 @@
             keep_state_ms: 60_000,
             memory_mb: 256,
             data_centres: Vec::new(),
+            learned_run_times: false,
         })
     }
 
--- a/src/placement/learned/mod.rs
+++ b/src/placement/learned/mod.rs
@@ -46,6 +46,10 @@
 }
 
 impl Feeds {
+    /// Decisions use all learned figures.
+    pub const ALL: Self =
+        Self { run_times: true, spells: true, speeds: true, interference: true, time_left: true };
+
     /// No decision uses learned figures.
     pub const NONE: Self = Self {
         run_times: false,
@@ -61,7 +65,7 @@
 
     /// Reads names of feeds, separated by commas; `none` and `all` stand for themselves.
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let mut feeds = if text == "all" { Self::default() } else { Self::NONE };
+        let mut feeds = if text == "all" { Self::ALL } else { Self::NONE };
         for name in text.split(',').filter(|name| !matches!(*name, "all" | "none" | "")) {
             let feed = match name {
                 "run-times" => &mut feeds.run_times,
@@ -78,8 +82,10 @@
 }
 
 impl Default for Feeds {
+    /// Learned run times are used only where the settings ask for it: on a small pool, whose samples are
+    /// few, forecasts by them were worse than those by callers' estimates.
     fn default() -> Self {
-        Self { run_times: true, spells: true, speeds: true, interference: true, time_left: true }
+        Self { run_times: false, time_left: false, ..Self::ALL }
     }
 }
 
--- a/src/task_api/settings.rs
+++ b/src/task_api/settings.rs
@@ -57,6 +57,9 @@
     /// Data centres of the installation, which may be evacuated also while no upstream there is registered.
     #[serde(default)]
     pub data_centres: Vec<String>,
+    /// Whether learned run times replace callers' estimates in decisions.
+    #[serde(default)]
+    pub learned_run_times: bool,
 }
 
 fn losses_max() -> usize {
@@ -153,6 +156,7 @@
                 memory_mb: self.memory_mb,
             },
             data_centres: self.data_centres.iter().map(|name| name.as_str().into()).collect(),
+            learned_run_times: self.learned_run_times,
         }
     }
 }
