--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -6,6 +6,7 @@
 mod failures;
 mod hold;
 mod hosts;
+mod lag;
 mod learning;
 mod lists;
 mod losses;
@@ -37,10 +38,11 @@
 use super::replica::Replica;
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
-use crate::placement::{Admissions, Approvals, Headroom, Learned, Observer, StepId};
+use crate::placement::{Admissions, Approvals, Feeds, Headroom, Learned, Observer, StepId};
 use crate::tasks::{Incarnation, JobId, State, TaskId, Upstream};
 use evacuations::EvacuationReport;
 use hosts::KnownHosts;
+use lag::Lag;
 use recovery::{RecoverySteps, Step, contact_order};
 use replacement::Supersession;
 use session::Session;
@@ -90,6 +92,7 @@
     term_state: Mutex<TermState>,
     /// Wakes the scheduling loop.
     wake: Notify,
+    lag: Lag,
     /// Limits the first calls of the term to upstreams.
     first_contacts: Semaphore,
     tasks: Mutex<JoinSet<()>>,
@@ -146,6 +149,10 @@
         bounds: TaskBounds,
         settings: &ClusterSettings,
     ) -> Arc<Self> {
+        let run_times = settings.learned_run_times;
+        let feeds = Feeds { run_times, time_left: run_times, ..Feeds::default() };
+        let term_state =
+            TermState { learned: Arc::new(Learned::with_feeds(feeds)), ..TermState::default() };
         Arc::new_cyclic(|weak| Self {
             term,
             begun_ms: boot_ms(),
@@ -154,8 +161,9 @@
             bounds,
             data_centres: settings.data_centres.clone(),
             internal_address: settings.internal_address.to_string(),
-            term_state: Mutex::default(),
+            term_state: Mutex::new(term_state),
             wake: Notify::new(),
+            lag: Lag::default(),
             first_contacts: Semaphore::new(hold::FIRST_CONTACTS_MAX),
             tasks: Mutex::default(),
             weak: Weak::clone(weak),
@@ -174,7 +182,8 @@
         tokio::join!(
             self.schedule_forever(),
             following.follow_upstreams(),
-            maintaining.maintain_forever()
+            maintaining.maintain_forever(),
+            self.lag.measure_forever(&self.replica.metrics)
         );
     }
 
--- a/src/cluster/leader/scheduling.rs
+++ b/src/cluster/leader/scheduling.rs
@@ -8,6 +8,7 @@
 use tracing::{debug, info, warn};
 
 use super::failures::unit_of;
+use super::lag::Shedding;
 use super::recovery::Step;
 use super::{Leader, TaskRun, learning};
 use crate::cluster::clock::{boot_ms, unix_ms};
@@ -53,7 +54,10 @@
         self.record_begun_jobs();
         self.record_returns();
         self.stop_hanging_runs();
-        self.pace_filling();
+        let spares_optional = self.lag.shedding() >= Shedding::Optional;
+        if !spares_optional {
+            self.pace_filling();
+        }
         self.move_from_draining();
         self.report_evacuations();
         let plan = self.decide();
@@ -62,7 +66,9 @@
         log_rotation(&plan);
         self.note_shares(&plan.shares);
         self.count_moves(&plan.stops);
-        self.request_approvals(plan.approval_requests);
+        if !spares_optional {
+            self.request_approvals(plan.approval_requests);
+        }
         if !plan.openings.is_empty() {
             self.open_occurrences(plan.openings).await;
         }
--- a/src/placement/admission.rs
+++ b/src/placement/admission.rs
@@ -169,6 +169,11 @@
         Admission::RetryLater { retry_after_ms, reason }
     }
 
+    /// Returns whether the acceptance of a job is being stored.
+    pub(crate) fn is_storing(&self, id: &JobId) -> bool {
+        self.storing.contains(id)
+    }
+
     /// Keeps a caller's turn; beyond the bound, the latest turn is forgotten.
     fn promise(&mut self, id: &JobId, promised: PromisedReturn) {
         self.returns.insert(id.clone(), promised);
