Preempt for guaranteed units at once

A guaranteed unit relied on runs that were expected to end within the time of a stop; while upstreams crash, the expectation is often wrong, and the unit began later than its bound.

Change: a guaranteed unit preempts at once, as before the stop costs. The test of an urgent job that waits used an organisation whose guarantee covers the job; it uses one without a guarantee now, and a new test demands the stop for a guaranteed job.

--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -143,8 +143,8 @@
         pool.reserve(unit, &task_hosts);
         return Vec::new();
     }
-    // A run that does not end when it should must not delay a guaranteed unit for ever.
-    let trusts_ends = !unit.is_covered || unit.waited_ms <= view.stop_ms;
+    // A guaranteed unit must start within a bound, and a run may not end when it is expected to.
+    let trusts_ends = !unit.is_covered;
     let soon_ms = trusts_ends.then_some(view.stop_ms);
     if trusts_ends && let Some(task_hosts) = awaited_hosts(view, pool, unit) {
         pool.reserve_unstopped(unit, &task_hosts);
@@ -182,9 +182,7 @@
 /// Returns hosts on which the unit fits soon enough without a stop, those that are free first.
 fn awaited_hosts(view: &View<'_>, pool: &Pool, unit: &WaitingUnit<'_>) -> Option<Vec<usize>> {
     let can_be_on_time = unit.slack.on_time_ms.is_some_and(|slack_ms| slack_ms >= view.stop_ms);
-    let limit_ms = if unit.is_covered {
-        view.stop_ms
-    } else if can_be_on_time {
+    let limit_ms = if can_be_on_time {
         unit.slack.wait_max_ms(view.stop_ms)
     } else {
         unit.slack.useful_ms.unwrap_or(0).max(view.stop_ms)
--- a/src/placement/tests/stop_costs.rs
+++ b/src/placement/tests/stop_costs.rs
@@ -59,7 +59,7 @@
     sample.accept(1, "batch", vec![step(1, 8)]);
     sample.accept(2, "batch", vec![step(1, 8)]);
     decide_and_start(&mut sample, &Inputs::default());
-    sample.accept(9, "urgent", vec![step(1, 8)]);
+    sample.accept_for(9, "urgent", "east", vec![step(1, 8)]);
     sample.accept(10, "batch", vec![step(1, 8)]);
     let mut inputs = Inputs::default();
     inputs.progress.insert((unit(1), 1), run(100, 60_000));
@@ -70,6 +70,21 @@
     insta::assert_snapshot!(starts(&plan).join("\n"), @"0000000000000009.0.0.0 run 1: host-01");
 }
 
+/// Guards against a guaranteed job that relies on a run which is about to end: it may not, and then the
+/// job starts later than its bound.
+#[test]
+fn a_guaranteed_job_does_not_wait_for_a_run_to_end() {
+    let mut sample = Sample::with_hosts(2);
+    sample.accept(1, "batch", vec![step(1, 8)]);
+    sample.accept(2, "batch", vec![step(1, 8)]);
+    decide_and_start(&mut sample, &Inputs::default());
+    sample.accept(9, "urgent", vec![step(1, 8)]);
+    let mut inputs = Inputs::default();
+    inputs.progress.insert((unit(1), 1), run(100, 60_000));
+    inputs.progress.insert((unit(2), 1), run(9_000, STOP_MS));
+    assert_eq!(decide(&sample, &inputs).stops, [(unit(1), 1, StopCause::Preempted)]);
+}
+
 /// Guards against a run that is stopped although the gang stopped beside it frees enough: a gang's
 /// members on other hosts count as freed as well.
 #[test]
