Weigh stops only where the settings ask for it

Change: the setting weighs_stops, off unless set, decides whether urgent units wait for capacity that becomes free and whether a stop has to pay off. Without it a unit stops the cheapest set of runs at once. Replays and tests of the decisions go on with it.

--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -88,6 +88,8 @@
     bounds: TaskBounds,
     /// Data centres that the settings name.
     data_centres: BTreeSet<Arc<str>>,
+    /// Whether stops for urgent work are weighed against what they cost.
+    weighs_stops: bool,
     internal_address: String,
     term_state: Mutex<TermState>,
     /// Wakes the scheduling loop.
@@ -160,6 +162,7 @@
             calls,
             bounds,
             data_centres: settings.data_centres.clone(),
+            weighs_stops: settings.weighs_stops,
             internal_address: settings.internal_address.to_string(),
             term_state: Mutex::new(term_state),
             wake: Notify::new(),
--- a/src/cluster/leader/shares.rs
+++ b/src/cluster/leader/shares.rs
@@ -52,6 +52,7 @@
                 learned: &learned,
                 reserve_millihosts: 0,
                 stop_ms: self.bounds.stop_timeout_ms,
+                weighs_stops: self.weighs_stops,
                 jobs_max_bytes: self.bounds.jobs_max_bytes(),
             },
             job,
--- a/src/cluster/settings.rs
+++ b/src/cluster/settings.rs
@@ -56,4 +56,6 @@
     pub data_centres: BTreeSet<Arc<str>>,
     /// Whether learned run times replace callers' estimates in decisions.
     pub learned_run_times: bool,
+    /// Whether stops for urgent work without a guarantee are weighed against what they cost.
+    pub weighs_stops: bool,
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -115,6 +115,9 @@
     pub(crate) reserve_millihosts: u64,
     /// Time from the order to stop a run until its capacity is listed as free.
     pub(crate) stop_ms: u64,
+    /// Whether urgent units without a guarantee wait for capacity that becomes free by itself, and stop
+    /// runs only if that pays off.
+    pub(crate) weighs_stops: bool,
     /// Memory that all jobs together may take.
     pub(crate) jobs_max_bytes: u64,
 }
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -144,7 +144,7 @@
         return Vec::new();
     }
     // A guaranteed unit must start within a bound, and a run may not end when it is expected to.
-    let trusts_ends = !unit.is_covered;
+    let trusts_ends = view.weighs_stops && !unit.is_covered;
     let soon_ms = trusts_ends.then_some(view.stop_ms);
     if trusts_ends && let Some(task_hosts) = awaited_hosts(view, pool, unit) {
         pool.reserve_unstopped(unit, &task_hosts);
@@ -167,7 +167,7 @@
         work_core_ms: run_ms * unit.step.need.weight_millicores() / 1_000
             * u64::from(unit.step.unit_size()),
     };
-    if !pays_off(&claim, view.stop_ms, None, set.cost_core_ms) {
+    if view.weighs_stops && !pays_off(&claim, view.stop_ms, None, set.cost_core_ms) {
         return Vec::new();
     }
     let mut stops = Vec::with_capacity(set.stopped.len());
--- a/src/placement/tests/admissions.rs
+++ b/src/placement/tests/admissions.rs
@@ -30,6 +30,7 @@
         learned: &inputs.learned,
         reserve_millihosts: 0,
         stop_ms: 400,
+        weighs_stops: true,
         jobs_max_bytes: JOBS_MAX_BYTES,
     })
 }
--- a/src/placement/tests/evacuations.rs
+++ b/src/placement/tests/evacuations.rs
@@ -168,6 +168,7 @@
             learned: &inputs.learned,
             reserve_millihosts: 0,
             stop_ms: STOP_MS,
+            weighs_stops: true,
             jobs_max_bytes: JOBS_MAX_BYTES,
         };
         let mut admissions = Admissions::default();
--- a/src/placement/tests/pool_view.rs
+++ b/src/placement/tests/pool_view.rs
@@ -54,6 +54,7 @@
         learned: &inputs.learned,
         reserve_millihosts: inputs.reserve_millihosts,
         stop_ms: STOP_MS,
+        weighs_stops: true,
         jobs_max_bytes: JOBS_MAX_BYTES,
     })
 }
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -272,6 +272,7 @@
             learned: &self.learned,
             reserve_millihosts,
             stop_ms: STOP_MS,
+            weighs_stops: true,
             jobs_max_bytes: u64::MAX / 100,
         })
     }
--- a/src/task_api/settings.rs
+++ b/src/task_api/settings.rs
@@ -60,6 +60,9 @@
     /// Whether learned run times replace callers' estimates in decisions.
     #[serde(default)]
     pub learned_run_times: bool,
+    /// Whether stops for urgent work without a guarantee are weighed against what they cost.
+    #[serde(default)]
+    pub weighs_stops: bool,
 }
 
 fn losses_max() -> usize {
@@ -157,6 +160,7 @@
             },
             data_centres: self.data_centres.iter().map(|name| name.as_str().into()).collect(),
             learned_run_times: self.learned_run_times,
+            weighs_stops: self.weighs_stops,
         }
     }
 }
