Let learned figures choose upstreams only where the settings ask for it

Change: the setting learned_places, off unless set, decides whether speeds, slow spells and noisy neighbours order the upstreams. What is learned is shown in any case.

--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -38,7 +38,7 @@
 use super::replica::Replica;
 use super::settings::{ClusterSettings, TaskBounds};
 use super::upstream_calls::UpstreamCalls;
-use crate::placement::{Admissions, Approvals, Feeds, Headroom, Learned, Observer, StepId};
+use crate::placement::{Admissions, Approvals, Headroom, Learned, Observer, StepId};
 use crate::tasks::{Incarnation, JobId, State, TaskId, Upstream};
 use evacuations::EvacuationReport;
 use hosts::KnownHosts;
@@ -151,8 +151,7 @@
         bounds: TaskBounds,
         settings: &ClusterSettings,
     ) -> Arc<Self> {
-        let run_times = settings.learned_run_times;
-        let feeds = Feeds { run_times, time_left: run_times, ..Feeds::default() };
+        let feeds = settings.learned_feeds();
         let term_state =
             TermState { learned: Arc::new(Learned::with_feeds(feeds)), ..TermState::default() };
         Arc::new_cyclic(|weak| Self {
--- a/src/cluster/settings.rs
+++ b/src/cluster/settings.rs
@@ -5,6 +5,8 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use crate::placement::Feeds;
+
 /// Limits and factors of jobs and of their tasks on upstreams.
 #[derive(Debug, Clone, Copy)]
 pub struct TaskBounds {
@@ -56,6 +58,21 @@
     pub data_centres: BTreeSet<Arc<str>>,
     /// Whether learned run times replace callers' estimates in decisions.
     pub learned_run_times: bool,
+    /// Whether learned speeds, slow spells and noisy neighbours decide where work runs.
+    pub learned_places: bool,
     /// Whether stops for urgent work without a guarantee are weighed against what they cost.
     pub weighs_stops: bool,
 }
+
+impl ClusterSettings {
+    /// Returns the decisions that use learned figures.
+    pub(crate) const fn learned_feeds(&self) -> Feeds {
+        Feeds {
+            run_times: self.learned_run_times,
+            time_left: self.learned_run_times,
+            spells: self.learned_places,
+            speeds: self.learned_places,
+            interference: self.learned_places,
+        }
+    }
+}
--- a/src/cluster/tests/control_host.rs
+++ b/src/cluster/tests/control_host.rs
@@ -117,6 +117,7 @@
         bounds,
         data_centres: [Arc::from("other-dc")].into(),
         learned_run_times: false,
+        learned_places: true,
         weighs_stops: true,
     }
 }
--- a/src/cluster/tests/sharing.rs
+++ b/src/cluster/tests/sharing.rs
@@ -80,6 +80,7 @@
         losses_max: 1,
         data_centres: BTreeSet::new(),
         learned_run_times: false,
+        learned_places: true,
         weighs_stops: true,
         bounds: TaskBounds { lease_max_ms: LEASE_MS, ..BOUNDS },
     };
--- a/src/local/tasks.rs
+++ b/src/local/tasks.rs
@@ -88,6 +88,7 @@
             memory_mb: 256,
             data_centres: Vec::new(),
             learned_run_times: false,
+            learned_places: false,
             weighs_stops: false,
         })
     }
--- a/src/task_api/settings.rs
+++ b/src/task_api/settings.rs
@@ -60,6 +60,9 @@
     /// Whether learned run times replace callers' estimates in decisions.
     #[serde(default)]
     pub learned_run_times: bool,
+    /// Whether learned speeds, slow spells and noisy neighbours decide where work runs.
+    #[serde(default)]
+    pub learned_places: bool,
     /// Whether stops for urgent work without a guarantee are weighed against what they cost.
     #[serde(default)]
     pub weighs_stops: bool,
@@ -160,6 +163,7 @@
             },
             data_centres: self.data_centres.iter().map(|name| name.as_str().into()).collect(),
             learned_run_times: self.learned_run_times,
+            learned_places: self.learned_places,
             weighs_stops: self.weighs_stops,
         }
     }
