State why the settings of a host have several flags

Cause: the linter refuses more than three flags in a struct. Change: both structs say that the flags are independent settings.

--- a/src/cluster/settings.rs
+++ b/src/cluster/settings.rs
@@ -38,6 +38,7 @@
 }
 
 /// Settings of a control host.
+#[expect(clippy::struct_excessive_bools, reason = "independent settings")]
 #[derive(Debug, Clone)]
 pub struct ClusterSettings {
     /// Name of the host, for logs.
--- a/src/task_api/settings.rs
+++ b/src/task_api/settings.rs
@@ -23,6 +23,7 @@
 const REMOTE_FACTOR: u64 = 3;
 
 /// Settings of a control host.
+#[expect(clippy::struct_excessive_bools, reason = "independent settings")]
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TaskControlSettings {
