--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
 
 use platform::Platform;
 use world::{
@@ -188,7 +189,7 @@
     if !case.system.submit("/q/", JOB, "{\"work\":18000}", step) {
         return NotRun("the job was not accepted".to_owned());
     }
-    if !wait_until(6_000, || !case.runs_now(JOB).is_empty()) {
+    if !wait_until(9_000, || !case.runs_now(JOB).is_empty()) {
         return NotRun("the job does not run".to_owned());
     }
     first.link.starts_late_ms.store(0, Ordering::SeqCst);
@@ -291,7 +292,7 @@
 
 /// A queue without jobs is removed by a configuration while the first job for it is being handed in.
 fn route_removed(case: &mut Case) -> Outcome {
-    const ROUNDS: u64 = 160;
+    const ROUNDS: u64 = 168;
     let workers: Vec<_> =
         (0..3).map(|number| case.worker(number, &format!("m-{number}"), &["a", "r1"], 8)).collect();
     if let Err(why) = case.set_up(&[Queue { prefix: "/q/", priority: 1, attempts: 4 }], &workers) {
@@ -312,14 +313,18 @@
         }
         version += 1;
         let id = format!("00000000000003{round:02x}");
+        // The job is handed in from 3 ms before the removal to 4 ms after it.
+        let after_us = round % 28 * 250;
+        let (removal, job) = (3_000_u64.saturating_sub(after_us), after_us.saturating_sub(3_000));
         let is_accepted = thread::scope(|scope| {
             let system = &case.system;
             let trouble = case.trouble;
             scope.spawn(move || {
+                thread::sleep(Duration::from_micros(removal));
                 let queues: &[Queue] = if trouble { &with[..1] } else { &with };
                 system.configure(version, queues, 0)
             });
-            thread::sleep(std::time::Duration::from_micros(round % 20 * 100));
+            thread::sleep(Duration::from_micros(job));
             system.submit_once(prefix, &id, "{\"work\":100}", step)
         });
         if is_accepted {
