--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -117,6 +117,7 @@
     let outcome = match name {
         "late-start" => late_start(&mut case),
         "route-removed" => route_removed(&mut case),
+        "avoid" => avoid(&mut case),
         "set-aside" => set_aside(&mut case),
         "crash-loop" => crash_loop(&mut case),
         "reclaim" => reclaim(&mut case, ("/u/", "")),
@@ -397,22 +398,87 @@
     Held
 }
 
-/// All workers crash once in an outage. Then one task crashes each worker that starts it.
+/// Tasks stand still for a while on the only worker that a job may use; the job avoids it long after.
+fn avoid(case: &mut Case) -> Outcome {
+    const BEFORE: &str = "00000000000000f1";
+    const JOB: &str = "00000000000000f0";
+    let mut workers = vec![case.worker(0, "m-0", &["b", "r1"], 8)];
+    for number in 1..10 {
+        workers.push(case.worker(number, &format!("m-{number}"), &["a", "r2"], 8));
+    }
+    let queue = Queue { prefix: "/q/", priority: 1, attempts: 4 };
+    if let Err(why) = case.set_up(&[queue], &workers) {
+        return NotRun(why);
+    }
+    let step = "{\"count\":1,\"cpu\":1000,\"mem-mb\":1000,\"gpu\":1,\"estimate-ms\":1000,\"requires\":\"b\"}";
+    if !case.system.submit("/q/", BEFORE, "{\"work\":600}", step) {
+        return NotRun("the first job was not accepted".to_owned());
+    }
+    let is_done = || case.runs_of(BEFORE).iter().any(|run| run.ended.is_some());
+    if !wait_until(5_000, is_done) {
+        return NotRun("the first job was not done".to_owned());
+    }
+    sleep_ms(1_800);
+    if case.trouble {
+        case.record.note("disruption: tasks on m-0, one of ten workers, stand still for 5.5 s");
+        workers[0].stands_still.store(true, Ordering::SeqCst);
+    }
+    let disturbed_ms = case.record.now_ms();
+    if !case.system.submit("/q/", JOB, "{\"work\":1000}", step) {
+        return NotRun("the job was not accepted".to_owned());
+    }
+    let traffic_ends_ms = case.record.now_ms();
+    let left_ms = (disturbed_ms + 5_500).saturating_sub(case.record.now_ms());
+    sleep_ms(left_ms);
+    workers[0].stands_still.store(false, Ordering::SeqCst);
+    case.record.note("tasks on m-0 work again");
+    // From finish_s after the end of the traffic on, 3 s without a run break the rule.
+    while case.record.now_ms() < traffic_ends_ms + 14_000 {
+        sleep_ms(5);
+    }
+    let mut idle_since_ms = case.record.now_ms();
+    let mut longest_ms = 0;
+    let mut state = String::new();
+    while case.record.now_ms() < traffic_ends_ms + 24_000 {
+        if case.runs_of(JOB).iter().any(|run| run.ended.as_ref().is_some_and(|(_, how)| how == "done")) {
+            break;
+        }
+        if !case.runs_now(JOB).is_empty() {
+            idle_since_ms = case.record.now_ms();
+        }
+        longest_ms = longest_ms.max(case.record.now_ms() - idle_since_ms);
+        sleep_ms(5);
+        state = "not done".to_owned();
+    }
+    case.record.note(format!("from 14 s after the end of the traffic on, nothing ran for {longest_ms} ms; {state}"));
+    if longest_ms >= 3_000 {
+        return Broken(format!(
+            "LOST: from 14 s after the end of the traffic on, an accepted job has nothing running for {longest_ms} ms, \
+             while its worker is sound and idle"
+        ));
+    }
+    Held
+}
+
+/// Two of ten workers crash once. Then one task crashes each worker that starts it, and may use these two.
 fn crash_loop(case: &mut Case) -> Outcome {
     const DEADLY: &str = "00000000000000c0";
-    let workers: Vec<_> =
-        (0..6).map(|number| case.worker(number, &format!("m-{number}"), &["a", "r1"], 8)).collect();
+    const NEIGHBOUR: &str = "00000000000000c1";
+    let mut workers = vec![case.worker(0, "m-0", &["b", "r1"], 8), case.worker(1, "m-1", &["b", "r1"], 8)];
+    for number in 2..10 {
+        workers.push(case.worker(number, &format!("m-{number}"), &["a", "r2"], 8));
+    }
     let queue = Queue { prefix: "/q/", priority: 1, attempts: 4 };
     if let Err(why) = case.set_up(&[queue], &workers) {
         return NotRun(why);
     }
     if case.trouble {
-        case.record.note("disruption: all workers crash and start again under their ids");
-        for worker in &workers {
+        case.record.note("disruption: two of ten workers crash and start again under their ids");
+        for worker in &workers[..2] {
             worker.end_life("crashes in the outage");
         }
         sleep_ms(1_500);
-        for worker in &workers {
+        for worker in &workers[..2] {
             let id = worker.id();
             worker.holds.store(0, Ordering::SeqCst);
             worker.begin(&id, true);
@@ -422,7 +488,17 @@
         }
         sleep_ms(6_000);
     }
-    let step = "{\"count\":1,\"cpu\":1000,\"mem-mb\":1000,\"gpu\":1,\"estimate-ms\":10000}";
+    // Work of others on the same workers.
+    let neighbour = "{\"count\":4,\"cpu\":1000,\"mem-mb\":1000,\"gpu\":3,\"estimate-ms\":15000,\
+                     \"requires\":\"b\"}";
+    if !case.system.submit("/q/", NEIGHBOUR, "{\"work\":15000}", neighbour) {
+        return NotRun("the neighbours' job was not accepted".to_owned());
+    }
+    if !wait_until(5_000, || case.runs_now(NEIGHBOUR).len() == 4) {
+        return NotRun("the neighbours' tasks do not run".to_owned());
+    }
+    sleep_ms(1_000);
+    let step = "{\"count\":1,\"cpu\":1000,\"mem-mb\":1000,\"gpu\":1,\"estimate-ms\":10000,\"requires\":\"b\"}";
     if !case.system.submit("/q/", DEADLY, "{\"work\":3000,\"deadly\":true}", step) {
         return NotRun("the job was not accepted".to_owned());
     }
@@ -454,7 +530,10 @@
         sleep_ms(20);
     }
     let (crashes, starts) = (crashes_under(case, DEADLY), case.runs_of(DEADLY).len());
-    case.record.note(format!("{crashes} workers crashed under the task, {starts} starts, job {state}"));
+    let lost = crashes_under(case, NEIGHBOUR);
+    case.record.note(format!(
+        "{crashes} workers crashed under the task, {starts} starts, job {state}; {lost} runs of others were lost"
+    ));
     if crashes < 2 {
         return NotRun("the task crashed fewer than two workers".to_owned());
     }
@@ -462,7 +541,7 @@
     if starts >= 6 {
         return Broken(format!(
             "BUDGET: a task that crashes the workers that start it was started {starts} times; {crashes} workers \
-             crashed under it; its job is {state}"
+             crashed under it, with {lost} runs of others; its job is {state}"
         ));
     }
     Held
--- a/review/harness-3/world.rs
+++ b/review/harness-3/world.rs
@@ -344,6 +344,8 @@
 struct RunningTask {
     run: u64,
     begun: Instant,
+    /// Time in which it stood still.
+    idle: Duration,
     number: usize,
     /// Work in milliseconds, `None` for a task that lasts.
     work_ms: Option<u64>,
@@ -354,6 +356,12 @@
     stop_at: Option<Instant>,
 }
 
+impl RunningTask {
+    fn worked(&self) -> Duration {
+        self.begun.elapsed().saturating_sub(self.idle)
+    }
+}
+
 #[derive(Default)]
 struct Life {
     token: u64,
@@ -388,6 +396,8 @@
     is_up: AtomicBool,
     pub crashes: AtomicU64,
     pub holds: AtomicU64,
+    /// Whether the tasks on it stand still.
+    pub stands_still: AtomicBool,
     crash_wanted: AtomicBool,
 }
 
@@ -426,6 +436,7 @@
             is_up: AtomicBool::new(false),
             crashes: AtomicU64::new(0),
             holds: AtomicU64::new(0),
+            stands_still: AtomicBool::new(false),
             crash_wanted: AtomicBool::new(false),
         })
     }
@@ -486,7 +497,16 @@
         thread::spawn(move || worker.send_heartbeats(life));
         let worker = Arc::clone(self);
         thread::spawn(move || {
+            let mut before = Instant::now();
             while worker.lives_on(life) {
+                let passed = before.elapsed();
+                before += passed;
+                if worker.stands_still.load(Ordering::SeqCst) {
+                    // Time that doesn't count as work.
+                    for task in lock(&worker.life).running.values_mut() {
+                        task.idle += passed;
+                    }
+                }
                 worker.advance();
                 if worker.crash_wanted.load(Ordering::SeqCst) {
                     worker.end_life("crashes");
@@ -668,6 +688,7 @@
         let running = RunningTask {
             run,
             begun: Instant::now(),
+            idle: Duration::ZERO,
             number,
             work_ms,
             end,
@@ -710,7 +731,7 @@
                     .running
                     .iter()
                     .map(|(task, known)| {
-                        let worked_ms = known.begun.elapsed().as_millis() as u64;
+                        let worked_ms = known.worked().as_millis() as u64;
                         let whole_ms = known.work_ms.unwrap_or(500).max(1);
                         let cap = if known.work_ms.is_some() { 99 } else { 100 };
                         let percent = (worked_ms * 100 / whole_ms).min(cap);
@@ -770,7 +791,7 @@
             .filter_map(|(task, known)| {
                 let is_done = known
                     .work_ms
-                    .is_some_and(|work_ms| known.begun.elapsed() >= Duration::from_millis(work_ms));
+                    .is_some_and(|work_ms| known.worked() >= Duration::from_millis(work_ms));
                 let how = if known.stop_at.is_some_and(|at| now >= at) {
                     "stopped"
                 } else if is_done {
