--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -93,9 +93,8 @@
             std::process::exit(2);
         });
     }
-    let played = std::panic::catch_unwind(AssertUnwindSafe(|| {
-        play(&name, &record, trouble, &processes)
-    }));
+    let played =
+        std::panic::catch_unwind(AssertUnwindSafe(|| play(&name, &record, trouble, &processes)));
     end_all(&processes);
     let outcome = played.unwrap_or_else(|_| NotRun("the harness has failed".to_owned()));
     let (code, text) = match outcome {
@@ -112,7 +111,8 @@
 fn play(name: &str, record: &Record, trouble: bool, processes: &Processes) -> Outcome {
     let needs_platform = matches!(name, "wave-lost" | "wave-cap" | "away");
     let platform = needs_platform.then(|| Platform::start(record));
-    let system = System::start(record, platform.as_ref().map(|platform| platform.address), processes);
+    let system =
+        System::start(record, platform.as_ref().map(|platform| platform.address), processes);
     let mut case = Case { record: record.clone(), system, runs: Runs::default(), trouble };
     let outcome = match name {
         "late-start" => late_start(&mut case),
@@ -153,11 +153,17 @@
     for (number, first) in runs.iter().enumerate() {
         for second in &runs[number + 1..] {
             let end = |run: &Run| run.ended.as_ref().map_or(now_ms, |(at_ms, _)| *at_ms);
-            let together_ms = end(first).min(end(second)).saturating_sub(first.begun_ms.max(second.begun_ms));
+            let together_ms =
+                end(first).min(end(second)).saturating_sub(first.begun_ms.max(second.begun_ms));
             if first.task == second.task && together_ms > 0 {
                 return Some(format!(
                     "task {} runs twice for {together_ms} ms: run {} on {} from {} ms, run {} on {} from {} ms",
-                    first.task, first.run, first.worker, first.begun_ms, second.run, second.worker,
+                    first.task,
+                    first.run,
+                    first.worker,
+                    first.begun_ms,
+                    second.run,
+                    second.worker,
                     second.begun_ms
                 ));
             }
@@ -171,7 +177,8 @@
 fn late_start(case: &mut Case) -> Outcome {
     const BEFORE: &str = "00000000000000a0";
     const JOB: &str = "00000000000000a1";
-    let (first, second) = (case.worker(0, "m-0", &["a", "r1"], 8), case.worker(1, "m-1", &["a", "r1"], 4));
+    let (first, second) =
+        (case.worker(0, "m-0", &["a", "r1"], 8), case.worker(1, "m-1", &["a", "r1"], 4));
     let queue = Queue { prefix: "/q/", priority: 1, attempts: 4 };
     if let Err(why) = case.set_up(&[queue], &[Arc::clone(&first), Arc::clone(&second)]) {
         return NotRun(why);
@@ -259,7 +266,8 @@
     // The lasting task fails by itself once, after the next attempts of these jobs.
     let again = || {
         let failed_since = |job: &str| {
-            let late = |run: &Run| run.ended.as_ref().is_some_and(|(at_ms, _)| *at_ms > poison_over_ms);
+            let late =
+                |run: &Run| run.ended.as_ref().is_some_and(|(at_ms, _)| *at_ms > poison_over_ms);
             case.runs_of(job).iter().any(late)
         };
         failed_since("000000000000010a") && failed_since("000000000000010c")
@@ -367,7 +375,8 @@
         return NotRun(why);
     }
     if case.trouble {
-        case.record.note("disruption: a large job of south, which has no guarantee, takes all 24 gpu");
+        case.record
+            .note("disruption: a large job of south, which has no guarantee, takes all 24 gpu");
         let step = format!(
             "{{\"count\":24,\"cpu\":1000,\"mem-mb\":1000,\"gpu\":1,\"estimate-ms\":1000,\
              \"long-running\":true{more}}}"
@@ -388,7 +397,8 @@
     let begun = wait_until(40_000, || case.runs_of(GUARANTEED).len() >= 4);
     let waited_ms = case.record.now_ms() - accepted_ms;
     let state = case.system.state("/u/", GUARANTEED);
-    case.record.note(format!("all tasks have begun: {begun}, {waited_ms} ms after the acknowledgement"));
+    case.record
+        .note(format!("all tasks have begun: {begun}, {waited_ms} ms after the acknowledgement"));
     if waited_ms > RECLAIM_MS {
         return Broken(format!(
             "RECLAIM: a job of 8 gpu, of a tenant with 8 gpu guaranteed, is {state} {waited_ms} ms after its \
@@ -440,7 +450,11 @@
     let mut longest_ms = 0;
     let mut state = String::new();
     while case.record.now_ms() < traffic_ends_ms + 24_000 {
-        if case.runs_of(JOB).iter().any(|run| run.ended.as_ref().is_some_and(|(_, how)| how == "done")) {
+        if case
+            .runs_of(JOB)
+            .iter()
+            .any(|run| run.ended.as_ref().is_some_and(|(_, how)| how == "done"))
+        {
             break;
         }
         if !case.runs_now(JOB).is_empty() {
@@ -450,7 +464,9 @@
         sleep_ms(5);
         state = "not done".to_owned();
     }
-    case.record.note(format!("from 14 s after the end of the traffic on, nothing ran for {longest_ms} ms; {state}"));
+    case.record.note(format!(
+        "from 14 s after the end of the traffic on, nothing ran for {longest_ms} ms; {state}"
+    ));
     if longest_ms >= 3_000 {
         return Broken(format!(
             "LOST: from 14 s after the end of the traffic on, an accepted job has nothing running for {longest_ms} ms, \
@@ -464,7 +480,8 @@
 fn crash_loop(case: &mut Case) -> Outcome {
     const DEADLY: &str = "00000000000000c0";
     const NEIGHBOUR: &str = "00000000000000c1";
-    let mut workers = vec![case.worker(0, "m-0", &["b", "r1"], 8), case.worker(1, "m-1", &["b", "r1"], 8)];
+    let mut workers =
+        vec![case.worker(0, "m-0", &["b", "r1"], 8), case.worker(1, "m-1", &["b", "r1"], 8)];
     for number in 2..10 {
         workers.push(case.worker(number, &format!("m-{number}"), &["a", "r2"], 8));
     }
@@ -573,7 +590,9 @@
             return NotRun("no order about a machine was sent".to_owned());
         }
         let holder = lock(&platform.last_holder).clone();
-        let Some(leader) = (0..world::CONTROL_HOSTS).find(|host| System::node_name(*host) == holder) else {
+        let Some(leader) =
+            (0..world::CONTROL_HOSTS).find(|host| System::node_name(*host) == holder)
+        else {
             return NotRun(format!("the order names the holder {holder}"));
         };
         case.record.note(format!("disruption: the leader, {holder}, is killed"));
@@ -582,7 +601,9 @@
         case.system.start_process(leader, false);
         sleep_ms(17_000);
         if platform.upkeeps("m-0") == 0 {
-            case.record.note("no upkeep of m-0 has begun; its worker crashes and another is there 2 s later");
+            case.record.note(
+                "no upkeep of m-0 has begun; its worker crashes and another is there 2 s later",
+            );
             workers[0].end_life("crashes");
             sleep_ms(2_000);
             workers[0].begin("i-0-2", true);
@@ -591,7 +612,8 @@
     let mut state = String::new();
     wait_until(15_000, || {
         let reply = case.system.operate("GET", "/cactuslatch/wave-get/1", "");
-        state = reply.map_or(String::new(), |r| r.json().get("state").text().unwrap_or_default().to_owned());
+        state = reply
+            .map_or(String::new(), |r| r.json().get("state").text().unwrap_or_default().to_owned());
         sleep_ms(480);
         state == "completed"
     });
@@ -635,11 +657,15 @@
     let completed = wait_until(45_000, done);
     sleep_ms(3_500);
     let most = platform.most_down();
-    case.record.note(format!("at most {most} machines were down at once; all had their upkeep: {completed}"));
+    case.record.note(format!(
+        "at most {most} machines were down at once; all had their upkeep: {completed}"
+    ));
     match most {
         0 | 1 if completed => Held,
         0 | 1 => NotRun("not all machines had their upkeep".to_owned()),
-        _ => Broken(format!("LIMIT: {most} machines of a wave with cap 1 were down for their upkeep at once")),
+        _ => Broken(format!(
+            "LIMIT: {most} machines of a wave with cap 1 were down for their upkeep at once"
+        )),
     }
 }
 
@@ -674,7 +700,8 @@
     if case.trouble {
         case.record.note("disruption: a wave with this machine, cap 1, 60 s");
         let machine = &machine.machine;
-        let wave = format!("{{\"wave\":1,\"machines\":[\"{machine}\"],\"duration-s\":60,\"cap\":1}}");
+        let wave =
+            format!("{{\"wave\":1,\"machines\":[\"{machine}\"],\"duration-s\":60,\"cap\":1}}");
         if case.system.operate("POST", "/cactuslatch/wave-start", &wave).is_none() {
             return NotRun("the wave was not acknowledged".to_owned());
         }
@@ -690,9 +717,11 @@
             run.task == task && run.begun_ms + 500 <= at_ms && at_ms < end_ms
         })
     };
-    let both_away_ms = (all[0].begun_ms + 2_000..now_ms).filter(|at| !at_work(0, *at) && !at_work(1, *at)).count();
+    let both_away_ms =
+        (all[0].begun_ms + 2_000..now_ms).filter(|at| !at_work(0, *at) && !at_work(1, *at)).count();
     case.record.note(format!("both tasks were away at once for {both_away_ms} ms"));
-    let ended_by_order = |run: &&Run| run.ended.as_ref().is_some_and(|(_, how)| how == "stopped" || how == "gone");
+    let ended_by_order =
+        |run: &&Run| run.ended.as_ref().is_some_and(|(_, how)| how == "stopped" || how == "gone");
     let orders = all.iter().filter(ended_by_order).count();
     if both_away_ms > 0 && orders >= 2 {
         return Broken(format!(
--- a/review/harness-3/platform.rs
+++ b/review/harness-3/platform.rs
@@ -83,7 +83,8 @@
         let mut buffer = Vec::new();
         while let Some(request) = read_message(&mut stream, &mut buffer) {
             self.calls.fetch_add(1, Ordering::SeqCst);
-            *lock(&self.last_holder) = request.headers.get("lease-holder").cloned().unwrap_or_default();
+            *lock(&self.last_holder) =
+                request.headers.get("lease-holder").cloned().unwrap_or_default();
             self.record.note(format!("platform: {} {} arrives", request.path, request.body));
             sleep_ms(self.slow_ms.load(Ordering::SeqCst));
             if has_gone(&stream) {
@@ -91,7 +92,8 @@
                 return;
             }
             let (status, body) = self.handle(&request);
-            self.record.note(format!("platform: {} {} -> {status} {body}", request.path, request.body));
+            self.record
+                .note(format!("platform: {} {} -> {status} {body}", request.path, request.body));
             if !write_response(&mut stream, status, &body) {
                 return;
             }
--- a/review/harness-3/world.rs
+++ b/review/harness-3/world.rs
@@ -226,7 +226,8 @@
             let address = self.control_addresses()[attempt % CONTROL_HOSTS];
             let reply = call(address, method, path, &[], body, limit);
             if let Some(reply) = reply.filter(|reply| reply.status / 100 == 2) {
-                self.record.note(format!("operator: {method} {path} -> {} {}", reply.status, reply.body));
+                self.record
+                    .note(format!("operator: {method} {path} -> {} {}", reply.status, reply.body));
                 return Some(reply);
             }
             sleep_ms(150);
@@ -473,8 +474,12 @@
             return;
         };
         let address = listener.local_addr().ok();
-        *lock(&self.identity) =
-            Identity { id: id.to_owned(), address, born_unix_ms: unix_ms(), started: Instant::now() };
+        *lock(&self.identity) = Identity {
+            id: id.to_owned(),
+            address,
+            born_unix_ms: unix_ms(),
+            started: Instant::now(),
+        };
         *lock(&self.life) = Life::default();
         self.crash_wanted.store(false, Ordering::SeqCst);
         let life = self.lives.fetch_add(1, Ordering::SeqCst) + 1;
@@ -703,7 +708,11 @@
         let task = body.get("task").text().unwrap_or_default().to_owned();
         let run = body.get("run-id").u64().unwrap_or(0);
         let mut life = lock(&self.life);
-        self.record.note(format!("{}: {} is told to stop {task} run {run}", self.machine, self.id()));
+        self.record.note(format!(
+            "{}: {} is told to stop {task} run {run}",
+            self.machine,
+            self.id()
+        ));
         if let Some(known) = life.running.get_mut(&task).filter(|known| known.run <= run) {
             known.stop_at.get_or_insert(Instant::now() + Duration::from_millis(STOP_MS));
         }
