--- a/review/harness-3/world.rs
+++ b/review/harness-3/world.rs
@@ -30,7 +30,10 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
 }
 
 /// What was sent, answered and run, with the time since the start of the test.
@@ -42,7 +45,10 @@
 
 impl Record {
     pub fn new() -> Self {
-        Self { begun: Instant::now(), lines: Arc::default() }
+        Self {
+            begun: Instant::now(),
+            lines: Arc::default(),
+        }
     }
 
     pub fn now_ms(&self) -> u64 {
@@ -50,7 +56,11 @@
     }
 
     pub fn note(&self, text: impl AsRef<str>) {
-        let line = format!("{:>9.3} s  {}", self.now_ms() as f64 / 1_000.0, text.as_ref());
+        let line = format!(
+            "{:>9.3} s  {}",
+            self.now_ms() as f64 / 1_000.0,
+            text.as_ref()
+        );
         lock(&self.lines).push(line);
     }
 
@@ -85,7 +95,9 @@
 }
 
 fn free_port(ip: IpAddr) -> u16 {
-    TcpListener::bind((ip, 0)).and_then(|listener| listener.local_addr()).map_or(0, |a| a.port())
+    TcpListener::bind((ip, 0))
+        .and_then(|listener| listener.local_addr())
+        .map_or(0, |a| a.port())
 }
 
 impl System {
@@ -126,7 +138,9 @@
     }
 
     pub fn control_addresses(&self) -> Vec<SocketAddr> {
-        (0..CONTROL_HOSTS).map(|host| SocketAddr::new(self.ip(host), self.ports[1])).collect()
+        (0..CONTROL_HOSTS)
+            .map(|host| SocketAddr::new(self.ip(host), self.ports[1]))
+            .collect()
     }
 
     fn entry_address(&self) -> SocketAddr {
@@ -134,7 +148,11 @@
     }
 
     pub fn node_name(host: usize) -> String {
-        if host < CONTROL_HOSTS { format!("core-{host}") } else { "frontend-0".to_owned() }
+        if host < CONTROL_HOSTS {
+            format!("core-{host}")
+        } else {
+            "frontend-0".to_owned()
+        }
     }
 
     /// Starts the process of a host with settings like those of the site `bfs-latch`.
@@ -142,15 +160,21 @@
         let ip = self.ip(host);
         let [internal, control, frontend, readiness, _] = self.ports;
         let is_control = host < CONTROL_HOSTS;
-        let seeds: Vec<_> =
-            self.control_addresses().iter().map(|seed| format!("\"{seed}\"")).collect();
+        let seeds: Vec<_> = self
+            .control_addresses()
+            .iter()
+            .map(|seed| format!("\"{seed}\""))
+            .collect();
         let listen = if is_control {
             format!("control = \"{ip}:{control}\"")
         } else {
             format!("frontend = \"{ip}:{frontend}\"\nreadiness = \"{ip}:{readiness}\"")
         };
-        let (class, serves) =
-            if is_control { ("core", "control_plane") } else { ("frontend", "frontend") };
+        let (class, serves) = if is_control {
+            ("core", "control_plane")
+        } else {
+            ("frontend", "frontend")
+        };
         let data = self.folder.join(format!("data-{host}"));
         let cloud = self.machine_interface.map_or(String::new(), |address| {
             format!("[cloud]\naddress = \"{address}\"\nrate-per-s = 60.0\nduties = []\nduty-per-s = 60.0\n")
@@ -177,7 +201,10 @@
         );
         let path = self.folder.join(format!("settings-{host}.toml"));
         _ = fs::write(&path, settings);
-        let log = File::options().append(true).create(true).open(self.log_path(host));
+        let log = File::options()
+            .append(true)
+            .create(true)
+            .open(self.log_path(host));
         let child = Command::new("target/release/cactuslatch-platform")
             .arg(if is_control { "control" } else { "entry" })
             .env_clear()
@@ -212,7 +239,10 @@
         let mut lines = Vec::new();
         for host in 0..CONTROL_HOSTS {
             let text = fs::read_to_string(self.log_path(host)).unwrap_or_default();
-            for line in text.lines().filter(|line| words.iter().any(|word| line.contains(word))) {
+            for line in text
+                .lines()
+                .filter(|line| words.iter().any(|word| line.contains(word)))
+            {
                 lines.push(format!("{} {line}", Self::node_name(host)));
             }
         }
@@ -226,13 +256,16 @@
             let address = self.control_addresses()[attempt % CONTROL_HOSTS];
             let reply = call(address, method, path, &[], body, limit);
             if let Some(reply) = reply.filter(|reply| reply.status / 100 == 2) {
-                self.record
-                    .note(format!("operator: {method} {path} -> {} {}", reply.status, reply.body));
+                self.record.note(format!(
+                    "operator: {method} {path} -> {} {}",
+                    reply.status, reply.body
+                ));
                 return Some(reply);
             }
             sleep_ms(150);
         }
-        self.record.note(format!("operator: {method} {path} has no acknowledgement"));
+        self.record
+            .note(format!("operator: {method} {path} has no acknowledgement"));
         None
     }
 
@@ -250,12 +283,20 @@
             quoted(KEY),
             quoted(KEY_OF_SOUTH)
         );
-        self.operate("POST", "/cactuslatch/Config.Replace", &body).is_some()
+        self.operate("POST", "/cactuslatch/Config.Replace", &body)
+            .is_some()
     }
 
     fn caller_call(&self, key: &str, method: &str, path: &str, body: &str) -> Option<Message> {
         let headers = [("Host", HOST), ("Api-Key", key), ("Deadline-Ms", "3000")];
-        call(self.entry_address(), method, path, &headers, body, Duration::from_secs(3))
+        call(
+            self.entry_address(),
+            method,
+            path,
+            &headers,
+            body,
+            Duration::from_secs(3),
+        )
     }
 
     /// Submits a job of the tenant `north`.
@@ -269,7 +310,8 @@
         for _ in 0..40 {
             let reply = self.caller_call(key, "POST", &format!("{prefix}{id}"), &body);
             let status = reply.as_ref().map_or(0, |reply| reply.status);
-            self.record.note(format!("client: POST {prefix}{id} -> {status}"));
+            self.record
+                .note(format!("client: POST {prefix}{id} -> {status}"));
             if status / 100 == 2 {
                 return true;
             }
@@ -283,16 +325,22 @@
         let body = format!("{{\"spec\":{},\"steps\":[{steps}]}}", quoted(spec));
         let reply = self.caller_call(KEY, "POST", &format!("{prefix}{id}"), &body);
         let status = reply.as_ref().map_or(0, |reply| reply.status);
-        self.record.note(format!("client: POST {prefix}{id} -> {status}"));
+        self.record
+            .note(format!("client: POST {prefix}{id} -> {status}"));
         status / 100 == 2
     }
 
     pub fn state(&self, prefix: &str, id: &str) -> String {
         let reply = self.caller_call(KEY, "GET", &format!("{prefix}{id}"), "");
         let state = reply.map_or("no answer".to_owned(), |reply| {
-            reply.json().get("state").text().map_or(reply.status.to_string(), str::to_owned)
+            reply
+                .json()
+                .get("state")
+                .text()
+                .map_or(reply.status.to_string(), str::to_owned)
         });
-        self.record.note(format!("client: GET {prefix}{id} -> {state}"));
+        self.record
+            .note(format!("client: GET {prefix}{id} -> {state}"));
         state
     }
 
@@ -334,6 +382,8 @@
     pub task: String,
     pub run: u64,
     pub worker: String,
+    /// Labels of the worker.
+    pub labels: Vec<String>,
     pub begun_ms: u64,
     /// When and how it ended.
     pub ended: Option<(u64, String)>,
@@ -383,7 +433,9 @@
 /// A machine with at most one worker at a time.
 pub struct Worker {
     pub machine: String,
-    pub labels: Vec<String>,
+    pub labels: Mutex<Vec<String>>,
+    /// Time from the beginning of a life until its first heartbeat.
+    pub first_beat_ms: AtomicU64,
     pub gpu: u32,
     pub link: Link,
     ip: IpAddr,
@@ -419,7 +471,8 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             machine: machine.to_owned(),
-            labels: labels.iter().map(|label| (*label).to_owned()).collect(),
+            labels: Mutex::new(labels.iter().map(|label| (*label).to_owned()).collect()),
+            first_beat_ms: AtomicU64::new(0),
             gpu,
             link: Link::default(),
             ip,
@@ -484,7 +537,8 @@
         self.crash_wanted.store(false, Ordering::SeqCst);
         let life = self.lives.fetch_add(1, Ordering::SeqCst) + 1;
         self.is_up.store(true, Ordering::SeqCst);
-        self.record.note(format!("{}: worker {id} begins", self.machine));
+        self.record
+            .note(format!("{}: worker {id} begins", self.machine));
         _ = listener.set_nonblocking(true);
         let worker = Arc::clone(self);
         thread::spawn(move || {
@@ -531,7 +585,8 @@
         if !self.is_up.swap(false, Ordering::SeqCst) {
             return;
         }
-        self.record.note(format!("{}: worker {} {cause}", self.machine, self.id()));
+        self.record
+            .note(format!("{}: worker {} {cause}", self.machine, self.id()));
         let mut life = lock(&self.life);
         let now_ms = self.record.now_ms();
         for (_, task) in std::mem::take(&mut life.running) {
@@ -541,6 +596,7 @@
 
     fn send_heartbeats(self: Arc<Self>, life: u64) {
         let mut sequence = 0;
+        sleep_ms(self.first_beat_ms.load(Ordering::SeqCst));
         while self.lives_on(life) {
             sequence += 1;
             let (id, address, born) = {
@@ -548,7 +604,10 @@
                 (identity.id.clone(), identity.address, identity.born_unix_ms)
             };
             let Some(address) = address else { return };
-            let labels: Vec<_> = self.labels.iter().map(|label| quoted(label)).collect();
+            let labels: Vec<_> = lock(&self.labels)
+                .iter()
+                .map(|label| quoted(label))
+                .collect();
             let body = format!(
                 "{{\"service\":\"pool\",\"address\":\"{address}\",\"zone\":\"seq-bris\",\"version\":\"v1\",\
                  \"slots\":8,\"state\":\"ready\",\"cold-remaining-ms\":0,\"capacity\":{{\"cpu\":128000,\
@@ -621,14 +680,24 @@
     }
 
     fn refusal(&self, reason: &str) -> (u16, String) {
-        (409, format!("{{\"clock-ms\":{},\"reason\":\"{reason}\"}}", self.clock_ms()))
+        (
+            409,
+            format!(
+                "{{\"clock-ms\":{},\"reason\":\"{reason}\"}}",
+                self.clock_ms()
+            ),
+        )
     }
 
     fn handle(&self, request: &Message) -> (u16, String) {
         if request.path == "/healthz" {
             return (200, "{}".to_owned());
         }
-        if request.headers.get("expect-instance").is_some_and(|wanted| *wanted != self.id()) {
+        if request
+            .headers
+            .get("expect-instance")
+            .is_some_and(|wanted| *wanted != self.id())
+        {
             return (421, "{}".to_owned());
         }
         let body = request.json();
@@ -668,7 +737,11 @@
             return self.refusal("late");
         }
         self.extend(&mut life, body);
-        if life.running.get(&task).is_some_and(|known| known.run == run) {
+        if life
+            .running
+            .get(&task)
+            .is_some_and(|known| known.run == run)
+        {
             return done;
         }
         let is_old = life.closed.get(&task).is_some_and(|closed| run <= *closed);
@@ -682,14 +755,23 @@
             task: task.clone(),
             run,
             worker: self.id(),
+            labels: lock(&self.labels).clone(),
             begun_ms: self.record.now_ms(),
             ended: None,
         });
         drop(runs);
         let is_deadly = spec.get("deadly") == &Json::Bool(true);
-        let end = if spec.get("fails") == &Json::Bool(true) { "failed" } else { "done" };
+        let end = if spec.get("fails") == &Json::Bool(true) {
+            "failed"
+        } else {
+            "done"
+        };
         let work_ms = spec.get("work").u64();
-        self.record.note(format!("{}: {} starts {task} run {run}", self.machine, self.id()));
+        self.record.note(format!(
+            "{}: {} starts {task} run {run}",
+            self.machine,
+            self.id()
+        ));
         let running = RunningTask {
             run,
             begun: Instant::now(),
@@ -714,7 +796,9 @@
             self.id()
         ));
         if let Some(known) = life.running.get_mut(&task).filter(|known| known.run <= run) {
-            known.stop_at.get_or_insert(Instant::now() + Duration::from_millis(STOP_MS));
+            known
+                .stop_at
+                .get_or_insert(Instant::now() + Duration::from_millis(STOP_MS));
         }
         let closed = life.closed.entry(task).or_default();
         *closed = (*closed).max(run);
@@ -779,14 +863,20 @@
     }
 
     fn end_run(&self, life: &mut Life, task: &str, how: &str) {
-        let Some(known) = life.running.remove(task) else { return };
+        let Some(known) = life.running.remove(task) else {
+            return;
+        };
         life.ends += 1;
         let number = life.ends;
-        life.ended.push((number, task.to_owned(), known.run, how.to_owned()));
+        life.ended
+            .push((number, task.to_owned(), known.run, how.to_owned()));
         let closed = life.closed.entry(task.to_owned()).or_default();
         *closed = (*closed).max(known.run);
         lock(&self.runs)[known.number].ended = Some((self.record.now_ms(), how.to_owned()));
-        self.record.note(format!("{}: {task} run {} ends: {how}", self.machine, known.run));
+        self.record.note(format!(
+            "{}: {task} run {} ends: {how}",
+            self.machine, known.run
+        ));
     }
 
     fn advance(&self) {
