--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -37,13 +37,7 @@
 impl Case {
     fn worker(&self, number: usize, machine: &str, labels: &[&str], gpu: u32) -> Arc<Worker> {
         let ip = self.system.standin_ip(number);
-        Worker::new(
-            (machine, labels, gpu),
-            ip,
-            &self.system,
-            &self.record,
-            &self.runs,
-        )
+        Worker::new((machine, labels, gpu), ip, &self.system, &self.record, &self.runs)
     }
 
     /// Sets the first configuration, begins the workers and waits until the leader holds all of them.
@@ -63,11 +57,7 @@
         for (number, worker) in workers.iter().enumerate() {
             worker.begin(&format!("i-{number}-1"), false);
         }
-        let held = || {
-            workers
-                .iter()
-                .all(|worker| worker.holds.load(Ordering::SeqCst) >= 2)
-        };
+        let held = || workers.iter().all(|worker| worker.holds.load(Ordering::SeqCst) >= 2);
         if !wait_until(15_000, held) {
             return Err("not all workers are held".to_owned());
         }
@@ -76,17 +66,11 @@
 
     fn runs_of(&self, job: &str) -> Vec<Run> {
         let runs = lock(&self.runs);
-        runs.iter()
-            .filter(|run| run.task.starts_with(job))
-            .cloned()
-            .collect()
+        runs.iter().filter(|run| run.task.starts_with(job)).cloned().collect()
     }
 
     fn runs_now(&self, job: &str) -> Vec<Run> {
-        self.runs_of(job)
-            .into_iter()
-            .filter(|run| run.ended.is_none())
-            .collect()
+        self.runs_of(job).into_iter().filter(|run| run.ended.is_none()).collect()
     }
 }
 
@@ -109,9 +93,8 @@
             std::process::exit(2);
         });
     }
-    let played = std::panic::catch_unwind(AssertUnwindSafe(|| {
-        play(&name, &record, trouble, &processes)
-    }));
+    let played =
+        std::panic::catch_unwind(AssertUnwindSafe(|| play(&name, &record, trouble, &processes)));
     end_all(&processes);
     let outcome = played.unwrap_or_else(|_| NotRun("the harness has failed".to_owned()));
     let (code, text) = match outcome {
@@ -128,17 +111,9 @@
 fn play(name: &str, record: &Record, trouble: bool, processes: &Processes) -> Outcome {
     let needs_platform = matches!(name, "wave-lost" | "wave-cap" | "away");
     let platform = needs_platform.then(|| Platform::start(record));
-    let system = System::start(
-        record,
-        platform.as_ref().map(|platform| platform.address),
-        processes,
-    );
-    let mut case = Case {
-        record: record.clone(),
-        system,
-        runs: Runs::default(),
-        trouble,
-    };
+    let system =
+        System::start(record, platform.as_ref().map(|platform| platform.address), processes);
+    let mut case = Case { record: record.clone(), system, runs: Runs::default(), trouble };
     let outcome = match name {
         "late-start" => late_start(&mut case),
         "route-removed" => route_removed(&mut case),
@@ -179,9 +154,8 @@
     for (number, first) in runs.iter().enumerate() {
         for second in &runs[number + 1..] {
             let end = |run: &Run| run.ended.as_ref().map_or(now_ms, |(at_ms, _)| *at_ms);
-            let together_ms = end(first)
-                .min(end(second))
-                .saturating_sub(first.begun_ms.max(second.begun_ms));
+            let together_ms =
+                end(first).min(end(second)).saturating_sub(first.begun_ms.max(second.begun_ms));
             if first.task == second.task && together_ms > 0 {
                 return Some(format!(
                     "task {} runs twice for {together_ms} ms: run {} on {} from {} ms, run {} on {} from {} ms",
@@ -204,15 +178,9 @@
 fn late_start(case: &mut Case) -> Outcome {
     const BEFORE: &str = "00000000000000a0";
     const JOB: &str = "00000000000000a1";
-    let (first, second) = (
-        case.worker(0, "m-0", &["a", "r1"], 8),
-        case.worker(1, "m-1", &["a", "r1"], 4),
-    );
-    let queue = Queue {
-        prefix: "/q/",
-        priority: 1,
-        attempts: 4,
-    };
+    let (first, second) =
+        (case.worker(0, "m-0", &["a", "r1"], 8), case.worker(1, "m-1", &["a", "r1"], 4));
+    let queue = Queue { prefix: "/q/", priority: 1, attempts: 4 };
     if let Err(why) = case.set_up(&[queue], &[Arc::clone(&first), Arc::clone(&second)]) {
         return NotRun(why);
     }
@@ -220,16 +188,11 @@
     if !case.system.submit("/q/", BEFORE, "{\"work\":1400}", step) {
         return NotRun("the first job was not accepted".to_owned());
     }
-    if !wait_until(5_000, || {
-        case.runs_now(BEFORE)
-            .iter()
-            .any(|run| run.worker == second.id())
-    }) {
+    if !wait_until(5_000, || case.runs_now(BEFORE).iter().any(|run| run.worker == second.id())) {
         return NotRun("the first job does not run on the smaller worker".to_owned());
     }
     if case.trouble {
-        case.record
-            .note("disruption: the link to m-0 holds start orders up for 11 s");
+        case.record.note("disruption: the link to m-0 holds start orders up for 11 s");
         first.link.starts_late_ms.store(11_000, Ordering::SeqCst);
     }
     if !case.system.submit("/q/", JOB, "{\"work\":18000}", step) {
@@ -241,8 +204,7 @@
     first.link.starts_late_ms.store(0, Ordering::SeqCst);
     sleep_ms(1_500);
     if case.trouble {
-        case.record
-            .note("disruption: the worker on m-0 crashes and starts again under its id");
+        case.record.note("disruption: the worker on m-0 crashes and starts again under its id");
         first.end_life("crashes");
         sleep_ms(500);
         let id = first.id();
@@ -263,25 +225,14 @@
 /// once and does not start again.
 fn set_aside(case: &mut Case) -> Outcome {
     const LASTING: &str = "00000000000000b0";
-    let special = [
-        case.worker(0, "m-0", &["b", "r1"], 8),
-        case.worker(1, "m-1", &["b", "r1"], 8),
-    ];
+    let special = [case.worker(0, "m-0", &["b", "r1"], 8), case.worker(1, "m-1", &["b", "r1"], 8)];
     let mut workers = special.to_vec();
     for number in 2..6 {
         workers.push(case.worker(number, &format!("m-{number}"), &["a", "r2"], 8));
     }
     let queues = [
-        Queue {
-            prefix: "/q/",
-            priority: 1,
-            attempts: 4,
-        },
-        Queue {
-            prefix: "/w/",
-            priority: 1,
-            attempts: 4,
-        },
+        Queue { prefix: "/q/", priority: 1, attempts: 4 },
+        Queue { prefix: "/w/", priority: 1, attempts: 4 },
     ];
     if let Err(why) = case.set_up(&queues, &workers) {
         return NotRun(why);
@@ -298,8 +249,7 @@
     let sound = "{\"count\":1,\"cpu\":1000,\"mem-mb\":1000,\"gpu\":1,\"estimate-ms\":200,\"requires\":\"a\"}";
     let hopeless = "{\"count\":2,\"cpu\":1000,\"mem-mb\":1000,\"gpu\":1,\"estimate-ms\":200,\
                     \"anti-affinity\":1,\"requires\":\"b\"}";
-    case.record
-        .note("32 jobs in 2.4 s; with the disruption, two of them can never be done");
+    case.record.note("32 jobs in 2.4 s; with the disruption, two of them can never be done");
     for number in 0..32 {
         let id = format!("00000000000001{number:02x}");
         let is_hopeless = number == 10 || number == 12;
@@ -317,11 +267,8 @@
     // The lasting task fails by itself once, after the next attempts of these jobs.
     let again = || {
         let failed_since = |job: &str| {
-            let late = |run: &Run| {
-                run.ended
-                    .as_ref()
-                    .is_some_and(|(at_ms, _)| *at_ms > poison_over_ms)
-            };
+            let late =
+                |run: &Run| run.ended.as_ref().is_some_and(|(at_ms, _)| *at_ms > poison_over_ms);
             case.runs_of(job).iter().any(late)
         };
         failed_since("000000000000010a") && failed_since("000000000000010c")
@@ -356,17 +303,9 @@
 /// A queue without jobs is removed by a configuration while the first job for it is being handed in.
 fn route_removed(case: &mut Case) -> Outcome {
     const ROUNDS: u64 = 168;
-    let workers: Vec<_> = (0..3)
-        .map(|number| case.worker(number, &format!("m-{number}"), &["a", "r1"], 8))
-        .collect();
-    if let Err(why) = case.set_up(
-        &[Queue {
-            prefix: "/q/",
-            priority: 1,
-            attempts: 4,
-        }],
-        &workers,
-    ) {
+    let workers: Vec<_> =
+        (0..3).map(|number| case.worker(number, &format!("m-{number}"), &["a", "r1"], 8)).collect();
+    if let Err(why) = case.set_up(&[Queue { prefix: "/q/", priority: 1, attempts: 4 }], &workers) {
         return NotRun(why);
     }
     let step = "{\"count\":1,\"cpu\":1000,\"mem-mb\":1000,\"estimate-ms\":100}";
@@ -375,16 +314,8 @@
     for round in 0..ROUNDS {
         let prefix: &'static str = format!("/n{round}/").leak();
         let with = [
-            Queue {
-                prefix: "/q/",
-                priority: 1,
-                attempts: 4,
-            },
-            Queue {
-                prefix,
-                priority: 1,
-                attempts: 4,
-            },
+            Queue { prefix: "/q/", priority: 1, attempts: 4 },
+            Queue { prefix, priority: 1, attempts: 4 },
         ];
         version += 1;
         if !case.system.configure(version, &with, 0) {
@@ -394,10 +325,7 @@
         let id = format!("00000000000003{round:02x}");
         // The job is handed in from 3 ms before the removal to 4 ms after it.
         let after_us = round % 28 * 250;
-        let (removal, job) = (
-            3_000_u64.saturating_sub(after_us),
-            after_us.saturating_sub(3_000),
-        );
+        let (removal, job) = (3_000_u64.saturating_sub(after_us), after_us.saturating_sub(3_000));
         let is_accepted = thread::scope(|scope| {
             let system = &case.system;
             let trouble = case.trouble;
@@ -419,14 +347,8 @@
     }
     // finish_s after the end of the traffic, all jobs have had their turn on idle workers.
     sleep_ms(14_000);
-    let lost: Vec<_> = accepted
-        .iter()
-        .filter(|id| case.runs_of(id).is_empty())
-        .collect();
-    case.record.note(format!(
-        "{} jobs were accepted; never started: {lost:?}",
-        accepted.len()
-    ));
+    let lost: Vec<_> = accepted.iter().filter(|id| case.runs_of(id).is_empty()).collect();
+    case.record.note(format!("{} jobs were accepted; never started: {lost:?}", accepted.len()));
     if lost.is_empty() {
         return Held;
     }
@@ -444,20 +366,11 @@
     const BORROWER: &str = "00000000000000e0";
     const GUARANTEED: &str = "00000000000000e1";
     const RECLAIM_MS: u64 = 3_400;
-    let workers: Vec<_> = (0..3)
-        .map(|number| case.worker(number, &format!("m-{number}"), &["a", "r1"], 8))
-        .collect();
+    let workers: Vec<_> =
+        (0..3).map(|number| case.worker(number, &format!("m-{number}"), &["a", "r1"], 8)).collect();
     let queues = [
-        Queue {
-            prefix: "/u/",
-            priority: 0,
-            attempts: 4,
-        },
-        Queue {
-            prefix: "/w/",
-            priority: 1,
-            attempts: 4,
-        },
+        Queue { prefix: "/u/", priority: 0, attempts: 4 },
+        Queue { prefix: "/w/", priority: 1, attempts: 4 },
     ];
     if let Err(why) = case.set_up_with(&queues, 8, &workers) {
         return NotRun(why);
@@ -469,10 +382,7 @@
             "{{\"count\":24,\"cpu\":1000,\"mem-mb\":1000,\"gpu\":1,\"estimate-ms\":1000,\
              \"long-running\":true{more}}}"
         );
-        if !case
-            .system
-            .submit_as(KEY_OF_SOUTH, prefix, BORROWER, "{}", &step)
-        {
+        if !case.system.submit_as(KEY_OF_SOUTH, prefix, BORROWER, "{}", &step) {
             return NotRun("the borrower's job was not accepted".to_owned());
         }
         if !wait_until(8_000, || case.runs_now(BORROWER).len() == 24) {
@@ -481,19 +391,15 @@
     }
     sleep_ms(5_000);
     let step = "{\"count\":4,\"cpu\":1000,\"mem-mb\":1000,\"gpu\":2,\"estimate-ms\":1000}";
-    if !case
-        .system
-        .submit("/u/", GUARANTEED, "{\"work\":1000}", step)
-    {
+    if !case.system.submit("/u/", GUARANTEED, "{\"work\":1000}", step) {
         return NotRun("the guaranteed job was not accepted".to_owned());
     }
     let accepted_ms = case.record.now_ms();
     let begun = wait_until(40_000, || case.runs_of(GUARANTEED).len() >= 4);
     let waited_ms = case.record.now_ms() - accepted_ms;
     let state = case.system.state("/u/", GUARANTEED);
-    case.record.note(format!(
-        "all tasks have begun: {begun}, {waited_ms} ms after the acknowledgement"
-    ));
+    case.record
+        .note(format!("all tasks have begun: {begun}, {waited_ms} ms after the acknowledgement"));
     if waited_ms > RECLAIM_MS {
         return Broken(format!(
             "RECLAIM: a job of 8 gpu, of a tenant with 8 gpu guaranteed, is {state} {waited_ms} ms after its \
@@ -511,11 +417,7 @@
     for number in 1..10 {
         workers.push(case.worker(number, &format!("m-{number}"), &["a", "r2"], 8));
     }
-    let queue = Queue {
-        prefix: "/q/",
-        priority: 1,
-        attempts: 4,
-    };
+    let queue = Queue { prefix: "/q/", priority: 1, attempts: 4 };
     if let Err(why) = case.set_up(&[queue], &workers) {
         return NotRun(why);
     }
@@ -529,8 +431,7 @@
     }
     sleep_ms(1_800);
     if case.trouble {
-        case.record
-            .note("disruption: tasks on m-0, one of ten workers, stand still for 5.5 s");
+        case.record.note("disruption: tasks on m-0, one of ten workers, stand still for 5.5 s");
         workers[0].stands_still.store(true, Ordering::SeqCst);
     }
     let disturbed_ms = case.record.now_ms();
@@ -580,24 +481,17 @@
 fn crash_loop(case: &mut Case) -> Outcome {
     const DEADLY: &str = "00000000000000c0";
     const NEIGHBOUR: &str = "00000000000000c1";
-    let mut workers = vec![
-        case.worker(0, "m-0", &["b", "r1"], 8),
-        case.worker(1, "m-1", &["b", "r1"], 8),
-    ];
+    let mut workers =
+        vec![case.worker(0, "m-0", &["b", "r1"], 8), case.worker(1, "m-1", &["b", "r1"], 8)];
     for number in 2..10 {
         workers.push(case.worker(number, &format!("m-{number}"), &["a", "r2"], 8));
     }
-    let queue = Queue {
-        prefix: "/q/",
-        priority: 1,
-        attempts: 4,
-    };
+    let queue = Queue { prefix: "/q/", priority: 1, attempts: 4 };
     if let Err(why) = case.set_up(&[queue], &workers) {
         return NotRun(why);
     }
     if case.trouble {
-        case.record
-            .note("disruption: two of ten workers crash and start again under their ids");
+        case.record.note("disruption: two of ten workers crash and start again under their ids");
         for worker in &workers[..2] {
             worker.end_life("crashes in the outage");
         }
@@ -607,9 +501,7 @@
             worker.holds.store(0, Ordering::SeqCst);
             worker.begin(&id, true);
         }
-        if !wait_until(15_000, || {
-            workers.iter().all(|w| w.holds.load(Ordering::SeqCst) >= 2)
-        }) {
+        if !wait_until(15_000, || workers.iter().all(|w| w.holds.load(Ordering::SeqCst) >= 2)) {
             return NotRun("not all workers are held again".to_owned());
         }
         sleep_ms(6_000);
@@ -617,10 +509,7 @@
     // Work of others on the same workers.
     let neighbour = "{\"count\":4,\"cpu\":1000,\"mem-mb\":1000,\"gpu\":3,\"estimate-ms\":15000,\
                      \"requires\":\"b\"}";
-    if !case
-        .system
-        .submit("/q/", NEIGHBOUR, "{\"work\":15000}", neighbour)
-    {
+    if !case.system.submit("/q/", NEIGHBOUR, "{\"work\":15000}", neighbour) {
         return NotRun("the neighbours' job was not accepted".to_owned());
     }
     if !wait_until(5_000, || case.runs_now(NEIGHBOUR).len() == 4) {
@@ -628,10 +517,7 @@
     }
     sleep_ms(1_000);
     let step = "{\"count\":1,\"cpu\":1000,\"mem-mb\":1000,\"gpu\":1,\"estimate-ms\":10000,\"requires\":\"b\"}";
-    if !case
-        .system
-        .submit("/q/", DEADLY, "{\"work\":3000,\"deadly\":true}", step)
-    {
+    if !case.system.submit("/q/", DEADLY, "{\"work\":3000,\"deadly\":true}", step) {
         return NotRun("the job was not accepted".to_owned());
     }
     // Crashed workers are back after 2 s.
@@ -690,25 +576,16 @@
     let Some(platform) = platform else {
         return NotRun("there is no platform".to_owned());
     };
-    let workers: Vec<_> = (0..3)
-        .map(|number| case.worker(number, &format!("m-{number}"), &["a", "r1"], 8))
-        .collect();
+    let workers: Vec<_> =
+        (0..3).map(|number| case.worker(number, &format!("m-{number}"), &["a", "r1"], 8)).collect();
     platform.add(&workers);
     platform.slow_ms.store(1_000, Ordering::SeqCst);
-    let queue = Queue {
-        prefix: "/q/",
-        priority: 1,
-        attempts: 4,
-    };
+    let queue = Queue { prefix: "/q/", priority: 1, attempts: 4 };
     if let Err(why) = case.set_up(&[queue], &workers) {
         return NotRun(why);
     }
     let wave = "{\"wave\":1,\"machines\":[\"m-0\"],\"duration-s\":30,\"cap\":1}";
-    if case
-        .system
-        .operate("POST", "/cactuslatch/wave-start", wave)
-        .is_none()
-    {
+    if case.system.operate("POST", "/cactuslatch/wave-start", wave).is_none() {
         return NotRun("the wave was not acknowledged".to_owned());
     }
     if case.trouble {
@@ -721,8 +598,7 @@
         else {
             return NotRun(format!("the order names the holder {holder}"));
         };
-        case.record
-            .note(format!("disruption: the leader, {holder}, is killed"));
+        case.record.note(format!("disruption: the leader, {holder}, is killed"));
         case.system.kill(leader);
         sleep_ms(1_000);
         case.system.start_process(leader, false);
@@ -739,16 +615,13 @@
     let mut state = String::new();
     wait_until(15_000, || {
         let reply = case.system.operate("GET", "/cactuslatch/wave-get/1", "");
-        state = reply.map_or(String::new(), |r| {
-            r.json().get("state").text().unwrap_or_default().to_owned()
-        });
+        state = reply
+            .map_or(String::new(), |r| r.json().get("state").text().unwrap_or_default().to_owned());
         sleep_ms(480);
         state == "completed"
     });
     let upkeeps = platform.upkeeps("m-0");
-    case.record.note(format!(
-        "the wave is {state}; upkeeps of m-0 that have begun: {upkeeps}"
-    ));
+    case.record.note(format!("the wave is {state}; upkeeps of m-0 that have begun: {upkeeps}"));
     match (state.as_str(), upkeeps) {
         ("completed", 0) => Broken(
             "MIXED: the wave is said to be completed, and m-0, which stays, hasn't begun its upkeep".to_owned(),
@@ -764,21 +637,15 @@
     let Some(platform) = platform else {
         return NotRun("there is no platform".to_owned());
     };
-    let workers: Vec<_> = (0..3)
-        .map(|number| case.worker(number, &format!("m-{number}"), &["a", "r1"], 8))
-        .collect();
+    let workers: Vec<_> =
+        (0..3).map(|number| case.worker(number, &format!("m-{number}"), &["a", "r1"], 8)).collect();
     platform.add(&workers);
-    let queue = Queue {
-        prefix: "/q/",
-        priority: 1,
-        attempts: 4,
-    };
+    let queue = Queue { prefix: "/q/", priority: 1, attempts: 4 };
     if let Err(why) = case.set_up(&[queue], &workers) {
         return NotRun(why);
     }
     if case.trouble {
-        case.record
-            .note("disruption: the worker of m-0 crashes, a new one is there 2 s later");
+        case.record.note("disruption: the worker of m-0 crashes, a new one is there 2 s later");
         workers[0].end_life("crashes");
         sleep_ms(2_000);
         workers[0].holds.store(0, Ordering::SeqCst);
@@ -788,11 +655,7 @@
         }
     }
     let wave = "{\"wave\":1,\"machines\":[\"m-0\",\"m-1\",\"m-2\"],\"duration-s\":40,\"cap\":1}";
-    if case
-        .system
-        .operate("POST", "/cactuslatch/wave-start", wave)
-        .is_none()
-    {
+    if case.system.operate("POST", "/cactuslatch/wave-start", wave).is_none() {
         return NotRun("the wave was not acknowledged".to_owned());
     }
     let done = || (0..3).all(|number| platform.upkeeps(&format!("m-{number}")) > 0);
@@ -817,15 +680,10 @@
     let Some(platform) = platform else {
         return NotRun("there is no platform".to_owned());
     };
-    let workers: Vec<_> = (0..3)
-        .map(|number| case.worker(number, &format!("m-{number}"), &["a", "r1"], 8))
-        .collect();
+    let workers: Vec<_> =
+        (0..3).map(|number| case.worker(number, &format!("m-{number}"), &["a", "r1"], 8)).collect();
     platform.add(&workers);
-    let queue = Queue {
-        prefix: "/q/",
-        priority: 1,
-        attempts: 4,
-    };
+    let queue = Queue { prefix: "/q/", priority: 1, attempts: 4 };
     if let Err(why) = case.set_up(&[queue], &workers) {
         return NotRun(why);
     }
@@ -847,16 +705,11 @@
         return NotRun("the worker is gone".to_owned());
     };
     if case.trouble {
-        case.record
-            .note("disruption: a wave with this machine, cap 1, 60 s");
+        case.record.note("disruption: a wave with this machine, cap 1, 60 s");
         let machine = &machine.machine;
         let wave =
             format!("{{\"wave\":1,\"machines\":[\"{machine}\"],\"duration-s\":60,\"cap\":1}}");
-        if case
-            .system
-            .operate("POST", "/cactuslatch/wave-start", &wave)
-            .is_none()
-        {
+        if case.system.operate("POST", "/cactuslatch/wave-start", &wave).is_none() {
             return NotRun("the wave was not acknowledged".to_owned());
         }
     }
@@ -871,17 +724,11 @@
             run.task == task && run.begun_ms + 500 <= at_ms && at_ms < end_ms
         })
     };
-    let both_away_ms = (all[0].begun_ms + 2_000..now_ms)
-        .filter(|at| !at_work(0, *at) && !at_work(1, *at))
-        .count();
-    case.record.note(format!(
-        "both tasks were away at once for {both_away_ms} ms"
-    ));
-    let ended_by_order = |run: &&Run| {
-        run.ended
-            .as_ref()
-            .is_some_and(|(_, how)| how == "stopped" || how == "gone")
-    };
+    let both_away_ms =
+        (all[0].begun_ms + 2_000..now_ms).filter(|at| !at_work(0, *at) && !at_work(1, *at)).count();
+    case.record.note(format!("both tasks were away at once for {both_away_ms} ms"));
+    let ended_by_order =
+        |run: &&Run| run.ended.as_ref().is_some_and(|(_, how)| how == "stopped" || how == "gone");
     let orders = all.iter().filter(ended_by_order).count();
     if both_away_ms > 0 && orders >= 2 {
         return Broken(format!(
@@ -895,18 +742,12 @@
 /// being repeated.
 fn other_kind(case: &mut Case) -> Outcome {
     const JOB: &str = "0000000000000050";
-    let mut workers = vec![
-        case.worker(0, "m-0", &["b", "r1"], 8),
-        case.worker(1, "m-1", &["b", "r1"], 8),
-    ];
+    let mut workers =
+        vec![case.worker(0, "m-0", &["b", "r1"], 8), case.worker(1, "m-1", &["b", "r1"], 8)];
     for number in 2..10 {
         workers.push(case.worker(number, &format!("m-{number}"), &["a", "r2"], 8));
     }
-    let queue = Queue {
-        prefix: "/q/",
-        priority: 1,
-        attempts: 4,
-    };
+    let queue = Queue { prefix: "/q/", priority: 1, attempts: 4 };
     if let Err(why) = case.set_up(&[queue], &workers) {
         return NotRun(why);
     }
--- a/review/harness-3/net.rs
+++ b/review/harness-3/net.rs
@@ -186,15 +186,10 @@
     }
     for line in lines {
         let (name, value) = line.split_once(':')?;
-        message
-            .headers
-            .insert(name.to_ascii_lowercase(), value.trim().to_owned());
+        message.headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
-    let length: usize = message
-        .headers
-        .get("content-length")
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
+    let length: usize =
+        message.headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     buffer.drain(..head_end + 4);
     while buffer.len() < length {
         let count = stream.read(&mut chunk).ok().filter(|count| *count > 0)?;
@@ -228,10 +223,7 @@
     stream.set_read_timeout(Some(limit)).ok()?;
     stream.set_write_timeout(Some(limit)).ok()?;
     let mut head = format!("{method} {path} HTTP/1.1\r\nConnection: close\r\n");
-    if !headers
-        .iter()
-        .any(|(name, _)| name.eq_ignore_ascii_case("host"))
-    {
+    if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
         head.push_str(&format!("Host: {address}\r\n"));
     }
     for (name, value) in headers {
--- a/review/harness-3/platform.rs
+++ b/review/harness-3/platform.rs
@@ -64,20 +64,14 @@
     pub fn add(&self, workers: &[Arc<Worker>]) {
         let mut state = lock(&self.state);
         for worker in workers {
-            let machine = Machine {
-                worker: Some(Arc::clone(worker)),
-                ..Machine::default()
-            };
+            let machine = Machine { worker: Some(Arc::clone(worker)), ..Machine::default() };
             state.machines.insert(worker.machine.clone(), machine);
         }
     }
 
     /// Returns for how many waves the upkeep of a machine has begun.
     pub fn upkeeps(&self, machine: &str) -> usize {
-        lock(&self.state)
-            .machines
-            .get(machine)
-            .map_or(0, |machine| machine.waves.len())
+        lock(&self.state).machines.get(machine).map_or(0, |machine| machine.waves.len())
     }
 
     /// Returns how many machines at most were down for their upkeep at once.
@@ -89,26 +83,17 @@
         let mut buffer = Vec::new();
         while let Some(request) = read_message(&mut stream, &mut buffer) {
             self.calls.fetch_add(1, Ordering::SeqCst);
-            *lock(&self.last_holder) = request
-                .headers
-                .get("lease-holder")
-                .cloned()
-                .unwrap_or_default();
-            self.record.note(format!(
-                "platform: {} {} arrives",
-                request.path, request.body
-            ));
+            *lock(&self.last_holder) =
+                request.headers.get("lease-holder").cloned().unwrap_or_default();
+            self.record.note(format!("platform: {} {} arrives", request.path, request.body));
             sleep_ms(self.slow_ms.load(Ordering::SeqCst));
             if has_gone(&stream) {
-                self.record
-                    .note("platform: its caller has gone, nothing is carried out");
+                self.record.note("platform: its caller has gone, nothing is carried out");
                 return;
             }
             let (status, body) = self.handle(&request);
-            self.record.note(format!(
-                "platform: {} {} -> {status} {body}",
-                request.path, request.body
-            ));
+            self.record
+                .note(format!("platform: {} {} -> {status} {body}", request.path, request.body));
             if !write_response(&mut stream, status, &body) {
                 return;
             }
@@ -123,11 +108,8 @@
         }
         let name = body.get("machine").text().unwrap_or_default().to_owned();
         let wave = body.get("wave").u64().unwrap_or(0);
-        let token: u64 = request
-            .headers
-            .get("fencing-token")
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0);
+        let token: u64 =
+            request.headers.get("fencing-token").and_then(|text| text.parse().ok()).unwrap_or(0);
         let mut state = lock(&self.state);
         let Some(machine) = state.machines.get_mut(&name) else {
             return (400, "{}".to_owned());
@@ -145,11 +127,7 @@
         machine.waves.push(wave);
         machine.is_in_upkeep = true;
         worker.end_life("ends for the upkeep of its machine");
-        let down = state
-            .machines
-            .values()
-            .filter(|machine| machine.is_in_upkeep)
-            .count();
+        let down = state.machines.values().filter(|machine| machine.is_in_upkeep).count();
         state.most_down = state.most_down.max(down);
         drop(state);
         let platform = self.clone();
@@ -158,9 +136,7 @@
             if let Some(machine) = lock(&platform.state).machines.get_mut(&name) {
                 machine.is_in_upkeep = false;
             }
-            platform
-                .record
-                .note(format!("platform: the upkeep of {name} is over"));
+            platform.record.note(format!("platform: the upkeep of {name} is over"));
             worker.begin(&format!("{}-after-upkeep", worker.machine), false);
         });
         (200, "{}".to_owned())
--- a/review/harness-3/world.rs
+++ b/review/harness-3/world.rs
@@ -30,10 +30,7 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis() as u64
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
 /// What was sent, answered and run, with the time since the start of the test.
@@ -45,10 +42,7 @@
 
 impl Record {
     pub fn new() -> Self {
-        Self {
-            begun: Instant::now(),
-            lines: Arc::default(),
-        }
+        Self { begun: Instant::now(), lines: Arc::default() }
     }
 
     pub fn now_ms(&self) -> u64 {
@@ -56,11 +50,7 @@
     }
 
     pub fn note(&self, text: impl AsRef<str>) {
-        let line = format!(
-            "{:>9.3} s  {}",
-            self.now_ms() as f64 / 1_000.0,
-            text.as_ref()
-        );
+        let line = format!("{:>9.3} s  {}", self.now_ms() as f64 / 1_000.0, text.as_ref());
         lock(&self.lines).push(line);
     }
 
@@ -95,9 +85,7 @@
 }
 
 fn free_port(ip: IpAddr) -> u16 {
-    TcpListener::bind((ip, 0))
-        .and_then(|listener| listener.local_addr())
-        .map_or(0, |a| a.port())
+    TcpListener::bind((ip, 0)).and_then(|listener| listener.local_addr()).map_or(0, |a| a.port())
 }
 
 impl System {
@@ -138,9 +126,7 @@
     }
 
     pub fn control_addresses(&self) -> Vec<SocketAddr> {
-        (0..CONTROL_HOSTS)
-            .map(|host| SocketAddr::new(self.ip(host), self.ports[1]))
-            .collect()
+        (0..CONTROL_HOSTS).map(|host| SocketAddr::new(self.ip(host), self.ports[1])).collect()
     }
 
     fn entry_address(&self) -> SocketAddr {
@@ -148,11 +134,7 @@
     }
 
     pub fn node_name(host: usize) -> String {
-        if host < CONTROL_HOSTS {
-            format!("core-{host}")
-        } else {
-            "frontend-0".to_owned()
-        }
+        if host < CONTROL_HOSTS { format!("core-{host}") } else { "frontend-0".to_owned() }
     }
 
     /// Starts the process of a host with settings like those of the site `bfs-latch`.
@@ -160,21 +142,15 @@
         let ip = self.ip(host);
         let [internal, control, frontend, readiness, _] = self.ports;
         let is_control = host < CONTROL_HOSTS;
-        let seeds: Vec<_> = self
-            .control_addresses()
-            .iter()
-            .map(|seed| format!("\"{seed}\""))
-            .collect();
+        let seeds: Vec<_> =
+            self.control_addresses().iter().map(|seed| format!("\"{seed}\"")).collect();
         let listen = if is_control {
             format!("control = \"{ip}:{control}\"")
         } else {
             format!("frontend = \"{ip}:{frontend}\"\nreadiness = \"{ip}:{readiness}\"")
         };
-        let (class, serves) = if is_control {
-            ("core", "control_plane")
-        } else {
-            ("frontend", "frontend")
-        };
+        let (class, serves) =
+            if is_control { ("core", "control_plane") } else { ("frontend", "frontend") };
         let data = self.folder.join(format!("data-{host}"));
         let cloud = self.machine_interface.map_or(String::new(), |address| {
             format!("[cloud]\naddress = \"{address}\"\nrate-per-s = 60.0\nduties = []\nduty-per-s = 60.0\n")
@@ -201,10 +177,7 @@
         );
         let path = self.folder.join(format!("settings-{host}.toml"));
         _ = fs::write(&path, settings);
-        let log = File::options()
-            .append(true)
-            .create(true)
-            .open(self.log_path(host));
+        let log = File::options().append(true).create(true).open(self.log_path(host));
         let child = Command::new("target/release/cactuslatch-platform")
             .arg(if is_control { "control" } else { "entry" })
             .env_clear()
@@ -239,10 +212,7 @@
         let mut lines = Vec::new();
         for host in 0..CONTROL_HOSTS {
             let text = fs::read_to_string(self.log_path(host)).unwrap_or_default();
-            for line in text
-                .lines()
-                .filter(|line| words.iter().any(|word| line.contains(word)))
-            {
+            for line in text.lines().filter(|line| words.iter().any(|word| line.contains(word))) {
                 lines.push(format!("{} {line}", Self::node_name(host)));
             }
         }
@@ -256,16 +226,13 @@
             let address = self.control_addresses()[attempt % CONTROL_HOSTS];
             let reply = call(address, method, path, &[], body, limit);
             if let Some(reply) = reply.filter(|reply| reply.status / 100 == 2) {
-                self.record.note(format!(
-                    "operator: {method} {path} -> {} {}",
-                    reply.status, reply.body
-                ));
+                self.record
+                    .note(format!("operator: {method} {path} -> {} {}", reply.status, reply.body));
                 return Some(reply);
             }
             sleep_ms(150);
         }
-        self.record
-            .note(format!("operator: {method} {path} has no acknowledgement"));
+        self.record.note(format!("operator: {method} {path} has no acknowledgement"));
         None
     }
 
@@ -283,20 +250,12 @@
             quoted(KEY),
             quoted(KEY_OF_SOUTH)
         );
-        self.operate("POST", "/cactuslatch/Config.Replace", &body)
-            .is_some()
+        self.operate("POST", "/cactuslatch/Config.Replace", &body).is_some()
     }
 
     fn caller_call(&self, key: &str, method: &str, path: &str, body: &str) -> Option<Message> {
         let headers = [("Host", HOST), ("Api-Key", key), ("Deadline-Ms", "3000")];
-        call(
-            self.entry_address(),
-            method,
-            path,
-            &headers,
-            body,
-            Duration::from_secs(3),
-        )
+        call(self.entry_address(), method, path, &headers, body, Duration::from_secs(3))
     }
 
     /// Submits a job of the tenant `north`.
@@ -310,8 +269,7 @@
         for _ in 0..40 {
             let reply = self.caller_call(key, "POST", &format!("{prefix}{id}"), &body);
             let status = reply.as_ref().map_or(0, |reply| reply.status);
-            self.record
-                .note(format!("client: POST {prefix}{id} -> {status}"));
+            self.record.note(format!("client: POST {prefix}{id} -> {status}"));
             if status / 100 == 2 {
                 return true;
             }
@@ -325,22 +283,16 @@
         let body = format!("{{\"spec\":{},\"steps\":[{steps}]}}", quoted(spec));
         let reply = self.caller_call(KEY, "POST", &format!("{prefix}{id}"), &body);
         let status = reply.as_ref().map_or(0, |reply| reply.status);
-        self.record
-            .note(format!("client: POST {prefix}{id} -> {status}"));
+        self.record.note(format!("client: POST {prefix}{id} -> {status}"));
         status / 100 == 2
     }
 
     pub fn state(&self, prefix: &str, id: &str) -> String {
         let reply = self.caller_call(KEY, "GET", &format!("{prefix}{id}"), "");
         let state = reply.map_or("no answer".to_owned(), |reply| {
-            reply
-                .json()
-                .get("state")
-                .text()
-                .map_or(reply.status.to_string(), str::to_owned)
+            reply.json().get("state").text().map_or(reply.status.to_string(), str::to_owned)
         });
-        self.record
-            .note(format!("client: GET {prefix}{id} -> {state}"));
+        self.record.note(format!("client: GET {prefix}{id} -> {state}"));
         state
     }
 
@@ -537,8 +489,7 @@
         self.crash_wanted.store(false, Ordering::SeqCst);
         let life = self.lives.fetch_add(1, Ordering::SeqCst) + 1;
         self.is_up.store(true, Ordering::SeqCst);
-        self.record
-            .note(format!("{}: worker {id} begins", self.machine));
+        self.record.note(format!("{}: worker {id} begins", self.machine));
         _ = listener.set_nonblocking(true);
         let worker = Arc::clone(self);
         thread::spawn(move || {
@@ -585,8 +536,7 @@
         if !self.is_up.swap(false, Ordering::SeqCst) {
             return;
         }
-        self.record
-            .note(format!("{}: worker {} {cause}", self.machine, self.id()));
+        self.record.note(format!("{}: worker {} {cause}", self.machine, self.id()));
         let mut life = lock(&self.life);
         let now_ms = self.record.now_ms();
         for (_, task) in std::mem::take(&mut life.running) {
@@ -604,10 +554,7 @@
                 (identity.id.clone(), identity.address, identity.born_unix_ms)
             };
             let Some(address) = address else { return };
-            let labels: Vec<_> = lock(&self.labels)
-                .iter()
-                .map(|label| quoted(label))
-                .collect();
+            let labels: Vec<_> = lock(&self.labels).iter().map(|label| quoted(label)).collect();
             let body = format!(
                 "{{\"service\":\"pool\",\"address\":\"{address}\",\"zone\":\"seq-bris\",\"version\":\"v1\",\
                  \"slots\":8,\"state\":\"ready\",\"cold-remaining-ms\":0,\"capacity\":{{\"cpu\":128000,\
@@ -680,24 +627,14 @@
     }
 
     fn refusal(&self, reason: &str) -> (u16, String) {
-        (
-            409,
-            format!(
-                "{{\"clock-ms\":{},\"reason\":\"{reason}\"}}",
-                self.clock_ms()
-            ),
-        )
+        (409, format!("{{\"clock-ms\":{},\"reason\":\"{reason}\"}}", self.clock_ms()))
     }
 
     fn handle(&self, request: &Message) -> (u16, String) {
         if request.path == "/healthz" {
             return (200, "{}".to_owned());
         }
-        if request
-            .headers
-            .get("expect-instance")
-            .is_some_and(|wanted| *wanted != self.id())
-        {
+        if request.headers.get("expect-instance").is_some_and(|wanted| *wanted != self.id()) {
             return (421, "{}".to_owned());
         }
         let body = request.json();
@@ -737,11 +674,7 @@
             return self.refusal("late");
         }
         self.extend(&mut life, body);
-        if life
-            .running
-            .get(&task)
-            .is_some_and(|known| known.run == run)
-        {
+        if life.running.get(&task).is_some_and(|known| known.run == run) {
             return done;
         }
         let is_old = life.closed.get(&task).is_some_and(|closed| run <= *closed);
@@ -761,17 +694,9 @@
         });
         drop(runs);
         let is_deadly = spec.get("deadly") == &Json::Bool(true);
-        let end = if spec.get("fails") == &Json::Bool(true) {
-            "failed"
-        } else {
-            "done"
-        };
+        let end = if spec.get("fails") == &Json::Bool(true) { "failed" } else { "done" };
         let work_ms = spec.get("work").u64();
-        self.record.note(format!(
-            "{}: {} starts {task} run {run}",
-            self.machine,
-            self.id()
-        ));
+        self.record.note(format!("{}: {} starts {task} run {run}", self.machine, self.id()));
         let running = RunningTask {
             run,
             begun: Instant::now(),
@@ -796,9 +721,7 @@
             self.id()
         ));
         if let Some(known) = life.running.get_mut(&task).filter(|known| known.run <= run) {
-            known
-                .stop_at
-                .get_or_insert(Instant::now() + Duration::from_millis(STOP_MS));
+            known.stop_at.get_or_insert(Instant::now() + Duration::from_millis(STOP_MS));
         }
         let closed = life.closed.entry(task).or_default();
         *closed = (*closed).max(run);
@@ -868,15 +791,11 @@
         };
         life.ends += 1;
         let number = life.ends;
-        life.ended
-            .push((number, task.to_owned(), known.run, how.to_owned()));
+        life.ended.push((number, task.to_owned(), known.run, how.to_owned()));
         let closed = life.closed.entry(task.to_owned()).or_default();
         *closed = (*closed).max(known.run);
         lock(&self.runs)[known.number].ended = Some((self.record.now_ms(), how.to_owned()));
-        self.record.note(format!(
-            "{}: {task} run {} ends: {how}",
-            self.machine, known.run
-        ));
+        self.record.note(format!("{}: {task} run {} ends: {how}", self.machine, known.run));
     }
 
     fn advance(&self) {
