--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -121,8 +121,10 @@
         "other-kind" => other_kind(&mut case),
         "set-aside" => set_aside(&mut case),
         "crash-loop" => crash_loop(&mut case),
-        "reclaim" => reclaim(&mut case, ("/u/", "")),
-        "reclaim-away" => reclaim(&mut case, ("/w/", ",\"max-unavailable\":12")),
+        "reclaim" => reclaim(&mut case, ("/u/", ""), &["00000000000000e0", "00000000000000e2"]),
+        "reclaim-away" => {
+            reclaim(&mut case, ("/w/", ",\"max-unavailable\":12"), &["00000000000000e0"])
+        }
         "wave-lost" => wave_lost(&mut case, platform.as_ref()),
         "wave-cap" => wave_cap(&mut case, platform.as_ref()),
         "away" => away(&mut case, platform.as_ref()),
@@ -360,10 +362,9 @@
     ))
 }
 
-/// A large job of a tenant without a guarantee takes all idle capacity; then a tenant hands in a job that
+/// Large jobs of a tenant without a guarantee take all idle capacity; then a tenant hands in a job that
 /// its guarantee covers.
-fn reclaim(case: &mut Case, (prefix, more): (&str, &str)) -> Outcome {
-    const BORROWER: &str = "00000000000000e0";
+fn reclaim(case: &mut Case, (prefix, more): (&str, &str), borrowers: &[&str]) -> Outcome {
     const GUARANTEED: &str = "00000000000000e1";
     const RECLAIM_MS: u64 = 3_400;
     let workers: Vec<_> =
@@ -377,16 +378,20 @@
     }
     if case.trouble {
         case.record
-            .note("disruption: a large job of south, which has no guarantee, takes all 24 gpu");
+            .note("disruption: large jobs of south, which has no guarantee, take all 24 gpu");
         let step = format!(
-            "{{\"count\":24,\"cpu\":1000,\"mem-mb\":1000,\"gpu\":1,\"estimate-ms\":1000,\
-             \"long-running\":true{more}}}"
+            "{{\"count\":{},\"cpu\":1000,\"mem-mb\":1000,\"gpu\":1,\"estimate-ms\":1000,\
+             \"long-running\":true{more}}}",
+            24 / borrowers.len()
         );
-        if !case.system.submit_as(KEY_OF_SOUTH, prefix, BORROWER, "{}", &step) {
-            return NotRun("the borrower's job was not accepted".to_owned());
+        for id in borrowers {
+            if !case.system.submit_as(KEY_OF_SOUTH, prefix, id, "{}", &step) {
+                return NotRun("a borrower's job was not accepted".to_owned());
+            }
         }
-        if !wait_until(8_000, || case.runs_now(BORROWER).len() == 24) {
-            return NotRun("the borrower's tasks do not all run".to_owned());
+        let running = || borrowers.iter().map(|id| case.runs_now(id).len()).sum::<usize>();
+        if !wait_until(8_000, || running() == 24) {
+            return NotRun("the borrowers' tasks do not all run".to_owned());
         }
     }
     sleep_ms(5_000);
