--- a/review/harness-4/cloud.rs
+++ b/review/harness-4/cloud.rs
@@ -17,7 +17,8 @@
     waves: BTreeMap<u64, Vec<String>>,
     /// Machines whose upkeep has begun, in order.
     begun: Vec<(u64, String)>,
-    refused: usize,
+    /// The latest machine for which an order got 429.
+    refused: Option<String>,
 }
 
 type Upkeep = Arc<dyn Fn(&str) + Send + Sync>;
@@ -61,9 +62,9 @@
         self.state.lock().unwrap().busy = busy;
     }
 
-    /// Calls that got 429 so far.
-    pub fn refused(&self) -> usize {
-        self.state.lock().unwrap().refused
+    /// The latest machine for which an order got 429.
+    pub fn refused(&self) -> Option<String> {
+        self.state.lock().unwrap().refused.clone()
     }
 
     pub fn begun(&self) -> Vec<String> {
@@ -90,7 +91,7 @@
     fn decide(&self, machine: &str, wave: u64, token: u64) -> Answer {
         let mut state = self.state.lock().unwrap();
         if state.busy {
-            state.refused += 1;
+            state.refused = Some(machine.to_owned());
             return Some((429, "{}".into()));
         }
         let known = state.tokens.entry(machine.to_owned()).or_default();
--- a/review/harness-4/http.rs
+++ b/review/harness-4/http.rs
@@ -8,7 +8,6 @@
 
 #[derive(Debug, Clone)]
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub headers: Vec<(String, String)>,
     pub body: String,
@@ -25,10 +24,7 @@
 pub type Answer = Option<(u16, String)>;
 
 /// Serves until the process ends.
-pub fn serve(
-    listener: TcpListener,
-    handler: impl Fn(Request) -> Answer + Send + Sync + 'static,
-) {
+pub fn serve(listener: TcpListener, handler: impl Fn(Request) -> Answer + Send + Sync + 'static) {
     let handler = Arc::new(handler);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -74,10 +70,7 @@
     }
 }
 
-fn read_body(
-    reader: &mut BufReader<TcpStream>,
-    headers: &[(String, String)],
-) -> Option<String> {
+fn read_body(reader: &mut BufReader<TcpStream>, headers: &[(String, String)]) -> Option<String> {
     let length = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
     let length = length.map_or(Some(0), |(_, value)| value.parse::<usize>().ok())?;
     let mut body = vec![0; length];
@@ -88,9 +81,10 @@
 fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
     let (first, headers) = read_head(reader)?;
     let mut parts = first.split(' ');
-    let (method, path) = (parts.next()?.to_owned(), parts.next()?.to_owned());
+    _ = parts.next()?;
+    let path = parts.next()?.to_owned();
     let body = read_body(reader, &headers)?;
-    Some(Request { method, path, headers, body })
+    Some(Request { path, headers, body })
 }
 
 /// Sends one request on a connection of its own; `None` if no whole answer arrives in time.
--- a/review/harness-4/json.rs
+++ b/review/harness-4/json.rs
@@ -5,10 +5,10 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Json {
     Null,
-    Bool(bool),
+    Bool,
     Number(f64),
     Text(String),
-    List(Vec<Json>),
+    List,
     Object(BTreeMap<String, Json>),
 }
 
@@ -40,13 +40,6 @@
             _ => None,
         }
     }
-
-    pub fn list(&self) -> &[Json] {
-        match self {
-            Json::List(list) => list,
-            _ => &[],
-        }
-    }
 }
 
 struct Reader<'a> {
@@ -71,8 +64,8 @@
             b'{' => self.object(),
             b'[' => self.array(),
             b'"' => self.string().map(Json::Text),
-            b't' => self.take("true").map(|()| Json::Bool(true)),
-            b'f' => self.take("false").map(|()| Json::Bool(false)),
+            b't' => self.take("true").map(|()| Json::Bool),
+            b'f' => self.take("false").map(|()| Json::Bool),
             b'n' => self.take("null").map(|()| Json::Null),
             _ => self.number(),
         }
@@ -126,16 +119,15 @@
 
     fn array(&mut self) -> Option<Json> {
         self.at += 1;
-        let mut list = Vec::new();
         loop {
             self.space();
             match self.bytes.get(self.at)? {
                 b']' => {
                     self.at += 1;
-                    return Some(Json::List(list));
+                    return Some(Json::List);
                 }
                 b',' => self.at += 1,
-                _ => list.push(self.value()?),
+                _ => drop(self.value()?),
             }
         }
     }
--- a/review/harness-4/lost_queue.rs
+++ b/review/harness-4/lost_queue.rs
@@ -23,7 +23,8 @@
     let stays = vec![route("stays", 3_000)];
     site.wait("first configuration", Duration::from_secs(20), || {
         let body = configuration(version, &stays, &[KEY]);
-        let answer = site.order("POST", "/cactuslatch/Config.Replace", &body, Duration::from_secs(3));
+        let answer =
+            site.order("POST", "/cactuslatch/Config.Replace", &body, Duration::from_secs(3));
         answer.filter(|(status, _)| *status == 200)
     });
     let deeds = Deeds::default();
@@ -84,13 +85,20 @@
     record.line("end of the traffic");
     thread::sleep(FINISH);
     let deeds = deeds.lock().unwrap().clone();
-    let done: BTreeSet<&str> =
-        deeds.iter().filter(|d| d.what == "done").map(|d| d.task.split('.').next().unwrap()).collect();
+    let done: BTreeSet<&str> = deeds
+        .iter()
+        .filter(|d| d.what == "done")
+        .map(|d| d.task.split('.').next().unwrap())
+        .collect();
     let accepted = accepted.lock().unwrap().clone();
     let id = |path: &str| path.rsplit('/').next().unwrap_or_default().to_owned();
     let lost: Vec<String> =
         accepted.iter().filter(|path| !done.contains(&*id(path))).cloned().collect();
-    record.line(&format!("{} jobs were accepted, {} of them never ran", accepted.len(), lost.len()));
+    record.line(&format!(
+        "{} jobs were accepted, {} of them never ran",
+        accepted.len(),
+        lost.len()
+    ));
     for path in &lost {
         let answer = state(site.frontend(0), path, KEY);
         record.line(&format!("accepted and never run: {path}; a GET is answered: {answer}"));
@@ -106,7 +114,8 @@
         record.line(&format!("after the verdict: the operator adds the route {name} again"));
         site.configure(&configuration(version + 1, &with_route, &[KEY]));
         sleep_ms(3_000);
-        record.line(&format!("a GET of {path} is answered: {}", state(site.frontend(0), path, KEY)));
+        record
+            .line(&format!("a GET of {path} is answered: {}", state(site.frontend(0), path, KEY)));
     }
     !lost.is_empty()
 }
--- a/review/harness-4/main.rs
+++ b/review/harness-4/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod json;
 mod lost_queue;
+mod memory;
 mod record;
 mod refused;
 mod site;
@@ -56,13 +57,18 @@
     let outcome = std::panic::catch_unwind(move || match &*case {
         "lost-queue" => lost_queue::play(&played),
         "refused" => refused::play(&played),
+        "memory" => memory::play(&played),
         "wave" => wave::play(&played),
         "spot" => spot::play(&played),
         _ => panic!("no such case"),
     });
     match outcome {
         Ok(broken) => {
-            record.line(if broken { "verdict: the rule was broken" } else { "verdict: the rule held" });
+            record.line(if broken {
+                "verdict: the rule was broken"
+            } else {
+                "verdict: the rule held"
+            });
             println!("{}", if broken { "the rule was broken" } else { "the rule held" });
             ExitCode::from(u8::from(broken))
         }
--- a/review/harness-4/record.rs
+++ b/review/harness-4/record.rs
@@ -22,8 +22,4 @@
         let at = self.began.elapsed().as_secs_f64();
         _ = writeln!(self.file.lock().unwrap(), "{at:8.3} {text}");
     }
-
-    pub fn seconds(&self) -> f64 {
-        self.began.elapsed().as_secs_f64()
-    }
 }
--- a/review/harness-4/refused.rs
+++ b/review/harness-4/refused.rs
@@ -33,7 +33,8 @@
     };
     site.wait("first configuration", Duration::from_secs(20), || {
         let body = configuration(version, &all(0), &[KEY]);
-        let answer = site.order("POST", "/cactuslatch/Config.Replace", &body, Duration::from_secs(3));
+        let answer =
+            site.order("POST", "/cactuslatch/Config.Replace", &body, Duration::from_secs(3));
         answer.filter(|(status, _)| *status == 200)
     });
     let deeds = Deeds::default();
@@ -107,7 +108,8 @@
         threads.push(thread::spawn(move || {
             while !stop.load(Ordering::Relaxed) {
                 sleep_to_next(base);
-                let id = format!("{:016x}", (round + 1) << 32 | number.fetch_add(1, Ordering::Relaxed));
+                let id =
+                    format!("{:016x}", (round + 1) << 32 | number.fetch_add(1, Ordering::Relaxed));
                 let path = format!("/work-{round}/{id}");
                 for _ in 0..ATTEMPTS {
                     let answer = call(front, "POST", &path, KEY, &job(1, 100, 50));
--- a/review/harness-4/site.rs
+++ b/review/harness-4/site.rs
@@ -11,6 +11,8 @@
 use crate::record::Record;
 
 pub const CONTROL: usize = 3;
+/// Memory of a `core` machine of the small sites.
+pub const CORE_MEMORY_MB: u64 = 256;
 pub const STOP: i32 = 19;
 pub const CONT: i32 = 18;
 
@@ -88,10 +90,14 @@
         let [internal, control, frontend, readiness] = self.ports;
         let seeds: Vec<String> = self.control().iter().map(|seed| format!("\"{seed}\"")).collect();
         let is_control = host < CONTROL;
+        let memory_mb = if is_control { CORE_MEMORY_MB } else { 260 };
         let (class, listen) = if is_control {
             ("core", format!("control = \"{ip}:{control}\""))
         } else {
-            ("frontend", format!("frontend = \"{ip}:{frontend}\"\nreadiness = \"{ip}:{readiness}\""))
+            (
+                "frontend",
+                format!("frontend = \"{ip}:{frontend}\"\nreadiness = \"{ip}:{readiness}\""),
+            )
         };
         let data = if is_control {
             format!("data-dir = \"{}\"\n", self.folder.join(format!("data-{host}")).display())
@@ -106,7 +112,7 @@
              zone = \"dc\"\nregion = \"r\"\ninternal-ports = [{internal}, {internal}]\n\
              seeds = [{}]\nbootstrap = {bootstrap}\n{data}heartbeat-ms = 1500\n\
              orders = \"push\"\n[zones]\ndc = \"r\"\n[listen]\n{listen}\n\
-             [limits]\ncpu-share = 0.5\ncores = 1\nmemory-mb = 260\nmax-fds = 4096\n\
+             [limits]\ncpu-share = 0.5\ncores = 1\nmemory-mb = {memory_mb}\nmax-fds = 4096\n\
              [fault-tolerance]\nmachines = 1\nzones = 0\nregions = 0\n{BOUNDS}{cloud}",
             seeds.join(", ")
         );
@@ -155,6 +161,14 @@
         self.processes.iter_mut().all(runs)
     }
 
+    /// Memory that the process of a host takes by itself now, in bytes, without the pages of its files.
+    pub fn memory_bytes(&self, host: usize) -> Option<u64> {
+        let child = self.processes[host].as_ref()?;
+        let text = std::fs::read_to_string(format!("/proc/{}/statm", child.id())).ok()?;
+        let pages: Vec<u64> = text.split(' ').filter_map(|word| word.trim().parse().ok()).collect();
+        Some((pages.get(1)? - pages.get(2)?) * 4_096)
+    }
+
     pub fn log(&self, host: usize) -> String {
         std::fs::read_to_string(self.folder.join(format!("log-{host}"))).unwrap_or_default()
     }
@@ -195,12 +209,19 @@
 
     /// Sends an operator's order as the pages say: another node after a failure, a 5xx, a 408, a 429 or a
     /// second without a response, with increasing backoff. Returns the status of a clear answer.
-    pub fn order(&self, method: &str, path: &str, body: &str, limit: Duration) -> Option<(u16, String)> {
+    pub fn order(
+        &self,
+        method: &str,
+        path: &str,
+        body: &str,
+        limit: Duration,
+    ) -> Option<(u16, String)> {
         order(&self.control(), &self.record, method, path, body, limit)
     }
 
     pub fn configure(&self, body: &str) {
-        let answer = self.order("POST", "/cactuslatch/Config.Replace", body, Duration::from_secs(20));
+        let answer =
+            self.order("POST", "/cactuslatch/Config.Replace", body, Duration::from_secs(20));
         if answer.as_ref().is_none_or(|(status, _)| *status != 200) {
             self.record.line("the configuration was not acknowledged: the case can't run");
             panic!("no configuration");
--- a/review/harness-4/spot.rs
+++ b/review/harness-4/spot.rs
@@ -22,7 +22,8 @@
     let mut site = Site::start(record, 1, None);
     site.wait("first configuration", Duration::from_secs(20), || {
         let body = configuration(1, &[route("work", 3_000)], &[KEY]);
-        let answer = site.order("POST", "/cactuslatch/Config.Replace", &body, Duration::from_secs(3));
+        let answer =
+            site.order("POST", "/cactuslatch/Config.Replace", &body, Duration::from_secs(3));
         answer.filter(|(status, _)| *status == 200)
     });
     let deeds = Deeds::default();
--- a/review/harness-4/worker.rs
+++ b/review/harness-4/worker.rs
@@ -36,10 +36,7 @@
 /// One line of what a worker did.
 #[derive(Debug, Clone)]
 pub struct Deed {
-    pub at: Instant,
-    pub worker: String,
     pub task: String,
-    pub run: u64,
     pub what: &'static str,
 }
 
@@ -135,13 +132,7 @@
 
     fn deed(&self, task: &str, run: u64, what: &'static str) {
         self.record.line(&format!("worker {}: {task} run {run}: {what}", self.plan.id));
-        self.deeds.lock().unwrap().push(Deed {
-            at: Instant::now(),
-            worker: self.plan.id.clone(),
-            task: task.to_owned(),
-            run,
-            what,
-        });
+        self.deeds.lock().unwrap().push(Deed { task: task.to_owned(), what });
     }
 
     fn beat(&self) {
