--- a/review/harness-4/main.rs
+++ b/review/harness-4/main.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod record;
 mod refused;
+mod retired;
 mod site;
 mod spot;
 mod worker;
@@ -54,6 +55,7 @@
     let outcome = std::panic::catch_unwind(move || match &*case {
         "refused" => refused::play(&played),
         "memory" => memory::play(&played),
+        "retired" => retired::play(&played),
         "spot" => spot::play(&played),
         _ => panic!("no such case"),
     });
