--- a/review/harness-4/main.rs
+++ b/review/harness-4/main.rs
@@ -4,6 +4,7 @@
 //! and 2 if the case could not run. With TROUBLE=0 the disruption is left out.
 
 mod clients;
+mod damaged;
 mod http;
 mod json;
 mod memory;
@@ -53,6 +54,7 @@
         }
     });
     let outcome = std::panic::catch_unwind(move || match &*case {
+        "damaged" => damaged::play(&played),
         "refused" => refused::play(&played),
         "memory" => memory::play(&played),
         "retired" => retired::play(&played),
