--- a/review/harness-4/refused.rs
+++ b/review/harness-4/refused.rs
@@ -13,7 +13,7 @@
 use crate::{sleep_ms, trouble};
 
 const KEY: &str = "key-of-north";
-const ROUNDS: u64 = 5;
+const ROUNDS: u64 = 9;
 /// Together they hand in 9 jobs a second: 2.2 times the traffic of the site, whose bursts go up to 2.3.
 const CLIENTS: u64 = 9;
 /// Each client hands a job in at this interval, all of them together.
@@ -129,7 +129,8 @@
     sleep_ms(1_500);
     let leader = site.wait("leader", Duration::from_secs(10), || site.leader());
     sleep_to_next(base);
-    sleep_ms(2 + 2 * round);
+    // A submission is in the log for 1 to 2 ms here, and for 40 ms and more over the links of the site.
+    thread::sleep(Duration::from_micros(400 + 250 * round));
     if trouble() {
         site.signal(leader, STOP);
     }
