--- a/review/harness-4/damaged.rs
+++ b/review/harness-4/damaged.rs
@@ -14,7 +14,7 @@
 
 pub fn play(record: &Record) -> bool {
     let mut site = Site::start(record, 1);
-    let routes = [route("work", 3_000)];
+    let routes = [route("audit", 3_000)];
     site.wait("first configuration", Duration::from_secs(20), || {
         let body = configuration(1, &routes, &[KEY]);
         let answer =
--- a/review/harness-4/memory.rs
+++ b/review/harness-4/memory.rs
@@ -28,7 +28,7 @@
 pub fn play(record: &Record) -> bool {
     let site = Site::start(record, 2);
     site.wait("first configuration", Duration::from_secs(20), || {
-        let body = configuration(1, &[route("work", 3_000)], &[KEY]);
+        let body = configuration(1, &[route("audit", 3_000)], &[KEY]);
         let answer =
             site.order("POST", "/cactuslatch/Config.Replace", &body, Duration::from_secs(3));
         answer.filter(|(status, _)| *status == 200)
@@ -149,7 +149,7 @@
                     if began.elapsed() > HANDING_IN {
                         return;
                     }
-                    let path = format!("/work/{:08x}{number:08x}", 0xc000_0000_u32 + client);
+                    let path = format!("/audit/{:08x}{number:08x}", 0xc000_0000_u32 + client);
                     for _ in 0..ATTEMPTS {
                         let status = call(front, "POST", &path, KEY, &body).map_or(0, |a| a.0);
                         record.line(&format!("client: POST {path}: {status}"));
