Judge the loss of an upstream by what was announced of its end, from stored facts

Cause: the loss of an upstream was judged in several places with different facts. An upstream that drained and went without a word was removed after 20 s of silence, which counted as a crash under its tasks; the fourth one gave the task up. Only a successor's heartbeat looked at the drain. A leave was in the memory of the leader that had heard it, and maintenance was forgotten once the host was back.

Evidence: the log of the unchanged code has `upstream is gone`, cause silent, for each of the four workers, and then `unit is given up`. The runs were lost by the end of their lease, which counts as no attempt.

Change: Loss::of decides for every sign of a loss from what was announced. A leave is stored before it is acknowledged, and maintenance until the upstream is removed, so that the next leader judges alike. An upstream that falls silent well before the end of its notice has not left as announced, and counts as a crash; until now a replaced one that had drained never did. A new log line has the sign and the facts.

The log has a new kind of entry, which earlier builds can't read.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -202,8 +202,9 @@
         let inner = self.replica.lock();
         let known = inner.state.upstreams.get(&heartbeat.id);
         inner.core.follows_live_leader(boot_ms())
-            // Only the leader keeps for how long an upstream is slow.
+            // Only the leader keeps for how long an upstream is slow, or stays.
             && heartbeat.cold_remaining_ms == 0
+            && !heartbeat.draining
             && known.is_some_and(|known| known.is_described_by(heartbeat))
     }
 
--- a/src/cluster/leader/hold.rs
+++ b/src/cluster/leader/hold.rs
@@ -12,7 +12,7 @@
 use tracing::{debug, info, warn};
 
 use super::lag::Shedding;
-use super::losses::Loss;
+use super::losses::{Loss, LossSign};
 use super::replacement::Supersession;
 use super::session::{Session, is_possible_clock};
 use super::{Leader, TaskRun};
@@ -24,7 +24,7 @@
 const LONG_POLL_MS: u64 = 2_000;
 
 /// Longest wait of a call to a draining upstream, whose leases are shorter.
-const DRAINING_POLL_MS: u64 = 1_000;
+pub(super) const DRAINING_POLL_MS: u64 = 1_000;
 
 /// Leases are extended unless the upstream has not answered for longer than this.
 const EXTEND_LEASE_SILENCE_MAX_MS: u64 = 3_500;
@@ -216,8 +216,7 @@
             },
             Err(CallFault::OtherUpstream) => {
                 warn!(upstream = %incarnation.id, "another upstream answers at its address");
-                let loss = self.loss_by_replacement(incarnation);
-                self.remove_upstream(incarnation, loss).await
+                self.remove_upstream(incarnation, LossSign::OtherAtAddress).await
             }
             Err(CallFault::Fenced) => {
                 warn!(
@@ -229,7 +228,7 @@
             // The upstream was not asked, so it is not silent.
             Err(CallFault::NoConnection) => NextStep::Pause(RETRY_PAUSE),
             Err(_) if self.has_left(incarnation) => {
-                self.remove_upstream(incarnation, Loss::Left).await
+                self.remove_upstream(incarnation, LossSign::Silence).await
             }
             Err(fault) => self.handle_silence(incarnation, &fault).await,
         }
@@ -303,7 +302,11 @@
     }
 
     /// Handles a call without an answer: records lost runs or removes the upstream when due.
-    async fn handle_silence(&self, incarnation: &Incarnation, fault: &CallFault) -> NextStep {
+    pub(super) async fn handle_silence(
+        &self,
+        incarnation: &Incarnation,
+        fault: &CallFault,
+    ) -> NextStep {
         let now_ms = boot_ms();
         let (lapsed, remove) = {
             let term_state = self.term_state();
@@ -319,8 +322,7 @@
         if remove {
             // This keeps the checkpoints that were observed.
             self.record_lost_runs(incarnation).await;
-            let loss = if self.is_leaving(incarnation) { Loss::Left } else { Loss::Silent };
-            return self.remove_upstream(incarnation, loss).await;
+            return self.remove_upstream(incarnation, LossSign::Silence).await;
         }
         if lapsed {
             self.record_lost_runs(incarnation).await;
@@ -342,7 +344,7 @@
             self.record_lost_runs(incarnation).await;
         }
         if now_ms.saturating_sub(supersession.heard_ms) > REMOVE_SILENT_AFTER_MS {
-            return self.remove_upstream(incarnation, Loss::Silent).await;
+            return self.remove_upstream(incarnation, LossSign::SilentSuccessor).await;
         }
         NextStep::Pause(RETRY_PAUSE)
     }
@@ -378,7 +380,8 @@
     }
 
     /// Removes an upstream that has left, was replaced or did not answer for too long.
-    async fn remove_upstream(&self, incarnation: &Incarnation, loss: Loss) -> NextStep {
+    async fn remove_upstream(&self, incarnation: &Incarnation, sign: LossSign) -> NextStep {
+        let loss = self.loss_of(incarnation, sign);
         info!(
             upstream = %incarnation.id, born_unix_ms = incarnation.born_unix_ms, cause = %loss,
             "upstream is gone"
--- a/src/cluster/leader/losses.rs
+++ b/src/cluster/leader/losses.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use tracing::warn;
+use tracing::{info, warn};
 
 use super::session::Session;
 use super::{Leader, TaskRun};
 use crate::cluster::clock::boot_ms;
 use crate::cluster::replica::NotConfirmed;
 use crate::crashes::{CrashedRun, SURVIVED_START_MS};
-use crate::tasks::{Change, Incarnation, MachineState, UnitId, Wave};
+use crate::tasks::{Change, Incarnation, UnitId};
 
 /// Time after a suspect's start at which the upstream's lists show whether it has survived.
 const SUSPECT_CHECK_DELAY: Duration = Duration::from_millis(SURVIVED_START_MS + 100);
@@ -31,7 +31,61 @@
     Silent,
 }
 
+/// By what the loss of an upstream was noticed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(super) enum LossSign {
+    /// It has not answered for long, or at all since its runs have ended and it said that it leaves.
+    #[display("silence")]
+    Silence,
+    /// A successor has sent a heartbeat under its identity or address.
+    #[display("successor")]
+    Successor,
+    /// Such a successor was heard of and has been silent since.
+    #[display("silent successor")]
+    SilentSuccessor,
+    /// Another upstream answers at its address.
+    #[display("other at its address")]
+    OtherAtAddress,
+}
+
+/// What was announced of an upstream's end.
+#[expect(clippy::struct_excessive_bools, reason = "independent facts")]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Announcements {
+    /// It has said that it leaves now.
+    pub(super) leaves: bool,
+    /// Its physical host was taken down for maintenance.
+    pub(super) maintained: bool,
+    /// It drains, so that it may leave at the end of its notice.
+    pub(super) drains: bool,
+    /// It fell silent before the end of its notice.
+    pub(super) notice_broken: bool,
+}
+
+impl Announcements {
+    /// Returns whether an end at this time was announced.
+    ///
+    /// An upstream that drains may go without a further word once its notice is over. One that falls silent
+    /// before that has not left as announced: a task may have crashed it.
+    const fn cover_the_end(self) -> bool {
+        self.leaves || self.maintained || (self.drains && !self.notice_broken)
+    }
+}
+
 impl Loss {
+    /// Returns how an upstream was lost.
+    ///
+    /// What was announced counts the same by whatever sign the loss is noticed.
+    pub(super) const fn of(sign: LossSign, announced: Announcements) -> Self {
+        if announced.cover_the_end() {
+            return Self::Left;
+        }
+        match sign {
+            LossSign::Silence | LossSign::SilentSuccessor => Self::Silent,
+            LossSign::Successor | LossSign::OtherAtAddress => Self::Crashed,
+        }
+    }
+
     /// Returns whether the upstream's tasks may have caused the loss.
     const fn counts_as_crash(self) -> bool {
         matches!(self, Self::Crashed | Self::Silent)
@@ -39,26 +93,34 @@
 }
 
 impl Leader {
-    /// Returns how an upstream was lost that another one has replaced.
-    ///
-    /// One that drained, had announced its end or was evacuated for maintenance has not crashed.
-    pub(super) fn loss_by_replacement(&self, incarnation: &Incarnation) -> Loss {
-        let inner = self.replica.lock();
-        let known = inner.state.upstreams.get(&incarnation.id);
-        let Some(known) = known.filter(|known| known.incarnation() == *incarnation) else {
-            return Loss::Left;
+    /// Returns how an upstream was lost, and logs the facts that decide it.
+    pub(super) fn loss_of(&self, incarnation: &Incarnation, sign: LossSign) -> Loss {
+        let announced = {
+            let inner = self.replica.lock();
+            let known = inner.state.upstreams.get(&incarnation.id);
+            // Its loss was recorded before, with its cause.
+            let Some(known) = known.filter(|known| known.incarnation() == *incarnation) else {
+                return Loss::Left;
+            };
+            let departure = inner.state.departure_of(incarnation);
+            let term_state = self.term_state();
+            let session = term_state.sessions.get(&incarnation.id);
+            let session = session.filter(|session| session.incarnation == *incarnation);
+            Announcements {
+                leaves: departure.leaves || session.is_some_and(Session::is_leaving),
+                maintained: departure.maintained,
+                drains: known.heartbeat.draining,
+                notice_broken: session.is_some_and(Session::has_broken_notice),
+            }
         };
-        let term_state = self.term_state();
-        let session = term_state.sessions.get(&incarnation.id);
-        let leaving = session
-            .is_some_and(|session| session.incarnation == *incarnation && session.is_leaving());
-        let maintained = known.heartbeat.machine.as_ref().is_some_and(|machine| {
-            let is_down =
-                |wave: &Wave| wave.machines.get(machine).is_some_and(MachineState::counts_as_down);
-            term_state.evacuating.contains_key(machine) || inner.state.waves.values().any(is_down)
-        });
-        let planned = known.heartbeat.draining || leaving || maintained;
-        if planned { Loss::Left } else { Loss::Crashed }
+        let loss = Loss::of(sign, announced);
+        info!(
+            upstream = %incarnation.id, born_unix_ms = incarnation.born_unix_ms, sign = %sign,
+            leaves = announced.leaves, maintained = announced.maintained,
+            drains = announced.drains, notice_broken = announced.notice_broken,
+            silent_ms = self.silent_ms(incarnation), cause = %loss, "loss of an upstream is judged"
+        );
+        loss
     }
 
     /// Removes a lost upstream and reports its runs. If it has crashed, or does not come back, this is
--- a/src/cluster/leader/replacement.rs
+++ b/src/cluster/leader/replacement.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 use tracing::{info, warn};
 
+use super::losses::LossSign;
 use super::orders::RETRY_PAUSE;
 use super::session::longest_duration_ms;
 use super::{Leader, TaskRun};
@@ -142,7 +143,7 @@
         // successor has no other runs of it than these, nor will have.
         self.record_successor(former);
         let runs = self.replica.lock().state.possibly_crashed_runs(former);
-        let loss = self.loss_by_replacement(former);
+        let loss = self.loss_of(former, LossSign::Successor);
         warn!(
             upstream = %former.id, runs = runs.len(), cause = %loss,
             "upstream was restarted or replaced"
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -286,6 +286,9 @@
         let incarnation =
             Incarnation { id: Arc::clone(&heartbeat.id), born_unix_ms: heartbeat.born_unix_ms };
         self.record_cold(&incarnation, heartbeat.cold_remaining_ms);
+        if heartbeat.draining {
+            self.record_notice(&incarnation, heartbeat.drain_remaining_ms);
+        }
         let known = self.replica.lock().state.upstreams.get(&heartbeat.id).cloned();
         if known.as_ref().is_some_and(|known| known.is_described_by(&heartbeat)) {
             self.record_heartbeat(&heartbeat.id);
@@ -334,6 +337,15 @@
         self.commit(Change::RegisterUpstream { heartbeat }, Reply::Done).await
     }
 
+    /// Records for how long a draining upstream stays at least.
+    fn record_notice(&self, incarnation: &Incarnation, remaining_ms: u64) {
+        let mut term_state = self.term_state();
+        let session = term_state.sessions.get_mut(&incarnation.id);
+        if let Some(session) = session.filter(|session| session.incarnation == *incarnation) {
+            session.record_notice(remaining_ms, boot_ms());
+        }
+    }
+
     /// Records that an upstream is alive.
     fn record_heartbeat(&self, id: &Arc<str>) {
         if let Some(session) = self.term_state().sessions.get_mut(id) {
@@ -369,12 +381,25 @@
         let Some(leaving_since_ms) = leaving_since_ms else {
             return self.remove_idle_upstream(incarnation).await;
         };
+        // The next leader must know of it if it is the one that notices the end.
+        if !self.store_leave(&incarnation).await {
+            return Reply::Unknown;
+        }
         match self.end_last_runs(&incarnation, leaving_since_ms).await {
             LastRuns::Ended | LastRuns::Remaining => Reply::Done,
             LastRuns::Ending => Reply::RunsRemain,
         }
     }
 
+    /// Records in the log that an upstream leaves, unless that is known; returns whether it is stored.
+    async fn store_leave(&self, incarnation: &Incarnation) -> bool {
+        if self.replica.lock().state.departure_of(incarnation).leaves {
+            return true;
+        }
+        let change = Change::RecordLeave { incarnation: incarnation.clone() };
+        self.replica.propose(change).await.is_ok()
+    }
+
     /// Removes a leaving upstream without a session, unless it has runs: these go on until they are
     /// stopped, which takes the session that begins soon.
     async fn remove_idle_upstream(&self, incarnation: Incarnation) -> Reply {
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -6,6 +6,7 @@
 use tokio::sync::Notify;
 
 use super::TaskRun;
+use super::hold::DRAINING_POLL_MS;
 use super::unlisted::{AnsweredOrder, Coverage};
 use crate::cluster::upstream_calls::{RESTART_MIN_MS, TaskLists};
 use crate::placement::{Reports, estimated_left_ms};
@@ -23,6 +24,10 @@
 /// Longest lease of an upstream that drains. It will leave, and what runs on it then waits for the lease.
 const DRAINING_LEASE_MS: u64 = 5_000;
 
+/// Time before the end of its notice at which a draining upstream may last be heard of, although it has
+/// stayed until then: it answers each poll, and a call on a slow link takes a while.
+const NOTICE_TOLERANCE_MS: u64 = DRAINING_POLL_MS + 500;
+
 /// Latest time of an upstream's clock that is believed: a hundred years after its start.
 const CLOCK_MAX_MS: u64 = 100 * 366 * 24 * 3_600 * 1_000;
 
@@ -104,6 +109,8 @@
     order_unanswered: bool,
     /// When a draining upstream may leave at the earliest.
     drain_ends_ms: Option<u64>,
+    /// Until when a draining upstream stays at least, by its heartbeats in this term.
+    stays_until_ms: Option<u64>,
     /// When it announced that it leaves; it is removed once its runs are over.
     leaving_since_ms: Option<u64>,
     /// Whether the loss of its runs was reported.
@@ -140,6 +147,7 @@
             silent_since_ms: None,
             order_unanswered: false,
             drain_ends_ms: None,
+            stays_until_ms: None,
             leaving_since_ms: None,
             loss_reported: false,
             read_now: Arc::default(),
@@ -169,7 +177,30 @@
     /// Records whether the upstream drains, and for how long it stays at least.
     pub(super) fn record_drain(&mut self, remaining_ms: Option<u64>, now_ms: u64) {
         let ends_ms = remaining_ms.map(|remaining_ms| now_ms + remaining_ms);
+        let drained = self.is_draining();
         self.drain_ends_ms = ends_ms.map(|ends_ms| self.drain_ends_ms.unwrap_or(ends_ms));
+        match (drained, self.is_draining()) {
+            // From now on it is polled more often, which shows when it falls silent.
+            (false, true) => self.read_now.notify_one(),
+            (true, false) => self.stays_until_ms = None,
+            _ => {}
+        }
+    }
+
+    /// Records a heartbeat by which a draining upstream stays for at least this long.
+    pub(super) fn record_notice(&mut self, remaining_ms: u64, now_ms: u64) {
+        let until_ms = now_ms.saturating_add(remaining_ms);
+        // A delayed heartbeat seems to promise more time than its sender has.
+        let earliest_ms = self.stays_until_ms.map_or(until_ms, |known_ms| known_ms.min(until_ms));
+        self.stays_until_ms = Some(earliest_ms);
+    }
+
+    /// Returns whether a draining upstream was last heard of before the end of its notice.
+    ///
+    /// Without a heartbeat in this term, nothing is known of when the notice ends.
+    pub(super) fn has_broken_notice(&self) -> bool {
+        let heard_until_ms = self.last_heard_ms() + NOTICE_TOLERANCE_MS;
+        self.stays_until_ms.is_some_and(|until_ms| heard_until_ms < until_ms)
     }
 
     /// Returns whether the upstream drains.
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -28,7 +28,7 @@
 const COMPACT_AFTER_BYTES: usize = 16 * 1024 * 1024;
 
 /// Number of collections at the end of the state that snapshots of an earlier build lack.
-const NEWEST_COLLECTIONS: usize = 7;
+const NEWEST_COLLECTIONS: usize = 8;
 
 /// Role of this host, as other tasks observe it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/src/cluster/tests/control_host.rs
+++ b/src/cluster/tests/control_host.rs
@@ -87,7 +87,7 @@
     }
 
     /// Repeats a request until the leader answers it.
-    pub(super) async fn call_until_answered(&self, request: Request) -> Reply {
+    pub(in crate::cluster) async fn call_until_answered(&self, request: Request) -> Reply {
         let begun = Instant::now();
         loop {
             match self.control.call(request.clone(), Duration::from_secs(2)).await {
--- a/src/cluster/tests/fake_worker.rs
+++ b/src/cluster/tests/fake_worker.rs
@@ -17,7 +17,7 @@
 
 /// How the next calls to an upstream go wrong.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(super) enum Fault {
+pub(in crate::cluster) enum Fault {
     #[default]
     None,
     /// The call is not carried out, and no answer arrives.
@@ -106,7 +106,7 @@
     }
 
     /// Sets how all stop calls go.
-    pub(super) fn set_stops(&self, fault: Fault) {
+    pub(in crate::cluster) fn set_stops(&self, fault: Fault) {
         self.lock().stops = fault;
     }
 
@@ -126,7 +126,7 @@
     }
 
     /// Returns the starts that were carried out, with their upstreams.
-    pub(super) fn started(&self) -> Vec<(TaskId, u32, Arc<str>)> {
+    pub(in crate::cluster) fn started(&self) -> Vec<(TaskId, u32, Arc<str>)> {
         self.lock().started.clone()
     }
 
@@ -165,7 +165,7 @@
     }
 
     /// Crashes an upstream: it forgets everything and answers nothing until it is back.
-    pub(super) fn crash(&self, upstream: &str) {
+    pub(in crate::cluster) fn crash(&self, upstream: &str) {
         self.lock().crash(upstream);
     }
 
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -18,7 +18,7 @@
 pub(super) mod fake_worker;
 mod leaves;
 mod messages;
-mod promises;
+pub(super) mod promises;
 mod recovery;
 mod sharing;
 mod successors;
--- a/src/cluster/tests/promises.rs
+++ b/src/cluster/tests/promises.rs
@@ -12,7 +12,7 @@
 use crate::tasks::{JobSpec, JobState, Repeat, StepSpec};
 
 /// Lease of the upstreams in these tests.
-pub(super) const LEASE_MS: u64 = 4_000;
+pub(in crate::cluster) const LEASE_MS: u64 = 4_000;
 
 pub(super) fn call(number: u64, action: Action) -> Request {
     Request::Front(FrontCall {
@@ -27,7 +27,7 @@
     Arc::new(spec(vec![step(1, 8)]))
 }
 
-pub(super) async fn submit(test: &TestControl, number: u64) {
+pub(in crate::cluster) async fn submit(test: &TestControl, number: u64) {
     let reply =
         test.call_until_answered(call(number, Action::Submit { spec: single_task() })).await;
     assert_eq!(reply, Reply::Front(FrontReply::Accepted));
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -43,7 +43,8 @@
                 if let Some(wave) = self.waves.get_mut(&wave)
                     && let Some(known) = wave.machines.get_mut(&machine)
                 {
-                    *known = state;
+                    known.clone_from(&state);
+                    self.record_maintenance(&machine, &state);
                 }
             }
             Change::DropJobs { jobs } => {
@@ -70,6 +71,7 @@
             }
             Change::RecordBegun { jobs } => jobs.iter().for_each(|id| self.record_begun(id)),
             Change::RecordReturns { returns } => self.record_returns(returns),
+            Change::RecordLeave { incarnation } => self.record_leave(incarnation),
             Change::DropSteps { jobs } => {
                 for id in &jobs {
                     if let Some(job) = self.jobs.get_mut(id) {
@@ -345,6 +347,7 @@
     /// Ends all runs of an upstream that has left or restarted.
     fn end_all_runs(&mut self, incarnation: &Incarnation) {
         self.lapsed_runs.remove(incarnation);
+        self.departures.remove(incarnation);
         for (task, run) in self.runs_of(incarnation) {
             self.end_run(incarnation, &task, run, EndKind::Lapsed, None);
         }
--- a/src/tasks/command.rs
+++ b/src/tasks/command.rs
@@ -91,6 +91,8 @@
     SetEvacuation { data_centre: Arc<str>, begin: bool, revision: u64 },
     /// Records callers that were refused and told to return.
     RecordReturns { returns: Vec<(JobId, PromisedReturn)> },
+    /// Records that an upstream has said that it leaves now.
+    RecordLeave { incarnation: Incarnation },
 }
 
 /// A change and the cluster time at which the leader proposed it.
--- a/src/tasks/mod.rs
+++ b/src/tasks/mod.rs
@@ -11,6 +11,7 @@
 mod configuration_changes;
 mod configuration_warnings;
 mod crash;
+mod departure;
 mod evacuation;
 mod ids;
 mod job;
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -9,6 +9,7 @@
 use super::attained::{Account, Attained};
 use super::configuration::{Configuration, Queue};
 use super::crash::TaskCrashes;
+use super::departure::Departures;
 use super::evacuation::Evacuations;
 use super::ids::{JobId, TaskId};
 use super::job::{Job, Outcome, Unit};
@@ -57,6 +58,8 @@
     pub(crate) attained: BTreeMap<Account, Attained>,
     /// Callers that were refused and told to return, by the job that they submit.
     pub(crate) returns: BTreeMap<JobId, PromisedReturn>,
+    /// What was announced of the ends of registered upstreams.
+    pub(crate) departures: Departures,
     /// Job events since the last call of [`State::take_events`].
     #[serde(skip)]
     pub(super) events: Vec<JobEvent>,
--- a/src/tasks/tests/mod.rs
+++ b/src/tasks/tests/mod.rs
@@ -3,6 +3,7 @@
 mod attained;
 mod cancellations;
 mod configurations;
+mod departures;
 mod evacuations;
 mod jobs;
 mod occurrences;
