Pass a rejection on only if it is true of all attempts of the request

The leader froze with the submission on its way to the log, and the job's route was removed meanwhile.

Cause: LeaderClient sends a request again after an attempt without a reply, and passed on whatever the next leader said. It kept that an earlier attempt may have been carried out only for the case that no reply comes at all. The next leader, with the job in its log, looks for the queue and the key before the job.

Evidence: in the log of the unchanged code the new leader places the task 0.7 s after the freeze, without a line `job was submitted`, and the entry host logs 404 at 1.3 s. The former leader's line, after it has woken, has stored: false, so it is not the one that carried the request out late.

Change: a rejection after, or beside, an attempt that may be carried out is an unknown outcome (504). The next attempt says that it is one (Request::Resend), so that a leader that finds the job stored by it can say so, to its own organisation only. This ends both orders: the first attempt stored before the rejection, and carried out after it. The same holds for cancellations, evacuations, and a control host that took a request and lost its leadership: that said 503, nothing was accepted, if it found no other leader.

On the code before, a_rejection_after_an_unknown_outcome_is_not_passed_on (five rejections), a_rejection_beside_an_attempt_without_a_reply_is_not_passed_on and a_refused_evacuation_after_an_unknown_outcome_is_not_passed_on fail.

An earlier build can't read Request::Resend; it refuses such an attempt, whose outcome is unknown then.

--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -162,8 +162,10 @@
         {
             return Ok(Reply::Done);
         }
+        let begun = Instant::now();
         match self.handle(request.clone()).await {
-            Reply::NotLeader { .. } | Reply::Unknown => self.client.call(&request, limit).await,
+            Reply::NotLeader { .. } => self.client.call(&request, limit).await,
+            Reply::Unknown => self.client.call_again(&request, begun, limit).await,
             reply => Ok(reply),
         }
     }
--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -13,7 +13,7 @@
 use crate::cluster::protocol::{Action, FrontCall, FrontReply, OperatorReply, Reply, Request};
 use crate::placement::{Admission, Approvals, View, critical_path_ms, objective_ms};
 use crate::tasks::{
-    Change, Configuration, Heartbeat, Incarnation, JobId, JobSpec, Queue, Upstream, Wave,
+    Change, Configuration, Heartbeat, Incarnation, JobId, JobSpec, Outcome, Queue, Upstream, Wave,
 };
 
 /// Time after which a caller may try again while no upstream has registered.
@@ -38,7 +38,8 @@
     /// Handles one request.
     pub(in crate::cluster) async fn handle(self: &Arc<Self>, request: Request) -> Reply {
         match request {
-            Request::Front(call) => self.handle_call(call).await,
+            Request::Front(call) => self.handle_call(call, None).await,
+            Request::Resend { call, age_ms } => self.handle_call(call, Some(age_ms)).await,
             Request::Heartbeat(heartbeat) => self.heartbeat(heartbeat).await,
             Request::Deregister { id, born_unix_ms } => self.deregister(&id, born_unix_ms).await,
             Request::SetConfiguration { configuration, raw } => {
@@ -87,13 +88,16 @@
     }
 
     /// Answers a caller's call and counts the reply.
-    async fn handle_call(&self, call: FrontCall) -> Reply {
-        let reply = self.answer_call(call).await;
+    async fn handle_call(&self, call: FrontCall, resent_after_ms: Option<u64>) -> Reply {
+        let reply = self.answer_call(call, resent_after_ms).await;
         self.replica.metrics.request(result_name(&reply));
         reply
     }
 
-    async fn answer_call(&self, call: FrontCall) -> Reply {
+    async fn answer_call(&self, call: FrontCall, resent_after_ms: Option<u64>) -> Reply {
+        if let Some(earlier) = resent_after_ms.and_then(|ms| self.earlier_outcome(&call, ms)) {
+            return Reply::Front(earlier);
+        }
         let target = match self.resolve_target(&call) {
             Ok(target) => target,
             Err(reply) => return Reply::Front(reply),
@@ -144,6 +148,36 @@
         })
     }
 
+    /// Returns what an earlier attempt of a call has achieved, although the call's queue may have been
+    /// removed since then.
+    ///
+    /// The job must be of the key's organisation, so that nobody learns of the jobs of others. A
+    /// submission must have stored it since the call's first attempt: an older job is of an earlier call.
+    fn earlier_outcome(&self, call: &FrontCall, age_ms: u64) -> Option<FrontReply> {
+        let inner = self.replica.lock();
+        let state = &inner.state;
+        let (_, id) = call.path.rsplit_once('/')?;
+        let job = state.jobs.get(&id.parse::<JobId>().ok()?)?;
+        let queue = state.queue_of(job)?;
+        if !queue.serves(&call.host, &call.path) || &call.path[queue.path_prefix.len()..] != id {
+            return None;
+        }
+        let configuration = state.configuration.as_ref()?;
+        let key = call.key.as_deref();
+        let organisation = key.and_then(|key| configuration.organisation_with_key(key));
+        if job.organisation.as_ref() != organisation.map(|organisation| &organisation.name) {
+            return None;
+        }
+        let is_recent = job.accepted_ms >= inner.now_ms().saturating_sub(age_ms);
+        match call.action {
+            Action::Submit { .. } if is_recent => Some(FrontReply::Accepted),
+            Action::Cancel if job.outcome == Some(Outcome::Cancelled) => {
+                Some(FrontReply::Cancelled)
+            }
+            _ => None,
+        }
+    }
+
     async fn submit(&self, target: CallTarget, id: JobId, spec: Arc<JobSpec>) -> Reply {
         let CallTarget { queue, organisation, .. } = target;
         {
--- a/src/cluster/leader_client.rs
+++ b/src/cluster/leader_client.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -49,7 +50,7 @@
     #[display("no leader of control is in reach")]
     NotDelivered,
     /// A leader may have received the request and may still carry it out.
-    #[display("control did not answer in time")]
+    #[display("it is not known whether control has carried the request out")]
     Unknown,
 }
 
@@ -93,6 +94,63 @@
 
 type ConnectLock = tokio::sync::Mutex<Option<Instant>>;
 
+/// One call, over all its attempts.
+struct Call<'a> {
+    request: &'a Request,
+    begun: Instant,
+    deadline: Instant,
+    /// Whether an attempt without a reply may have been carried out, or may be later.
+    uncertain: bool,
+}
+
+impl Call<'_> {
+    /// Returns the message of the next attempt.
+    fn message(&self, others_sent: bool) -> Bytes {
+        match self.request {
+            Request::Front(call) if self.uncertain || others_sent => {
+                let age = self.begun.elapsed().as_millis();
+                let age_ms = u64::try_from(age).unwrap_or(u64::MAX);
+                codec::encode_message(&Request::Resend { call: call.clone(), age_ms })
+            }
+            request => codec::encode_message(request),
+        }
+    }
+
+    /// Records that an attempt may be carried out without a reply to this call.
+    fn record_uncertain(&mut self, may_be_carried_out: bool) {
+        self.uncertain |= may_be_carried_out && self.request.changes_state();
+    }
+
+    /// Returns the reply to the call: a rejection only if it is true of all attempts.
+    ///
+    /// The caller must not learn that its request has no effect while an earlier attempt is in the log,
+    /// on its way, or in the socket of a host that stands still.
+    fn conclude(&self, reply: Reply) -> Result<Reply, ClientFault> {
+        if !self.uncertain || reply.holds_for_all_attempts(self.request) {
+            return Ok(reply);
+        }
+        warn!(
+            ?reply,
+            age_ms = self.begun.elapsed().as_millis(),
+            "rejection is not passed on, since an earlier attempt may be carried out"
+        );
+        Err(ClientFault::Unknown)
+    }
+}
+
+/// An attempt that is under way.
+struct PendingAttempt {
+    address: SocketAddr,
+    /// Set when the request is sent.
+    sent: Arc<AtomicBool>,
+}
+
+impl PendingAttempt {
+    fn is_sent(&self) -> bool {
+        self.sent.load(Ordering::Relaxed)
+    }
+}
+
 /// Why one attempt at one host has no reply.
 struct FailedAttempt {
     /// Whether the host may have received the request.
@@ -162,23 +220,40 @@
     /// Returns an error that states whether a leader may have received the request.
     pub async fn call(&self, request: &Request, limit: Duration) -> Result<Reply, ClientFault> {
         let begun = Instant::now();
-        let deadline = begun + limit;
-        let payload = codec::encode_message(request);
-        let mut maybe_delivered = false;
-        let mut last_contact = begun;
+        self.run(Call { request, begun, deadline: begun + limit, uncertain: false }).await
+    }
+
+    /// Sends a request again whose first attempt, elsewhere and at `begun`, had an unknown outcome.
+    ///
+    /// # Errors
+    /// Returns an error that states whether a leader may have received the request.
+    pub(super) async fn call_again(
+        &self,
+        request: &Request,
+        begun: Instant,
+        limit: Duration,
+    ) -> Result<Reply, ClientFault> {
+        let mut call = Call { request, begun, deadline: Instant::now() + limit, uncertain: false };
+        call.record_uncertain(true);
+        self.run(call).await
+    }
+
+    async fn run(&self, mut call: Call<'_>) -> Result<Reply, ClientFault> {
+        let mut last_contact = Instant::now();
         loop {
-            match self.try_all_hosts(&payload, deadline).await {
-                Ok(reply) => return Ok(reply),
-                Err(true) => {
-                    maybe_delivered = request.changes_state();
-                    last_contact = Instant::now();
+            match self.try_all_hosts(&mut call).await {
+                Ok(reply) => return call.conclude(reply),
+                Err(maybe_delivered) => {
+                    call.record_uncertain(maybe_delivered);
+                    if maybe_delivered {
+                        last_contact = Instant::now();
+                    }
                 }
-                Err(false) => {}
             }
             let next = Instant::now() + RETRY_PAUSE;
-            if next >= deadline || next >= last_contact + NO_LEADER_TIMEOUT {
+            if next >= call.deadline || next >= last_contact + NO_LEADER_TIMEOUT {
                 let fault =
-                    if maybe_delivered { ClientFault::Unknown } else { ClientFault::NotDelivered };
+                    if call.uncertain { ClientFault::Unknown } else { ClientFault::NotDelivered };
                 return Err(fault);
             }
             sleep(RETRY_PAUSE).await;
@@ -189,21 +264,24 @@
     ///
     /// A host that does not answer soon holds no other one up: the next is tried beside it. The error is
     /// whether a leader may have received the request.
-    async fn try_all_hosts(&self, payload: &Bytes, deadline: Instant) -> Result<Reply, bool> {
+    async fn try_all_hosts(&self, call: &mut Call<'_>) -> Result<Reply, bool> {
+        let deadline = call.deadline;
         let mut candidates = VecDeque::from(self.lock().candidates());
         let mut redirects_left = REDIRECTS_MAX;
         let mut maybe_delivered = false;
-        let mut trying: Vec<SocketAddr> = Vec::new();
+        let mut trying: Vec<PendingAttempt> = Vec::new();
         let mut attempts = JoinSet::new();
         loop {
             if attempts.len() < ATTEMPTS_MAX
                 && let Some(address) = candidates.pop_front()
             {
-                trying.push(address);
-                let (client, payload) = (self.clone(), payload.clone());
+                let payload = call.message(trying.iter().any(PendingAttempt::is_sent));
+                let sent = Arc::new(AtomicBool::new(false));
+                trying.push(PendingAttempt { address, sent: Arc::clone(&sent) });
+                let client = self.clone();
                 attempts.spawn(async move {
                     let begun = Instant::now();
-                    (address, begun, client.try_host(address, payload, deadline).await)
+                    (address, begun, client.try_host(address, payload, &sent, deadline).await)
                 });
             }
             let may_add = !candidates.is_empty() && attempts.len() < ATTEMPTS_MAX;
@@ -213,19 +291,23 @@
                 Err(_) | Ok(Some(Err(_))) => continue,
                 Ok(None) => return Err(maybe_delivered),
             };
-            trying.retain(|other| *other != address);
+            trying.retain(|other| other.address != address);
             let redirect = match answer {
                 Ok(Reply::NotLeader { leader }) => leader.filter(|leader| *leader != address),
                 Ok(Reply::Unknown) => {
                     maybe_delivered = true;
+                    call.record_uncertain(true);
                     None
                 }
                 Ok(reply) => {
+                    // The attempts that are still under way may arrive after this reply was given.
+                    call.record_uncertain(trying.iter().any(PendingAttempt::is_sent));
                     self.set_leader(address);
                     return Ok(reply);
                 }
                 Err(FailedAttempt { delivered, slow }) => {
                     maybe_delivered |= delivered;
+                    call.record_uncertain(delivered);
                     if slow {
                         continue;
                     }
@@ -233,7 +315,8 @@
                 }
             };
             self.forget_leader(address, begun);
-            let redirect = redirect.filter(|leader| !trying.contains(leader));
+            let is_tried = |host: &SocketAddr| trying.iter().any(|other| other.address == *host);
+            let redirect = redirect.filter(|leader| !is_tried(leader));
             if let Some(leader) = redirect.filter(|_| redirects_left > 0) {
                 redirects_left -= 1;
                 candidates.push_front(leader);
@@ -271,6 +354,7 @@
         &self,
         address: SocketAddr,
         payload: Bytes,
+        sent: &AtomicBool,
         deadline: Instant,
     ) -> Result<Reply, FailedAttempt> {
         let until = deadline.min(Instant::now() + ATTEMPT_TIMEOUT);
@@ -278,6 +362,7 @@
             return Err(FailedAttempt { delivered: false, slow: false });
         };
         let begun = Instant::now();
+        sent.store(true, Ordering::Relaxed);
         let answer = timeout_at(until, client.call(rpc::Frame { payload })).await;
         let delivered = true;
         if let Ok(Ok(reply)) = answer {
--- a/src/cluster/protocol.rs
+++ b/src/cluster/protocol.rs
@@ -161,6 +161,13 @@
     Evacuations,
     /// Passes hold orders of the leader to the receiver, whichever host leads.
     Relay(RelayRequest),
+    /// A caller's request that is sent again, since an earlier attempt may have been carried out.
+    Resend {
+        /// The request.
+        call: FrontCall,
+        /// Time since the first attempt.
+        age_ms: u64,
+    },
 }
 
 /// Hold orders that a control host sends for the leader.
@@ -202,7 +209,8 @@
             | Self::Status
             | Self::Evacuations
             | Self::Explain { .. } => false,
-            Self::Heartbeat(_)
+            Self::Resend { .. }
+            | Self::Heartbeat(_)
             | Self::Deregister { .. }
             | Self::SetConfiguration { .. }
             | Self::StartWave { .. }
@@ -214,6 +222,35 @@
     }
 }
 
+impl Reply {
+    /// Returns whether a reply to one attempt of a request is true of all of its attempts: of one that
+    /// was carried out before, and of one that is carried out later.
+    ///
+    /// A rejection is not, as it depends on a state that other attempts may not have met.
+    pub(super) fn holds_for_all_attempts(&self, request: &Request) -> bool {
+        let Request::Front(call) = request else {
+            // Configurations are checked by their content only; a data centre may become known.
+            let evacuates = matches!(request, Request::Evacuate { .. });
+            return !(evacuates && matches!(self, Self::Operator(OperatorReply::Invalid { .. })));
+        };
+        let Self::Front(reply) = self else { return true };
+        match (&call.action, reply) {
+            // No attempt stores a job that is invalid by itself.
+            (Action::Submit { spec }, FrontReply::Invalid { .. }) => spec.check().is_err(),
+            (
+                _,
+                FrontReply::NoQueue
+                | FrontReply::BadKey
+                | FrontReply::NotConfigured
+                | FrontReply::NotAccepted { .. }
+                | FrontReply::Invalid { .. },
+            ) => false,
+            // These follow from the log, or change nothing.
+            _ => true,
+        }
+    }
+}
+
 /// Replication state of a member of the cluster.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -20,6 +20,7 @@
 mod messages;
 pub(super) mod promises;
 mod recovery;
+mod resends;
 mod sharing;
 mod successors;
 mod turns;
--- a/src/tasks/configuration.rs
+++ b/src/tasks/configuration.rs
@@ -45,6 +45,15 @@
     pub advice: Option<Advice>,
 }
 
+impl Queue {
+    /// Returns whether a caller's request to a host and path is for this queue, unless it is for one with
+    /// a longer prefix.
+    pub(crate) fn serves(&self, host: &str, path: &str) -> bool {
+        let host = host.split(':').next().unwrap_or(host);
+        self.host.eq_ignore_ascii_case(host) && path.starts_with(&*self.path_prefix)
+    }
+}
+
 /// A service that upstreams belong to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerService {
@@ -202,12 +211,8 @@
 
     /// Returns the queue of a host with the longest prefix that matches the path.
     pub(crate) fn queue_for(&self, host: &str, path: &str) -> Option<&Queue> {
-        let host = host.split(':').next().unwrap_or(host);
-        self.queues
-            .iter()
-            .filter(|queue| queue.host.eq_ignore_ascii_case(host))
-            .filter(|queue| path.starts_with(&*queue.path_prefix))
-            .max_by_key(|queue| queue.path_prefix.len())
+        let serving = self.queues.iter().filter(|queue| queue.serves(host, path));
+        serving.max_by_key(|queue| queue.path_prefix.len())
     }
 
     pub(crate) fn queue(&self, name: &str) -> Option<&Queue> {
