Check a job's queue again when its acceptance is applied

Cause: the leader looks for the queue in the applied configuration. The change that removes the queue may be in the log before the acceptance, and drops the definition of a queue without jobs. The job was then stored with a queue that nobody knows, and every decision left it out.

Change: State::accept does not store a job without its queue, and the reply follows from what was applied: 404, which is true. Other changes already check their conditions when they are applied (read, not run).

Hosts of an earlier build that apply the same log store such a job, so the hosts of a cluster should be updated together.

--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -27,7 +27,7 @@
 const CONFIGURATION_WARNINGS_MAX: usize = 20;
 
 /// What a caller's call addresses.
-struct CallTarget {
+pub(super) struct CallTarget {
     queue: Queue,
     organisation: Option<Arc<str>>,
     /// Path after the queue's prefix: the id of a job, or empty.
@@ -132,7 +132,7 @@
 
     /// Finds the queue of a call and the organisation of its key. Only a public queue can be used
     /// without a valid key.
-    fn resolve_target(&self, call: &FrontCall) -> Result<CallTarget, FrontReply> {
+    pub(super) fn resolve_target(&self, call: &FrontCall) -> Result<CallTarget, FrontReply> {
         let inner = self.replica.lock();
         let configuration = inner.state.configuration.as_ref().ok_or(FrontReply::NotConfigured)?;
         let queue = configuration.queue_for(&call.host, &call.path).ok_or(FrontReply::NoQueue)?;
@@ -178,7 +178,7 @@
         }
     }
 
-    async fn submit(&self, target: CallTarget, id: JobId, spec: Arc<JobSpec>) -> Reply {
+    pub(super) async fn submit(&self, target: CallTarget, id: JobId, spec: Arc<JobSpec>) -> Reply {
         let CallTarget { queue, organisation, .. } = target;
         {
             let inner = self.replica.lock();
@@ -215,9 +215,8 @@
                     Change::Accept { id: id.clone(), queue: queue.name, organisation, spec };
                 let mut reply = self.commit(change, Reply::Front(FrontReply::Accepted)).await;
                 self.term_state().admissions.end_storing(&id);
-                // A cancellation may have been stored while this submission was.
-                if reply != Reply::Unknown && self.replica.lock().state.was_cancelled_early(&id) {
-                    reply = Reply::Front(FrontReply::CancelledBefore);
+                if reply != Reply::Unknown {
+                    reply = Reply::Front(self.outcome_of_acceptance(&id));
                 }
                 let stored = reply == Reply::Front(FrontReply::Accepted);
                 info!(
@@ -230,6 +229,19 @@
         }
     }
 
+    /// Returns the reply to a submission whose acceptance was applied: a cancellation, or the removal of
+    /// the queue, may have been stored before it.
+    fn outcome_of_acceptance(&self, id: &JobId) -> FrontReply {
+        let inner = self.replica.lock();
+        if inner.state.was_cancelled_early(id) {
+            FrontReply::CancelledBefore
+        } else if inner.state.jobs.contains_key(id) {
+            FrontReply::Accepted
+        } else {
+            FrontReply::NoQueue
+        }
+    }
+
     fn admission(
         &self,
         queue: &Queue,
--- a/src/cluster/leader/tests/mod.rs
+++ b/src/cluster/leader/tests/mod.rs
@@ -7,4 +7,5 @@
 mod passes;
 mod recovery;
 mod sessions;
+mod submissions;
 mod unlisted;
--- a/src/tasks/apply.rs
+++ b/src/tasks/apply.rs
@@ -113,6 +113,10 @@
         if self.was_cancelled_early(id) {
             return;
         }
+        // The queue may have been removed since the leader looked for it; nothing would start the job.
+        if self.configuration.as_ref().is_none_or(|current| current.queue(&queue).is_none()) {
+            return;
+        }
         let now_ms = self.now_ms;
         let new = || Job::new(id.clone(), queue, organisation, spec, now_ms);
         self.jobs.entry(id.clone()).or_insert_with(new);
--- a/src/tasks/command.rs
+++ b/src/tasks/command.rs
@@ -55,7 +55,7 @@
 pub(crate) enum Change {
     /// Applies a configuration if its version is higher; `raw` is the text that the operator sent.
     SetConfiguration { configuration: Arc<Configuration>, raw: Bytes },
-    /// Accepts a job unless its identity is known.
+    /// Accepts a job unless its identity is known, it was cancelled before, or its queue was removed.
     Accept { id: JobId, queue: Arc<str>, organisation: Option<Arc<str>>, spec: Arc<JobSpec> },
     /// Cancels a job unless it has ended.
     Cancel { id: JobId },
