Keep the upstreams of a retired service while a job needs them

Cause: heartbeats of a service that the newest configuration does not name were acknowledged and dropped. A restarted worker was never registered, and what a registered one said of itself, as that it drains, was dropped, too.

Change: a service is needed while the configuration names it or a job that has not ended belongs to a queue of it. What a registered upstream says of itself always counts.

With the former condition put back, both tests of cluster/tests/retired.rs fail.

--- a/src/cluster/leader/requests.rs
+++ b/src/cluster/leader/requests.rs
@@ -347,7 +347,9 @@
             };
             inner.state.upstreams.values().find(is_other_at_address).cloned()
         };
-        if !self.is_known_service(&heartbeat.service) {
+        // What a registered upstream says of itself counts as long as it is registered.
+        let is_registered = known.as_ref().is_some_and(|known| known.incarnation() == incarnation);
+        if !is_registered && !self.replica.lock().state.needs_service(&heartbeat.service) {
             info!(
                 upstream = %heartbeat.id, service = %heartbeat.service,
                 "heartbeat of an unknown service"
@@ -399,14 +401,6 @@
         }
     }
 
-    /// Returns whether the configuration names a service, or true before the first configuration.
-    fn is_known_service(&self, name: &str) -> bool {
-        let inner = self.replica.lock();
-        inner.state.configuration.as_ref().is_none_or(|configuration| {
-            configuration.services.iter().any(|service| &*service.name == name)
-        })
-    }
-
     /// Removes a leaving upstream, or marks its session as leaving. Without `born_unix_ms` this
     /// applies to any incarnation.
     async fn deregister(&self, id: &Arc<str>, born_unix_ms: Option<u64>) -> Reply {
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -21,6 +21,7 @@
 pub(super) mod promises;
 mod recovery;
 mod resends;
+mod retired;
 mod sharing;
 mod successors;
 mod turns;
--- a/src/tasks/state.rs
+++ b/src/tasks/state.rs
@@ -142,6 +142,19 @@
         current.or_else(|| self.former_queues.get(&job.queue))
     }
 
+    /// Returns whether the configuration names a service, or a job that has not ended still needs it, since
+    /// it was accepted when an earlier configuration did. True before the first configuration.
+    pub(crate) fn needs_service(&self, name: &str) -> bool {
+        let Some(configuration) = &self.configuration else { return true };
+        let is_named = configuration.services.iter().any(|service| &*service.name == name);
+        let is_of_former = |queue: &Queue| &*queue.service == name;
+        is_named
+            || self.former_queues.values().any(is_of_former)
+                && self.jobs.values().any(|job| {
+                    job.outcome.is_none() && self.queue_of(job).is_some_and(is_of_former)
+                })
+    }
+
     /// Returns the job and the unit of a task, and its index among the unit's members.
     pub(crate) fn find_task(&self, task: &TaskId) -> Option<(&Job, &Unit, u32)> {
         let job = self.jobs.get(&task.job)?;
