Reclaim guaranteed capacity from urgent work that no guarantee covers

Cause: runs of queues of priority 0 were never candidates for a stop, whether a guarantee covers them or not.

Change: runs of jobs of priority 0 that no guarantee covers may be stopped for a covered unit, if no set of runs of lower priorities will do. The same function says which jobs are covered, for waiting and for running ones.

--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -4,7 +4,7 @@
 //! Instead, jobs that can still be on time go before those that can only be late, and jobs whose
 //! result would come too late to be of use go last.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use super::View;
@@ -12,7 +12,7 @@
 use super::stop_costs::Slack;
 use super::suspects::is_suspect;
 use crate::tasks::{
-    Configuration, Job, JobSpec, Phase, Queue, Resources, StepSpec, Unit, UnitId, Usage,
+    Configuration, Job, JobId, JobSpec, Phase, Queue, Resources, StepSpec, Unit, UnitId, Usage,
 };
 
 /// Whether a job can still be finished when its caller needs it.
@@ -170,18 +170,29 @@
     })
 }
 
+/// Returns the open jobs of priority 0 that the guarantees of their organisations cover, older jobs first.
+pub(super) fn covered_jobs<'a>(view: &View<'a>) -> HashSet<&'a JobId> {
+    let Some(configuration) = &view.state.configuration else { return HashSet::new() };
+    let is_urgent = |job: &&Job| {
+        job.outcome.is_none() && view.state.queue_of(job).is_some_and(|queue| queue.priority == 0)
+    };
+    let mut urgent: Vec<&Job> = view.state.jobs.values().filter(is_urgent).collect();
+    urgent.sort_by_key(|job| job.accepted_ms);
+    let mut guarantees = Guarantees::of(configuration);
+    urgent.into_iter().filter(|job| guarantees.try_claim(job)).map(|job| &job.id).collect()
+}
+
 /// Returns the units that are ready to run, in no particular order.
 fn waiting_units<'a>(view: &View<'a>, shares: &mut Shares) -> Vec<WaitingUnit<'a>> {
     let public = Arc::default();
-    let Some(configuration) = &view.state.configuration else { return Vec::new() };
-    let mut guarantees = Guarantees::of(configuration);
+    if view.state.configuration.is_none() {
+        return Vec::new();
+    }
+    let covered = covered_jobs(view);
     let mut waiting = Vec::new();
-    let mut open: Vec<&Job> =
-        view.state.jobs.values().filter(|job| job.outcome.is_none()).collect();
-    open.sort_by_key(|job| job.accepted_ms);
-    for job in open {
+    for job in view.state.jobs.values().filter(|job| job.outcome.is_none()) {
         let Some(queue) = view.state.queue_of(job) else { continue };
-        let is_covered = queue.priority == 0 && guarantees.try_claim(job);
+        let is_covered = covered.contains(&job.id);
         let due = |occurrence| job.spec.due_unix_ms(occurrence) <= view.unix_ms;
         for (occurrence, steps) in job.occurrences.iter().filter(|(number, _)| due(*number)) {
             let slack = slack(view, job, queue, occurrence);
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -2,10 +2,11 @@
 //!
 //! Borrowers may fill the pool when jobs under a guarantee arrive. If capacity that becomes free by
 //! itself comes too late, the cheapest runs are stopped, and what they free is reserved for the unit.
+//! Urgent work that no guarantee covers is a borrower, too: a covered unit stops it if nothing else will do.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 
-use super::order::WaitingUnit;
+use super::order::{WaitingUnit, covered_jobs};
 use super::pool::Pool;
 use super::room::{find_hosts_in, host_groups};
 use super::stop_costs::{Claim, RunFacts, pays_off, stop_cost_core_ms};
@@ -38,7 +39,8 @@
 }
 
 impl Victims {
-    /// Collects the runs that may be preempted and are not being stopped already.
+    /// Collects the runs that may be preempted and are not being stopped already: those of lower priorities,
+    /// and urgent ones that no guarantee covers.
     pub(super) fn new(view: &View<'_>, ending: &HashSet<(UnitId, u32)>) -> Self {
         let host_of_incarnation: HashMap<_, usize> = view
             .hosts
@@ -51,9 +53,10 @@
             on_host: vec![Vec::new(); view.hosts.len()],
             selected: HashSet::new(),
         };
+        let covered = covered_jobs(view);
         for job in view.state.jobs.values() {
             let Some(queue) = view.state.queue_of(job) else { continue };
-            if queue.priority == 0 {
+            if covered.contains(&job.id) {
                 continue;
             }
             for_each_unit(job, |unit, state| {
@@ -104,10 +107,10 @@
         self.all.push(victim);
     }
 
-    /// Iterates over the runs not yet selected, with their numbers.
+    /// Iterates over the runs of lower priorities that are not selected yet, with their numbers.
     pub(super) fn candidates(&self) -> impl Iterator<Item = (usize, &Victim)> {
-        let all = self.all.iter().enumerate();
-        all.filter(|(number, _)| !self.selected.contains(number))
+        let lower = self.all.iter().enumerate().filter(|(_, victim)| victim.priority > 0);
+        lower.filter(|(number, _)| !self.selected.contains(number))
     }
 
     /// Iterates over the runs on a host that are not selected yet, by number.
@@ -152,13 +155,18 @@
     }
     let mut free =
         soon_ms.map_or_else(|| pool.free_after_stops.clone(), |soon_ms| pool.free_within(soon_ms));
-    let mut cheapest: Option<StopSet> = None;
-    for hosts in host_groups(view, pool, unit) {
-        let limit = cheapest.as_ref().map_or(u64::MAX, |set| set.cost_core_ms);
-        let bounds = Bounds { cost_core_ms: limit, soon_ms };
-        let found = cheapest_set((view, pool, victims, unit), &hosts, &mut free, bounds);
-        cheapest = found.or(cheapest);
-    }
+    let groups = host_groups(view, pool, unit);
+    let mut cheapest_of = |reclaims_urgent| {
+        let mut cheapest: Option<StopSet> = None;
+        for hosts in &groups {
+            let limit = cheapest.as_ref().map_or(u64::MAX, |set| set.cost_core_ms);
+            let bounds = Bounds { cost_core_ms: limit, soon_ms, reclaims_urgent };
+            let found = cheapest_set((view, pool, victims, unit), hosts, &mut free, bounds);
+            cheapest = found.or(cheapest);
+        }
+        cheapest
+    };
+    let cheapest = cheapest_of(false).or_else(|| unit.is_covered.then(|| cheapest_of(true))?);
     let Some(set) = cheapest else { return Vec::new() };
     let run_ms = view.expected_run_ms(unit.queue, unit.step);
     let claim = Claim {
--- a/src/placement/stop_set.rs
+++ b/src/placement/stop_set.rs
@@ -19,6 +19,8 @@
     pub(super) cost_core_ms: u64,
     /// Time within which a run that ends by itself is not worth stopping; `None` if no end is relied on.
     pub(super) soon_ms: Option<u64>,
+    /// Whether urgent runs that no guarantee covers may be stopped as well.
+    pub(super) reclaims_urgent: bool,
 }
 
 /// What a search is about: the input of the decision, the pool, the candidates, and the unit.
@@ -131,7 +133,8 @@
                 let victim = self.victims.get(*number);
                 // A run that ends as soon by itself frees nothing when it is stopped.
                 let ends_late = self.bounds.soon_ms.is_none_or(|soon_ms| victim.left_ms > soon_ms);
-                victim.priority > self.unit.queue.priority && ends_late
+                let is_lower = victim.priority > self.unit.queue.priority;
+                (is_lower || self.bounds.reclaims_urgent) && ends_late
             })
             .collect();
         candidates.sort_by_cached_key(|number| {
--- a/src/placement/tests/loads.rs
+++ b/src/placement/tests/loads.rs
@@ -1,5 +1,7 @@
 //! Placement under load: overload, bursts of urgent jobs, and pools filled by borrowers.
 
+use rstest::rstest;
+
 use super::pool_view::{Inputs, decide, decide_and_start, starts};
 use crate::placement::headroom::{Demand, Headroom};
 use crate::placement::{Progress, StopCause};
@@ -212,6 +214,41 @@
     assert_eq!(plan.stops, [(unit(2), 1, StopCause::Preempted)]);
 }
 
+/// Guards against a guarantee that is worth nothing while urgent work of others has borrowed the whole pool:
+/// what no guarantee covers is reclaimed, and nothing else of priority 0.
+#[rstest]
+#[case::without_a_guarantee("west", true)]
+#[case::within_a_guarantee("south", false)]
+fn guaranteed_capacity_that_urgent_work_has_borrowed_is_reclaimed(
+    #[case] borrower: &str,
+    #[case] is_reclaimed: bool,
+) {
+    let mut sample = Sample::with_hosts(2);
+    let lasting = |accelerators| StepSpec { lasting: true, ..step(1, accelerators) };
+    sample.accept_for(1, "urgent", borrower, vec![lasting(8)]);
+    sample.accept_for(2, "urgent", borrower, vec![lasting(8)]);
+    decide_and_start(&mut sample, &Inputs::default());
+    sample.accept_for(9, "urgent", "north", vec![step(4, 2)]);
+    let plan = decide(&sample, &Inputs::default());
+    let stops: Vec<_> = plan.stops.iter().map(|(.., cause)| *cause).collect();
+    let expected = if is_reclaimed { vec![StopCause::Preempted] } else { Vec::new() };
+    assert_eq!(stops, expected);
+}
+
+/// Guards against urgent work that is stopped for a guarantee where work of a lower priority would do, and
+/// against urgent work beyond a guarantee that stops other urgent work.
+#[test]
+fn urgent_work_is_reclaimed_last_and_for_a_guarantee_only() {
+    let mut sample = Sample::with_hosts(2);
+    sample.accept_for(1, "urgent", "west", vec![step(1, 8)]);
+    sample.accept_for(2, "batch", "west", vec![StepSpec { lasting: true, ..step(1, 8) }]);
+    decide_and_start(&mut sample, &Inputs::default());
+    sample.accept_for(8, "urgent", "east", vec![step(1, 8)]);
+    sample.accept_for(9, "urgent", "north", vec![step(1, 8)]);
+    let plan = decide(&sample, &Inputs::default());
+    assert_eq!(plan.stops, [(unit(2), 1, StopCause::Preempted)]);
+}
+
 /// Guards against preemption or rotation of tasks with an away limit, for an urgent job as well as
 /// for another lasting task.
 #[test]
