Split the leader's requests: calls of callers and heartbeats in modules of their own

Code is moved only: callers' calls to calls.rs, heartbeats and leaves of upstreams to heartbeats.rs.

--- a/src/cluster/leader/mod.rs
+++ b/src/cluster/leader/mod.rs
@@ -1,9 +1,11 @@
 //! The leader during one term: sessions with upstreams, scheduling, orders and requests.
 
 mod advice;
+mod calls;
 mod draining;
 mod evacuations;
 mod failures;
+mod heartbeats;
 mod hold;
 mod hosts;
 mod lag;
