Replace the log from memory, one record at a time

What callers saw: after 220 large jobs all control hosts passed their memory limit at the same time, were killed, and were killed again at each start.

Cause: the records that replace a host's log were built from its files. Their bytes, their records, the decoded log, the encoded records and these joined were in memory at once, beside the log that the host holds anyway. All hosts do so at the same index, and again at once after a restart.

Change: the records come from the log in memory, whose content is shared, are encoded one at a time, and are written as they come, with entries in records of about a megabyte. At a start, each record is dropped once it is decoded.

--- a/src/cluster/codec.rs
+++ b/src/cluster/codec.rs
@@ -5,8 +5,12 @@
 use serde::de::DeserializeOwned;
 
 pub(crate) fn encode(value: &impl Serialize) -> Bytes {
+    encode_vec(value).into()
+}
+
+pub(crate) fn encode_vec(value: &impl Serialize) -> Vec<u8> {
     // Encoding plain structs and enums into memory cannot fail.
-    postcard::to_allocvec(value).expect("plain types can be encoded").into()
+    postcard::to_allocvec(value).expect("plain types can be encoded")
 }
 
 /// Decodes a value.
--- a/src/cluster/control.rs
+++ b/src/cluster/control.rs
@@ -80,8 +80,7 @@
     ) -> Result<Arc<Self>, StepError> {
         let started_ms = boot_ms();
         let (journal, records) = Journal::open(&settings.data_dir)?;
-        let mut recovered = recover(&records)?;
-        drop(records);
+        let mut recovered = recover(records)?;
         let id = match recovered.identity {
             Some(id) => id,
             None => new_identity(&settings, &journal, &mut recovered).await?,
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -143,7 +143,10 @@
             ticks.tick().await;
             self.run_transition(|inner, now_ms| inner.core.tick(now_ms));
             if self.journal.is_snapshot_due() {
-                self.journal.snapshot(storage::compact);
+                // Records are queued under the lock only.
+                let inner = self.lock();
+                let (id, durable) = (inner.core.id, inner.core.durable());
+                self.journal.snapshot_of(storage::state_records(Some(id), durable));
             }
         }
     }
@@ -402,10 +405,12 @@
     if snapshot.state.is_empty() {
         return Ok(State::default());
     }
-    // A snapshot of an earlier build ends before the newest collections; zeros decode as empty ones.
-    let bytes = [&*snapshot.state, &[0; NEWEST_COLLECTIONS]].concat();
-    let mut state: State = codec::decode(&bytes)
-        .map_err(|fault| StepError::new("decode a snapshot", snapshot.index, fault))?;
+    let decoded = codec::decode(&snapshot.state).or_else(|_| {
+        // A snapshot of an earlier build ends before the newest collections; zeros decode as empty ones.
+        codec::decode(&[&*snapshot.state, &[0; NEWEST_COLLECTIONS]].concat())
+    });
+    let mut state: State =
+        decoded.map_err(|fault| StepError::new("decode a snapshot", snapshot.index, fault))?;
     state.rebuild();
     Ok(state)
 }
--- a/src/journal/files.rs
+++ b/src/journal/files.rs
@@ -1,7 +1,7 @@
 //! Files in the journal's folder: segments, snapshots and the lock file.
 
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Write};
+use std::io::{self, BufWriter, Write};
 use std::path::{Path, PathBuf};
 
 use crate::StepError;
@@ -81,21 +81,37 @@
 
 /// Replaces a file atomically: after a crash it has either the old or the new content.
 pub(crate) fn replace_file(path: &Path, content: &[u8]) -> io::Result<()> {
+    replace_file_with(path, |file| file.write_all(content))
+}
+
+/// Replaces a file atomically by what `write` writes, so that its content need not be in memory at once.
+pub(super) fn replace_file_with<T>(
+    path: &Path,
+    write: impl FnOnce(&mut BufWriter<File>) -> io::Result<T>,
+) -> io::Result<T> {
     let mut temporary = path.as_os_str().to_owned();
     temporary.push(TEMPORARY_SUFFIX);
-    if let Err(fault) = write_synced(Path::new(&temporary), content) {
-        // On a full disk a partly written file must not occupy space.
-        _ = fs::remove_file(&temporary);
-        return Err(fault);
-    }
+    let written = match write_synced(Path::new(&temporary), write) {
+        Ok(written) => written,
+        Err(fault) => {
+            // On a full disk a partly written file must not occupy space.
+            _ = fs::remove_file(&temporary);
+            return Err(fault);
+        }
+    };
     fs::rename(&temporary, path)?;
-    sync_folder(path.parent().unwrap_or(Path::new(".")))
+    sync_folder(path.parent().unwrap_or(Path::new(".")))?;
+    Ok(written)
 }
 
-fn write_synced(path: &Path, content: &[u8]) -> io::Result<()> {
-    let mut file = File::create(path)?;
-    file.write_all(content)?;
-    file.sync_all()
+fn write_synced<T>(
+    path: &Path,
+    write: impl FnOnce(&mut BufWriter<File>) -> io::Result<T>,
+) -> io::Result<T> {
+    let mut file = BufWriter::new(File::create(path)?);
+    let written = write(&mut file)?;
+    file.into_inner()?.sync_all()?;
+    Ok(written)
 }
 
 /// Locks the folder until the returned file is closed, at the latest when the process ends.
--- a/src/journal/format.rs
+++ b/src/journal/format.rs
@@ -4,6 +4,8 @@
 //! bit of the stored kind marks the first record of a write. All data before such a record was
 //! synced earlier. The records of one unsynced write, however, can reach the disk in any order.
 
+use std::io::{self, Write};
+
 use super::Record;
 
 /// Size of the header in front of each payload.
@@ -15,15 +17,25 @@
 /// Bit of the stored kind that marks the first record of a write.
 pub(super) const FIRST_OF_WRITE: u8 = 0x80;
 
-/// Appends an encoded record to `out`.
-pub(super) fn encode(out: &mut Vec<u8>, index: u64, stored_kind: u8, payload: &[u8]) {
+/// Writes an encoded record; writing to memory cannot fail.
+pub(super) fn write(
+    out: &mut impl Write,
+    index: u64,
+    stored_kind: u8,
+    payload: &[u8],
+) -> io::Result<()> {
     let length = u32::try_from(payload.len()).expect("payloads are bounded before they are queued");
     let crc = checksum(length, index, stored_kind, payload);
-    out.extend_from_slice(&length.to_le_bytes());
-    out.extend_from_slice(&crc.to_le_bytes());
-    out.extend_from_slice(&index.to_le_bytes());
-    out.push(stored_kind);
-    out.extend_from_slice(payload);
+    out.write_all(&length.to_le_bytes())?;
+    out.write_all(&crc.to_le_bytes())?;
+    out.write_all(&index.to_le_bytes())?;
+    out.write_all(&[stored_kind])?;
+    out.write_all(payload)
+}
+
+/// Appends an encoded record to `out`.
+pub(super) fn encode(out: &mut Vec<u8>, index: u64, stored_kind: u8, payload: &[u8]) {
+    write(out, index, stored_kind, payload).expect("memory can be written");
 }
 
 fn checksum(length: u32, index: u64, stored_kind: u8, payload: &[u8]) -> u32 {
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::StepError;
 use recovery::{Recovered, recover, with_step};
-use writer::{Compact, Progress, Queue, Writer, WriterCommand};
+use writer::{Compact, Progress, Queue, Source, Writer, WriterCommand};
 
 pub(crate) use files::{OpenSink, replace_file};
 
@@ -260,10 +260,21 @@
 
     /// Replaces all records queued so far by the output of `compact`, on another thread.
     pub(crate) fn snapshot(&self, compact: Compact) {
+        self.request_snapshot(Source::Files(compact));
+    }
+
+    /// Replaces all records queued so far by those of the state that they have led to, on another thread.
+    ///
+    /// No record may be queued between the time at which the state is taken and this call.
+    pub(crate) fn snapshot_of(&self, state: impl Iterator<Item = Entry> + Send + 'static) {
+        self.request_snapshot(Source::State(Box::new(state)));
+    }
+
+    fn request_snapshot(&self, source: Source) {
         self.snapshot_running.store(true, Ordering::Release);
         let mut pending = self.queue.lock();
         let next_index = pending.next_index;
-        pending.commands.push(WriterCommand::Snapshot { next_index, compact });
+        pending.commands.push(WriterCommand::Snapshot { next_index, source });
         pending.urgent = true;
         drop(pending);
         self.queue.wakeup.notify_one();
--- a/src/journal/tests.rs
+++ b/src/journal/tests.rs
@@ -242,6 +242,24 @@
     assert_eq!(found, [(0, &b"firstsecondthirdfourth"[..])]);
 }
 
+/// Guards against a snapshot of the state in memory that loses records queued before or after it.
+#[tokio::test]
+async fn a_snapshot_of_the_state_replaces_what_was_queued_before() {
+    let folder = temp_folder();
+    let (journal, _) = Journal::open(folder.path()).expect("the journal opens");
+    for payload in ["first", "second"] {
+        journal.append(3, payload.into()).await.expect("the record is synced");
+    }
+    let state = ["one", "two"].map(|text| Entry { kind: 5, payload: text.into() });
+    journal.snapshot_of(state.into_iter());
+    journal.append(3, b"third".to_vec()).await.expect("the record is synced");
+    drop(journal);
+    assert!(!segment(folder.path()).exists());
+    let (_, records) = Journal::open(folder.path()).expect("the journal opens");
+    let found: Vec<_> = records.iter().map(|r| (r.index, r.kind, &r.payload[..])).collect();
+    assert_eq!(found, [(0, 5, &b"one"[..]), (1, 5, b"two"), (3, 3, b"third")]);
+}
+
 /// Guards against data loss by a crash at any step of a snapshot.
 #[tokio::test]
 async fn a_snapshot_interrupted_anywhere_loses_nothing() {
--- a/src/journal/writer.rs
+++ b/src/journal/writer.rs
@@ -11,7 +11,7 @@
 use tracing::{error, info, warn};
 
 use super::files::{self, OpenSink, Sink};
-use super::format::{FIRST_OF_WRITE, encode};
+use super::format::{FIRST_OF_WRITE, HEADER_BYTES, encode, write};
 use super::recovery::{read_below, with_step};
 use super::{Entry, JournalMetrics, Record};
 use crate::StepError;
@@ -22,9 +22,17 @@
 /// Builds the records that replace the given ones in a snapshot.
 pub(crate) type Compact = fn(&[Record]) -> Result<Vec<Entry>, StepError>;
 
+/// Where the records of a snapshot come from.
+pub(super) enum Source {
+    /// From the records on disk that it replaces.
+    Files(Compact),
+    /// From the state in memory, one at a time.
+    State(Box<dyn Iterator<Item = Entry> + Send>),
+}
+
 pub(super) enum WriterCommand {
     Append { index: u64, entry: Entry },
-    Snapshot { next_index: u64, compact: Compact },
+    Snapshot { next_index: u64, source: Source },
 }
 
 /// Progress of the writer.
@@ -115,9 +123,9 @@
                         self.flush(&mut buffer, last_index)?;
                     }
                 }
-                WriterCommand::Snapshot { next_index, compact } => {
+                WriterCommand::Snapshot { next_index, source } => {
                     self.flush(&mut buffer, last_index)?;
-                    self.start_snapshot(next_index, compact)?;
+                    self.start_snapshot(next_index, source)?;
                 }
             }
         }
@@ -143,8 +151,8 @@
 
     /// Opens a new segment and writes the snapshot on another thread, so that appends continue.
     ///
-    /// The snapshot is made from the files, so the state in memory is neither locked nor copied.
-    fn start_snapshot(&mut self, next_index: u64, compact: Compact) -> io::Result<()> {
+    /// The state in memory is not locked meanwhile.
+    fn start_snapshot(&mut self, next_index: u64, source: Source) -> io::Result<()> {
         self.join_snapshot();
         self.sink = (self.open)(&files::segment_path(&self.folder, next_index))?;
         files::sync_folder(&self.folder)?;
@@ -153,7 +161,7 @@
         let progress = self.progress.clone();
         let running = Arc::clone(&self.snapshot_running);
         let work = move || {
-            let written = write_snapshot(&folder, next_index, compact);
+            let written = write_snapshot(&folder, next_index, source);
             progress.send_modify(|progress| {
                 progress.snapshot_bytes = *written.as_ref().unwrap_or(&progress.snapshot_bytes);
             });
@@ -171,20 +179,32 @@
 }
 
 /// Writes a snapshot and removes the files that it replaces; returns its size in bytes.
-fn write_snapshot(folder: &Path, next_index: u64, compact: Compact) -> Result<u64, StepError> {
-    let entries = compact(&read_below(folder, next_index)?)?;
-    let mut content = Vec::new();
-    let mut index = 0;
-    for entry in &entries {
-        encode(&mut content, index, entry.kind, &entry.payload);
+fn write_snapshot(folder: &Path, next_index: u64, source: Source) -> Result<u64, StepError> {
+    let entries = match source {
+        Source::Files(compact) => Box::new(compact(&read_below(folder, next_index)?)?.into_iter()),
+        Source::State(entries) => entries,
+    };
+    let path = files::snapshot_path(folder, next_index);
+    let written = files::replace_file_with(&path, |out| write_entries(out, entries));
+    let size_bytes = with_step("write a snapshot", &path, written)?;
+    with_step("remove replaced files", folder, remove_below(folder, next_index))?;
+    Ok(size_bytes)
+}
+
+/// Writes the records of a snapshot one at a time, so that no copy of all is in memory.
+fn write_entries(
+    out: &mut impl io::Write,
+    entries: impl Iterator<Item = Entry>,
+) -> io::Result<u64> {
+    let (mut index, mut size_bytes) = (0, 0);
+    for entry in entries {
+        write(out, index, entry.kind, &entry.payload)?;
         index += 1;
+        size_bytes += (HEADER_BYTES + entry.payload.len()) as u64;
     }
     // Recovery detects a truncated snapshot by the count in its last record.
-    encode(&mut content, index, 0, entries.len().to_string().as_bytes());
-    let path = files::snapshot_path(folder, next_index);
-    with_step("write a snapshot", &path, files::replace_file(&path, &content))?;
-    with_step("remove replaced files", folder, remove_below(folder, next_index))?;
-    Ok(content.len() as u64)
+    write(out, index, 0, index.to_string().as_bytes())?;
+    Ok(size_bytes)
 }
 
 fn remove_below(folder: &Path, next_index: u64) -> io::Result<()> {
--- a/src/quorum/core.rs
+++ b/src/quorum/core.rs
@@ -191,6 +191,11 @@
         &self.log
     }
 
+    /// Returns the state that survives a restart; the content of the log is shared.
+    pub(crate) fn durable(&self) -> DurableState {
+        DurableState { term: self.term, voted_for: self.voted_for, log: self.log.clone() }
+    }
+
     pub(crate) fn commit_index(&self) -> u64 {
         self.commit_index
     }
--- a/src/quorum/storage.rs
+++ b/src/quorum/storage.rs
@@ -12,6 +12,9 @@
 /// Kind of all records; [`StoredRecord`] tells them apart.
 const RECORD_KIND: u8 = 1;
 
+/// Size of the entries in one record of a snapshot, at which no further one is added.
+const RECORD_BUDGET_BYTES: usize = 1024 * 1024;
+
 /// Content of one record of the journal.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 enum StoredRecord {
@@ -40,14 +43,16 @@
 }
 
 fn entry(stored: &StoredRecord) -> journal::Entry {
-    journal::Entry { kind: RECORD_KIND, payload: codec::encode(stored).to_vec() }
+    journal::Entry { kind: RECORD_KIND, payload: codec::encode_vec(stored) }
 }
 
-/// Rebuilds the state from the records of the journal.
+/// Rebuilds the state from the records of the journal, each of which is dropped once it is decoded.
 ///
 /// # Errors
 /// Returns an error if a record cannot be decoded.
-pub(crate) fn recover(records: &[journal::Record]) -> Result<Recovered, StepError> {
+pub(crate) fn recover(
+    records: impl IntoIterator<Item = journal::Record>,
+) -> Result<Recovered, StepError> {
     let mut recovered = Recovered::default();
     for record in records {
         let stored = codec::decode(&record.payload)
@@ -60,21 +65,23 @@
     Ok(recovered)
 }
 
-/// Builds the smallest set of records with the same state.
+/// Returns the records of a state, which replace all that have led to it.
 ///
-/// # Errors
-/// Returns an error if a record cannot be decoded.
-pub(crate) fn compact(records: &[journal::Record]) -> Result<Vec<journal::Entry>, StepError> {
-    let Recovered { identity, durable } = recover(records)?;
-    let snapshot = durable.log.snapshot().clone();
-    let rest = durable.log.after(snapshot.index, usize::MAX);
-    let vote = DurableChange::Vote { term: durable.term, voted_for: durable.voted_for };
-    let mut kept = Vec::new();
-    kept.extend(identity.map(StoredRecord::Identity));
-    kept.push(StoredRecord::Change(DurableChange::Snapshot(snapshot)));
-    kept.push(StoredRecord::Change(vote));
-    if !rest.is_empty() {
-        kept.push(StoredRecord::Change(DurableChange::Entries(rest)));
-    }
-    Ok(kept.iter().map(entry).collect())
+/// They are encoded one at a time, and the content of the log is shared with the caller's. A control host
+/// has no memory for several copies of it.
+pub(crate) fn state_records(
+    identity: Option<MemberId>,
+    durable: DurableState,
+) -> impl Iterator<Item = journal::Entry> + Send {
+    let DurableState { term, voted_for, log } = durable;
+    let snapshot = DurableChange::Snapshot(log.snapshot().clone());
+    let mut next = log.snapshot().index;
+    let entries = std::iter::from_fn(move || {
+        let entries = log.after(next, RECORD_BUDGET_BYTES);
+        next = entries.last()?.index;
+        Some(DurableChange::Entries(entries))
+    });
+    let changes = [snapshot, DurableChange::Vote { term, voted_for }].into_iter().chain(entries);
+    let identity = identity.map(StoredRecord::Identity).into_iter();
+    identity.chain(changes.map(StoredRecord::Change)).map(|stored| entry(&stored))
 }
