End all attempts of a call before their outcome is judged

A reply ends a call while attempts at other hosts are under way. One that was still connecting could send the request just after it had been looked at, and a rejection was passed on. The attempts are ended first now, and then asked whether they had sent it. Found by reading; the window is too short for a test.

Two tests failed once each, silent_hosts_do_not_hide_the_leader and a_request_that_no_host_received_is_reported_as_not_delivered. The second was answered by a scripted host of another test process, which had got the port that the test had chosen as a closed one. The output of the first was not kept; it chooses free ports as well, and passed 15 of 15 alone.

--- a/src/cluster/leader_client.rs
+++ b/src/cluster/leader_client.rs
@@ -300,7 +300,8 @@
                     None
                 }
                 Ok(reply) => {
-                    // The attempts that are still under way may arrive after this reply was given.
+                    // No other attempt is sent from now on; those that were may arrive after this reply.
+                    attempts.shutdown().await;
                     call.record_uncertain(trying.iter().any(PendingAttempt::is_sent));
                     self.set_leader(address);
                     return Ok(reply);
--- a/src/cluster/tests/mod.rs
+++ b/src/cluster/tests/mod.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -38,9 +38,7 @@
 #[case::long(Duration::from_secs(3))]
 #[tokio::test]
 async fn a_request_that_no_host_received_is_reported_as_not_delivered(#[case] limit: Duration) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    let (address, _reserved) = closed_address();
     assert_eq!(call(address, limit).await, ClientFault::NotDelivered);
 }
 
@@ -77,6 +75,13 @@
     assert!(begun.elapsed() < Duration::from_secs(4), "{:?}", begun.elapsed());
 }
 
+/// Returns an address that refuses connections. No other test gets it while the socket is kept.
+fn closed_address() -> (SocketAddr, TcpSocket) {
+    let reserved = TcpSocket::new_v4().unwrap();
+    reserved.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    (reserved.local_addr().unwrap(), reserved)
+}
+
 /// Starts a host that accepts connections and never responds, until it is aborted.
 async fn unresponsive_host() -> (SocketAddr, JoinHandle<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/src/cluster/tests/resends.rs
+++ b/src/cluster/tests/resends.rs
@@ -11,7 +11,8 @@
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Response, Status};
 
-use super::control_host::{TestControl, free_address};
+use super::closed_address;
+use super::control_host::TestControl;
 use super::fake_worker::FakeUpstreams;
 use super::promises::{LEASE_MS, call, submit};
 use crate::cluster::{
@@ -59,8 +60,11 @@
 }
 
 /// Starts a host that replies as scripted, with calls numbered over all hosts of `received`.
+///
+/// It has a loopback address that no other test uses: these choose ports that are free for a moment, and must
+/// not be answered by a scripted host that gets the same one.
 async fn scripted_host(script: &Script, received: &Received) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind("127.0.0.7:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let host = ScriptedHost { script: Arc::clone(script), received: Arc::clone(received) };
     let server = tonic::transport::Server::builder().add_service(ClusterServer::new(host));
@@ -150,7 +154,8 @@
 
     let rejecting: Script = Arc::new(|_| Some(Reply::Front(FrontReply::NoQueue)));
     let host = scripted_host(&rejecting, &Received::default()).await;
-    let client = LeaderClient::new(vec![free_address().await, host]);
+    let (closed, _reserved) = closed_address();
+    let client = LeaderClient::new(vec![closed, host]);
     let reply = client.call(&valid_submission(), LIMIT).await;
     assert_eq!(reply, Ok(Reply::Front(FrontReply::NoQueue)));
 }
@@ -172,7 +177,8 @@
 /// nobody has received the request.
 #[tokio::test]
 async fn a_request_that_is_sent_again_to_nobody_has_an_unknown_outcome() {
-    let client = LeaderClient::new(vec![free_address().await]);
+    let (closed, _reserved) = closed_address();
+    let client = LeaderClient::new(vec![closed]);
     let sent = client.call_again(&valid_submission(), Instant::now(), LIMIT).await;
     assert_eq!(sent, Err(ClientFault::Unknown));
 }
