--- a/src/cluster/leader/calls.rs
+++ b/src/cluster/leader/calls.rs
@@ -35,6 +35,7 @@
         reply
     }
 
+    /// Answers a call; `resent_after_ms` is the time since the first attempt if this is a later one.
     async fn answer_call(&self, call: FrontCall, resent_after_ms: Option<u64>) -> Reply {
         if let Some(earlier) = resent_after_ms.and_then(|ms| self.earlier_outcome(&call, ms)) {
             return Reply::Front(earlier);
@@ -119,6 +120,7 @@
         }
     }
 
+    /// Stores a job, unless it is known, was cancelled before, is invalid, or has to come later.
     pub(super) async fn submit(&self, target: CallTarget, id: JobId, spec: Arc<JobSpec>) -> Reply {
         let CallTarget { queue, organisation, .. } = target;
         {
--- a/src/cluster/leader/losses.rs
+++ b/src/cluster/leader/losses.rs
@@ -34,7 +34,7 @@
 /// By what the loss of an upstream was noticed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub(super) enum LossSign {
-    /// It has not answered for long, or at all since its runs have ended and it said that it leaves.
+    /// It has not answered for long, or has said that it leaves, runs nothing and does not answer.
     #[display("silence")]
     Silence,
     /// A successor has sent a heartbeat under its identity or address.
--- a/src/cluster/leader/session.rs
+++ b/src/cluster/leader/session.rs
@@ -24,8 +24,8 @@
 /// Longest lease of an upstream that drains. It will leave, and what runs on it then waits for the lease.
 const DRAINING_LEASE_MS: u64 = 5_000;
 
-/// Time before the end of its notice at which a draining upstream may last be heard of, although it has
-/// stayed until then: it answers each poll, and a call on a slow link takes a while.
+/// Time before the end of its notice at which an upstream that stays until then may last be heard of: the
+/// interval of its polls, and the time of a call on a slow link.
 const NOTICE_TOLERANCE_MS: u64 = DRAINING_POLL_MS + 500;
 
 /// Latest time of an upstream's clock that is believed: a hundred years after its start.
@@ -195,9 +195,10 @@
         self.stays_until_ms = Some(earliest_ms);
     }
 
-    /// Returns whether a draining upstream was last heard of before the end of its notice.
+    /// Returns whether a draining upstream fell silent before the end of its notice, beyond what polling
+    /// and slow links explain.
     ///
-    /// Without a heartbeat in this term, nothing is known of when the notice ends.
+    /// False without a heartbeat in this term, since the end of the notice is not known then.
     pub(super) fn has_broken_notice(&self) -> bool {
         let heard_until_ms = self.last_heard_ms() + NOTICE_TOLERANCE_MS;
         self.stays_until_ms.is_some_and(|until_ms| heard_until_ms < until_ms)
--- a/src/cluster/replica.rs
+++ b/src/cluster/replica.rs
@@ -143,7 +143,7 @@
             ticks.tick().await;
             self.run_transition(|inner, now_ms| inner.core.tick(now_ms));
             if self.journal.is_snapshot_due() {
-                // Records are queued under the lock only.
+                // The state has to include each record that is queued so far; all are queued under this lock.
                 let inner = self.lock();
                 let (id, durable) = (inner.core.id, inner.core.durable());
                 self.journal.snapshot_of(storage::state_records(Some(id), durable));
--- a/src/quorum/storage.rs
+++ b/src/quorum/storage.rs
@@ -12,7 +12,7 @@
 /// Kind of all records; [`StoredRecord`] tells them apart.
 const RECORD_KIND: u8 = 1;
 
-/// Size of the entries in one record of a snapshot, at which no further one is added.
+/// Maximum size of the entries in one record of a snapshot; a larger entry has a record of its own.
 const RECORD_BUDGET_BYTES: usize = 1024 * 1024;
 
 /// Content of one record of the journal.
--- a/src/tasks/departure.rs
+++ b/src/tasks/departure.rs
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Records for the upstreams of a physical host whether its maintenance ends them.
+    /// Records for the upstreams of a physical host whether its maintenance is about to end them.
     ///
     /// Once another upstream has registered there, the maintenance is over, and the former one stays
     /// marked: its end may not have been noticed yet.
